--- /dev/null
+++ b/lib/benches/configuration.rs
@@ -0,0 +1,3 @@
+//! Measures configuration.
+
+fn main() {}
--- /dev/null
+++ b/lib/benches/detection.rs
@@ -0,0 +1,3 @@
+//! Measures detection.
+
+fn main() {}
--- /dev/null
+++ b/lib/benches/membership.rs
@@ -0,0 +1,3 @@
+//! Measures membership.
+
+fn main() {}
--- /dev/null
+++ b/lib/benches/shares.rs
@@ -0,0 +1,3 @@
+//! Measures shares.
+
+fn main() {}
--- /dev/null
+++ b/lib/gen-schemas/src/main.rs
@@ -0,0 +1,2 @@
+//! Generator.
+fn main() {}
--- /dev/null
+++ b/lib/src/config.rs
@@ -0,0 +1,341 @@
+//! The configuration that operators accept and every node serves by.
+//!
+//! A [`FleetConfig`] is the state after one [`Revision`]; a [`ConfigDelta`] leads from one revision
+//! to the next. Applying deltas is the only way to change a configuration, so that no node can go
+//! back. See [docs/design/configuration.md](../../docs/design/configuration.md).
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use snafu::{Snafu, ensure};
+
+use crate::ids::{CustomerId, DataCentreId, Revision, RouteId, ServiceId, TargetId};
+use crate::key::KeyDigest;
+use crate::units::{BurstSize, ByteSize, RequestRate};
+
+/// A customer and its share of the fleet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct Customer {
+    /// The customer's name.
+    pub id: CustomerId,
+    /// The request rate over the whole fleet.
+    pub rate: RequestRate,
+    /// The requests that may arrive at once over the whole fleet.
+    pub burst: BurstSize,
+    /// The customer's weight when a service is short of capacity.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+}
+
+const fn default_weight() -> u32 {
+    1
+}
+
+/// Whether a key works.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum KeyState {
+    /// Requests with the key run.
+    Granted,
+    /// Requests with the key are refused; the digest is kept to tell the caller why.
+    Withdrawn,
+}
+
+/// A key and the customer whose requests it lets run.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct KeyGrant {
+    /// The key's digest.
+    pub digest: KeyDigest,
+    /// The customer that the key belongs to.
+    pub customer: CustomerId,
+    /// Whether the key works.
+    pub state: KeyState,
+}
+
+/// Who may use a route.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RouteAccess {
+    /// Only requests with a granted key.
+    Keyed,
+    /// Every request.
+    Open,
+}
+
+/// Whether a request of a route may run more than once.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Idempotence {
+    /// Repeating a request has no further effect, so it may be retried and hedged.
+    Idempotent,
+    /// A request runs at most once.
+    #[default]
+    NonIdempotent,
+}
+
+/// The form of a directory answer, which old devices cannot change.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DirectoryFormat {
+    /// A JSON document.
+    #[default]
+    Json,
+    /// One `address:port` a line.
+    Lines,
+}
+
+/// A path prefix that is served by one service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct Route {
+    /// The route's name.
+    pub id: RouteId,
+    /// The path prefix; the longest matching prefix wins.
+    pub path_prefix: String,
+    /// The service that serves the route.
+    pub service: ServiceId,
+    /// Who may use the route.
+    pub access: RouteAccess,
+    /// Whether a request may run more than once.
+    #[serde(default)]
+    pub idempotence: Idempotence,
+    /// The header that carries the caller's request id.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request_id_header: Option<String>,
+    /// The form of directory answers for the route.
+    #[serde(default)]
+    pub directory_format: DirectoryFormat,
+    /// The time from a request's arrival to the end of its answer, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub deadline_ms: u64,
+    /// The largest request body.
+    #[serde(default = "default_max_body")]
+    pub max_body: ByteSize,
+}
+
+const fn default_deadline_ms() -> u64 {
+    10_000
+}
+
+const fn default_max_body() -> ByteSize {
+    ByteSize(16 << 20)
+}
+
+/// How eagerly a service's targets are judged, from fast to careful.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DetectionMode {
+    /// Detects soonest, at the cost of more wrong ejections.
+    Fast,
+    /// Weighs both costs.
+    #[default]
+    Balanced,
+    /// Ejects on strong evidence only.
+    Careful,
+}
+
+/// Which policies a service is served by.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PolicyMode {
+    /// The fleet's own policies.
+    #[default]
+    Adaptive,
+    /// Round robin, five consecutive errors eject, static limits, first come first served.
+    Baseline,
+}
+
+/// A set of targets that can serve the same requests.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct Service {
+    /// The service's name.
+    pub id: ServiceId,
+    /// The number of targets that ejection must leave serving.
+    pub floor: u32,
+    /// How eagerly targets are judged.
+    #[serde(default)]
+    pub detection: DetectionMode,
+    /// Which policies apply.
+    #[serde(default)]
+    pub policy: PolicyMode,
+    /// The share of good answers that the service promises, in parts per million.
+    #[serde(default = "default_objective_ppm")]
+    pub objective_ppm: u32,
+}
+
+const fn default_objective_ppm() -> u32 {
+    999_000
+}
+
+/// Whether a target is to get new work.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetState {
+    /// The target takes work.
+    #[default]
+    Active,
+    /// The target is leaving and gets no new work.
+    Leaving,
+}
+
+/// One server of a service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct Target {
+    /// The target's name.
+    pub id: TargetId,
+    /// The service that the target belongs to.
+    pub service: ServiceId,
+    /// Where the target listens.
+    pub address: SocketAddr,
+    /// The target's data centre.
+    pub data_centre: DataCentreId,
+    /// The requests that the target runs at once.
+    pub slots: u32,
+    /// The connections that the target accepts from all gateways together.
+    pub connections: u32,
+    /// Whether the target is to get new work.
+    #[serde(default)]
+    pub state: TargetState,
+}
+
+/// One change of one object.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigChange {
+    /// Adds or replaces a customer.
+    PutCustomer(Customer),
+    /// Removes a customer; its keys stop working.
+    RemoveCustomer(CustomerId),
+    /// Adds or replaces a key.
+    PutKey(KeyGrant),
+    /// Removes a key for good.
+    RemoveKey(KeyDigest),
+    /// Adds or replaces a route.
+    PutRoute(Route),
+    /// Removes a route.
+    RemoveRoute(RouteId),
+    /// Adds or replaces a service.
+    PutService(Service),
+    /// Removes a service.
+    RemoveService(ServiceId),
+    /// Adds or replaces a target.
+    PutTarget(Target),
+    /// Removes a target.
+    RemoveTarget(TargetId),
+}
+
+/// The changes that lead from the revision before to `revision`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ConfigDelta {
+    /// The revision that the changes lead to.
+    pub revision: Revision,
+    /// The changes, in order.
+    pub changes: Vec<ConfigChange>,
+}
+
+/// Says why a delta was not applied; the configuration is unchanged.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum ApplyError {
+    /// The delta does not follow the configuration's revision.
+    #[snafu(display("revision {offered} does not follow revision {held}"))]
+    NotNext {
+        /// The revision of the configuration.
+        held: Revision,
+        /// The revision of the delta.
+        offered: Revision,
+    },
+}
+
+/// The whole configuration at one revision.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct FleetConfig {
+    /// The revision that the configuration is at.
+    pub revision: Revision,
+    /// All customers.
+    #[serde(with = "indexmap::map::serde_seq", default)]
+    pub customers: IndexMap<CustomerId, Customer>,
+    /// All keys, granted and withdrawn.
+    #[serde(with = "indexmap::map::serde_seq", default)]
+    pub keys: IndexMap<KeyDigest, KeyGrant>,
+    /// All routes.
+    #[serde(with = "indexmap::map::serde_seq", default)]
+    pub routes: IndexMap<RouteId, Route>,
+    /// All services.
+    #[serde(with = "indexmap::map::serde_seq", default)]
+    pub services: IndexMap<ServiceId, Service>,
+    /// All targets.
+    #[serde(with = "indexmap::map::serde_seq", default)]
+    pub targets: IndexMap<TargetId, Target>,
+}
+
+impl FleetConfig {
+    /// Applies the delta that follows this revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`ApplyError::NotNext`] if the delta is old, repeated or leaves a gap.
+    pub fn apply(&mut self, delta: &ConfigDelta) -> Result<(), ApplyError> {
+        ensure!(
+            delta.revision == self.revision.next(),
+            NotNextSnafu {
+                held: self.revision,
+                offered: delta.revision
+            }
+        );
+        delta
+            .changes
+            .iter()
+            .for_each(|change| self.apply_change(change));
+        self.revision = delta.revision;
+        Ok(())
+    }
+
+    fn apply_change(&mut self, change: &ConfigChange) {
+        match change {
+            ConfigChange::PutCustomer(customer) => {
+                self.customers.insert(customer.id.clone(), customer.clone());
+            }
+            ConfigChange::RemoveCustomer(id) => {
+                self.customers.swap_remove(id);
+            }
+            ConfigChange::PutKey(grant) => {
+                self.keys.insert(grant.digest, grant.clone());
+            }
+            ConfigChange::RemoveKey(digest) => {
+                self.keys.swap_remove(digest);
+            }
+            ConfigChange::PutRoute(route) => {
+                self.routes.insert(route.id.clone(), route.clone());
+            }
+            ConfigChange::RemoveRoute(id) => {
+                self.routes.swap_remove(id);
+            }
+            ConfigChange::PutService(service) => {
+                self.services.insert(service.id.clone(), service.clone());
+            }
+            ConfigChange::RemoveService(id) => {
+                self.services.swap_remove(id);
+            }
+            ConfigChange::PutTarget(target) => {
+                self.targets.insert(target.id.clone(), target.clone());
+            }
+            ConfigChange::RemoveTarget(id) => {
+                self.targets.swap_remove(id);
+            }
+        }
+    }
+
+    /// Returns the targets of a service, in configuration order.
+    pub fn targets_of(&self, service: &ServiceId) -> impl Iterator<Item = &Target> {
+        self.targets
+            .values()
+            .filter(move |target| &target.service == service)
+    }
+}
--- /dev/null
+++ b/lib/tests/runner.rs
@@ -0,0 +1,19 @@
+//! All tests of the crate, one module a subject.
+
+mod test_claims;
+mod test_configuration;
+mod test_crash_guard;
+mod test_detection;
+mod test_directory;
+mod test_distribution;
+mod test_ejection;
+mod test_epochs;
+mod test_fair_queue;
+mod test_freshness;
+mod test_keys;
+mod test_membership;
+mod test_picker;
+mod test_rate_limits;
+mod test_scenarios;
+mod test_service_burn;
+mod test_shares;
--- /dev/null
+++ b/operator/tests/runner.rs
@@ -0,0 +1,3 @@
+//! All tests of the crate, one module a subject.
+
+mod test_operator_api;
--- /dev/null
+++ b/testutils/tests/runner.rs
@@ -0,0 +1,4 @@
+//! All tests of the crate, one module a subject.
+
+mod test_ledger;
+mod test_stand_ins;
