gateway: serve a request from directory to target

Cause: no request could be served. Change: caller listener for HTTP/1.1 and HTTP/2, directory answers, key removal, ambiguity checks, a token bucket, target pools, retries and refusals that say whether the request ran.

--- /dev/null
+++ b/gateway/src/bodies.rs
@@ -0,0 +1,269 @@
+//! The bodies that pass through the gateway, in both directions.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use damaskloom_lib::units::ByteSize;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use snafu::Snafu;
+use tokio::sync::mpsc;
+
+use crate::target_pool::ConnectionLease;
+
+/// Bodies up to this size are taken whole before the next hop is involved.
+pub const WHOLE_BODY_BYTES: u64 = 64 << 10;
+/// The frames of an answer that are read ahead of a slow caller.
+const READ_AHEAD_FRAMES: usize = 16;
+/// The time for which a caller may take nothing of an answer before it is cut off.
+const SLOW_READER_TIMEOUT_MS: u64 = 10_000;
+
+/// Says why a body ended before it was complete.
+#[derive(Debug, Snafu)]
+pub enum BodyError {
+    /// The sender broke off.
+    #[snafu(display("the body was cut short"))]
+    Cut,
+    /// The body is larger than the route allows.
+    #[snafu(display("the body is larger than {limit}"))]
+    TooLarge {
+        /// The route's bound.
+        limit: ByteSize,
+    },
+    /// The body did not move for too long.
+    #[snafu(display("the body stalled"))]
+    Stalled,
+}
+
+/// A request body on its way to a target.
+#[derive(Debug)]
+pub enum RequestBody {
+    /// The whole body, which can be sent again.
+    Whole(Option<Bytes>),
+    /// A body that is passed on as it arrives.
+    Stream {
+        /// The caller's body.
+        body: Incoming,
+        /// The bytes that may still come.
+        remaining: u64,
+        /// The route's bound.
+        limit: ByteSize,
+    },
+}
+
+impl RequestBody {
+    /// Makes a body that can be sent again.
+    pub fn whole(bytes: Bytes) -> Self {
+        Self::Whole((!bytes.is_empty()).then_some(bytes))
+    }
+
+    /// Passes a caller's body on as it arrives, up to the route's bound.
+    pub fn stream(body: Incoming, limit: ByteSize) -> Self {
+        Self::Stream {
+            body,
+            remaining: limit.0,
+            limit,
+        }
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream {
+                body,
+                remaining,
+                limit,
+            } => loop {
+                let frame = match ready!(Pin::new(&mut *body).poll_frame(cx)) {
+                    None => return Poll::Ready(None),
+                    Some(Err(_)) => return Poll::Ready(Some(Err(BodyError::Cut))),
+                    Some(Ok(frame)) => frame,
+                };
+                // Trailers end here: a key in them must not reach a target.
+                let Ok(data) = frame.into_data() else {
+                    continue;
+                };
+                let Some(left) = remaining.checked_sub(data.len() as u64) else {
+                    return Poll::Ready(Some(Err(BodyError::TooLarge { limit: *limit })));
+                };
+                *remaining = left;
+                return Poll::Ready(Some(Ok(Frame::data(data))));
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.is_none(),
+            Self::Stream { body, .. } => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Stream { body, .. } => body.size_hint(),
+        }
+    }
+}
+
+/// An answer body on its way to a caller.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// The whole body.
+    Whole(Option<Bytes>),
+    /// A body that is passed on as it arrives.
+    Stream(AnswerStream),
+}
+
+impl AnswerBody {
+    /// Makes a body that is complete.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        let bytes = bytes.into();
+        Self::Whole((!bytes.is_empty()).then_some(bytes))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(stream) => stream.poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.is_none(),
+            Self::Stream(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Stream(stream) => stream.size_hint.clone(),
+        }
+    }
+}
+
+/// An answer that is read from the target ahead of its caller, up to a bound.
+///
+/// Reading ahead frees the target's slot as soon as the target is done, so that a slow caller
+/// holds memory of the gateway and not a slot.
+#[derive(Debug)]
+pub struct AnswerStream {
+    frames: mpsc::Receiver<Result<Bytes, BodyError>>,
+    size_hint: SizeHint,
+    complete: bool,
+}
+
+impl AnswerStream {
+    /// Starts to read an answer; `lease` goes back to its pool when the answer is complete.
+    pub fn start(body: Incoming, lease: ConnectionLease) -> Self {
+        let (sender, frames) = mpsc::channel(READ_AHEAD_FRAMES);
+        let size_hint = body.size_hint();
+        tokio::spawn(async move {
+            if pump(body, sender).await {
+                lease.give_back();
+            }
+        });
+        Self {
+            frames,
+            size_hint,
+            complete: false,
+        }
+    }
+
+    fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.complete {
+            return Poll::Ready(None);
+        }
+        match ready!(self.frames.poll_recv(cx)) {
+            Some(Ok(data)) if data.is_empty() => {
+                self.complete = true;
+                Poll::Ready(None)
+            }
+            Some(Ok(data)) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            Some(Err(error)) => Poll::Ready(Some(Err(error))),
+            // The pump ended without its end mark, so the answer must not look whole.
+            None => Poll::Ready(Some(Err(BodyError::Cut))),
+        }
+    }
+}
+
+/// Copies an answer into the channel, then an empty frame as its end mark.
+async fn pump(mut body: Incoming, frames: mpsc::Sender<Result<Bytes, BodyError>>) -> bool {
+    let stall = Duration::from_millis(SLOW_READER_TIMEOUT_MS);
+    loop {
+        let frame = match body.frame().await {
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(data) if !data.is_empty() => Ok(data),
+                _ => continue,
+            },
+            Some(Err(_)) => Err(BodyError::Cut),
+            None => Ok(Bytes::new()),
+        };
+        let end = frame.as_ref().map_or(true, Bytes::is_empty);
+        let whole = end && frame.is_ok();
+        let sent = tokio::time::timeout(stall, frames.send(frame)).await;
+        if end || !matches!(sent, Ok(Ok(()))) {
+            return whole;
+        }
+    }
+}
+
+/// Takes a body whole, up to `limit` bytes.
+///
+/// # Errors
+///
+/// Fails if the body is larger, is cut short, or a frame takes longer than `stall`.
+pub async fn collect_body(
+    mut body: Incoming,
+    limit: ByteSize,
+    stall: Duration,
+) -> Result<Bytes, BodyError> {
+    let mut frames: Vec<Bytes> = Vec::new();
+    let mut length = 0;
+    loop {
+        let frame = tokio::time::timeout(stall, body.frame()).await;
+        let frame = match frame.map_err(|_| BodyError::Stalled)? {
+            Some(frame) => frame.map_err(|_| BodyError::Cut)?,
+            None => break,
+        };
+        if let Ok(data) = frame.into_data() {
+            length += data.len() as u64;
+            snafu::ensure!(length <= limit.0, TooLargeSnafu { limit });
+            frames.push(data);
+        }
+    }
+    Ok(match frames.len() {
+        0 => Bytes::new(),
+        1 => frames.remove(0),
+        _ => frames.concat().into(),
+    })
+}
--- /dev/null
+++ b/gateway/src/exchange.rs
@@ -0,0 +1,197 @@
+//! The path of one request: key, route, limit, target, answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use damaskloom_lib::config::{Idempotence, Route, RouteAccess};
+use damaskloom_lib::ids::CustomerId;
+use damaskloom_lib::key::KeyDigest;
+use damaskloom_lib::outcome::{Reason, Refusal};
+use http::header::CONTENT_LENGTH;
+use http::request::Parts;
+use http::{Request, Response};
+use hyper::body::Incoming;
+
+use crate::bodies::{
+    AnswerBody, AnswerStream, BodyError, RequestBody, WHOLE_BODY_BYTES, collect_body,
+};
+use crate::caller_connection::CallerConnection;
+use crate::config_view::KeyStanding;
+use crate::directory_answer::{DIRECTORY_PATH, answer_directory};
+use crate::forward::{AttemptError, LOAD_HEADER, OutgoingHead, TargetAnswer};
+use crate::gateway::GatewayState;
+use crate::key_removal::remove_key;
+use crate::refusal_answer::refusal_answer;
+use crate::request_check::check_request;
+use crate::service_call::{CallBody, CallOutcome, ServiceCall};
+
+/// The time that a caller may let pass between two parts of its request body.
+const BODY_STALL_TIMEOUT_MS: u64 = 5_000;
+
+/// Who sent a request, and for which route.
+#[derive(Clone, Debug)]
+pub struct RequestScope {
+    /// The route that matched.
+    pub route: Arc<Route>,
+    /// The customer whose key came with the request; none on open routes without a key.
+    pub customer: Option<CustomerId>,
+}
+
+/// Serves one request of a caller.
+pub async fn serve(
+    state: &Arc<GatewayState>,
+    connection: &Arc<CallerConnection>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrival = Instant::now();
+    let (mut parts, body) = request.into_parts();
+    let scope = match admit_head(state, connection, &mut parts) {
+        Ok(scope) => scope,
+        Err(refusal) => {
+            state.meters.refused(&refusal);
+            return refusal_answer(refusal);
+        }
+    };
+    if parts.uri.path() == DIRECTORY_PATH {
+        return answer_directory(state, &scope);
+    }
+    let result = run(state, &scope, &parts, body, arrival).await;
+    state.record_result(&scope, &result, arrival);
+    result.unwrap_or_else(refusal_answer)
+}
+
+/// Checks the head, takes the key off and finds out who asks for what.
+fn admit_head(
+    state: &GatewayState,
+    connection: &CallerConnection,
+    parts: &mut Parts,
+) -> Result<RequestScope, Refusal> {
+    check_request(parts).map_err(Refusal::not_run)?;
+    let is_directory = parts.uri.path() == DIRECTORY_PATH;
+    let key = remove_key(parts, &state.settings.key_places).map_err(Refusal::not_run)?;
+    let route = if is_directory {
+        crate::directory_answer::asked_path(parts.uri.query())
+            .and_then(|path| state.config.route(&path))
+    } else {
+        state.config.route(parts.uri.path())
+    };
+    let route = route.ok_or(Refusal::not_run(Reason::RouteUnknown))?;
+    let digest = key.map(|key| key.digest());
+    let customer = check_key(state, route.access, digest.as_ref()).map_err(Refusal::not_run)?;
+    if let Some(digest) = digest {
+        connection.note_key(digest);
+    }
+    if route.access == RouteAccess::Keyed && !state.may_serve_keyed() {
+        return Err(Refusal::not_run(Reason::NodeStale));
+    }
+    Ok(RequestScope { route, customer })
+}
+
+fn check_key(
+    state: &GatewayState,
+    access: RouteAccess,
+    digest: Option<&KeyDigest>,
+) -> Result<Option<CustomerId>, Reason> {
+    let standing = digest.map(|digest| state.config.key_standing(digest));
+    match (access, standing) {
+        (_, Some(KeyStanding::Granted(customer))) => Ok(Some(customer)),
+        (RouteAccess::Open, _) => Ok(None),
+        (RouteAccess::Keyed, None) => Err(Reason::KeyMissing),
+        (RouteAccess::Keyed, Some(KeyStanding::Withdrawn)) => Err(Reason::KeyWithdrawn),
+        (RouteAccess::Keyed, Some(KeyStanding::Unknown)) => Err(Reason::KeyUnknown),
+    }
+}
+
+async fn run(
+    state: &Arc<GatewayState>,
+    scope: &RequestScope,
+    parts: &Parts,
+    body: Incoming,
+    arrival: Instant,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let deadline = arrival + Duration::from_millis(scope.route.deadline_ms);
+    let body_kind = announced_length(parts);
+    if body_kind.is_some_and(|length| length > scope.route.max_body.0) {
+        return Err(Refusal::not_run(Reason::TooLarge));
+    }
+    if let Some(customer) = &scope.customer {
+        state.admission.admit(customer, deadline).await?;
+    }
+    let body = take_body(scope, body, body_kind).await?;
+    let head = OutgoingHead::new(parts, &scope.route, scope.customer.as_ref());
+    let call = ServiceCall {
+        state,
+        scope,
+        head: &head,
+        deadline,
+        idempotent: scope.route.idempotence == Idempotence::Idempotent,
+    };
+    match call.run(body).await {
+        CallOutcome::Answer(answer) => Ok(pass_on(answer)),
+        CallOutcome::Refused(refusal) => Err(refusal),
+    }
+}
+
+fn announced_length(parts: &Parts) -> Option<u64> {
+    parts
+        .headers
+        .get(CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+}
+
+/// Takes small bodies whole, so that a slow caller holds no slot and a retry can send them again.
+async fn take_body(
+    scope: &RequestScope,
+    body: Incoming,
+    length: Option<u64>,
+) -> Result<CallBody, Refusal> {
+    use http_body::Body;
+    if body.is_end_stream() {
+        return Ok(CallBody::Whole(Bytes::new()));
+    }
+    if length.is_none_or(|length| length > WHOLE_BODY_BYTES) {
+        return Ok(CallBody::Stream(RequestBody::stream(
+            body,
+            scope.route.max_body,
+        )));
+    }
+    let stall = Duration::from_millis(BODY_STALL_TIMEOUT_MS);
+    match collect_body(body, scope.route.max_body, stall).await {
+        Ok(bytes) => Ok(CallBody::Whole(bytes)),
+        Err(BodyError::TooLarge { .. }) => Err(Refusal::not_run(Reason::TooLarge)),
+        Err(BodyError::Cut | BodyError::Stalled) => Err(Refusal::not_run(Reason::BadRequest)),
+    }
+}
+
+fn pass_on(answer: TargetAnswer) -> Response<AnswerBody> {
+    match answer {
+        TargetAnswer::Whole(response) => {
+            let (mut parts, bytes) = response.into_parts();
+            parts.headers.remove(LOAD_HEADER);
+            Response::from_parts(parts, AnswerBody::whole(bytes))
+        }
+        TargetAnswer::Stream(response, lease) => {
+            let (mut parts, body) = response.into_parts();
+            parts.headers.remove(LOAD_HEADER);
+            Response::from_parts(parts, AnswerBody::Stream(AnswerStream::start(body, lease)))
+        }
+    }
+}
+
+/// Turns the last failed attempt into what the caller is told.
+pub fn attempt_refusal(error: AttemptError) -> Refusal {
+    match error {
+        AttemptError::Busy => Refusal::not_run(Reason::DeadlineUnmeetable),
+        AttemptError::Unreachable | AttemptError::StaleConnection => {
+            Refusal::not_run(Reason::TargetUnreachable)
+        }
+        AttemptError::Shed => Refusal::not_run(Reason::TargetShed),
+        AttemptError::Broken => Refusal::unknown(Reason::TargetBroken),
+        AttemptError::Timeout => Refusal::unknown(Reason::TargetTimeout),
+        AttemptError::CallerBody => Refusal::unknown(Reason::BadRequest),
+    }
+}
--- /dev/null
+++ b/gateway/src/key_removal.rs
@@ -0,0 +1,215 @@
+//! Takes a caller's key off a request, so that no target sees it.
+//!
+//! A key may stand in several places at once. Every configured place is emptied, and then every
+//! other part of the head that still holds the key's bytes is dropped too, for instance a
+//! `Referer` that repeats the query. See [docs/design/keys.md](../../docs/design/keys.md).
+
+use bytes::Bytes;
+use damaskloom_lib::key::RawKey;
+use damaskloom_lib::outcome::Reason;
+use http::header::{AUTHORIZATION, CONNECTION, COOKIE, HeaderMap, HeaderName, HeaderValue};
+use http::request::Parts;
+use http::uri::{PathAndQuery, Uri};
+
+use crate::percent::percent_decode;
+
+/// Keys shorter than this are never granted, and are not searched for outside their places.
+pub const MIN_KEY_BYTES: usize = 8;
+
+/// The places in which callers put their key.
+#[derive(Clone, Debug)]
+pub struct KeyPlaces {
+    /// Header fields whose whole value is the key.
+    pub headers: Vec<HeaderName>,
+    /// Query parameters whose value is the key.
+    pub query_parameters: Vec<String>,
+    /// Cookies whose value is the key.
+    pub cookies: Vec<String>,
+}
+
+impl Default for KeyPlaces {
+    fn default() -> Self {
+        Self {
+            headers: vec![HeaderName::from_static("x-api-key")],
+            query_parameters: vec!["api_key".to_owned()],
+            cookies: vec!["api_key".to_owned()],
+        }
+    }
+}
+
+/// Removes the key from a request head and returns it.
+///
+/// # Errors
+///
+/// Fails with [`Reason::KeyAmbiguous`] if the request has different keys, and with
+/// [`Reason::BadRequest`] if the key stands in the path, where it cannot be taken off.
+pub fn remove_key(parts: &mut Parts, places: &KeyPlaces) -> Result<Option<RawKey>, Reason> {
+    let mut found = Vec::new();
+    take_authorization(&mut parts.headers, &mut found);
+    take_headers(&mut parts.headers, &places.headers, &mut found);
+    take_cookies(&mut parts.headers, &places.cookies, &mut found);
+    take_query(&mut parts.uri, &places.query_parameters, &mut found)?;
+    remove_nominated(&mut parts.headers);
+
+    let Some(first) = found.first().cloned() else {
+        return Ok(None);
+    };
+    for key in &found {
+        drop_remains(parts, key)?;
+    }
+    if found.iter().any(|key| *key != first) {
+        return Err(Reason::KeyAmbiguous);
+    }
+    Ok(Some(RawKey::new(first)))
+}
+
+fn take_authorization(headers: &mut HeaderMap, found: &mut Vec<Vec<u8>>) {
+    for value in headers.get_all(AUTHORIZATION) {
+        let raw = value.as_bytes().trim_ascii();
+        let key = match raw.iter().position(|byte| *byte == b' ') {
+            Some(space) => raw[space..].trim_ascii(),
+            None => raw,
+        };
+        push_key(key, found);
+    }
+    headers.remove(AUTHORIZATION);
+}
+
+fn take_headers(headers: &mut HeaderMap, names: &[HeaderName], found: &mut Vec<Vec<u8>>) {
+    for name in names {
+        for value in headers.get_all(name) {
+            push_key(value.as_bytes().trim_ascii(), found);
+        }
+        headers.remove(name);
+    }
+}
+
+fn take_cookies(headers: &mut HeaderMap, names: &[String], found: &mut Vec<Vec<u8>>) {
+    if !headers.contains_key(COOKIE) {
+        return;
+    }
+    let mut kept: Vec<Vec<u8>> = Vec::new();
+    for value in headers.get_all(COOKIE) {
+        for pair in value.as_bytes().split(|byte| *byte == b';') {
+            let pair = pair.trim_ascii();
+            match cookie_value(pair, names) {
+                Some(key) => push_key(&percent_decode(key), found),
+                None if pair.is_empty() => {}
+                None => kept.push(pair.to_vec()),
+            }
+        }
+    }
+    headers.remove(COOKIE);
+    if let Ok(value) = HeaderValue::from_bytes(&kept.join(&b"; "[..]))
+        && !kept.is_empty()
+    {
+        headers.insert(COOKIE, value);
+    }
+}
+
+fn cookie_value<'a>(pair: &'a [u8], names: &[String]) -> Option<&'a [u8]> {
+    let equals = pair.iter().position(|byte| *byte == b'=')?;
+    let name = pair[..equals].trim_ascii();
+    names
+        .iter()
+        .any(|known| known.as_bytes().eq_ignore_ascii_case(name))
+        .then(|| pair[equals + 1..].trim_ascii())
+}
+
+fn take_query(uri: &mut Uri, names: &[String], found: &mut Vec<Vec<u8>>) -> Result<(), Reason> {
+    let Some(query) = uri.query() else {
+        return Ok(());
+    };
+    let mut kept = Vec::new();
+    for pair in query.split('&') {
+        let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+        let name = percent_decode(name.as_bytes());
+        if names
+            .iter()
+            .any(|known| known.as_bytes().eq_ignore_ascii_case(&name))
+        {
+            push_key(&percent_decode(value.as_bytes()), found);
+        } else {
+            kept.push(pair);
+        }
+    }
+    let kept = kept.join("&");
+    replace_query(uri, &kept)
+}
+
+fn replace_query(uri: &mut Uri, query: &str) -> Result<(), Reason> {
+    let mut path_and_query = uri.path().to_owned();
+    if !query.is_empty() {
+        path_and_query.push('?');
+        path_and_query.push_str(query);
+    }
+    let path_and_query = PathAndQuery::from_maybe_shared(Bytes::from(path_and_query))
+        .map_err(|_| Reason::BadRequest)?;
+    let mut parts = uri.clone().into_parts();
+    parts.path_and_query = Some(path_and_query);
+    *uri = Uri::from_parts(parts).map_err(|_| Reason::BadRequest)?;
+    Ok(())
+}
+
+/// Removes the fields that `Connection` nominates, which end at this hop.
+fn remove_nominated(headers: &mut HeaderMap) {
+    let nominated: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .flat_map(|value| value.as_bytes().split(|byte| *byte == b','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim_ascii()).ok())
+        .collect();
+    for name in nominated {
+        headers.remove(name);
+    }
+}
+
+fn drop_remains(parts: &mut Parts, key: &[u8]) -> Result<(), Reason> {
+    if key.len() < MIN_KEY_BYTES {
+        return Ok(());
+    }
+    if holds(parts.uri.path().as_bytes(), key) {
+        return Err(Reason::BadRequest);
+    }
+    if let Some(query) = parts.uri.query()
+        && holds(query.as_bytes(), key)
+    {
+        let kept: Vec<&str> = query
+            .split('&')
+            .filter(|pair| !holds(pair.as_bytes(), key))
+            .collect();
+        let kept = kept.join("&");
+        replace_query(&mut parts.uri, &kept)?;
+    }
+    let tainted: Vec<HeaderName> = parts
+        .headers
+        .iter()
+        .filter(|(name, value)| name_holds(name, key) || holds(value.as_bytes(), key))
+        .map(|(name, _)| name.clone())
+        .collect();
+    for name in tainted {
+        parts.headers.remove(name);
+    }
+    Ok(())
+}
+
+fn name_holds(name: &HeaderName, key: &[u8]) -> bool {
+    contains(name.as_str().as_bytes(), &key.to_ascii_lowercase())
+}
+
+fn holds(haystack: &[u8], key: &[u8]) -> bool {
+    contains(haystack, key)
+        || (haystack.contains(&b'%') && contains(&percent_decode(haystack), key))
+}
+
+fn contains(haystack: &[u8], needle: &[u8]) -> bool {
+    haystack
+        .windows(needle.len())
+        .any(|window| window == needle)
+}
+
+fn push_key(key: &[u8], found: &mut Vec<Vec<u8>>) {
+    if !key.is_empty() {
+        found.push(key.to_vec());
+    }
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,1 +1,30 @@
-//! Placeholder.
+//! The gateway: the process that stands between callers and targets on each entry VM.
+//!
+//! The modules here meet sockets, clocks and tasks; what they do is decided by the state machines
+//! of `damaskloom-lib`. See [docs/architecture.md](../../docs/architecture.md).
+
+pub mod admin_server;
+pub mod admission;
+pub mod bodies;
+pub mod caller_connection;
+pub mod caller_server;
+pub mod clock;
+pub mod command;
+pub mod config_view;
+pub mod directory_answer;
+pub mod exchange;
+pub mod fleet_directory;
+pub mod forward;
+pub mod gateway;
+pub mod key_removal;
+pub mod meters;
+pub mod percent;
+pub mod process;
+pub mod refusal_answer;
+pub mod request_check;
+pub mod retry_gate;
+pub mod service_call;
+pub mod settings;
+pub mod target_health;
+pub mod target_pool;
+pub mod target_set;
--- /dev/null
+++ b/gateway/src/meters.rs
@@ -0,0 +1,131 @@
+//! The metrics of a gateway, through OpenTelemetry, read in Prometheus' text form.
+
+use std::time::Duration;
+
+use damaskloom_lib::outcome::Refusal;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider, UpDownCounter};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use snafu::{ResultExt, Snafu};
+
+/// Says why the metrics could not be set up or read.
+#[derive(Debug, Snafu)]
+pub enum MeterError {
+    /// The exporter could not be made.
+    #[snafu(display("the metrics exporter could not be made: {detail}"))]
+    Exporter {
+        /// What the library said.
+        detail: String,
+    },
+    /// The metrics could not be written as text.
+    #[snafu(display("the metrics could not be encoded"))]
+    Encode {
+        /// What the library said.
+        source: prometheus::Error,
+    },
+}
+
+/// The counters of a gateway.
+#[derive(Debug)]
+pub struct GatewayMeters {
+    registry: Registry,
+    // Keeps the instruments connected to the registry.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    attempts: Counter<u64>,
+    duration: Histogram<f64>,
+    connections: UpDownCounter<i64>,
+}
+
+impl GatewayMeters {
+    /// Makes the instruments and the registry that they are read from.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter cannot be made.
+    pub fn new() -> Result<Self, MeterError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| MeterError::Exporter {
+                detail: error.to_string(),
+            })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("damaskloom");
+        Ok(Self {
+            registry,
+            requests: meter.u64_counter("damaskloom_requests").build(),
+            refusals: meter.u64_counter("damaskloom_refusals").build(),
+            attempts: meter.u64_counter("damaskloom_attempts").build(),
+            duration: meter.f64_histogram("damaskloom_request_seconds").build(),
+            connections: meter
+                .i64_up_down_counter("damaskloom_caller_connections")
+                .build(),
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that a target answered.
+    pub fn answered(&self, service: &str, status: u16, duration: Duration) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("class", status_class(status)),
+        ];
+        self.requests.add(1, &labels);
+        self.duration.record(duration.as_secs_f64(), &labels[..1]);
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, refusal: &Refusal) {
+        let labels = [
+            KeyValue::new("reason", refusal.reason.as_str()),
+            KeyValue::new("execution", refusal.execution.as_str()),
+        ];
+        self.refusals.add(1, &labels);
+    }
+
+    /// Counts an attempt at a target.
+    pub fn attempted(&self, service: &str, result: &'static str) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("result", result),
+        ];
+        self.attempts.add(1, &labels);
+    }
+
+    /// Counts a caller connection in.
+    pub fn connection_opened(&self) {
+        self.connections.add(1, &[]);
+    }
+
+    /// Counts a caller connection out.
+    pub fn connection_closed(&self) {
+        self.connections.add(-1, &[]);
+    }
+
+    /// Writes all metrics in Prometheus' text form.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the library cannot encode them.
+    pub fn encode(&self) -> Result<Vec<u8>, MeterError> {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .context(EncodeSnafu)?;
+        Ok(text)
+    }
+}
+
+const fn status_class(status: u16) -> &'static str {
+    match status {
+        100..=199 => "1xx",
+        200..=299 => "2xx",
+        300..=399 => "3xx",
+        400..=499 => "4xx",
+        _ => "5xx",
+    }
+}
--- /dev/null
+++ b/gateway/src/process.rs
@@ -0,0 +1,136 @@
+//! Starts a gateway's listeners and stops them in order.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::admin_server::run_admin_server;
+use crate::caller_server::run_caller_server;
+use crate::fleet_directory::DirectoryEntry;
+use crate::gateway::GatewayState;
+use crate::meters::MeterError;
+use crate::settings::GatewaySettings;
+
+/// The pause between two rounds of closing idle connections to targets.
+const IDLE_ROUND_MS: u64 = 1_000;
+
+/// Says why a gateway could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address}"))]
+    Listen {
+        /// The address from the settings.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The metrics cannot be set up.
+    #[snafu(display("cannot set up metrics"))]
+    Meters {
+        /// What the library said.
+        source: MeterError,
+    },
+}
+
+/// A running gateway; dropping it ends the gateway at once.
+#[derive(Debug)]
+pub struct GatewayProcess {
+    /// The state that requests share.
+    pub state: Arc<GatewayState>,
+    caller_address: SocketAddr,
+    admin_address: SocketAddr,
+    stop: watch::Sender<bool>,
+    callers: JoinHandle<()>,
+    helpers: Vec<JoinHandle<()>>,
+}
+
+impl GatewayProcess {
+    /// Starts a gateway on the addresses of its settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is taken or the metrics cannot be set up.
+    pub async fn start(settings: GatewaySettings) -> Result<Self, StartError> {
+        let caller_listener = listen(settings.caller_listen).await?;
+        let admin_listener = listen(settings.admin_listen).await?;
+        let caller_address = local_address(&caller_listener, settings.caller_listen)?;
+        let admin_address = local_address(&admin_listener, settings.admin_listen)?;
+        let state = GatewayState::new(settings).context(MetersSnafu)?;
+        let own = DirectoryEntry {
+            vm: state.settings.vm.clone(),
+            address: caller_address,
+        };
+        state.directory.set_entries(vec![own]);
+        let (stop, stopped) = watch::channel(false);
+        let callers = tokio::spawn(run_caller_server(
+            Arc::clone(&state),
+            caller_listener,
+            stopped,
+        ));
+        let helpers = vec![
+            tokio::spawn(run_admin_server(Arc::clone(&state), admin_listener)),
+            tokio::spawn(close_idle_connections(Arc::clone(&state))),
+        ];
+        tracing::info!(vm = %state.settings.vm, %caller_address, %admin_address, "gateway started");
+        Ok(Self {
+            state,
+            caller_address,
+            admin_address,
+            stop,
+            callers,
+            helpers,
+        })
+    }
+
+    /// Returns where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns where operators' tools connect.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Stops as planned: leaves the directory, serves on until callers have asked again, then ends
+    /// after the last answer in flight.
+    pub async fn stop(mut self) {
+        let vm = self.state.settings.vm.clone();
+        tracing::info!(%vm, "gateway leaves the directory");
+        let lifetime = Duration::from_millis(self.state.settings.directory_lifetime_ms);
+        tokio::time::sleep(lifetime).await;
+        self.stop.send_replace(true);
+        let _ = (&mut self.callers).await;
+        tracing::info!(%vm, "gateway stopped");
+    }
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        self.callers.abort();
+        self.helpers.iter().for_each(JoinHandle::abort);
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
+
+fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, StartError> {
+    listener.local_addr().context(ListenSnafu { address })
+}
+
+async fn close_idle_connections(state: Arc<GatewayState>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(IDLE_ROUND_MS)).await;
+        state.targets.close_idle();
+    }
+}
--- /dev/null
+++ b/gateway/src/settings.rs
@@ -0,0 +1,264 @@
+//! The settings of a gateway process.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use damaskloom_lib::config::FleetConfig;
+use damaskloom_lib::ids::{DataCentreId, VmId};
+use http::header::HeaderName;
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu, ensure};
+
+use crate::key_removal::KeyPlaces;
+
+/// Says why settings were rejected, in terms of the file that the operator wrote.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[snafu(display("{}: cannot be read", path.display()))]
+    Unreadable {
+        /// The settings file.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The comments or the structure of the file are malformed.
+    #[snafu(display("{}: comments are malformed", path.display()))]
+    BadComments {
+        /// The settings file.
+        path: PathBuf,
+        /// What was found.
+        source: std::io::Error,
+    },
+    /// The file is no valid settings document.
+    #[snafu(display("{}:{}:{}: {source}", path.display(), source.line(), source.column()))]
+    BadDocument {
+        /// The settings file.
+        path: PathBuf,
+        /// What was expected, and where.
+        source: serde_json::Error,
+    },
+    /// A field has a value that cannot be used.
+    #[snafu(display("{}: field `{field}`: expected {expected}", path.display()))]
+    BadField {
+        /// The settings file.
+        path: PathBuf,
+        /// The field's name.
+        field: &'static str,
+        /// What the field must hold.
+        expected: &'static str,
+    },
+}
+
+/// The settings as they stand in the file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct RawSettings {
+    /// The VM's name, as in the platform's VM list.
+    pub vm: VmId,
+    /// The VM's data centre.
+    pub data_centre: DataCentreId,
+    /// Where callers connect.
+    pub caller_listen: SocketAddr,
+    /// Where operators' tools connect.
+    pub admin_listen: SocketAddr,
+    /// Where other gateways connect.
+    pub peer_listen: SocketAddr,
+    /// The platform's address; none to serve the `config` of this file alone.
+    #[serde(default)]
+    pub platform: Option<SocketAddr>,
+    /// The secret by which gateways know each other.
+    #[serde(default)]
+    pub peer_secret: String,
+    /// Header fields whose value is a key.
+    #[serde(default)]
+    pub key_headers: Option<Vec<String>>,
+    /// Query parameters whose value is a key.
+    #[serde(default)]
+    pub key_query_parameters: Option<Vec<String>>,
+    /// Cookies whose value is a key.
+    #[serde(default)]
+    pub key_cookies: Option<Vec<String>>,
+    /// The time for which callers keep a directory answer, in milliseconds.
+    #[serde(default = "default_directory_lifetime_ms")]
+    pub directory_lifetime_ms: u64,
+    /// The time in which a caller must send a request head, in milliseconds.
+    #[serde(default = "default_head_timeout_ms")]
+    pub head_timeout_ms: u64,
+    /// The largest request head, in bytes.
+    #[serde(default = "default_max_head_bytes")]
+    pub max_head_bytes: usize,
+    /// The most caller connections that are held at once.
+    #[serde(default = "default_max_connections")]
+    pub max_connections: usize,
+    /// The threads that serve requests.
+    #[serde(default = "default_threads")]
+    pub threads: usize,
+    /// The configuration to serve when there is no platform.
+    #[serde(default)]
+    pub config: Option<FleetConfig>,
+}
+
+const fn default_directory_lifetime_ms() -> u64 {
+    5_000
+}
+
+const fn default_head_timeout_ms() -> u64 {
+    5_000
+}
+
+const fn default_max_head_bytes() -> usize {
+    32 << 10
+}
+
+const fn default_max_connections() -> usize {
+    25_000
+}
+
+const fn default_threads() -> usize {
+    2
+}
+
+/// The shortest secret between gateways, in bytes.
+const MIN_SECRET_BYTES: usize = 16;
+/// The smallest head buffer that the HTTP library takes, in bytes.
+const MIN_HEAD_BYTES: usize = 8 << 10;
+
+/// Settings whose every field was checked.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// The VM's name.
+    pub vm: VmId,
+    /// The VM's data centre.
+    pub data_centre: DataCentreId,
+    /// Where callers connect.
+    pub caller_listen: SocketAddr,
+    /// Where operators' tools connect.
+    pub admin_listen: SocketAddr,
+    /// Where other gateways connect.
+    pub peer_listen: SocketAddr,
+    /// The platform's address.
+    pub platform: Option<SocketAddr>,
+    /// The secret by which gateways know each other.
+    pub peer_secret: String,
+    /// Where callers put their keys.
+    pub key_places: KeyPlaces,
+    /// The time for which callers keep a directory answer, in milliseconds.
+    pub directory_lifetime_ms: u64,
+    /// The time in which a caller must send a request head, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// The largest request head, in bytes.
+    pub max_head_bytes: usize,
+    /// The most caller connections that are held at once.
+    pub max_connections: usize,
+    /// The threads that serve requests.
+    pub threads: usize,
+    /// The configuration to serve when there is no platform.
+    pub config: Option<FleetConfig>,
+}
+
+impl GatewaySettings {
+    /// Reads and checks a settings file: JSON with comments.
+    ///
+    /// # Errors
+    ///
+    /// The error names the file and, where it can, the line, the field and what was expected.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, SettingsError> {
+        let path = path.as_ref();
+        let text = fs::read_to_string(path).context(UnreadableSnafu { path })?;
+        Self::parse(text, path)
+    }
+
+    /// Checks the text of a settings file; `path` is used in errors only.
+    ///
+    /// # Errors
+    ///
+    /// See [`GatewaySettings::load`].
+    pub fn parse(text: impl Into<String>, path: impl AsRef<Path>) -> Result<Self, SettingsError> {
+        let path = path.as_ref();
+        let mut text = text.into();
+        json_strip_comments::strip(&mut text).context(BadCommentsSnafu { path })?;
+        let raw: RawSettings = serde_json::from_str(&text).context(BadDocumentSnafu { path })?;
+        Self::check(raw, path)
+    }
+
+    fn check(raw: RawSettings, path: &Path) -> Result<Self, SettingsError> {
+        let bad = |field, expected| BadFieldSnafu {
+            path,
+            field,
+            expected,
+        };
+        let joined = raw.platform.is_some();
+        ensure!(
+            !joined || raw.peer_secret.len() >= MIN_SECRET_BYTES,
+            bad("peer_secret", "at least 16 bytes when `platform` is set")
+        );
+        ensure!(
+            joined || raw.config.is_some(),
+            bad("config", "a configuration, or `platform`")
+        );
+        ensure!(
+            (500..=3_600_000).contains(&raw.directory_lifetime_ms),
+            bad("directory_lifetime_ms", "500 to 3600000")
+        );
+        ensure!(
+            (100..=60_000).contains(&raw.head_timeout_ms),
+            bad("head_timeout_ms", "100 to 60000")
+        );
+        ensure!(
+            (MIN_HEAD_BYTES..=1 << 20).contains(&raw.max_head_bytes),
+            bad("max_head_bytes", "8192 to 1048576")
+        );
+        ensure!(
+            raw.max_connections > 0,
+            bad("max_connections", "at least 1")
+        );
+        ensure!((1..=64).contains(&raw.threads), bad("threads", "1 to 64"));
+        let key_places = check_key_places(&raw, path)?;
+        Ok(Self {
+            vm: raw.vm,
+            data_centre: raw.data_centre,
+            caller_listen: raw.caller_listen,
+            admin_listen: raw.admin_listen,
+            peer_listen: raw.peer_listen,
+            platform: raw.platform,
+            peer_secret: raw.peer_secret,
+            key_places,
+            directory_lifetime_ms: raw.directory_lifetime_ms,
+            head_timeout_ms: raw.head_timeout_ms,
+            max_head_bytes: raw.max_head_bytes,
+            max_connections: raw.max_connections,
+            threads: raw.threads,
+            config: raw.config,
+        })
+    }
+}
+
+fn check_key_places(raw: &RawSettings, path: &Path) -> Result<KeyPlaces, SettingsError> {
+    let default = KeyPlaces::default();
+    let headers = match &raw.key_headers {
+        None => default.headers,
+        Some(names) => names
+            .iter()
+            .map(|name| HeaderName::from_bytes(name.as_bytes()))
+            .collect::<Result<_, _>>()
+            .ok()
+            .ok_or_else(|| {
+                BadFieldSnafu {
+                    path,
+                    field: "key_headers",
+                    expected: "names of header fields",
+                }
+                .build()
+            })?,
+    };
+    Ok(KeyPlaces {
+        headers,
+        query_parameters: raw
+            .key_query_parameters
+            .clone()
+            .unwrap_or(default.query_parameters),
+        cookies: raw.key_cookies.clone().unwrap_or(default.cookies),
+    })
+}
--- /dev/null
+++ b/gateway/src/target_pool.rs
@@ -0,0 +1,258 @@
+//! Kept-alive connections to one target, and the slots of the target in use by this node.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+
+use crate::bodies::RequestBody;
+
+/// The time in which a target must accept a connection.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// The time after which an idle connection is not used again, below the usual idle time of servers.
+const IDLE_TIMEOUT_MS: u64 = 4_000;
+/// The largest head of a target's answer.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Says why no connection could be had; nothing was sent to the target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+pub enum AcquireError {
+    /// All slots that this node may use are taken.
+    #[snafu(display("the target has no free slot for this node"))]
+    NoSlot,
+    /// This node's share of the target's connections is used up.
+    #[snafu(display("this node's share of the target's connections is used up"))]
+    NoConnection,
+    /// The target did not accept a connection.
+    #[snafu(display("the target did not accept a connection"))]
+    Unreachable,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<RequestBody>,
+    since: Instant,
+}
+
+/// The connections of this node to one target.
+#[derive(Debug)]
+pub struct TargetPool {
+    address: SocketAddr,
+    slots: AtomicU32,
+    connections: AtomicU32,
+    in_flight: AtomicU32,
+    open: AtomicU32,
+    idle: Mutex<Vec<IdleConnection>>,
+}
+
+impl TargetPool {
+    /// Makes an empty pool for a target; `slots` and `connections` are this node's shares.
+    pub fn new(address: SocketAddr, slots: u32, connections: u32) -> Self {
+        Self {
+            address,
+            slots: AtomicU32::new(slots),
+            connections: AtomicU32::new(connections),
+            in_flight: AtomicU32::new(0),
+            open: AtomicU32::new(0),
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Changes this node's shares; what is in use above them ends by itself.
+    pub fn set_shares(&self, slots: u32, connections: u32) {
+        self.slots.store(slots, Ordering::Relaxed);
+        self.connections.store(connections, Ordering::Relaxed);
+    }
+
+    /// Returns the target's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the requests of this node that the target is working on.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Says whether a slot is free for this node.
+    pub fn has_free_slot(&self) -> bool {
+        self.in_flight() < self.slots.load(Ordering::Relaxed)
+    }
+
+    /// Takes a slot and a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no slot or connection is free, or if the target does not accept one in time.
+    pub async fn acquire(self: &Arc<Self>) -> Result<ConnectionLease, AcquireError> {
+        let slot = SlotGuard::take(self).ok_or(AcquireError::NoSlot)?;
+        while let Some((mut sender, connection)) = self.take_idle() {
+            // The last answer is complete, so the connection is ready as soon as its task has run.
+            if sender.ready().await.is_ok() {
+                return Ok(ConnectionLease {
+                    sender,
+                    connection,
+                    slot,
+                    reused: true,
+                });
+            }
+        }
+        let connection = ConnectionGuard::take(self).ok_or(AcquireError::NoConnection)?;
+        let sender = self.connect().await.ok_or(AcquireError::Unreachable)?;
+        Ok(ConnectionLease {
+            sender,
+            connection,
+            slot,
+            reused: false,
+        })
+    }
+
+    async fn connect(&self) -> Option<SendRequest<RequestBody>> {
+        let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
+        let stream = tokio::time::timeout(timeout, TcpStream::connect(self.address)).await;
+        let stream = stream.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .ok()?;
+        tokio::spawn(connection);
+        Some(sender)
+    }
+
+    /// Takes the connection that was used last, and the count that it stands for.
+    fn take_idle(self: &Arc<Self>) -> Option<(SendRequest<RequestBody>, ConnectionGuard)> {
+        self.close_idle();
+        let entry = self
+            .idle
+            .lock()
+            .expect("no holder of the pool lock panics")
+            .pop()?;
+        Some((
+            entry.sender,
+            ConnectionGuard {
+                pool: Some(Arc::clone(self)),
+            },
+        ))
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn close_idle(&self) {
+        let limit = Duration::from_millis(IDLE_TIMEOUT_MS);
+        let mut idle = self.idle.lock().expect("no holder of the pool lock panics");
+        let before = idle.len();
+        idle.retain(|entry| !entry.sender.is_closed() && entry.since.elapsed() < limit);
+        let closed = u32::try_from(before - idle.len()).unwrap_or(0);
+        self.open.fetch_sub(closed, Ordering::Relaxed);
+    }
+}
+
+/// Adds one to a counter unless it has reached its limit.
+fn take_one(counter: &AtomicU32, limit: &AtomicU32) -> bool {
+    let limit = limit.load(Ordering::Relaxed);
+    counter
+        .try_update(Ordering::Relaxed, Ordering::Relaxed, |count| {
+            (count < limit).then_some(count + 1)
+        })
+        .is_ok()
+}
+
+#[derive(Debug)]
+struct SlotGuard {
+    pool: Arc<TargetPool>,
+}
+
+impl SlotGuard {
+    fn take(pool: &Arc<TargetPool>) -> Option<Self> {
+        take_one(&pool.in_flight, &pool.slots).then(|| Self {
+            pool: Arc::clone(pool),
+        })
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        self.pool.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+#[derive(Debug)]
+struct ConnectionGuard {
+    pool: Option<Arc<TargetPool>>,
+}
+
+impl ConnectionGuard {
+    fn take(pool: &Arc<TargetPool>) -> Option<Self> {
+        take_one(&pool.open, &pool.connections).then(|| Self {
+            pool: Some(Arc::clone(pool)),
+        })
+    }
+
+    /// Hands the count over to the idle list.
+    fn hand_over(mut self) -> Arc<TargetPool> {
+        self.pool
+            .take()
+            .expect("a guard holds its pool until it is consumed")
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        if let Some(pool) = &self.pool {
+            pool.open.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// A connection and a slot in use by one exchange.
+///
+/// Dropping the lease closes the connection, so that a late answer can reach nobody else. Only
+/// [`ConnectionLease::give_back`], after a complete answer, lets the connection be used again.
+#[derive(Debug)]
+pub struct ConnectionLease {
+    sender: SendRequest<RequestBody>,
+    connection: ConnectionGuard,
+    slot: SlotGuard,
+    reused: bool,
+}
+
+impl ConnectionLease {
+    /// Returns the sending half of the connection.
+    pub fn sender(&mut self) -> &mut SendRequest<RequestBody> {
+        &mut self.sender
+    }
+
+    /// Says whether an earlier exchange used the connection.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Returns the connection to its pool after a complete answer.
+    pub fn give_back(self) {
+        let Self {
+            sender,
+            connection,
+            slot,
+            ..
+        } = self;
+        if sender.is_closed() {
+            return;
+        }
+        let pool = connection.hand_over();
+        let entry = IdleConnection {
+            sender,
+            since: Instant::now(),
+        };
+        pool.idle
+            .lock()
+            .expect("no holder of the pool lock panics")
+            .push(entry);
+        drop(slot);
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod rate_limiter;
 pub mod rendezvous;
 pub mod retry_budget;
+pub mod route_table;
 pub mod service_burn;
 pub mod slot_pool;
 pub mod target_picker;
