--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod outcome;
 pub mod plan;
 pub mod platform;
+pub mod platform_wire;
 pub mod rate_limiter;
 pub mod rendezvous;
 pub mod retry_budget;
