stand-ins: add a target that can fail gray

The thin path needs targets to send requests to, and detection needs targets that pass probes and serve badly. The stand-in has slots, a bounded queue, shedding, draining, a cold start, a service-time distribution and modes that can be changed while it runs, and it records each execution for the ledger. It runs in process and as a binary.

--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! Stand-ins for the platform and the targets, the load tool and the call ledger.
+//!
+//! They let every property be checked on one machine, without any system of the operators'. Each
+//! stand-in also is a small binary. See [docs/operators/load-tool.md](../../docs/operators/load-tool.md).
+
+pub mod ledger_clock;
+pub mod settings_file;
+pub mod target_answer;
+pub mod target_mode;
+pub mod target_server;
+pub mod target_settings;
+pub mod target_state;
+mod target_stream;
