--- a/gateway/src/bodies.rs
+++ b/gateway/src/bodies.rs
@@ -163,7 +163,7 @@
             Self::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Stream(stream) => stream.size_hint.clone(),
+            Self::Stream(stream) => stream.size_hint,
         }
     }
 }
--- a/gateway/src/request_check.rs
+++ b/gateway/src/request_check.rs
@@ -35,7 +35,7 @@
         return Err(Reason::BadRequest);
     }
     if let Some(length) = headers.get(CONTENT_LENGTH)
-        && !(length.as_bytes().iter().all(u8::is_ascii_digit) && !length.is_empty())
+        && (length.is_empty() || !length.as_bytes().iter().all(u8::is_ascii_digit))
     {
         return Err(Reason::BadRequest);
     }
