gateway: refuse ambiguous framing and prove the thin path

Ruled out: reading the headers after the library. Conclusion: kept; a request with a coding ends its connection.

--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -5,14 +5,45 @@
 use damaskloom_lib::key::KeyDigest;
 
 use crate::config_view::{ConfigView, KeyStanding};
+use crate::head_inspector::{FramingLog, UnseenRequest};
 
 /// The keys that were used on one connection, so that it can be closed when one is withdrawn.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CallerConnection {
     keys: Mutex<Vec<KeyDigest>>,
+    framings: FramingLog,
+}
+
+/// What follows from the framing of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FramingVerdict {
+    /// The request is served.
+    Clear,
+    /// The request is served and is the last one of its connection.
+    LastRequest,
+    /// The request is refused, and its connection is closed.
+    Ambiguous,
 }
 
 impl CallerConnection {
+    /// Makes the memory of a connection whose requests are inspected into `framings`.
+    pub fn new(framings: FramingLog) -> Self {
+        Self {
+            keys: Mutex::default(),
+            framings,
+        }
+    }
+
+    /// Judges the framing of the request that was just read; called once a request.
+    pub fn judge_framing(&self) -> FramingVerdict {
+        match self.framings.next() {
+            Err(UnseenRequest) => FramingVerdict::Ambiguous,
+            Ok(Some(framing)) if framing.is_ambiguous() => FramingVerdict::Ambiguous,
+            Ok(Some(framing)) if framing.ends_connection() => FramingVerdict::LastRequest,
+            Ok(_) => FramingVerdict::Clear,
+        }
+    }
+
     /// Remembers that a request with this key came in.
     pub fn note_key(&self, digest: KeyDigest) {
         let mut keys = self.keys.lock().expect("no holder of the key list panics");
--- a/gateway/src/caller_server.rs
+++ b/gateway/src/caller_server.rs
@@ -18,6 +18,7 @@
 use crate::caller_connection::CallerConnection;
 use crate::exchange::serve;
 use crate::gateway::GatewayState;
+use crate::head_inspector::InspectedStream;
 
 /// The time that requests in flight have to end after a key of their connection was withdrawn.
 const WITHDRAWN_GRACE_MS: u64 = 1_000;
@@ -66,7 +67,8 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
-    let caller = Arc::new(CallerConnection::default());
+    let stream = InspectedStream::new(stream);
+    let caller = Arc::new(CallerConnection::new(stream.log()));
     let builder = connection_builder(state);
     let service = service_fn(|request| answer(state, &caller, request));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -8,7 +8,7 @@
 use damaskloom_lib::ids::CustomerId;
 use damaskloom_lib::key::KeyDigest;
 use damaskloom_lib::outcome::{Reason, Refusal};
-use http::header::CONTENT_LENGTH;
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -16,7 +16,7 @@
 use crate::bodies::{
     AnswerBody, AnswerStream, BodyError, RequestBody, WHOLE_BODY_BYTES, collect_body,
 };
-use crate::caller_connection::CallerConnection;
+use crate::caller_connection::{CallerConnection, FramingVerdict};
 use crate::config_view::KeyStanding;
 use crate::directory_answer::{DIRECTORY_PATH, answer_directory};
 use crate::forward::{AttemptError, LOAD_HEADER, OutgoingHead, TargetAnswer};
@@ -43,15 +43,37 @@
     state: &Arc<GatewayState>,
     connection: &Arc<CallerConnection>,
     request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let framing = connection.judge_framing();
+    let mut response = match framing {
+        FramingVerdict::Ambiguous => refuse(state, Refusal::not_run(Reason::BadRequest)),
+        FramingVerdict::Clear | FramingVerdict::LastRequest => {
+            serve_framed(state, connection, request).await
+        }
+    };
+    if framing != FramingVerdict::Clear {
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn refuse(state: &GatewayState, refusal: Refusal) -> Response<AnswerBody> {
+    state.meters.refused(&refusal);
+    refusal_answer(refusal)
+}
+
+async fn serve_framed(
+    state: &Arc<GatewayState>,
+    connection: &Arc<CallerConnection>,
+    request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let arrival = Instant::now();
     let (mut parts, body) = request.into_parts();
     let scope = match admit_head(state, connection, &mut parts) {
         Ok(scope) => scope,
-        Err(refusal) => {
-            state.meters.refused(&refusal);
-            return refusal_answer(refusal);
-        }
+        Err(refusal) => return refuse(state, refusal),
     };
     if parts.uri.path() == DIRECTORY_PATH {
         return answer_directory(state, &scope);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fleet_directory;
 pub mod forward;
 pub mod gateway;
+pub mod head_inspector;
 pub mod key_removal;
 pub mod meters;
 pub mod percent;
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -32,12 +32,16 @@
         source: std::io::Error,
     },
     /// The file is no valid settings document.
-    #[snafu(display("{}:{}:{}: {source}", path.display(), source.line(), source.column()))]
+    #[snafu(display("{}:{line}: field `{field}`: {expected}", path.display()))]
     BadDocument {
         /// The settings file.
         path: PathBuf,
-        /// What was expected, and where.
-        source: serde_json::Error,
+        /// The line of the file.
+        line: usize,
+        /// The path of the field within the document.
+        field: String,
+        /// What was found and what was expected.
+        expected: String,
     },
     /// A field has a value that cannot be used.
     #[snafu(display("{}: field `{field}`: expected {expected}", path.display()))]
@@ -179,7 +183,9 @@
         let path = path.as_ref();
         let mut text = text.into();
         json_strip_comments::strip(&mut text).context(BadCommentsSnafu { path })?;
-        let raw: RawSettings = serde_json::from_str(&text).context(BadDocumentSnafu { path })?;
+        let mut reader = serde_json::Deserializer::from_str(&text);
+        let raw: RawSettings = serde_path_to_error::deserialize(&mut reader)
+            .map_err(|error| bad_document(path, &error))?;
         Self::check(raw, path)
     }
 
@@ -235,6 +241,24 @@
     }
 }
 
+fn bad_document(
+    path: &Path,
+    error: &serde_path_to_error::Error<serde_json::Error>,
+) -> SettingsError {
+    let inner = error.inner();
+    let text = inner.to_string();
+    // The position is given once, in front, as compilers do.
+    let expected = text
+        .rsplit_once(" at line ")
+        .map_or(&text[..], |(message, _)| message);
+    SettingsError::BadDocument {
+        path: path.to_owned(),
+        line: inner.line(),
+        field: error.path().to_string(),
+        expected: expected.to_owned(),
+    }
+}
+
 fn check_key_places(raw: &RawSettings, path: &Path) -> Result<KeyPlaces, SettingsError> {
     let default = KeyPlaces::default();
     let headers = match &raw.key_headers {
--- a/gateway/tests/runner.rs
+++ b/gateway/tests/runner.rs
@@ -1,5 +1,6 @@
 //! All tests of the crate, one module a subject.
 
+mod fixture;
 mod test_at_most_once;
 mod test_directory_answers;
 mod test_key_removal;
--- a/gateway/tests/test_directory_answers.rs
+++ b/gateway/tests/test_directory_answers.rs
@@ -1,1 +1,30 @@
-//! Placeholder.
+//! The two forms of directory answers, and who gets one.
+
+use crate::fixture::{authorization, send, start};
+
+#[tokio::test]
+async fn test_the_form_follows_the_route() {
+    let fixture = start(1, |_| {}).await;
+    let address = fixture.gateway.caller_address();
+    let json = send(
+        address,
+        "GET",
+        "/v1/entries?route=/slots/x",
+        &[&authorization()],
+    )
+    .await;
+    let expected = format!(r#"{{"entries":[{{"address":"{address}"}}],"lifetime_ms":500}}"#);
+    assert_eq!(String::from_utf8_lossy(&json.body), expected);
+    let lines = send(address, "GET", "/v1/entries?route=%2Fice", &[]).await;
+    assert_eq!(String::from_utf8_lossy(&lines.body), format!("{address}\n"));
+}
+
+#[tokio::test]
+async fn test_a_keyed_route_is_shown_to_its_customers_only() {
+    let fixture = start(1, |_| {}).await;
+    let address = fixture.gateway.caller_address();
+    let answer = send(address, "GET", "/v1/entries?route=/slots", &[]).await;
+    assert_eq!(answer.outcome(), "401 not-run key-missing");
+    let answer = send(address, "GET", "/v1/entries", &[]).await;
+    assert_eq!(answer.outcome(), "404 not-run route-unknown");
+}
--- a/gateway/tests/test_request_path.rs
+++ b/gateway/tests/test_request_path.rs
@@ -1,1 +1,149 @@
-//! Placeholder.
+//! What a caller gets when targets answer, answer badly, or do not answer.
+
+use damaskloom_testutils::target_answer::{AnswerCheck, body_digest, check_answer};
+use damaskloom_testutils::target_mode::TargetMode;
+use serde_json::Value;
+
+use crate::fixture::{Fixture, RawAnswer, authorization, send, start};
+
+async fn slots(fixture: &Fixture, id: &str) -> RawAnswer {
+    let headers = [&authorization()[..], &format!("x-request-id: {id}")];
+    send(
+        fixture.gateway.caller_address(),
+        "GET",
+        "/slots/today",
+        &headers,
+    )
+    .await
+}
+
+async fn book(fixture: &Fixture, id: &str) -> RawAnswer {
+    let headers = [
+        &authorization()[..],
+        &format!("x-request-id: {id}"),
+        "content-length: 0",
+    ];
+    send(fixture.gateway.caller_address(), "POST", "/book", &headers).await
+}
+
+fn executions(fixture: &Fixture) -> usize {
+    fixture
+        .targets
+        .iter()
+        .map(|target| target.executions().len())
+        .sum()
+}
+
+#[tokio::test]
+async fn test_the_customer_is_named_to_the_target_and_cannot_be_forged() {
+    let fixture = start(1, |_| {}).await;
+    let headers = [&authorization()[..], "damaskloom-customer: somebody-else"];
+    let answer = send(fixture.gateway.caller_address(), "GET", "/slots", &headers).await;
+    assert_eq!(answer.status, 200);
+    let customer = fixture.targets[0].executions()[0].customer.clone();
+    assert_eq!(customer.as_deref(), Some("border-post"));
+}
+
+#[tokio::test]
+async fn test_a_lost_answer_is_retried_only_if_the_request_is_idempotent() {
+    let fixture = start(2, |config| config["services"][0]["floor"] = Value::from(2)).await;
+    fixture
+        .targets
+        .iter()
+        .for_each(|target| target.set_mode(TargetMode::CloseMidBody));
+    assert_eq!(
+        slots(&fixture, "a").await.outcome(),
+        "502 unknown target-broken"
+    );
+    let before = executions(&fixture);
+    assert_eq!(
+        book(&fixture, "b").await.outcome(),
+        "502 unknown target-broken"
+    );
+    assert_eq!(executions(&fixture), before + 1);
+}
+
+#[tokio::test]
+async fn test_a_target_that_never_answers_gives_unknown_at_the_deadline() {
+    let fixture = start(1, |_| {}).await;
+    fixture.targets[0].set_mode(TargetMode::AnswersLost);
+    assert_eq!(
+        book(&fixture, "c").await.outcome(),
+        "504 unknown target-timeout"
+    );
+    assert_eq!(executions(&fixture), 1);
+}
+
+#[tokio::test]
+async fn test_a_duplicate_answer_never_reaches_the_next_caller() {
+    let fixture = start(1, |_| {}).await;
+    fixture.targets[0].set_mode(TargetMode::DuplicateAnswers);
+    for index in 0..20 {
+        let nonce = format!("dup-{index}");
+        let headers = [&authorization()[..], &format!("x-nonce: {nonce}")];
+        let answer = send(fixture.gateway.caller_address(), "GET", "/slots", &headers).await;
+        let check = check_answer(&answer.body, &nonce, body_digest(b""));
+        assert!(
+            answer.status != 200 || check == AnswerCheck::Whole,
+            "{nonce}: {check:?}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn test_a_dead_service_gets_at_most_a_tenth_more_than_is_offered() {
+    let fixture = start(4, |config| config["services"][0]["floor"] = Value::from(4)).await;
+    fixture
+        .targets
+        .iter()
+        .for_each(|target| target.set_mode(TargetMode::CloseMidBody));
+    const OFFERED: usize = 100;
+    for index in 0..OFFERED {
+        slots(&fixture, &format!("dead-{index}")).await;
+    }
+    assert!(
+        executions(&fixture) <= OFFERED + OFFERED / 10,
+        "{}",
+        executions(&fixture)
+    );
+}
+
+#[tokio::test]
+async fn test_a_withdrawn_key_is_refused_on_the_open_connection() {
+    use damaskloom_lib::config::{ConfigChange, ConfigDelta, KeyGrant, KeyState};
+    use damaskloom_lib::ids::Revision;
+    use damaskloom_lib::key::RawKey;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    let fixture = start(1, |_| {}).await;
+    let address = fixture.gateway.caller_address();
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let request = format!(
+        "GET /slots HTTP/1.1\r\nhost: g\r\n{}\r\n\r\n",
+        authorization()
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut buffer = [0; 4096];
+    let length = stream.read(&mut buffer).await.unwrap();
+    assert!(buffer[..length].starts_with(b"HTTP/1.1 200"));
+
+    let grant = KeyGrant {
+        digest: RawKey::new(crate::fixture::KEY).digest(),
+        customer: "border-post".parse().unwrap(),
+        state: KeyState::Withdrawn,
+    };
+    let delta = ConfigDelta {
+        revision: Revision(2),
+        changes: vec![ConfigChange::PutKey(grant)],
+    };
+    fixture.gateway.state.config.apply(&delta).unwrap();
+
+    // The idle connection is closed, and the key is refused on a new one.
+    let mut rest = Vec::new();
+    let _ = stream.read_to_end(&mut rest).await;
+    assert_eq!(
+        slots(&fixture, "d").await.outcome(),
+        "401 not-run key-withdrawn"
+    );
+    assert_eq!(executions(&fixture), 1);
+}
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -12,6 +12,7 @@
 
 use crate::ids::{CustomerId, DataCentreId, Revision, RouteId, ServiceId, TargetId};
 use crate::key::KeyDigest;
+use crate::object_list;
 use crate::units::{BurstSize, ByteSize, RequestRate};
 
 /// A customer and its share of the fleet.
@@ -259,19 +260,19 @@
     /// The revision that the configuration is at.
     pub revision: Revision,
     /// All customers.
-    #[serde(with = "indexmap::map::serde_seq", default)]
+    #[serde(with = "object_list::customers", default)]
     pub customers: IndexMap<CustomerId, Customer>,
     /// All keys, granted and withdrawn.
-    #[serde(with = "indexmap::map::serde_seq", default)]
+    #[serde(with = "object_list::keys", default)]
     pub keys: IndexMap<KeyDigest, KeyGrant>,
     /// All routes.
-    #[serde(with = "indexmap::map::serde_seq", default)]
+    #[serde(with = "object_list::routes", default)]
     pub routes: IndexMap<RouteId, Route>,
     /// All services.
-    #[serde(with = "indexmap::map::serde_seq", default)]
+    #[serde(with = "object_list::services", default)]
     pub services: IndexMap<ServiceId, Service>,
     /// All targets.
-    #[serde(with = "indexmap::map::serde_seq", default)]
+    #[serde(with = "object_list::targets", default)]
     pub targets: IndexMap<TargetId, Target>,
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod key;
 pub mod key_table;
 pub mod membership;
+mod object_list;
 pub mod outcome;
 pub mod plan;
 pub mod platform;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -3,7 +3,6 @@
 //! They let every property be checked on one machine, without any system of the operators'. Each
 //! stand-in also is a small binary. See [docs/operators/load-tool.md](../../docs/operators/load-tool.md).
 
-mod target_stream;
 pub mod ledger_clock;
 pub mod platform_faults;
 pub mod platform_server;
@@ -14,3 +13,4 @@
 pub mod target_server;
 pub mod target_settings;
 pub mod target_state;
+mod target_stream;
