--- a/lib/src/rendezvous.rs
+++ b/lib/src/rendezvous.rs
@@ -1,1 +1,207 @@
-//! Placeholder.
+//! Rendezvous hashing: every node computes the same owners from the same member set.
+//!
+//! The highest scores of a key own it, so that a member change moves only the keys of the members
+//! that changed. The hash is fixed here rather than taken from the standard library, since its
+//! values decide who holds shares and must not change between builds or releases. All arithmetic is
+//! on integers, so that two machines never disagree over a rounding. See
+//! [docs/design/directory.md](../../docs/design/directory.md) and
+//! [docs/design/epochs.md](../../docs/design/epochs.md).
+
+use std::cmp::Reverse;
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+const LOG_FRACTION_BITS: u32 = 24;
+
+/// A 64-bit hash whose value is the same on every machine and in every release.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct StableHash(pub u64);
+
+impl StableHash {
+    /// Hashes bytes.
+    pub fn of(bytes: impl AsRef<[u8]>) -> Self {
+        let folded = bytes.as_ref().iter().fold(FNV_OFFSET, |state, byte| {
+            (state ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
+        });
+        Self(mix(folded))
+    }
+
+    /// Combines two hashes; the order matters.
+    pub const fn with(self, other: Self) -> Self {
+        Self(mix(self
+            .0
+            .rotate_left(23)
+            .wrapping_add(other.0 ^ FNV_OFFSET)))
+    }
+}
+
+impl fmt::Display for StableHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Spreads every input bit over all output bits (the finaliser of MurmurHash3).
+const fn mix(state: u64) -> u64 {
+    let state = (state ^ (state >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let state = (state ^ (state >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    state ^ (state >> 33)
+}
+
+/// Returns the indexes of all members, the owner of the key first.
+///
+/// Equal scores are ordered by the member's hash, then by its index.
+pub fn rank_members(key: StableHash, members: &[StableHash]) -> Vec<usize> {
+    let mut order: Vec<_> = members
+        .iter()
+        .enumerate()
+        .map(|(index, member)| (Reverse(key.with(*member)), *member, index))
+        .collect();
+    order.sort_unstable();
+    order.into_iter().map(|(_, _, index)| index).collect()
+}
+
+/// Returns the indexes of the at most `count` first owners of the key, in order.
+///
+/// It gives the start of what [`rank_members`] gives, without sorting the rest.
+pub fn top_members(key: StableHash, members: &[StableHash], count: usize) -> Vec<usize> {
+    let mut top: Vec<(Reverse<StableHash>, StableHash, usize)> = Vec::with_capacity(count + 1);
+    for (index, member) in members.iter().enumerate() {
+        let entry = (Reverse(key.with(*member)), *member, index);
+        let position = top.partition_point(|kept| *kept < entry);
+        if position < count {
+            top.insert(position, entry);
+            top.truncate(count);
+        }
+    }
+    top.into_iter().map(|(_, _, index)| index).collect()
+}
+
+/// Returns the index of the key's owner when members own keys in proportion to their weights.
+///
+/// A member of weight zero owns nothing. There is no owner if all weights are zero.
+pub fn weighted_owner(key: StableHash, members: &[(StableHash, u32)]) -> Option<usize> {
+    members
+        .iter()
+        .enumerate()
+        .filter(|(_, (_, weight))| *weight > 0)
+        .min_by_key(|(index, (member, weight))| {
+            (weighted_cost(key.with(*member), *weight), *member, *index)
+        })
+        .map(|(index, _)| index)
+}
+
+/// Returns `-log2(score) / weight` in fixed point: an exponential variable of the given weight.
+fn weighted_cost(score: StableHash, weight: u32) -> u64 {
+    let whole = 64 << LOG_FRACTION_BITS;
+    let cost = u64::from(whole - log2_fixed(score.0 | 1));
+    (cost << 24) / u64::from(weight)
+}
+
+/// Returns the binary logarithm of a positive number with [`LOG_FRACTION_BITS`] fraction bits.
+fn log2_fixed(value: u64) -> u32 {
+    let exponent = value.ilog2();
+    let mut mantissa = value << (63 - exponent);
+    let mut result = exponent;
+    for _ in 0..LOG_FRACTION_BITS {
+        let square = (u128::from(mantissa) * u128::from(mantissa)) >> 63;
+        let carry = square >> 64;
+        result = (result << 1) | u32::from(carry != 0);
+        mantissa = u64::try_from(square >> carry).expect("a normalised mantissa has 64 bits");
+    }
+    result
+}
+
+/// A key with the load that it brings to its owners.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KeyLoad {
+    /// The key.
+    pub key: StableHash,
+    /// The load, in any unit.
+    pub load: u128,
+}
+
+/// The part of a key's load that one member carries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoadPortion {
+    /// The index of the member.
+    pub member: usize,
+    /// The load, in the unit of the key's load.
+    pub load: u128,
+}
+
+/// Limits of a placement with bounded load.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoadBound {
+    /// A key is cut into equal pieces of at most this load before it is placed.
+    pub piece: u128,
+    /// No member carries more than this.
+    pub member: u128,
+}
+
+/// Places every key on few members, so that no member carries more than the bound.
+///
+/// Keys are placed from the largest to the smallest, each piece on the first member in the key's
+/// order that has room for it and does not have a piece of the key yet. A piece that fits nowhere
+/// whole is spread over the members that have room. The result lists the portions of each key, in
+/// the order of `keys`. All load is placed if the bound times the number of members covers it; what
+/// does not fit is left out.
+pub fn place_bounded(
+    keys: &[KeyLoad],
+    members: &[StableHash],
+    bound: LoadBound,
+) -> Vec<Vec<LoadPortion>> {
+    let mut order: Vec<usize> = (0..keys.len()).collect();
+    order.sort_unstable_by_key(|index| (Reverse(keys[*index].load), keys[*index].key, *index));
+    let mut rooms = vec![bound.member; members.len()];
+    let mut placed = vec![Vec::new(); keys.len()];
+    for index in order {
+        let ranked = rank_members(keys[index].key, members);
+        placed[index] = place_key(keys[index].load, &ranked, bound.piece, &mut rooms);
+    }
+    placed
+}
+
+fn place_key(load: u128, ranked: &[usize], piece: u128, rooms: &mut [u128]) -> Vec<LoadPortion> {
+    let pieces = load.div_ceil(piece.max(1)).max(1);
+    let mut portions: Vec<LoadPortion> = Vec::new();
+    let mut left = load;
+    for number in 0..pieces {
+        let size = left / (pieces - number);
+        let fit = ranked.iter().find(|member| {
+            rooms[**member] >= size && !portions.iter().any(|portion| portion.member == **member)
+        });
+        let Some(&member) = fit else { break };
+        rooms[member] -= size;
+        left -= size;
+        portions.push(LoadPortion { member, load: size });
+    }
+    spread_rest(left, ranked, rooms, &mut portions);
+    portions
+}
+
+fn spread_rest(
+    mut left: u128,
+    ranked: &[usize],
+    rooms: &mut [u128],
+    portions: &mut Vec<LoadPortion>,
+) {
+    for &member in ranked {
+        let size = left.min(rooms[member]);
+        if size == 0 {
+            continue;
+        }
+        rooms[member] -= size;
+        left -= size;
+        match portions.iter_mut().find(|portion| portion.member == member) {
+            Some(portion) => portion.load += size,
+            None => portions.push(LoadPortion { member, load: size }),
+        }
+    }
+}
