--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod evidence;
 pub mod fair_queue;
 pub mod freshness;
+pub mod generated;
 pub mod ids;
 pub mod key;
 pub mod key_table;
