stand-ins: add the load tool and the call ledger

Promises have to be checked after each run, not only counted. The load tool sends an open loop as old devices do, with latencies counted from the time at which a request was due; the ledger merges callers' and targets' records and names each broken promise.

--- /dev/null
+++ b/testutils/src/ledger_breach.rs
@@ -0,0 +1,182 @@
+//! The promises that a run can break, in plain words.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// One broken promise.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LedgerBreach {
+    /// A non-idempotent request ran more than once.
+    RanTwice {
+        /// Names the request.
+        nonce: String,
+        /// The targets that ran it, in order.
+        targets: Vec<String>,
+    },
+    /// A caller got the answer to another request.
+    CrossedAnswer {
+        /// Names the request.
+        nonce: String,
+        /// The customer that asked.
+        customer: String,
+    },
+    /// A caller got a part of an answer that looked whole.
+    CutAnswer {
+        /// Names the request.
+        nonce: String,
+        /// The customer that asked.
+        customer: String,
+    },
+    /// A target received a caller's key outside the body.
+    KeyLeaked {
+        /// The customer whose key it is.
+        customer: String,
+        /// The target.
+        target: String,
+        /// The request's path.
+        path: String,
+    },
+    /// A request that was refused as not run did run.
+    FalseNotRun {
+        /// Names the request.
+        nonce: String,
+        /// The reason of the refusal.
+        reason: String,
+        /// The target that ran it.
+        target: String,
+    },
+    /// A request ran with other content than its caller sent.
+    ChangedBody {
+        /// Names the request.
+        nonce: String,
+        /// The target that ran it.
+        target: String,
+    },
+    /// A request ran in the name of a customer whose key did not come with it.
+    WrongCustomer {
+        /// Names the request.
+        nonce: String,
+        /// The customer that the target was told.
+        told: String,
+        /// The customer whose key came with the request.
+        sent: String,
+    },
+    /// A request that was sent after its key stopped working ran.
+    WithdrawnKeyRan {
+        /// Names the request.
+        nonce: String,
+        /// The customer whose key was withdrawn.
+        customer: String,
+        /// How long after the withdrawal it was sent, in milliseconds.
+        after_ms: u64,
+    },
+    /// A customer got more than its rate and burst.
+    OverAdmission {
+        /// The customer.
+        customer: String,
+        /// The length of the worst window, in milliseconds.
+        window_ms: u64,
+        /// The requests admitted in it.
+        admitted: u64,
+        /// The requests that the rate and the burst allow in it.
+        allowed: u64,
+    },
+    /// More requests within their customer's rate were refused for its rate than the bound allows.
+    WrongRefusals {
+        /// The customer.
+        customer: String,
+        /// The wrong refusals.
+        refused: u64,
+        /// The requests that the customer sent.
+        sent: u64,
+    },
+}
+
+impl LedgerBreach {
+    /// Returns the broken promise, for counts.
+    pub const fn promise(&self) -> &'static str {
+        match self {
+            Self::RanTwice { .. } => "a non-idempotent request runs at most once",
+            Self::CrossedAnswer { .. } => "a caller gets the answer to its own request",
+            Self::CutAnswer { .. } => "a cut answer does not look whole",
+            Self::KeyLeaked { .. } => "no target sees a key",
+            Self::FalseNotRun { .. } => "a refusal as not run is true",
+            Self::ChangedBody { .. } => "a request runs as it was sent",
+            Self::WrongCustomer { .. } => "a request runs for its key's customer only",
+            Self::WithdrawnKeyRan { .. } => "a withdrawn key stops working in time",
+            Self::OverAdmission { .. } => "no customer gets more than its rate and burst",
+            Self::WrongRefusals { .. } => "requests within the rate are not refused for it",
+        }
+    }
+}
+
+impl fmt::Display for LedgerBreach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::RanTwice { nonce, targets } => write!(
+                f,
+                "request {nonce} ran {} times, on {}, and may run at most once",
+                targets.len(),
+                targets.join(", ")
+            ),
+            Self::CrossedAnswer { nonce, customer } => {
+                write!(
+                    f,
+                    "{customer}'s request {nonce} got another request's answer"
+                )
+            }
+            Self::CutAnswer { nonce, customer } => write!(
+                f,
+                "{customer}'s request {nonce} got a cut answer that looked whole"
+            ),
+            Self::KeyLeaked {
+                customer,
+                target,
+                path,
+            } => write!(f, "target {target} saw {customer}'s key, on {path}"),
+            Self::FalseNotRun {
+                nonce,
+                reason,
+                target,
+            } => write!(
+                f,
+                "request {nonce} was refused as not run ({reason}) and ran on {target}"
+            ),
+            Self::ChangedBody { nonce, target } => write!(
+                f,
+                "request {nonce} ran on {target} with other content than was sent"
+            ),
+            Self::WrongCustomer { nonce, told, sent } => write!(
+                f,
+                "request {nonce} ran in the name of {told} with the key of {sent}"
+            ),
+            Self::WithdrawnKeyRan {
+                nonce,
+                customer,
+                after_ms,
+            } => write!(
+                f,
+                "request {nonce} ran, sent {after_ms} ms after {customer}'s key was withdrawn"
+            ),
+            Self::OverAdmission {
+                customer,
+                window_ms,
+                admitted,
+                allowed,
+            } => write!(
+                f,
+                "{customer} got {admitted} requests in {window_ms} ms, {allowed} are allowed"
+            ),
+            Self::WrongRefusals {
+                customer,
+                refused,
+                sent,
+            } => write!(
+                f,
+                "{refused} of {customer}'s {sent} requests were refused for the rate, within the rate"
+            ),
+        }
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -3,7 +3,16 @@
 //! They let every property be checked on one machine, without any system of the operators'. Each
 //! stand-in also is a small binary. See [docs/operators/load-tool.md](../../docs/operators/load-tool.md).
 
+pub mod caller_device;
+pub mod caller_directory;
+pub mod ledger_breach;
+pub mod ledger_check;
 pub mod ledger_clock;
+pub mod ledger_rate;
+pub mod ledger_record;
+pub mod load_plan;
+pub mod load_report;
+pub mod load_runner;
 pub mod settings_file;
 pub mod target_answer;
 pub mod target_mode;
--- /dev/null
+++ b/testutils/src/load_runner.rs
@@ -0,0 +1,278 @@
+//! Runs a load plan: an open loop, in which slow answers never hold later requests back.
+//!
+//! One thread walks the schedule and hands each request to the runtime when it is due. Latencies
+//! count from the due time, so that a delay in the tool itself shows up and hides nothing.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Empty};
+use hyper_util::rt::TokioIo;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::TcpStream;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+
+use crate::caller_device::{CallerDevice, DeviceRequest, DeviceSettings};
+use crate::ledger_check::{CallLedger, CustomerTerms};
+use crate::ledger_clock::unix_micros;
+use crate::ledger_rate::RateAllowance;
+use crate::ledger_record::{CallOutcome, CallRecord};
+use crate::load_plan::{CustomerLoad, LoadPlan, RequestKind};
+use crate::load_report::LoadReport;
+use crate::target_answer::body_digest;
+use crate::target_state::ExecutionRecord;
+
+/// The end of a wait that is spun rather than slept, since sleeping is coarser.
+const SPIN_MICROS: u64 = 150;
+/// How often a customer that sends nothing now is looked at again.
+const PAUSE_MS: u64 = 10;
+
+/// One customer's place in the schedule.
+struct CustomerSource {
+    load: CustomerLoad,
+    devices: Vec<Arc<CallerDevice>>,
+    due: Duration,
+    sent: u64,
+    rng: SmallRng,
+}
+
+impl CustomerSource {
+    fn new(plan: &LoadPlan, load: &CustomerLoad, index: u64) -> Self {
+        let settings = DeviceSettings {
+            customer: load.id.clone(),
+            key: load.key.clone(),
+            key_placement: load.key_placement.clone(),
+            bootstrap: plan.bootstrap.clone(),
+            directory: plan.directory,
+            timeout: Duration::from_millis(plan.timeout_ms),
+            resends: plan.resends,
+        };
+        let mut rng = SmallRng::seed_from_u64(plan.seed ^ (index << 32));
+        let devices = (0..load.devices.max(1)).map(|_| {
+            let mut settings = settings.clone();
+            let turn = rng.random_range(0..settings.bootstrap.len().max(1));
+            settings
+                .bootstrap
+                .rotate_left(turn.min(plan.bootstrap.len()));
+            Arc::new(CallerDevice::new(settings))
+        });
+        let devices = devices.collect();
+        let mut source = Self {
+            load: load.clone(),
+            devices,
+            due: Duration::ZERO,
+            sent: 0,
+            rng,
+        };
+        source.advance();
+        source
+    }
+
+    /// Moves on to the time at which the next request is due.
+    fn advance(&mut self) {
+        let pause = Duration::from_millis(PAUSE_MS);
+        while self.load.rate_at(self.due) <= 0.0 && self.load.rate > 0.0 {
+            self.due += pause;
+        }
+        let rate = self.load.rate_at(self.due);
+        let gap = match (self.load.even, rate > 0.0) {
+            (_, false) => f64::from(u32::MAX),
+            (true, true) => 1.0 / rate,
+            (false, true) => -self.rng.random_range(f64::EPSILON..1.0).ln() / rate,
+        };
+        self.due += Duration::from_secs_f64(gap.min(f64::from(u32::MAX)));
+    }
+
+    fn pick_kind(&mut self) -> RequestKind {
+        let total: u32 = self.load.mix.iter().map(|kind| kind.weight).sum();
+        let mut pick = self.rng.random_range(0..total.max(1));
+        for kind in &self.load.mix {
+            if pick < kind.weight {
+                return kind.clone();
+            }
+            pick -= kind.weight;
+        }
+        RequestKind::default()
+    }
+
+    fn next_request(&mut self, run: &str, start_micros: u64) -> (Arc<CallerDevice>, DeviceRequest) {
+        let kind = self.pick_kind();
+        let nonce = format!("{run}-{}-{}", self.load.id, self.sent);
+        let mut body = nonce.clone().into_bytes();
+        body.resize(kind.body_bytes, b'#');
+        let device = self.sent as usize % self.devices.len();
+        let request = DeviceRequest {
+            kind,
+            nonce,
+            body: Bytes::from(body),
+            intended_micros: start_micros + self.due.as_micros() as u64,
+        };
+        self.sent += 1;
+        self.advance();
+        (Arc::clone(&self.devices[device]), request)
+    }
+}
+
+/// Runs load plans.
+pub struct LoadRunner;
+
+impl LoadRunner {
+    /// Runs a plan to its end and reports it, without the ledger's verdict.
+    ///
+    /// Call it on a runtime with more than one thread: the schedule has a thread of its own.
+    pub async fn run(plan: &LoadPlan) -> LoadReport {
+        let (sender, mut receiver) = mpsc::unbounded_channel();
+        let plan = plan.clone();
+        let runtime = Handle::current();
+        let schedule = tokio::task::spawn_blocking(move || walk_schedule(&plan, &runtime, &sender));
+        let mut requests = Vec::new();
+        while let Some(sendings) = receiver.recv().await {
+            requests.push(sendings);
+        }
+        schedule.await.expect("the schedule does not panic");
+        LoadReport::from_calls(requests)
+    }
+
+    /// Runs a plan, fetches the executions of its targets, and checks the ledger.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a target's executions cannot be fetched, since the ledger would then prove nothing.
+    pub async fn run_and_check(plan: &LoadPlan) -> io::Result<LoadReport> {
+        let mut report = Self::run(plan).await;
+        let mut executions = Vec::new();
+        for target in &plan.targets {
+            executions.extend(fetch_executions(*target).await?);
+        }
+        report.check(plan, executions);
+        Ok(report)
+    }
+}
+
+impl LoadReport {
+    /// Merges the targets' executions into the ledger and keeps its verdict.
+    pub fn check(&mut self, plan: &LoadPlan, executions: Vec<ExecutionRecord>) {
+        let ledger = CallLedger {
+            calls: std::mem::take(&mut self.calls),
+            executions,
+            terms: plan_terms(plan),
+            bounds: plan.bounds.clone(),
+        };
+        self.verdict = Some(ledger.check());
+        self.calls = ledger.calls;
+    }
+}
+
+/// Returns what the customers of a plan are entitled to.
+pub fn plan_terms(plan: &LoadPlan) -> BTreeMap<String, CustomerTerms> {
+    let terms = plan.customers.iter().map(|customer| {
+        let allowance = customer.allowed_rate.map(|rate| RateAllowance {
+            rate,
+            burst: customer.allowed_burst,
+        });
+        let terms = CustomerTerms {
+            key: customer.key.clone(),
+            allowance,
+            withdrawn_micros: None,
+        };
+        (customer.id.clone(), terms)
+    });
+    terms.collect()
+}
+
+fn walk_schedule(
+    plan: &LoadPlan,
+    runtime: &Handle,
+    sender: &mpsc::UnboundedSender<Vec<CallRecord>>,
+) {
+    let loads = plan.customers.iter().zip(0..);
+    let mut sources: Vec<CustomerSource> = loads
+        .map(|(load, index)| CustomerSource::new(plan, load, index))
+        .collect();
+    let (start, start_micros) = (Instant::now(), unix_micros());
+    let run = format!("{:x}", start_micros ^ plan.seed);
+    let end = Duration::from_millis(plan.duration_ms);
+    let in_flight = Arc::new(AtomicUsize::new(0));
+    while let Some(source) = sources.iter_mut().min_by_key(|source| source.due) {
+        if source.due >= end {
+            break;
+        }
+        wait_until(start + source.due);
+        let (device, request) = source.next_request(&run, start_micros);
+        let sender = sender.clone();
+        if in_flight.fetch_add(1, Ordering::Relaxed) >= plan.max_in_flight {
+            in_flight.fetch_sub(1, Ordering::Relaxed);
+            // The receiver outlives the schedule.
+            let _sent = sender.send(vec![dropped_call(&source.load.id, &request)]);
+            continue;
+        }
+        let in_flight = Arc::clone(&in_flight);
+        runtime.spawn(async move {
+            let sendings = device.call(&request).await;
+            in_flight.fetch_sub(1, Ordering::Relaxed);
+            // The receiver outlives every call.
+            let _sent = sender.send(sendings);
+        });
+    }
+}
+
+fn wait_until(due: Instant) {
+    let spin = Duration::from_micros(SPIN_MICROS);
+    loop {
+        let left = due.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return;
+        }
+        match left > spin {
+            true => std::thread::sleep(left - spin),
+            false => std::hint::spin_loop(),
+        }
+    }
+}
+
+fn dropped_call(customer: &str, request: &DeviceRequest) -> CallRecord {
+    CallRecord {
+        nonce: request.nonce.clone(),
+        customer: customer.to_owned(),
+        path: request.kind.path.clone(),
+        idempotent: request.kind.idempotent,
+        has_request_id: request.kind.request_id_header.is_some(),
+        attempt: 0,
+        entry: None,
+        intended_micros: request.intended_micros,
+        sent_micros: request.intended_micros,
+        ended_micros: unix_micros(),
+        body_digest: body_digest(&request.body),
+        outcome: CallOutcome::Dropped,
+    }
+}
+
+/// Fetches what a target executed from its control address.
+///
+/// # Errors
+///
+/// Fails if the target does not answer or its answer is malformed.
+pub async fn fetch_executions(target: SocketAddr) -> io::Result<Vec<ExecutionRecord>> {
+    let stream = TcpStream::connect(target).await?;
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
+    let (mut connection, driver) = handshake.await.map_err(io::Error::other)?;
+    tokio::spawn(driver);
+    let message = Request::builder()
+        .uri("/control/executions")
+        .header("host", target.to_string())
+        .body(Empty::<Bytes>::new())
+        .map_err(io::Error::other)?;
+    let answer = connection.send_request(message).await;
+    let answer = answer.map_err(io::Error::other)?;
+    let body = answer.into_body().collect().await;
+    let body = body.map_err(io::Error::other)?.to_bytes();
+    Ok(serde_json::from_slice(&body)?)
+}
--- a/testutils/src/target_server.rs
+++ b/testutils/src/target_server.rs
@@ -230,6 +230,7 @@
         false => read_body(incoming, &mut record).await?,
     };
     record.body_digest = body_digest(&body);
+    record.body_unread = effects.answer_early;
     if effects.fail_fast {
         state.begin_execution(record);
         return Ok(text_answer(StatusCode::INTERNAL_SERVER_ERROR, "failed\n"));
@@ -239,15 +240,22 @@
     };
     let place = state.begin_execution(record.clone());
     crash_if_marked(state, effects, &record.path, &body).await;
-    tokio::time::sleep(state.service_time(effects)).await;
+    pause(state.service_time(effects)).await;
     state.end_execution(place);
-    tokio::time::sleep(effects.hold_answer).await;
+    pause(effects.hold_answer).await;
     if effects.answers_lost {
         return std::future::pending().await;
     }
     Ok(run_answer(state, effects, &record))
 }
 
+/// Sleeps; no time at all costs nothing, where the runtime's timer would round it up.
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
 fn new_record(target: &str, parts: &http::request::Parts) -> ExecutionRecord {
     let text = |name: &str| {
         let value = parts.headers.get(name)?;
@@ -261,6 +269,7 @@
         path: parts.uri.path().to_owned(),
         head: format!("{} {}\n", parts.method, parts.uri),
         body_digest: 0,
+        body_unread: false,
         started_micros: 0,
         finished: false,
     };
--- a/testutils/src/target_state.rs
+++ b/testutils/src/target_state.rs
@@ -31,6 +31,9 @@
     pub head: String,
     /// The digest of the body as far as it was read.
     pub body_digest: u64,
+    /// Whether the target ran the request without reading its body.
+    #[serde(default)]
+    pub body_unread: bool,
     /// When the execution began, in Unix microseconds.
     pub started_micros: u64,
     /// Whether the execution came to its end.
