--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -1,5 +1,6 @@
 //! What is remembered of one connection of a caller.
 
+use std::net::IpAddr;
 use std::sync::Mutex;
 
 use damaskloom_lib::key::KeyDigest;
@@ -12,6 +13,7 @@
 pub struct CallerConnection {
     keys: Mutex<Vec<KeyDigest>>,
     framings: FramingLog,
+    peer: IpAddr,
 }
 
 /// What follows from the framing of a request.
@@ -27,13 +29,19 @@
 
 impl CallerConnection {
     /// Makes the memory of a connection whose requests are inspected into `framings`.
-    pub fn new(framings: FramingLog) -> Self {
+    pub fn new(framings: FramingLog, peer: IpAddr) -> Self {
         Self {
             keys: Mutex::default(),
             framings,
+            peer,
         }
     }
 
+    /// Returns the caller's address.
+    pub fn peer(&self) -> IpAddr {
+        self.peer
+    }
+
     /// Judges the framing of the request that was just read; called once a request.
     pub fn judge_framing(&self) -> FramingVerdict {
         match self.framings.next() {
--- a/gateway/src/caller_server.rs
+++ b/gateway/src/caller_server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,7 +41,7 @@
             accepted = listener.accept() => accepted,
             () = wait_for_stop(&mut stop) => break,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, peer)) = accepted else {
             tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
             continue;
         };
@@ -51,7 +52,7 @@
         let (state, stop) = (Arc::clone(&state), stop.clone());
         tracker.spawn(async move {
             state.meters.connection_opened();
-            serve_connection(&state, stream, stop).await;
+            serve_connection(&state, stream, peer.ip(), stop).await;
             state.meters.connection_closed();
             drop(permit);
         });
@@ -64,11 +65,12 @@
 async fn serve_connection(
     state: &Arc<GatewayState>,
     stream: TcpStream,
+    peer: IpAddr,
     mut stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
     let stream = InspectedStream::new(stream);
-    let caller = Arc::new(CallerConnection::new(stream.log()));
+    let caller = Arc::new(CallerConnection::new(stream.log(), peer));
     let builder = connection_builder(state);
     let service = service_fn(|request| answer(state, &caller, request));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
--- a/gateway/src/directory_answer.rs
+++ b/gateway/src/directory_answer.rs
@@ -1,12 +1,13 @@
 //! Tells callers which VMs to use.
 
-use std::net::SocketAddr;
+use std::net::IpAddr;
 
 use bytes::Bytes;
 use damaskloom_lib::config::DirectoryFormat;
+use damaskloom_lib::directory::{DirectoryAnswer, DirectoryQuery};
+use damaskloom_lib::rendezvous::StableHash;
 use http::Response;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
-use serde::Serialize;
 
 use crate::bodies::AnswerBody;
 use crate::exchange::RequestScope;
@@ -15,19 +16,7 @@
 
 /// Where callers ask for entry VMs; the query names the path that they want to use.
 pub const DIRECTORY_PATH: &str = "/v1/entries";
-
-#[derive(Serialize)]
-#[serde(rename_all = "snake_case")]
-struct EntryDocument {
-    address: SocketAddr,
-}
-
-#[derive(Serialize)]
-#[serde(rename_all = "snake_case")]
-struct DirectoryDocument {
-    entries: Vec<EntryDocument>,
-    lifetime_ms: u64,
-}
+const MILLIS_PER_SECOND: u64 = 1_000;
 
 /// Returns the path that the directory query names, as in `route=/slots`.
 pub fn asked_path(query: Option<&str>) -> Option<String> {
@@ -38,19 +27,28 @@
 }
 
 /// Answers a directory query in the form that the route's callers understand.
-pub fn answer_directory(state: &GatewayState, scope: &RequestScope) -> Response<AnswerBody> {
-    let addresses = state
-        .directory
-        .entries(scope.customer.as_ref(), &scope.route);
-    let lifetime_ms = state.settings.directory_lifetime_ms;
+pub fn answer_directory(
+    state: &GatewayState,
+    scope: &RequestScope,
+    caller: IpAddr,
+) -> Response<AnswerBody> {
+    let answer = state.directory.answer(&DirectoryQuery {
+        customer: scope.customer.as_ref(),
+        route: Some(&scope.route.id),
+        data_centre: Some(&state.settings.data_centre),
+        caller_seed: StableHash::of(caller.to_string()).0,
+    });
     let (body, content_type) = match scope.route.directory_format {
-        DirectoryFormat::Json => (json_answer(&addresses, lifetime_ms), "application/json"),
-        DirectoryFormat::Lines => (line_answer(&addresses), "text/plain"),
+        DirectoryFormat::Json => (json_answer(&answer), "application/json"),
+        DirectoryFormat::Lines => (line_answer(&answer), "text/plain"),
     };
     let mut response = Response::new(AnswerBody::whole(body));
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
-    let max_age = format!("private, max-age={}", lifetime_ms / 1_000);
+    let max_age = format!(
+        "private, max-age={}",
+        answer.lifetime_ms / MILLIS_PER_SECOND
+    );
     headers.insert(
         CACHE_CONTROL,
         HeaderValue::from_str(&max_age).expect("a number is a valid header value"),
@@ -58,24 +56,17 @@
     response
 }
 
-fn json_answer(addresses: &[SocketAddr], lifetime_ms: u64) -> Bytes {
-    let entries = addresses
-        .iter()
-        .map(|address| EntryDocument { address: *address })
-        .collect();
-    let document = DirectoryDocument {
-        entries,
-        lifetime_ms,
-    };
-    serde_json::to_vec(&document)
+fn json_answer(answer: &DirectoryAnswer) -> Bytes {
+    serde_json::to_vec(answer)
         .expect("a directory answer is always valid JSON")
         .into()
 }
 
-fn line_answer(addresses: &[SocketAddr]) -> Bytes {
-    addresses
+fn line_answer(answer: &DirectoryAnswer) -> Bytes {
+    answer
+        .entries
         .iter()
-        .map(|address| format!("{address}\n"))
+        .map(|entry| format!("{}\n", entry.address))
         .collect::<String>()
         .into()
 }
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -76,7 +76,7 @@
         Err(refusal) => return refuse(state, refusal),
     };
     if parts.uri.path() == DIRECTORY_PATH {
-        return answer_directory(state, &scope);
+        return answer_directory(state, &scope, connection.peer());
     }
     let result = run(state, &scope, &parts, body, arrival).await;
     state.record_result(&scope, &result, arrival);
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -67,7 +67,7 @@
             targets: TargetSet::default(),
             health: TargetHealth::default(),
             retries: RetryGate::default(),
-            directory: FleetDirectory::default(),
+            directory: FleetDirectory::new(settings.directory_lifetime_ms),
             meters: GatewayMeters::new()?,
             fresh: AtomicBool::new(true),
             settings,
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use damaskloom_lib::directory::{DirectoryMember, EntryStanding};
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -11,7 +12,6 @@
 
 use crate::admin_server::run_admin_server;
 use crate::caller_server::run_caller_server;
-use crate::fleet_directory::DirectoryEntry;
 use crate::gateway::GatewayState;
 use crate::meters::MeterError;
 use crate::settings::GatewaySettings;
@@ -62,11 +62,9 @@
         let caller_address = local_address(&caller_listener, settings.caller_listen)?;
         let admin_address = local_address(&admin_listener, settings.admin_listen)?;
         let state = GatewayState::new(settings).context(MetersSnafu)?;
-        let own = DirectoryEntry {
-            vm: state.settings.vm.clone(),
-            address: caller_address,
-        };
-        state.directory.set_entries(vec![own]);
+        state
+            .directory
+            .set_members([own_entry(&state, caller_address)]);
         let (stop, stopped) = watch::channel(false);
         let callers = tokio::spawn(run_caller_server(
             Arc::clone(&state),
@@ -118,6 +116,15 @@
     }
 }
 
+fn own_entry(state: &GatewayState, address: SocketAddr) -> DirectoryMember {
+    DirectoryMember {
+        vm: state.settings.vm.clone(),
+        data_centre: state.settings.data_centre.clone(),
+        address,
+        standing: EntryStanding::Serving,
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
--- a/testutils/src/load_runner.rs
+++ b/testutils/src/load_runner.rs
@@ -160,10 +160,20 @@
 impl LoadReport {
     /// Merges the targets' executions into the ledger and keeps its verdict.
     pub fn check(&mut self, plan: &LoadPlan, executions: Vec<ExecutionRecord>) {
+        self.check_with(plan, plan_terms(plan), executions);
+    }
+
+    /// As [`LoadReport::check`], for customers whose terms changed during the run.
+    pub fn check_with(
+        &mut self,
+        plan: &LoadPlan,
+        terms: BTreeMap<String, CustomerTerms>,
+        executions: Vec<ExecutionRecord>,
+    ) {
         let ledger = CallLedger {
             calls: std::mem::take(&mut self.calls),
             executions,
-            terms: plan_terms(plan),
+            terms,
             bounds: plan.bounds.clone(),
         };
         self.verdict = Some(ledger.check());
