--- a/lib/src/table_layout.rs
+++ b/lib/src/table_layout.rs
@@ -151,11 +151,28 @@
 }
 
 /// The newest snapshot of the configuration in the object store.
+///
+/// A snapshot is split into parts, so that a node can load it without holding all of its text.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct SnapshotRow {
     /// The revision of the snapshot.
     pub revision: Revision,
-    /// The name of the object.
-    pub object: String,
+    /// The number of parts.
+    pub parts: u32,
+}
+
+/// One part of a snapshot, which is an object of the object store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct SnapshotPart {
+    /// The revision of the snapshot.
+    pub revision: Revision,
+    /// Objects of the configuration, each as the change that puts it there.
+    pub changes: Vec<ConfigChange>,
+}
+
+/// Returns the name of a snapshot's part in the object store.
+pub fn snapshot_object(revision: Revision, part: u32) -> String {
+    format!("snapshot/{:020}/{part:06}", revision.0)
 }
--- /dev/null
+++ b/operator/src/snapshot.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
