--- /dev/null
+++ b/cli/src/ctl_args.rs
@@ -0,0 +1,191 @@
+//! Parses the command line of `damaskloom-ctl`.
+
+use std::ffi::OsString;
+use std::str::FromStr;
+use std::time::Duration;
+
+use damaskloom_lib::table_layout::OperatorRole;
+use pico_args::Arguments;
+use snafu::{OptionExt, Snafu, ensure};
+
+use crate::ctl_command::{
+    CtlCommand, CtlOptions, ExplainSubject, KeyArgument, KeysCommand, StatusCommand,
+};
+
+/// How long `status --watch` waits if nothing else is asked for, in seconds.
+const WATCH_TIMEOUT_SECS: u64 = 60;
+
+/// Says what is wrong with a command line.
+#[derive(Debug, Snafu)]
+pub enum ArgsError {
+    /// An option is missing its value, or the value is wrong.
+    #[snafu(display("{source}"), context(false))]
+    Option {
+        /// What the parser said.
+        source: pico_args::Error,
+    },
+    /// A command or an argument is missing.
+    #[snafu(display("{what} is missing"))]
+    Missing {
+        /// What is missing.
+        what: &'static str,
+    },
+    /// A word is not understood.
+    #[snafu(display("{text:?} is not {expected}"))]
+    Wrong {
+        /// The word.
+        text: String,
+        /// What was expected in its place.
+        expected: &'static str,
+    },
+    /// Words are left over.
+    #[snafu(display("{text:?} is not understood"))]
+    Leftover {
+        /// The first such word.
+        text: String,
+    },
+}
+
+/// Parses the words after the program's name.
+///
+/// # Errors
+///
+/// Fails if a word is missing, wrong or left over.
+pub fn parse_args(words: Vec<OsString>) -> Result<CtlOptions, ArgsError> {
+    let mut arguments = Arguments::from_vec(words);
+    let options = CtlOptions {
+        api: arguments.opt_value_from_str("--api")?,
+        credential_file: arguments.opt_value_from_str("--credential-file")?,
+        gateway: arguments.opt_value_from_str("--gateway")?,
+        confirm: arguments.contains("--confirm"),
+        json: arguments.contains("--json"),
+        command: parse_command(&mut arguments)?,
+    };
+    let leftover = arguments.finish();
+    if let Some(word) = leftover.first() {
+        let text = word.to_string_lossy();
+        return LeftoverSnafu { text }.fail();
+    }
+    Ok(options)
+}
+
+fn parse_command(arguments: &mut Arguments) -> Result<CtlCommand, ArgsError> {
+    match word(arguments, "a command")?.as_str() {
+        "plan" => Ok(CtlCommand::Plan(arguments.value_from_str("-f")?)),
+        "plans" => Ok(CtlCommand::Plans(optional(arguments, "a plan")?)),
+        "confirm" => Ok(CtlCommand::Confirm(parsed(arguments, "a plan")?)),
+        "status" => parse_status(arguments),
+        "keys" => parse_keys(arguments).map(CtlCommand::Keys),
+        "targets" => {
+            let verb = word(arguments, "drain")?;
+            ensure!(
+                verb == "drain",
+                WrongSnafu {
+                    text: verb,
+                    expected: "drain"
+                }
+            );
+            Ok(CtlCommand::DrainTarget(parsed(arguments, "a target")?))
+        }
+        "objects" => Ok(CtlCommand::ShowObject(parsed(arguments, "KIND/ID")?)),
+        "audit" => {
+            let after = arguments.opt_value_from_str("--after")?;
+            Ok(CtlCommand::Audit(after.unwrap_or_default()))
+        }
+        "operators" => parse_operators(arguments),
+        "explain" => parse_explain(arguments).map(CtlCommand::Explain),
+        "check" => Ok(CtlCommand::Check(parsed(arguments, "a file")?)),
+        text => {
+            let expected = "a command";
+            WrongSnafu { text, expected }.fail()
+        }
+    }
+}
+
+fn parse_status(arguments: &mut Arguments) -> Result<CtlCommand, ArgsError> {
+    let seconds: Option<u64> = arguments.opt_value_from_str("--timeout")?;
+    Ok(CtlCommand::Status(StatusCommand {
+        watch: arguments.contains("--watch"),
+        revision: arguments.opt_value_from_str("--revision")?,
+        timeout: Duration::from_secs(seconds.unwrap_or(WATCH_TIMEOUT_SECS)),
+    }))
+}
+
+fn parse_keys(arguments: &mut Arguments) -> Result<KeysCommand, ArgsError> {
+    match word(arguments, "list, grant, withdraw or rotate")?.as_str() {
+        "list" => Ok(KeysCommand::List(parsed(arguments, "a customer")?)),
+        "grant" => Ok(KeysCommand::Grant(parsed(arguments, "a customer")?)),
+        "withdraw" => Ok(KeysCommand::Withdraw(parse_key(arguments)?)),
+        "rotate" => Ok(KeysCommand::Rotate(parse_key(arguments)?)),
+        text => {
+            let expected = "list, grant, withdraw or rotate";
+            WrongSnafu { text, expected }.fail()
+        }
+    }
+}
+
+fn parse_key(arguments: &mut Arguments) -> Result<KeyArgument, ArgsError> {
+    let text = word(arguments, "a key digest or -")?;
+    if text == "-" {
+        return Ok(KeyArgument::StandardInput);
+    }
+    let digest = text.parse().ok();
+    let expected = "a key digest or -";
+    let digest = digest.context(WrongSnafu { text, expected })?;
+    Ok(KeyArgument::Digest(digest))
+}
+
+fn parse_operators(arguments: &mut Arguments) -> Result<CtlCommand, ArgsError> {
+    let verb = word(arguments, "add")?;
+    ensure!(
+        verb == "add",
+        WrongSnafu {
+            text: verb,
+            expected: "add"
+        }
+    );
+    let operator = parsed(arguments, "an operator's name")?;
+    let role = match word(arguments, "a role")?.as_str() {
+        "read" => OperatorRole::Read,
+        "plan" => OperatorRole::Plan,
+        "confirm" => OperatorRole::Confirm,
+        text => {
+            let expected = "read, plan or confirm";
+            return WrongSnafu { text, expected }.fail();
+        }
+    };
+    Ok(CtlCommand::AddOperator(operator, role))
+}
+
+fn parse_explain(arguments: &mut Arguments) -> Result<ExplainSubject, ArgsError> {
+    match word(arguments, "target or request")?.as_str() {
+        "target" => Ok(ExplainSubject::Target(parsed(arguments, "a target")?)),
+        "request" => Ok(ExplainSubject::Request(word(arguments, "a request id")?)),
+        text => {
+            let expected = "target or request";
+            WrongSnafu { text, expected }.fail()
+        }
+    }
+}
+
+fn word(arguments: &mut Arguments, what: &'static str) -> Result<String, ArgsError> {
+    let word: Option<String> = arguments.opt_free_from_str()?;
+    word.context(MissingSnafu { what })
+}
+
+fn parsed<T: FromStr>(arguments: &mut Arguments, expected: &'static str) -> Result<T, ArgsError> {
+    optional(arguments, expected)?.context(MissingSnafu { what: expected })
+}
+
+fn optional<T: FromStr>(
+    arguments: &mut Arguments,
+    expected: &'static str,
+) -> Result<Option<T>, ArgsError> {
+    let word: Option<String> = arguments.opt_free_from_str()?;
+    let Some(text) = word else {
+        return Ok(None);
+    };
+    let value = text.parse().ok();
+    let value = value.context(WrongSnafu { text, expected })?;
+    Ok(Some(value))
+}
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder.
+//! The command line tools: operators' control, the burn report and the demo.
+
+pub mod ctl_args;
+pub mod ctl_client;
+pub mod ctl_command;
+pub mod ctl_output;
+pub mod ctl_run;
+pub mod ctl_table;
