--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -3,3 +3,11 @@
 pub mod demo_story;
 pub mod deployment;
 pub mod local_fleet;
+//! The command line tools: operators' control, the burn report and the demo.
+
+pub mod ctl_args;
+pub mod ctl_client;
+pub mod ctl_command;
+pub mod ctl_output;
+pub mod ctl_run;
+pub mod ctl_table;
