--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,10 +6,12 @@
 //! daemons in the sibling crates are thin shells around these modules. See
 //! [docs/architecture.md](../../docs/architecture.md).
 
+pub mod bucket_hand;
 pub mod budget;
 pub mod claim_log;
 pub mod config;
 pub mod crash_guard;
+pub mod demand_meter;
 pub mod detector;
 pub mod directory;
 pub mod distribution;
@@ -22,10 +24,12 @@
 pub mod ids;
 pub mod key;
 pub mod key_table;
+pub mod loan;
 pub mod membership;
 pub mod outcome;
 pub mod plan;
 pub mod platform;
+mod rate_entry;
 pub mod rate_limiter;
 pub mod rendezvous;
 pub mod retry_budget;
@@ -33,4 +37,5 @@
 pub mod slot_pool;
 pub mod target_picker;
 pub mod time;
+pub mod token_bucket;
 pub mod units;
--- /dev/null
+++ b/lib/src/rate_entry.rs
@@ -0,0 +1,404 @@
+//! What a node keeps for one customer that sends requests or borrows from it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::bucket_hand::BucketHand;
+use crate::budget::{BudgetShare, BudgetView, MICROS_PER_UNIT, MicroUnits, RefillRate};
+use crate::demand_meter::{DemandMeter, headroom, scale};
+use crate::escrow::Outgoing;
+use crate::ids::NodeId;
+use crate::loan::{EscrowMessage, LoanAmount, TransferSequence};
+use crate::rate_limiter::{LimiterAction, WaitTicket};
+use crate::time::MonoTime;
+
+const ONE_REQUEST: MicroUnits = MicroUnits(MICROS_PER_UNIT);
+const ASK_TIMEOUT: Duration = Duration::from_millis(10);
+const RECALL_SPACING: Duration = Duration::from_millis(20);
+const RATE_ASK_SPACING: Duration = Duration::from_millis(50);
+/// Below this demand a node asks for single tokens in place of a part of the refill.
+const LEASED_RATE_MIN: RefillRate = RefillRate::from_units(4);
+const BORROWED_PERCENT: u64 = 125;
+const KEPT_PERCENT: u64 = 110;
+const SURPLUS_PERCENT: u64 = 160;
+const BORROWED_HEADROOM_MS: u64 = 500;
+const KEPT_HEADROOM_MS: u64 = 250;
+const DRY_SWEEPS_BEFORE_REFUSAL: u32 = 3;
+const LONGEST_DRY_SHIFT: u32 = 5;
+
+#[derive(Clone, Copy, Debug)]
+struct Waiter {
+    ticket: WaitTicket,
+    until: MonoTime,
+}
+
+/// What the node knows of one home that it may borrow from.
+#[derive(Clone, Copy, Debug, Default)]
+struct LenderState {
+    /// When the home may be asked again.
+    open_at: MonoTime,
+    /// Whether an ask has no answer so far.
+    is_asked: bool,
+}
+
+/// The hand, the demand and the waiting requests of one customer.
+#[derive(Debug)]
+pub(crate) struct RateEntry {
+    hand: BucketHand,
+    meter: DemandMeter,
+    waiters: VecDeque<Waiter>,
+    lenders: Vec<LenderState>,
+    cursor: usize,
+    rate_ask_at: MonoTime,
+    dry_until: MonoTime,
+    dry_sweeps: u32,
+}
+
+impl RateEntry {
+    /// Makes an entry; `cursor` picks the home that is asked first.
+    pub fn new(hand: BucketHand, cursor: usize) -> Self {
+        Self {
+            hand,
+            meter: DemandMeter::default(),
+            waiters: VecDeque::new(),
+            lenders: Vec::new(),
+            cursor,
+            rate_ask_at: MonoTime::ZERO,
+            dry_until: MonoTime::ZERO,
+            dry_sweeps: 0,
+        }
+    }
+
+    pub const fn hand(&self) -> &BucketHand {
+        &self.hand
+    }
+
+    pub fn is_waiting(&self) -> bool {
+        !self.waiters.is_empty()
+    }
+
+    /// Returns whether forgetting the entry loses nothing.
+    pub fn is_idle(&self) -> bool {
+        self.waiters.is_empty() && self.hand.is_idle()
+    }
+
+    /// Spends a token at once if there is one and nobody waits for it.
+    pub fn try_admit(&mut self, now: MonoTime) -> bool {
+        self.meter.record(now);
+        self.hand.refresh(now);
+        self.waiters.is_empty() && self.hand.spend(ONE_REQUEST)
+    }
+
+    /// Returns whether waiting for a transfer may help a request that just arrived.
+    pub fn may_wait(&self, now: MonoTime) -> bool {
+        let escrow = self.hand.escrow();
+        let has_lender = escrow.homes().iter().any(|home| home != self.node());
+        let has_loans = !escrow.lent_share().capacity.is_zero();
+        let burst = self.hand.escrow().view().terms.capacity.whole_units();
+        (has_lender || has_loans)
+            && (self.dry_sweeps < DRY_SWEEPS_BEFORE_REFUSAL || now >= self.dry_until)
+            && (self.waiters.len() as u64) < burst
+    }
+
+    fn node(&self) -> &NodeId {
+        self.hand.escrow().node()
+    }
+
+    /// Returns when the customer's refill has made up for the tokens that are missing.
+    pub fn retry_after(&self) -> Duration {
+        let terms = self.hand.escrow().view().terms;
+        terms.refill.time_for(self.shortfall().max(ONE_REQUEST))
+    }
+
+    fn shortfall(&self) -> MicroUnits {
+        MicroUnits::from_units(self.waiters.len() as u64).saturating_sub(self.hand.level())
+    }
+
+    pub fn push_waiter(&mut self, ticket: WaitTicket, until: MonoTime) {
+        self.waiters.push_back(Waiter { ticket, until });
+    }
+
+    pub fn cancel(&mut self, ticket: WaitTicket) {
+        self.waiters.retain(|waiter| waiter.ticket != ticket);
+    }
+
+    /// Serves waiting requests, then asks for what is missing and returns what is not needed.
+    pub fn pump(
+        &mut self,
+        now: MonoTime,
+        sequence: &mut TransferSequence,
+        actions: &mut Vec<LimiterAction>,
+    ) {
+        self.hand.refresh(now);
+        self.serve_waiters(now, actions);
+        self.borrow(now, sequence, actions);
+        self.settle_loans(now, actions);
+    }
+
+    fn serve_waiters(&mut self, now: MonoTime, actions: &mut Vec<LimiterAction>) {
+        let mut is_served = false;
+        while let Some(waiter) = self.waiters.front().copied() {
+            if waiter.until <= now {
+                let retry_after = self.retry_after();
+                let ticket = waiter.ticket;
+                actions.push(LimiterAction::Refuse {
+                    ticket,
+                    retry_after,
+                });
+            } else if self.hand.spend(ONE_REQUEST) {
+                actions.push(LimiterAction::Admit(waiter.ticket));
+                is_served = self.waiters.len() == 1;
+            } else {
+                return;
+            }
+            self.waiters.pop_front();
+        }
+        if is_served {
+            self.dry_sweeps /= 2;
+        }
+    }
+
+    /// Asks homes for missing tokens, and for refill if the demand exceeds what the hand gains.
+    pub fn borrow(
+        &mut self,
+        now: MonoTime,
+        sequence: &mut TransferSequence,
+        actions: &mut Vec<LimiterAction>,
+    ) {
+        let tokens = self.shortfall();
+        let refill = self.missing_refill(now);
+        if (tokens.is_zero() && refill.is_zero()) || now < self.dry_until {
+            return;
+        }
+        if !tokens.is_zero() {
+            let recalls = self.hand.escrow_mut().recall(now, None, RECALL_SPACING);
+            send_all(recalls, actions);
+        }
+        let homes = self.hand.escrow().homes().to_vec();
+        self.lenders.resize(homes.len(), LenderState::default());
+        let open = self.open_lenders(now, &homes);
+        if open.is_empty() {
+            self.note_dry(now, tokens);
+            return;
+        }
+        let terms = self.hand.escrow().view().terms;
+        let part = |missing: u64, total: u64| {
+            let home_part = (total / homes.len().max(1) as u64).max(1);
+            usize::try_from(missing.div_ceil(home_part)).unwrap_or(usize::MAX)
+        };
+        let tried = homes.len() - open.len();
+        let token_fanout = part(tokens.0, terms.capacity.0)
+            .max(if tokens.is_zero() { 0 } else { tried })
+            .min(open.len());
+        let refill_fanout = part(refill.0, terms.refill.0).min(open.len());
+        let want = self.want(now, tokens, token_fanout, refill, refill_fanout);
+        if !refill.is_zero() {
+            self.rate_ask_at = now + RATE_ASK_SPACING;
+        }
+        for &index in open.iter().take(token_fanout.max(refill_fanout)) {
+            self.lenders[index] = LenderState {
+                open_at: now + ASK_TIMEOUT,
+                is_asked: true,
+            };
+            self.cursor = index + 1;
+            let message = self.hand.ask(now, homes[index].clone(), want, sequence);
+            send_all([message], actions);
+        }
+    }
+
+    fn want(
+        &self,
+        now: MonoTime,
+        tokens: MicroUnits,
+        token_fanout: usize,
+        refill: RefillRate,
+        refill_fanout: usize,
+    ) -> LoanAmount {
+        let each = |amount: u64, fanout: usize| amount.div_ceil(fanout.max(1) as u64);
+        let level = MicroUnits(each(tokens.0, token_fanout));
+        if refill.is_zero() {
+            return LoanAmount {
+                refill,
+                capacity: level,
+                level,
+            };
+        }
+        let demand = self.meter.rate(now);
+        let target = headroom(demand, BORROWED_HEADROOM_MS, ONE_REQUEST + ONE_REQUEST);
+        let missing = target.saturating_sub(self.hand.escrow().share().capacity);
+        let capacity = MicroUnits(each(missing.0, refill_fanout));
+        LoanAmount {
+            refill: RefillRate(each(refill.0, refill_fanout)),
+            capacity: capacity.max(level),
+            level: level.max(MicroUnits(capacity.0 / 2)),
+        }
+    }
+
+    fn missing_refill(&self, now: MonoTime) -> RefillRate {
+        let demand = self.meter.rate(now);
+        let share = self.hand.escrow().share();
+        let has_enough = self.hand.level().0 > share.capacity.0 / 2;
+        if demand < LEASED_RATE_MIN || now < self.rate_ask_at || has_enough {
+            return RefillRate::ZERO;
+        }
+        let total = self.hand.escrow().view().terms.refill;
+        let wanted = scale(demand, BORROWED_PERCENT).min(total);
+        let missing = wanted.saturating_sub(share.refill);
+        if missing.0 < demand.0 / 16 {
+            return RefillRate::ZERO;
+        }
+        missing
+    }
+
+    fn open_lenders(&self, now: MonoTime, homes: &[NodeId]) -> Vec<usize> {
+        (0..homes.len())
+            .map(|offset| (self.cursor + offset) % homes.len())
+            .filter(|&index| &homes[index] != self.node())
+            .filter(|&index| self.lenders[index].open_at <= now)
+            .collect()
+    }
+
+    /// Pauses the asks once every home was asked and requests still wait.
+    fn note_dry(&mut self, now: MonoTime, tokens: MicroUnits) {
+        let is_answer_due = self
+            .lenders
+            .iter()
+            .any(|lender| lender.is_asked && lender.open_at > now);
+        if tokens.is_zero() || is_answer_due {
+            return;
+        }
+        let pause = ASK_TIMEOUT * (1 << self.dry_sweeps.min(LONGEST_DRY_SHIFT));
+        self.dry_sweeps += 1;
+        self.dry_until = now + pause;
+        for lender in &mut self.lenders {
+            *lender = LenderState {
+                open_at: self.dry_until,
+                is_asked: false,
+            };
+        }
+    }
+
+    /// Takes a grant and notes whether its home has more to lend.
+    pub fn take_grant(&mut self, now: MonoTime, lender: &NodeId, message: &EscrowMessage) {
+        let EscrowMessage::Grant {
+            ask,
+            grant,
+            epoch,
+            amount,
+            ..
+        } = message
+        else {
+            return;
+        };
+        let accepted = self.hand.accept(now, lender, *ask, *grant, *epoch, *amount);
+        let homes = self.hand.escrow().homes();
+        let index = homes.iter().position(|home| home == lender);
+        let state = index.and_then(|index| self.lenders.get_mut(index));
+        if let (Some(state), Some(_)) = (state, accepted) {
+            state.is_asked = false;
+            state.open_at = now + ASK_TIMEOUT;
+        }
+    }
+
+    /// Answers an ask with what this node does not need itself.
+    pub fn lend(
+        &mut self,
+        now: MonoTime,
+        borrower: NodeId,
+        message: &EscrowMessage,
+        sequence: &mut TransferSequence,
+        actions: &mut Vec<LimiterAction>,
+    ) {
+        let EscrowMessage::Ask { ask, want, .. } = message else {
+            return;
+        };
+        let needed = self.needed(now, KEPT_PERCENT);
+        let keep = LoanAmount {
+            refill: needed.refill,
+            capacity: needed.capacity,
+            level: MicroUnits::from_units(self.waiters.len() as u64),
+        };
+        let asker = borrower.clone();
+        let (amount, reply) = self.hand.lend(now, borrower, *ask, *want, keep, sequence);
+        send_all([reply], actions);
+        if amount.level < want.level || amount.refill < want.refill {
+            let escrow = self.hand.escrow_mut();
+            send_all(escrow.recall(now, Some(&asker), RECALL_SPACING), actions);
+        }
+    }
+
+    fn needed(&self, now: MonoTime, percent: u64) -> BudgetShare {
+        let demand = self.meter.rate(now);
+        BudgetShare {
+            refill: scale(demand, percent),
+            capacity: headroom(demand, KEPT_HEADROOM_MS, ONE_REQUEST),
+        }
+    }
+
+    /// Returns token loans at once when nobody waits, and recalled ones that are not needed.
+    pub fn settle_loans(&mut self, now: MonoTime, actions: &mut Vec<LimiterAction>) {
+        if !self.waiters.is_empty() {
+            return;
+        }
+        let needed = self.needed(now, KEPT_PERCENT);
+        let surplus = self.hand.surplus_loans(needed);
+        let ending: Vec<_> = self
+            .hand
+            .escrow()
+            .borrowed()
+            .iter()
+            .filter(|loan| {
+                let is_surplus = loan.recalled && surplus.contains(&loan.grant);
+                loan.share.refill.is_zero() || is_surplus
+            })
+            .map(|loan| loan.grant)
+            .collect();
+        send_all(
+            ending
+                .into_iter()
+                .filter_map(|grant| self.hand.give_back(grant)),
+            actions,
+        );
+    }
+
+    /// Renews the loans that are needed and returns those that are far from needed.
+    pub fn review_loans(
+        &mut self,
+        now: MonoTime,
+        sequence: &mut TransferSequence,
+        actions: &mut Vec<LimiterAction>,
+    ) {
+        if self.hand.escrow().borrowed().is_empty() {
+            return;
+        }
+        let ample = self.needed(now, SURPLUS_PERCENT);
+        for grant in self.hand.surplus_loans(ample) {
+            send_all(self.hand.give_back(grant), actions);
+        }
+        let escrow = self.hand.escrow_mut();
+        send_all(escrow.renew(now, sequence, |_| true), actions);
+    }
+
+    /// Acts on a newer assignment or newer terms.
+    pub fn adopt(&mut self, now: MonoTime, view: BudgetView, actions: &mut Vec<LimiterAction>) {
+        send_all(self.hand.adopt(now, view), actions);
+        self.lenders.clear();
+        self.dry_until = MonoTime::ZERO;
+        self.dry_sweeps = 0;
+    }
+
+    pub const fn hand_mut(&mut self) -> &mut BucketHand {
+        &mut self.hand
+    }
+}
+
+pub(crate) fn send_all(
+    messages: impl IntoIterator<Item = Outgoing>,
+    actions: &mut Vec<LimiterAction>,
+) {
+    actions.extend(
+        messages
+            .into_iter()
+            .map(|(to, message)| LimiterAction::Send { to, message }),
+    );
+}
--- a/lib/src/rate_limiter.rs
+++ b/lib/src/rate_limiter.rs
@@ -1,1 +1,315 @@
-//! Placeholder.
+//! Admits requests within each customer's rate and burst over the whole fleet.
+//!
+//! In any window the fleet admits at most the rate times the window plus the burst, whatever
+//! happens to nodes, links and the store, since a node admits only out of shares that it holds.
+//! See [docs/design/escrow.md](../../docs/design/escrow.md).
+
+use std::fmt;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+
+use crate::bucket_hand::BucketHand;
+use crate::budget::{BudgetId, BudgetView, SplitMode};
+use crate::ids::{CustomerId, NodeId};
+use crate::loan::{EscrowMessage, TransferSequence};
+use crate::rate_entry::{RateEntry, send_all};
+use crate::time::MonoTime;
+
+/// The longest time that a request waits for a transfer.
+pub const MAX_TRANSFER_WAIT: Duration = Duration::from_millis(100);
+const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How the fleet keeps to a customer's rate.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LimitPolicy {
+    /// Shares move to where the requests are.
+    #[default]
+    Escrow,
+    /// Every node has an equal part for good; the baseline.
+    StaticShares,
+}
+
+/// Names a request that waits for a transfer, within one limiter.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct WaitTicket(pub u64);
+
+impl fmt::Display for WaitTicket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// The limiter's answer to a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RateDecision {
+    /// The request is within the customer's rate and burst.
+    Admit,
+    /// Peers were asked for tokens; a [`LimiterAction`] with the ticket follows.
+    Wait {
+        /// Names the request in the action that follows.
+        ticket: WaitTicket,
+        /// When the action follows at the latest, given ticks.
+        until: MonoTime,
+    },
+    /// The customer is over its rate and burst.
+    Refuse {
+        /// When a retry may succeed.
+        retry_after: Duration,
+    },
+}
+
+/// What the process does for the limiter.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LimiterAction {
+    /// Sends a message to a peer.
+    Send {
+        /// The peer.
+        to: NodeId,
+        /// The message.
+        message: EscrowMessage,
+    },
+    /// Lets a waiting request go on.
+    Admit(WaitTicket),
+    /// Refuses a waiting request; it did not run.
+    Refuse {
+        /// The request.
+        ticket: WaitTicket,
+        /// When a retry may succeed.
+        retry_after: Duration,
+    },
+}
+
+/// Limits the customers of one shard of one node.
+///
+/// Customers cost nothing until they send requests here or a peer borrows from their home here,
+/// and are forgotten once their hand is as a new one would be. The shard of a customer must be the
+/// same for requests and messages.
+#[derive(Debug)]
+pub struct RateLimiter {
+    node: NodeId,
+    policy: LimitPolicy,
+    entries: IndexMap<CustomerId, RateEntry>,
+    waiting: IndexSet<CustomerId>,
+    sequence: TransferSequence,
+    next_ticket: u64,
+    reviewed_at: MonoTime,
+}
+
+impl RateLimiter {
+    /// Makes a limiter without customers.
+    ///
+    /// `sequence` must not be shared with another limiter that talks to the same peers about the
+    /// same customers.
+    pub fn new(node: NodeId, policy: LimitPolicy) -> Self {
+        let sequence = TransferSequence::new(node.incarnation);
+        Self {
+            node,
+            policy,
+            entries: IndexMap::new(),
+            waiting: IndexSet::new(),
+            sequence,
+            next_ticket: 0,
+            reviewed_at: MonoTime::ZERO,
+        }
+    }
+
+    /// Returns the number of customers with state.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no customer has state.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the hand of a customer that has state, to explain a refusal.
+    pub fn hand(&self, customer: &CustomerId) -> Option<&BucketHand> {
+        self.entries.get(customer).map(RateEntry::hand)
+    }
+
+    /// Decides on a request; `view` is called only if the customer has no state here.
+    pub fn admit(
+        &mut self,
+        now: MonoTime,
+        customer: &CustomerId,
+        view: impl FnOnce() -> BudgetView,
+        actions: &mut Vec<LimiterAction>,
+    ) -> RateDecision {
+        let index = self.entry_index(now, customer, view);
+        let entry = &mut self.entries[index];
+        if entry.try_admit(now) {
+            if self.policy == LimitPolicy::Escrow {
+                entry.borrow(now, &mut self.sequence, actions);
+            }
+            return RateDecision::Admit;
+        }
+        if self.policy == LimitPolicy::StaticShares || !entry.may_wait(now) {
+            let retry_after = entry.retry_after();
+            return RateDecision::Refuse { retry_after };
+        }
+        self.next_ticket += 1;
+        let ticket = WaitTicket(self.next_ticket);
+        let until = now + MAX_TRANSFER_WAIT;
+        entry.push_waiter(ticket, until);
+        entry.borrow(now, &mut self.sequence, actions);
+        self.waiting.insert(customer.clone());
+        RateDecision::Wait { ticket, until }
+    }
+
+    fn entry_index(
+        &mut self,
+        now: MonoTime,
+        customer: &CustomerId,
+        view: impl FnOnce() -> BudgetView,
+    ) -> usize {
+        if let Some(index) = self.entries.get_index_of(customer) {
+            return index;
+        }
+        let mode = match self.policy {
+            LimitPolicy::Escrow => SplitMode::Homes,
+            LimitPolicy::StaticShares => SplitMode::Static,
+        };
+        let budget = BudgetId::CustomerRate(customer.clone());
+        let hand = BucketHand::new(now, budget, self.node.clone(), view(), mode);
+        let entry = RateEntry::new(hand, first_lender(&self.node, customer));
+        self.entries.insert_full(customer.clone(), entry).0
+    }
+
+    /// Stops waiting, for a caller that went away.
+    pub fn cancel(&mut self, customer: &CustomerId, ticket: WaitTicket) {
+        if let Some(entry) = self.entries.get_mut(customer) {
+            entry.cancel(ticket);
+        }
+    }
+
+    /// Takes a message from a peer; `view` returns `None` for a customer that is not configured.
+    pub fn handle(
+        &mut self,
+        now: MonoTime,
+        from: &NodeId,
+        message: &EscrowMessage,
+        view: impl FnOnce() -> Option<BudgetView>,
+        actions: &mut Vec<LimiterAction>,
+    ) {
+        let BudgetId::CustomerRate(customer) = message.budget() else {
+            return;
+        };
+        let is_known = self.entries.contains_key(customer);
+        let is_ask = matches!(message, EscrowMessage::Ask { .. });
+        let index = match (is_known, is_ask) {
+            (true, _) => self.entry_index(now, customer, BudgetView::default),
+            (false, true) => match view() {
+                Some(view) => self.entry_index(now, customer, || view),
+                None => return,
+            },
+            (false, false) => return,
+        };
+        let customer = customer.clone();
+        self.apply(now, index, from, message, actions);
+        self.pump(now, &customer, actions);
+    }
+
+    fn apply(
+        &mut self,
+        now: MonoTime,
+        index: usize,
+        from: &NodeId,
+        message: &EscrowMessage,
+        actions: &mut Vec<LimiterAction>,
+    ) {
+        let entry = &mut self.entries[index];
+        let sequence = &mut self.sequence;
+        match message {
+            EscrowMessage::Ask { .. } => {
+                entry.lend(now, from.clone(), message, sequence, actions);
+            }
+            EscrowMessage::Grant { .. } => entry.take_grant(now, from, message),
+            EscrowMessage::Renew { ask, grant, .. } => {
+                entry.hand_mut().refresh(now);
+                let escrow = entry.hand_mut().escrow_mut();
+                send_all(escrow.extend(now, from, *ask, *grant), actions);
+            }
+            EscrowMessage::Renewed { ask, grant, .. } => {
+                entry.hand_mut().refresh(now);
+                let escrow = entry.hand_mut().escrow_mut();
+                escrow.extended(now, from, *ask, *grant);
+            }
+            EscrowMessage::Return { grant, level, .. } => {
+                entry.hand_mut().take_return(now, from, *grant, *level);
+            }
+            EscrowMessage::Recall { grant, .. } => {
+                entry.hand_mut().escrow_mut().note_recall(from, *grant);
+            }
+        }
+    }
+
+    fn pump(&mut self, now: MonoTime, customer: &CustomerId, actions: &mut Vec<LimiterAction>) {
+        let Some(entry) = self.entries.get_mut(customer) else {
+            return;
+        };
+        entry.pump(now, &mut self.sequence, actions);
+        if !entry.is_waiting() {
+            self.waiting.swap_remove(customer);
+        }
+    }
+
+    /// Ends waits that are over, asks again, renews and returns loans, forgets idle customers.
+    ///
+    /// Ticks every 5 to 10 ms keep waits short; those without waiting requests cost little.
+    pub fn tick(&mut self, now: MonoTime, actions: &mut Vec<LimiterAction>) {
+        let waiting: Vec<_> = self.waiting.iter().cloned().collect();
+        for customer in &waiting {
+            self.pump(now, customer, actions);
+        }
+        if now.since(self.reviewed_at) < REVIEW_INTERVAL {
+            return;
+        }
+        self.reviewed_at = now;
+        for entry in self.entries.values_mut() {
+            entry.pump(now, &mut self.sequence, actions);
+            entry.review_loans(now, &mut self.sequence, actions);
+        }
+        self.entries.retain(|_, entry| !entry.is_idle());
+    }
+
+    /// Acts on newer terms or a newer assignment of a customer that has state.
+    ///
+    /// A customer without state needs no call: its state is made from the view of that time.
+    pub fn adopt(
+        &mut self,
+        now: MonoTime,
+        customer: &CustomerId,
+        view: BudgetView,
+        actions: &mut Vec<LimiterAction>,
+    ) {
+        if let Some(entry) = self.entries.get_mut(customer) {
+            entry.adopt(now, view, actions);
+        }
+        self.pump(now, customer, actions);
+    }
+
+    /// Returns the customers with state, whose views must be brought up to date after a change.
+    pub fn customers(&self) -> impl Iterator<Item = &CustomerId> {
+        self.entries.keys()
+    }
+
+    /// Returns whether the node may acknowledge the epoch that it acts on.
+    pub fn conforms(&self) -> bool {
+        self.entries
+            .values()
+            .all(|entry| entry.hand().escrow().conforms())
+    }
+}
+
+fn first_lender(node: &NodeId, customer: &CustomerId) -> usize {
+    let mut hasher = DefaultHasher::new();
+    (node, customer).hash(&mut hasher);
+    (hasher.finish() % 1_024) as usize
+}
--- /dev/null
+++ b/lib/tests/share_fleet.rs
@@ -0,0 +1,388 @@
+//! A handful of limiters joined by a queue of messages, on virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use damaskloom_lib::budget::{BudgetId, BudgetTerms, BudgetView, EpochView, SplitMode, split};
+use damaskloom_lib::ids::{CustomerId, Epoch, Incarnation, NodeId};
+use damaskloom_lib::loan::EscrowMessage;
+use damaskloom_lib::rate_limiter::{
+    LimitPolicy, LimiterAction, RateDecision, RateLimiter, WaitTicket,
+};
+use damaskloom_lib::time::MonoTime;
+
+/// A node: its limiter, its clock and what it knows of the epochs.
+pub struct FleetNode {
+    pub id: NodeId,
+    pub limiter: RateLimiter,
+    pub clock_ppm: u64,
+    pub paused_until: u64,
+    pub is_alive: bool,
+    known_epoch: usize,
+    settled_epoch: usize,
+    held_since: BTreeMap<CustomerId, MonoTime>,
+    waiting: BTreeMap<WaitTicket, (CustomerId, u64)>,
+}
+
+impl FleetNode {
+    fn local(&self, true_micros: u64) -> MonoTime {
+        const CLOCK_ORIGIN_MICROS: u64 = 100_000_000_000;
+        let passed = u128::from(true_micros) * u128::from(self.clock_ppm) / 1_000_000;
+        MonoTime::from_micros(CLOCK_ORIGIN_MICROS + passed as u64)
+    }
+}
+
+/// What becomes of messages.
+#[derive(Clone, Copy, Default)]
+pub struct NetFaults {
+    pub lost_percent: u64,
+    pub doubled_percent: u64,
+    pub late_percent: u64,
+}
+
+#[derive(Clone, Copy, Default)]
+pub struct FleetCounts {
+    pub admitted: u64,
+    pub refused: u64,
+    pub waited: u64,
+    pub messages: u64,
+    pub wait_micros: u64,
+}
+
+pub struct ShareFleet {
+    pub now: u64,
+    pub nodes: Vec<FleetNode>,
+    pub terms: BTreeMap<CustomerId, BudgetTerms>,
+    pub faults: NetFaults,
+    pub cuts: BTreeSet<(usize, usize)>,
+    pub admissions: BTreeMap<CustomerId, Vec<u64>>,
+    pub counts: FleetCounts,
+    pub refusals: Vec<(u64, CustomerId)>,
+    pub delay: u64,
+    pub tick_micros: u64,
+    policy: LimitPolicy,
+    epochs: Vec<Vec<NodeId>>,
+    queue: BTreeMap<(u64, u64), (NodeId, NodeId, EscrowMessage)>,
+    seed: u64,
+    next_tick: u64,
+}
+
+impl ShareFleet {
+    pub fn new(count: usize, policy: LimitPolicy, seed: u64) -> Self {
+        let ids: Vec<NodeId> = (0..count).map(|index| node_id(index, 1)).collect();
+        let nodes = ids.iter().map(|id| new_node(id, policy)).collect();
+        Self {
+            now: 0,
+            nodes,
+            terms: BTreeMap::new(),
+            faults: NetFaults::default(),
+            cuts: BTreeSet::new(),
+            admissions: BTreeMap::new(),
+            counts: FleetCounts::default(),
+            refusals: Vec::new(),
+            delay: 1_500,
+            tick_micros: 10_000,
+            policy,
+            epochs: vec![ids],
+            queue: BTreeMap::new(),
+            seed: seed | 1,
+            next_tick: 0,
+        }
+    }
+
+    pub fn random(&mut self, below: u64) -> u64 {
+        self.seed ^= self.seed << 13;
+        self.seed ^= self.seed >> 7;
+        self.seed ^= self.seed << 17;
+        self.seed % below
+    }
+
+    fn view(&self, index: usize, customer: &CustomerId) -> BudgetView {
+        let node = &self.nodes[index];
+        let holders = |epoch: usize| holders(&self.epochs[epoch], customer, self.policy);
+        BudgetView {
+            epoch: EpochView {
+                epoch: Epoch(node.known_epoch as u64),
+                holders: holders(node.known_epoch),
+                unsettled: (node.settled_epoch..node.known_epoch)
+                    .map(holders)
+                    .collect(),
+                held_since: node.held_since.get(customer).copied().unwrap_or_default(),
+            },
+            terms: self.terms[customer],
+        }
+    }
+
+    /// Sends one request of `customer` to a node.
+    pub fn request(&mut self, index: usize, customer: &CustomerId) -> Option<bool> {
+        let is_down = !self.nodes[index].is_alive || self.nodes[index].paused_until > self.now;
+        if is_down {
+            return None;
+        }
+        let view = self.view(index, customer);
+        let mut actions = Vec::new();
+        let node = &mut self.nodes[index];
+        let now = node.local(self.now);
+        let decision = node.limiter.admit(now, customer, || view, &mut actions);
+        let verdict = match decision {
+            RateDecision::Admit => {
+                self.note_admission(customer.clone());
+                Some(true)
+            }
+            RateDecision::Refuse { .. } => {
+                self.note_refusal(customer.clone());
+                Some(false)
+            }
+            RateDecision::Wait { ticket, .. } => {
+                let waiting = (customer.clone(), self.now);
+                self.nodes[index].waiting.insert(ticket, waiting);
+                self.counts.waited += 1;
+                None
+            }
+        };
+        self.perform(index, actions);
+        verdict
+    }
+
+    fn note_admission(&mut self, customer: CustomerId) {
+        self.counts.admitted += 1;
+        self.admissions.entry(customer).or_default().push(self.now);
+    }
+
+    fn note_refusal(&mut self, customer: CustomerId) {
+        self.counts.refused += 1;
+        self.refusals.push((self.now, customer));
+    }
+
+    fn perform(&mut self, index: usize, actions: Vec<LimiterAction>) {
+        for action in actions {
+            match action {
+                LimiterAction::Send { to, message } => self.send(index, to, message),
+                LimiterAction::Admit(ticket) => {
+                    let waiting = self.nodes[index].waiting.remove(&ticket);
+                    let (customer, since) = waiting.expect("a ticket is answered once");
+                    self.counts.wait_micros += self.now - since;
+                    self.note_admission(customer);
+                }
+                LimiterAction::Refuse { ticket, .. } => {
+                    let waiting = self.nodes[index].waiting.remove(&ticket);
+                    let (customer, _) = waiting.expect("a ticket is answered once");
+                    self.note_refusal(customer);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, index: usize, to: NodeId, message: EscrowMessage) {
+        self.counts.messages += 1;
+        let from = self.nodes[index].id.clone();
+        let target = self.nodes.iter().position(|node| node.id.vm == to.vm);
+        let is_cut = target.is_none_or(|target| self.cuts.contains(&(index, target)));
+        if is_cut || self.random(100) < self.faults.lost_percent {
+            return;
+        }
+        let copies = 1 + u64::from(self.random(100) < self.faults.doubled_percent);
+        for _ in 0..copies {
+            let is_late = self.random(100) < self.faults.late_percent;
+            let extra = if is_late { self.random(5_000_000) } else { 0 };
+            let at = self.now + self.delay + extra;
+            let number = self.counts.messages * 2 + copies + self.random(1 << 20) * (1 << 32);
+            let delivery = (from.clone(), to.clone(), message.clone());
+            self.queue.insert((at, number), delivery);
+        }
+    }
+
+    /// Runs the fleet for a time.
+    pub fn advance(&mut self, micros: u64) {
+        let end = self.now + micros;
+        loop {
+            let next_message = self.queue.first_key_value().map(|(key, _)| key.0);
+            let next = next_message.map_or(self.next_tick, |at| at.min(self.next_tick));
+            if next > end {
+                break;
+            }
+            self.now = self.now.max(next);
+            if next_message.is_some_and(|at| at <= self.now) {
+                self.deliver();
+            } else {
+                self.tick();
+            }
+        }
+        self.now = end;
+    }
+
+    fn deliver(&mut self) {
+        let Some((_, (from, to, message))) = self.queue.pop_first() else {
+            return;
+        };
+        let Some(index) = self.nodes.iter().position(|node| node.id.vm == to.vm) else {
+            return;
+        };
+        let node = &self.nodes[index];
+        if !node.is_alive {
+            return;
+        }
+        if node.paused_until > self.now {
+            let key = (
+                node.paused_until,
+                self.counts.messages + self.queue.len() as u64,
+            );
+            self.queue.insert(key, (from, to, message));
+            return;
+        }
+        let BudgetId::CustomerRate(customer) = message.budget() else {
+            return;
+        };
+        let view = self.view(index, customer);
+        let mut actions = Vec::new();
+        let node = &mut self.nodes[index];
+        let now = node.local(self.now);
+        node.limiter
+            .handle(now, &from, &message, || Some(view), &mut actions);
+        self.perform(index, actions);
+    }
+
+    fn tick(&mut self) {
+        self.next_tick = self.now + self.tick_micros;
+        for index in 0..self.nodes.len() {
+            let node = &mut self.nodes[index];
+            if !node.is_alive || node.paused_until > self.now {
+                continue;
+            }
+            let mut actions = Vec::new();
+            let now = node.local(self.now);
+            node.limiter.tick(now, &mut actions);
+            self.perform(index, actions);
+        }
+    }
+
+    /// Replaces the process on a VM; what the old one knew is gone.
+    pub fn restart(&mut self, index: usize) {
+        let incarnation = self.nodes[index].id.incarnation.0 + 1;
+        let id = node_id(index, incarnation);
+        let newest = self.epochs.len() - 1;
+        let mut node = new_node(&id, self.policy);
+        node.clock_ppm = self.nodes[index].clock_ppm;
+        node.known_epoch = newest;
+        node.settled_epoch = self
+            .nodes
+            .iter()
+            .map(|n| n.settled_epoch)
+            .min()
+            .unwrap_or(0);
+        self.nodes[index] = node;
+    }
+
+    /// Writes an epoch with the processes that are alive; nobody knows of it yet.
+    pub fn write_epoch(&mut self) {
+        let alive = self.nodes.iter().filter(|node| node.is_alive);
+        self.epochs
+            .push(alive.map(|node| node.id.clone()).collect());
+    }
+
+    /// Tells a node of the newest epoch.
+    pub fn learn_epoch(&mut self, index: usize) {
+        self.nodes[index].known_epoch = self.epochs.len() - 1;
+        self.adopt(index);
+    }
+
+    /// Tells a node that every live member acts on the newest epoch, if that is so.
+    pub fn learn_settled(&mut self, index: usize) {
+        let newest = self.epochs.len() - 1;
+        let is_settled = self.nodes.iter().filter(|node| node.is_alive).all(|node| {
+            let is_earlier = node.known_epoch == newest;
+            is_earlier && node.limiter.conforms()
+        });
+        if !is_settled || self.nodes[index].settled_epoch == newest {
+            return;
+        }
+        let customers: Vec<_> = self.terms.keys().cloned().collect();
+        let known = self.nodes[index].settled_epoch;
+        for customer in customers {
+            let share = |epoch: usize| {
+                let holders = holders(&self.epochs[epoch], &customer, self.policy);
+                let terms = &self.terms[&customer];
+                split(terms, &holders, &self.nodes[index].id, SplitMode::Homes)
+            };
+            let grew = (known..newest).any(|epoch| !share(epoch).covers(share(newest)));
+            if grew {
+                let node = &mut self.nodes[index];
+                let now = node.local(self.now);
+                node.held_since.insert(customer, now);
+            }
+        }
+        self.nodes[index].settled_epoch = newest;
+        self.adopt(index);
+    }
+
+    /// Brings a node's hands up to date with its view and the terms.
+    pub fn adopt(&mut self, index: usize) {
+        let customers: Vec<_> = self.nodes[index].limiter.customers().cloned().collect();
+        for customer in customers {
+            let view = self.view(index, &customer);
+            let mut actions = Vec::new();
+            let node = &mut self.nodes[index];
+            let now = node.local(self.now);
+            node.limiter.adopt(now, &customer, view, &mut actions);
+            self.perform(index, actions);
+        }
+    }
+
+    /// Returns the requests beyond what a bucket with these terms lets pass, in any window.
+    pub fn over_admitted(&self, customer: &CustomerId, terms: &BudgetTerms) -> u64 {
+        let empty = Vec::new();
+        let times = self.admissions.get(customer).unwrap_or(&empty);
+        reference_refusals(times, terms).len() as u64
+    }
+}
+
+/// Returns the arrivals that one bucket for the whole fleet would refuse.
+pub fn reference_refusals(times: &[u64], terms: &BudgetTerms) -> Vec<u64> {
+    const SCALE: u128 = 1_000_000;
+    let capacity = u128::from(terms.capacity.0) * SCALE;
+    let one = SCALE * SCALE;
+    let (mut level, mut last) = (capacity, 0);
+    let mut refused = Vec::new();
+    for &at in times {
+        level = capacity.min(level + u128::from(terms.refill.0) * u128::from(at - last));
+        last = at;
+        match level.checked_sub(one) {
+            Some(rest) => level = rest,
+            None => refused.push(at),
+        }
+    }
+    refused
+}
+
+fn new_node(id: &NodeId, policy: LimitPolicy) -> FleetNode {
+    FleetNode {
+        id: id.clone(),
+        limiter: RateLimiter::new(id.clone(), policy),
+        clock_ppm: 1_000_000,
+        paused_until: 0,
+        is_alive: true,
+        known_epoch: 0,
+        settled_epoch: 0,
+        held_since: BTreeMap::new(),
+        waiting: BTreeMap::new(),
+    }
+}
+
+pub fn node_id(index: usize, incarnation: u64) -> NodeId {
+    NodeId {
+        vm: format!("vm-{index}").parse().expect("the name is an id"),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn holders(members: &[NodeId], customer: &CustomerId, policy: LimitPolicy) -> Vec<NodeId> {
+    let mut holders = members.to_vec();
+    if policy == LimitPolicy::Escrow {
+        holders.sort_by_key(|node| {
+            let mut hasher = DefaultHasher::new();
+            (&node.vm, customer).hash(&mut hasher);
+            hasher.finish()
+        });
+    }
+    holders
+}
