--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,12 +6,14 @@
 //! daemons in the sibling crates are thin shells around these modules. See
 //! [docs/architecture.md](../../docs/architecture.md).
 
+pub mod bucket_hand;
 pub mod budget;
 pub mod claim_log;
 pub mod config;
 pub mod confirm;
 mod confirm_rows;
 pub mod crash_guard;
+pub mod demand_meter;
 pub mod detector;
 pub mod directory;
 pub mod distribution;
@@ -25,6 +27,7 @@
 pub mod ids;
 pub mod key;
 pub mod key_table;
+pub mod loan;
 pub mod membership;
 pub mod object_key;
 mod object_list;
@@ -34,6 +37,7 @@
 pub mod plan_diff;
 pub mod platform;
 pub mod platform_wire;
+mod rate_entry;
 pub mod rate_limiter;
 pub mod rendezvous;
 pub mod retry_budget;
@@ -43,5 +47,6 @@
 pub mod table_layout;
 pub mod target_picker;
 pub mod time;
+pub mod token_bucket;
 pub mod units;
 pub mod usage;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! All tests of the crate, one module a subject.
 
 mod seeded_run;
+mod share_fleet;
 mod test_claims;
 mod test_configuration;
 mod test_crash_guard;
