--- a/lib/src/crash_guard.rs
+++ b/lib/src/crash_guard.rs
@@ -1,1 +1,345 @@
-//! Placeholder.
+//! Refusal of requests that crash the targets that run them.
+//!
+//! A request is suspected when a connection is lost while its target runs it and the target cannot
+//! be reached right after. Two different targets taken down so, with no good answer in between,
+//! block the request's fingerprint on every node for a while. The fingerprint includes the
+//! customer, and each customer has its own bounded room, so that no customer can block or displace
+//! another's requests. See
+//! [docs/design/crashing-requests.md](../../docs/design/crashing-requests.md).
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::ids::{CustomerId, NodeId, RouteId, TargetId};
+use crate::mixer::hash_bytes;
+use crate::time::MonoTime;
+
+/// The time after a lost connection in which a failed connect confirms the crash.
+pub const CONFIRMATION_MS: u64 = 2_000;
+/// The time for which a target's missing answers are disregarded after a crash.
+pub const EXCUSE_MS: u64 = 10_000;
+/// The time for which a fingerprint is refused.
+pub const BLOCK_MS: u64 = 600_000;
+/// The different targets that a request must take down to be refused.
+pub const TAKEDOWNS_TO_BLOCK: usize = 2;
+/// The most fingerprints that are suspected for one customer.
+pub const MAX_SUSPECTS_PER_CUSTOMER: usize = 32;
+/// The most fingerprints that are suspected in all.
+pub const MAX_SUSPECTS: usize = 4_096;
+
+const SUSPICION_MEMORY_MS: u64 = 600_000;
+const MAX_LOST_ATTEMPTS: usize = 256;
+const GOOD_MEMORY_MS: u64 = 30_000;
+const MAX_GOOD_REQUESTS: usize = 4_096;
+
+/// The first half of the SHA-256 digest of a request's method, path and body.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct RequestDigest([u8; 16]);
+
+impl RequestDigest {
+    /// Digests a request; `body_digest` is any digest of its body.
+    pub fn of(method: &[u8], path: &[u8], body_digest: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in [method, path, body_digest] {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut digest = [0; 16];
+        digest.copy_from_slice(&hasher.finalize()[..16]);
+        Self(digest)
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+/// What two sendings of the same request have in common.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RequestFingerprint {
+    /// The customer that the request runs for.
+    pub customer: CustomerId,
+    /// The route of the request.
+    pub route: RouteId,
+    /// The digest of the request.
+    pub digest: RequestDigest,
+}
+
+impl RequestFingerprint {
+    fn short_hash(&self) -> u64 {
+        hash_bytes(&self.digest.0, hash_bytes(self.customer.as_bytes(), 0))
+    }
+}
+
+/// What nodes tell each other about crashing requests.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CrashMessage {
+    /// The request took the target down.
+    TookDown {
+        /// The request.
+        fingerprint: RequestFingerprint,
+        /// The target.
+        target: TargetId,
+    },
+    /// The request ran to a good answer, so that it was not what took targets down.
+    Cleared {
+        /// The request.
+        fingerprint: RequestFingerprint,
+    },
+}
+
+/// What the shell is to do for a [`CrashGuard`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CrashAction {
+    /// Send the message to a peer.
+    Send {
+        /// The peer.
+        to: NodeId,
+        /// The message.
+        message: CrashMessage,
+    },
+    /// Disregard missing answers of the target for the period.
+    Excuse {
+        /// The target.
+        target: TargetId,
+        /// The period.
+        period: Duration,
+    },
+    /// The request is refused from now on.
+    Blocked(RequestFingerprint),
+}
+
+#[derive(Debug)]
+struct LostAttempt {
+    fingerprint: RequestFingerprint,
+    target: TargetId,
+    lost_at: MonoTime,
+}
+
+#[derive(Debug)]
+struct CrashSuspect {
+    targets: Vec<TargetId>,
+    noted_at: MonoTime,
+    blocked_until: Option<MonoTime>,
+}
+
+/// Hashes of requests that ran well, in two generations of which the older one is dropped when the
+/// newer is full or old.
+#[derive(Debug, Default)]
+struct GoodRequests {
+    newer: IndexSet<u64>,
+    older: IndexSet<u64>,
+    turned_at: MonoTime,
+}
+
+impl GoodRequests {
+    fn insert(&mut self, now: MonoTime, fingerprint: &RequestFingerprint) {
+        let old = now.since(self.turned_at) >= Duration::from_millis(GOOD_MEMORY_MS);
+        if old || self.newer.len() >= MAX_GOOD_REQUESTS {
+            self.older = std::mem::take(&mut self.newer);
+            self.turned_at = now;
+        }
+        self.newer.insert(fingerprint.short_hash());
+    }
+
+    fn contains(&self, fingerprint: &RequestFingerprint) -> bool {
+        let hash = fingerprint.short_hash();
+        self.newer.contains(&hash) || self.older.contains(&hash)
+    }
+}
+
+/// The crashing requests that one node knows of.
+#[derive(Debug, Default)]
+pub struct CrashGuard {
+    peers: Vec<NodeId>,
+    lost: VecDeque<LostAttempt>,
+    suspects: IndexMap<RequestFingerprint, CrashSuspect>,
+    good: GoodRequests,
+}
+
+impl CrashGuard {
+    /// Makes a guard that knows of no crash.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the other nodes that are told of crashes.
+    pub fn set_peers(&mut self, peers: impl IntoIterator<Item = NodeId>) {
+        self.peers = peers.into_iter().collect();
+    }
+
+    /// Returns whether nothing is suspected, so that callers can skip [`CrashGuard::check`].
+    pub fn is_idle(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Returns the time for which the request is refused, or `None` if it may run.
+    pub fn check(&self, now: MonoTime, fingerprint: &RequestFingerprint) -> Option<Duration> {
+        let until = self.suspects.get(fingerprint)?.blocked_until?;
+        (now < until).then(|| until.since(now))
+    }
+
+    /// Notes that a target's connection was lost while it ran the request.
+    pub fn lost(&mut self, now: MonoTime, fingerprint: &RequestFingerprint, target: &TargetId) {
+        self.drop_old_attempts(now);
+        // A request that targets have just answered well is unlikely to crash one.
+        if self.good.contains(fingerprint) {
+            return;
+        }
+        if self.lost.len() >= MAX_LOST_ATTEMPTS {
+            self.lost.pop_front();
+        }
+        self.lost.push_back(LostAttempt {
+            fingerprint: fingerprint.clone(),
+            target: target.clone(),
+            lost_at: now,
+        });
+    }
+
+    /// Notes that no connection to the target could be made.
+    pub fn unreachable(&mut self, now: MonoTime, target: &TargetId) -> Vec<CrashAction> {
+        self.drop_old_attempts(now);
+        let (confirmed, kept) = std::mem::take(&mut self.lost)
+            .into_iter()
+            .partition::<VecDeque<_>, _>(|attempt| attempt.target == *target);
+        self.lost = kept;
+        let mut actions = Vec::new();
+        for attempt in confirmed {
+            let message = CrashMessage::TookDown {
+                fingerprint: attempt.fingerprint.clone(),
+                target: target.clone(),
+            };
+            actions.extend(self.send_all(&message));
+            self.note_takedown(now, attempt.fingerprint, target, &mut actions);
+        }
+        actions
+    }
+
+    /// Notes that the request ran to a good answer.
+    pub fn completed(
+        &mut self,
+        now: MonoTime,
+        fingerprint: &RequestFingerprint,
+    ) -> Vec<CrashAction> {
+        self.good.insert(now, fingerprint);
+        self.lost
+            .retain(|attempt| attempt.fingerprint != *fingerprint);
+        if self.suspects.swap_remove(fingerprint).is_none() {
+            return Vec::new();
+        }
+        self.send_all(&CrashMessage::Cleared {
+            fingerprint: fingerprint.clone(),
+        })
+    }
+
+    /// Takes in a peer's message.
+    pub fn handle(&mut self, now: MonoTime, message: CrashMessage) -> Vec<CrashAction> {
+        let mut actions = Vec::new();
+        match message {
+            CrashMessage::TookDown {
+                fingerprint,
+                target,
+            } => self.note_takedown(now, fingerprint, &target, &mut actions),
+            CrashMessage::Cleared { fingerprint } => {
+                self.suspects.swap_remove(&fingerprint);
+            }
+        }
+        actions
+    }
+
+    /// Forgets old suspicions.
+    pub fn tick(&mut self, now: MonoTime) {
+        self.drop_old_attempts(now);
+        self.suspects.retain(|_, suspect| {
+            let fresh = now.since(suspect.noted_at) < Duration::from_millis(SUSPICION_MEMORY_MS);
+            fresh || suspect.blocked_until.is_some_and(|until| now < until)
+        });
+    }
+
+    fn note_takedown(
+        &mut self,
+        now: MonoTime,
+        fingerprint: RequestFingerprint,
+        target: &TargetId,
+        actions: &mut Vec<CrashAction>,
+    ) {
+        actions.push(CrashAction::Excuse {
+            target: target.clone(),
+            period: Duration::from_millis(EXCUSE_MS),
+        });
+        if !self.suspects.contains_key(&fingerprint) {
+            self.make_room(&fingerprint.customer);
+        }
+        let suspect = self
+            .suspects
+            .entry(fingerprint.clone())
+            .or_insert(CrashSuspect {
+                targets: Vec::new(),
+                noted_at: now,
+                blocked_until: None,
+            });
+        suspect.noted_at = now;
+        if suspect.blocked_until.is_some_and(|until| now < until) {
+            return;
+        }
+        if !suspect.targets.contains(target) {
+            suspect.targets.push(target.clone());
+        }
+        if suspect.targets.len() >= TAKEDOWNS_TO_BLOCK {
+            suspect.blocked_until = Some(now + Duration::from_millis(BLOCK_MS));
+            suspect.targets.clear();
+            actions.push(CrashAction::Blocked(fingerprint));
+        }
+    }
+
+    /// Makes room for one more suspect of the customer, at the cost of that customer first.
+    fn make_room(&mut self, customer: &CustomerId) {
+        let own = self
+            .suspects
+            .keys()
+            .filter(|fingerprint| fingerprint.customer == *customer)
+            .count();
+        if own >= MAX_SUSPECTS_PER_CUSTOMER {
+            self.drop_oldest(|fingerprint| fingerprint.customer == *customer);
+        } else if self.suspects.len() >= MAX_SUSPECTS {
+            self.drop_oldest(|_| true);
+        }
+    }
+
+    fn drop_oldest(&mut self, is_candidate: impl Fn(&RequestFingerprint) -> bool) {
+        let oldest = self
+            .suspects
+            .iter()
+            .filter(|(fingerprint, _)| is_candidate(fingerprint))
+            .min_by_key(|(_, suspect)| (suspect.blocked_until.is_some(), suspect.noted_at))
+            .map(|(fingerprint, _)| fingerprint.clone());
+        if let Some(fingerprint) = oldest {
+            self.suspects.swap_remove(&fingerprint);
+        }
+    }
+
+    fn drop_old_attempts(&mut self, now: MonoTime) {
+        self.lost
+            .retain(|attempt| now.since(attempt.lost_at) <= Duration::from_millis(CONFIRMATION_MS));
+    }
+
+    fn send_all(&self, message: &CrashMessage) -> Vec<CrashAction> {
+        self.peers
+            .iter()
+            .map(|to| CrashAction::Send {
+                to: to.clone(),
+                message: message.clone(),
+            })
+            .collect()
+    }
+}
--- a/lib/src/ejector.rs
+++ b/lib/src/ejector.rs
@@ -1,1 +1,500 @@
-//! Placeholder.
+//! Ejection of targets by the whole fleet, within the floor.
+//!
+//! Each ejection is backed by one unit of the service's ejectable capacity (capacity less floor),
+//! held by the node that ejects. Units come from an escrow and are never in two hands, so that the
+//! number of distinct targets ejected anywhere never exceeds the capacity less the floor, whatever
+//! is lost, delayed, repeated or cut. Other nodes honour an ejection under short leases; a holder
+//! frees a unit only after every lease on it has lapsed. An ejection ends by trial requests or, for
+//! want of them, by itself. See [docs/design/ejection.md](../../docs/design/ejection.md).
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::ejection_lease::{EJECTION_LEASE_MS, GrantedEjection, LeaseTable, holder_margin};
+use crate::flap_history::{FlapHistory, ejection_term, trial_length};
+use crate::ids::{NodeId, TargetId};
+use crate::time::MonoTime;
+use crate::verdict::SuspicionCause;
+
+/// The time by which each further judge waits for those before it.
+const RANK_STAGGER_MS: u64 = 300;
+/// The time after which a proposal that is not repeated is dropped.
+const PROPOSAL_MEMORY_MS: u64 = 1_000;
+const CLAIM_RETRY_MS: u64 = 500;
+const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
+/// The time between two trial requests to one target.
+const TRIAL_INTERVAL_MS: u64 = 100;
+/// The time after which an ejection without enough trial requests ends by itself.
+const TRIAL_PATIENCE_MS: u64 = 20_000;
+/// The time for which a free unit is kept before it goes back to the escrow.
+const IDLE_UNIT_MS: u64 = 10_000;
+
+/// What nodes tell each other about ejections.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EjectionMessage {
+    /// The sender's ejections changed; poll it.
+    Announce,
+    /// Asks for the ejections of the receiver.
+    Poll {
+        /// Numbers the polls of the sender.
+        number: u64,
+    },
+    /// Lists all ejections of the sender.
+    Grant {
+        /// The number of the poll that this answers.
+        number: u64,
+        /// The ejections, each with its lease.
+        #[serde(default)]
+        ejections: Vec<GrantedEjection>,
+    },
+}
+
+/// What the shell is to do for a [`TargetEjector`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EjectionAction {
+    /// Send the message to a peer.
+    Send {
+        /// The peer.
+        to: NodeId,
+        /// The message.
+        message: EjectionMessage,
+    },
+    /// Ask the escrow for units; it answers by [`TargetEjector::add_units`].
+    ClaimUnits(u32),
+    /// Give units back to the escrow; the ejector no longer holds them.
+    ReleaseUnits(u32),
+    /// This node ejected the target.
+    Ejected {
+        /// The target.
+        target: TargetId,
+        /// What speaks against it.
+        cause: SuspicionCause,
+    },
+    /// This node ended its ejection of the target.
+    Lifted(TargetId),
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum HeldState {
+    Ejected {
+        term_ends: MonoTime,
+    },
+    OnTrial {
+        good: u32,
+        next_at: MonoTime,
+        lapses_at: MonoTime,
+    },
+    /// The target serves again; the unit stays bound while others may still honour a lease.
+    Lifted,
+}
+
+#[derive(Debug)]
+struct HeldEjection {
+    state: HeldState,
+    cause: SuspicionCause,
+    flaps: u32,
+    leased_until: MonoTime,
+}
+
+#[derive(Debug)]
+struct EjectionProposal {
+    cause: SuspicionCause,
+    due: MonoTime,
+    repeated_at: MonoTime,
+}
+
+/// The ejections of one service as one node holds and honours them.
+#[derive(Debug)]
+pub struct TargetEjector {
+    node: NodeId,
+    peers: Vec<NodeId>,
+    units: u32,
+    units_owed: u32,
+    next_claim_at: MonoTime,
+    units_idle_since: Option<MonoTime>,
+    held: IndexMap<TargetId, HeldEjection>,
+    proposals: IndexMap<TargetId, EjectionProposal>,
+    unaware_peers: IndexMap<NodeId, MonoTime>,
+    leases: LeaseTable,
+    history: FlapHistory,
+}
+
+impl TargetEjector {
+    /// Makes an ejector that holds no unit.
+    pub fn new(node: NodeId) -> Self {
+        Self {
+            node,
+            peers: Vec::new(),
+            units: 0,
+            units_owed: 0,
+            next_claim_at: MonoTime::ZERO,
+            units_idle_since: None,
+            held: IndexMap::new(),
+            proposals: IndexMap::new(),
+            unaware_peers: IndexMap::new(),
+            leases: LeaseTable::default(),
+            history: FlapHistory::default(),
+        }
+    }
+
+    /// Sets the nodes that serve the service; this node is left out.
+    pub fn set_peers(&mut self, peers: impl IntoIterator<Item = NodeId>) {
+        self.peers = peers
+            .into_iter()
+            .filter(|peer| *peer != self.node)
+            .collect();
+        let peers = &self.peers;
+        self.unaware_peers.retain(|peer, _| peers.contains(peer));
+    }
+
+    /// Takes over units from the escrow.
+    pub fn add_units(&mut self, count: u32) {
+        self.units += count;
+    }
+
+    /// Gives back `count` units, as soon as they are free; ejections are lifted where they are not.
+    pub fn withdraw_units(&mut self, now: MonoTime, count: u32) -> Vec<EjectionAction> {
+        self.units_owed = (self.units_owed + count).min(self.units);
+        let mut actions = Vec::new();
+        while self.active_count() as u32 > self.units - self.units_owed {
+            let newest = self
+                .held
+                .iter()
+                .rfind(|(_, ejection)| ejection.state != HeldState::Lifted)
+                .map(|(target, _)| target.clone())
+                .expect("an active ejection exists, since their number is above a limit");
+            self.lift(now, &newest, &mut actions);
+        }
+        actions
+    }
+
+    /// Returns the units that this node holds, bound or free.
+    pub const fn units(&self) -> u32 {
+        self.units
+    }
+
+    /// Proposes to eject a target; `rank` is this node's rank among the judges.
+    ///
+    /// Later ranks wait for earlier ones, so that judges that agree do not bind a unit each.
+    pub fn propose(
+        &mut self,
+        now: MonoTime,
+        target: &TargetId,
+        cause: SuspicionCause,
+        rank: usize,
+    ) {
+        let stagger = Duration::from_millis(RANK_STAGGER_MS) * rank as u32;
+        let proposal = self
+            .proposals
+            .entry(target.clone())
+            .or_insert(EjectionProposal {
+                cause,
+                due: now + stagger,
+                repeated_at: now,
+            });
+        proposal.cause = cause;
+        proposal.repeated_at = now;
+    }
+
+    /// Returns whether the target gets no work but trial requests.
+    pub fn is_ejected(&self, now: MonoTime, target: &TargetId) -> bool {
+        self.is_held(target) || self.leases.find(now, target).is_some()
+    }
+
+    /// Returns the number of targets that this node treats as ejected.
+    pub fn ejected_count(&self, now: MonoTime) -> usize {
+        let leased = self
+            .leases
+            .ejected(now)
+            .filter(|target| !self.is_held(target))
+            .count();
+        self.active_count() + leased
+    }
+
+    /// Returns the node whose unit backs the ejection of a target.
+    pub fn holder_of(&self, now: MonoTime, target: &TargetId) -> Option<&NodeId> {
+        if self.is_held(target) {
+            return Some(&self.node);
+        }
+        self.leases.find(now, target).map(|(holder, _)| holder)
+    }
+
+    /// Returns a target that is due for a trial request, which must be idempotent.
+    pub fn next_trial(&mut self, now: MonoTime) -> Option<TargetId> {
+        let (target, ejection) = self.held.iter_mut().find(
+            |(_, ejection)| matches!(ejection.state, HeldState::OnTrial { next_at, .. } if now >= next_at),
+        )?;
+        if let HeldState::OnTrial { next_at, .. } = &mut ejection.state {
+            *next_at = now + Duration::from_millis(TRIAL_INTERVAL_MS);
+        }
+        Some(target.clone())
+    }
+
+    /// Takes in the result of a trial request: whether its answer was good and not slow.
+    pub fn trial_result(
+        &mut self,
+        now: MonoTime,
+        target: &TargetId,
+        good: bool,
+    ) -> Vec<EjectionAction> {
+        let mut actions = Vec::new();
+        let Some(ejection) = self.held.get_mut(target) else {
+            return actions;
+        };
+        let HeldState::OnTrial { good: streak, .. } = &mut ejection.state else {
+            return actions;
+        };
+        if good {
+            *streak += 1;
+            if *streak >= trial_length(ejection.flaps) {
+                self.lift(now, target, &mut actions);
+            }
+            return actions;
+        }
+        ejection.flaps += 1;
+        ejection.state = HeldState::Ejected {
+            term_ends: now + ejection_term(ejection.flaps),
+        };
+        let flaps = ejection.flaps;
+        self.history.note(now, target, flaps);
+        actions
+    }
+
+    /// Takes in a peer's message.
+    pub fn handle(
+        &mut self,
+        now: MonoTime,
+        from: &NodeId,
+        message: EjectionMessage,
+    ) -> Vec<EjectionAction> {
+        match message {
+            EjectionMessage::Announce => {
+                self.leases.announced(now, from);
+                self.poll_holders(now)
+            }
+            EjectionMessage::Poll { number } => vec![EjectionAction::Send {
+                to: from.clone(),
+                message: self.grant(now, from, number),
+            }],
+            EjectionMessage::Grant { number, ejections } => {
+                self.take_grant(now, from, number, &ejections)
+            }
+        }
+    }
+
+    /// Advances terms, trials, leases and proposals.
+    pub fn tick(&mut self, now: MonoTime) -> Vec<EjectionAction> {
+        let mut actions = Vec::new();
+        self.advance_terms(now, &mut actions);
+        self.held.retain(|_, ejection| {
+            ejection.state != HeldState::Lifted || now < ejection.leased_until
+        });
+        self.decide_proposals(now, &mut actions);
+        self.return_units(now, &mut actions);
+        self.announce(now, &mut actions);
+        actions.extend(self.poll_holders(now));
+        actions
+    }
+
+    fn is_held(&self, target: &TargetId) -> bool {
+        self.held
+            .get(target)
+            .is_some_and(|ejection| ejection.state != HeldState::Lifted)
+    }
+
+    fn active_count(&self) -> usize {
+        self.held
+            .values()
+            .filter(|ejection| ejection.state != HeldState::Lifted)
+            .count()
+    }
+
+    fn free_units(&self) -> u32 {
+        self.units.saturating_sub(self.held.len() as u32)
+    }
+
+    fn grant(&mut self, now: MonoTime, to: &NodeId, number: u64) -> EjectionMessage {
+        self.unaware_peers.swap_remove(to);
+        let mut ejections = Vec::new();
+        for (target, ejection) in &mut self.held {
+            if ejection.state == HeldState::Lifted {
+                continue;
+            }
+            ejection.leased_until = now + holder_margin(EJECTION_LEASE_MS);
+            ejections.push(GrantedEjection {
+                target: target.clone(),
+                lease_ms: EJECTION_LEASE_MS,
+                flaps: ejection.flaps,
+                cause: ejection.cause,
+            });
+        }
+        EjectionMessage::Grant { number, ejections }
+    }
+
+    fn take_grant(
+        &mut self,
+        now: MonoTime,
+        from: &NodeId,
+        number: u64,
+        ejections: &[GrantedEjection],
+    ) -> Vec<EjectionAction> {
+        let mut actions = Vec::new();
+        if !self.leases.granted(now, from, number, ejections) {
+            return actions;
+        }
+        for ejection in ejections {
+            self.history.note(now, &ejection.target, ejection.flaps);
+            // Two holders ejected the same target: the lower one keeps it and the other's unit
+            // becomes free for another target.
+            if *from < self.node && self.is_held(&ejection.target) {
+                self.lift(now, &ejection.target, &mut actions);
+            }
+        }
+        actions
+    }
+
+    fn poll_holders(&mut self, now: MonoTime) -> Vec<EjectionAction> {
+        self.leases
+            .due_polls(now)
+            .into_iter()
+            .map(|(to, number)| EjectionAction::Send {
+                to,
+                message: EjectionMessage::Poll { number },
+            })
+            .collect()
+    }
+
+    fn advance_terms(&mut self, now: MonoTime, actions: &mut Vec<EjectionAction>) {
+        let mut lapsed = Vec::new();
+        for (target, ejection) in &mut self.held {
+            match ejection.state {
+                HeldState::Ejected { term_ends } if now >= term_ends => {
+                    ejection.state = HeldState::OnTrial {
+                        good: 0,
+                        next_at: now,
+                        lapses_at: now + Duration::from_millis(TRIAL_PATIENCE_MS),
+                    };
+                }
+                HeldState::OnTrial { lapses_at, .. } if now >= lapses_at => {
+                    lapsed.push(target.clone());
+                }
+                _ => {}
+            }
+        }
+        for target in lapsed {
+            self.lift(now, &target, actions);
+        }
+    }
+
+    fn decide_proposals(&mut self, now: MonoTime, actions: &mut Vec<EjectionAction>) {
+        let memory = Duration::from_millis(PROPOSAL_MEMORY_MS);
+        self.proposals
+            .retain(|_, proposal| now.since(proposal.repeated_at) <= memory);
+        let due: Vec<(TargetId, SuspicionCause)> = self
+            .proposals
+            .iter()
+            .filter(|(_, proposal)| now >= proposal.due)
+            .map(|(target, proposal)| (target.clone(), proposal.cause))
+            .collect();
+        let mut missing = 0;
+        for (target, cause) in due {
+            if self.is_ejected(now, &target) {
+                self.proposals.swap_remove(&target);
+            } else if self.can_bind_unit(&target) {
+                self.proposals.swap_remove(&target);
+                self.eject(now, target, cause, actions);
+            } else {
+                missing += 1;
+            }
+        }
+        if missing > 0 && now >= self.next_claim_at {
+            self.next_claim_at = now + Duration::from_millis(CLAIM_RETRY_MS);
+            actions.push(EjectionAction::ClaimUnits(missing));
+        }
+    }
+
+    /// A target that was just lifted is still backed by its unit and needs no other.
+    fn can_bind_unit(&self, target: &TargetId) -> bool {
+        let needed = u32::from(!self.held.contains_key(target));
+        self.free_units() >= self.units_owed + needed
+            && (self.active_count() as u32) < self.units - self.units_owed
+    }
+
+    fn eject(
+        &mut self,
+        now: MonoTime,
+        target: TargetId,
+        cause: SuspicionCause,
+        actions: &mut Vec<EjectionAction>,
+    ) {
+        let flaps = self.history.flaps(now, &target);
+        self.history.note(now, &target, flaps);
+        let leased_until = self
+            .held
+            .get(&target)
+            .map_or(now, |ejection| ejection.leased_until);
+        let ejection = HeldEjection {
+            state: HeldState::Ejected {
+                term_ends: now + ejection_term(flaps),
+            },
+            cause,
+            flaps,
+            leased_until,
+        };
+        self.held.insert(target.clone(), ejection);
+        self.mark_peers_unaware(now);
+        actions.push(EjectionAction::Ejected { target, cause });
+    }
+
+    fn lift(&mut self, now: MonoTime, target: &TargetId, actions: &mut Vec<EjectionAction>) {
+        let Some(ejection) = self.held.get_mut(target) else {
+            return;
+        };
+        ejection.state = HeldState::Lifted;
+        self.history.note(now, target, ejection.flaps);
+        self.mark_peers_unaware(now);
+        actions.push(EjectionAction::Lifted(target.clone()));
+    }
+
+    fn return_units(&mut self, now: MonoTime, actions: &mut Vec<EjectionAction>) {
+        let owed = self.units_owed.min(self.free_units());
+        self.units_owed -= owed;
+        let mut released = owed;
+        let spare = self.free_units() - owed;
+        if spare == 0 || !self.proposals.is_empty() {
+            self.units_idle_since = None;
+        } else {
+            let since = *self.units_idle_since.get_or_insert(now);
+            if now.since(since) >= Duration::from_millis(IDLE_UNIT_MS) {
+                self.units_idle_since = None;
+                released += spare;
+            }
+        }
+        self.units -= released;
+        if released > 0 {
+            actions.push(EjectionAction::ReleaseUnits(released));
+        }
+    }
+
+    fn mark_peers_unaware(&mut self, now: MonoTime) {
+        self.unaware_peers = self.peers.iter().map(|peer| (peer.clone(), now)).collect();
+    }
+
+    fn announce(&mut self, now: MonoTime, actions: &mut Vec<EjectionAction>) {
+        if self.active_count() == 0 && self.held.is_empty() {
+            self.unaware_peers.clear();
+        }
+        for (peer, next_at) in &mut self.unaware_peers {
+            if now >= *next_at {
+                *next_at = now + Duration::from_millis(ANNOUNCE_INTERVAL_MS);
+                actions.push(EjectionAction::Send {
+                    to: peer.clone(),
+                    message: EjectionMessage::Announce,
+                });
+            }
+        }
+    }
+}
--- a/lib/src/evidence.rs
+++ b/lib/src/evidence.rs
@@ -1,1 +1,555 @@
-//! Placeholder.
+//! Evidence on targets that one node gathers and sends to the service's judges.
+//!
+//! Each outcome is scored where it happens, against the node's own populations: the customer's and
+//! the route's rate of failures, and the route's latencies. A customer whose own requests fail thus
+//! raises its own yardstick and not the suspicion of the targets that it happens to reach. The
+//! scores are summed per target and route and sent in small digests to a few judges, the nodes that
+//! pool the evidence of the service. See
+//! [docs/design/detection.md](../../docs/design/detection.md).
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{CustomerId, NodeId, RouteId, ServiceId, TargetId};
+use crate::mixer::hash_bytes;
+use crate::pending::{AttemptId, PendingAttempt, PendingTable};
+use crate::population::{LatencyPopulation, RateEstimate};
+use crate::sequential_test::ScorePair;
+use crate::time::MonoTime;
+
+/// The time between two digests.
+pub const DIGEST_INTERVAL_MS: u64 = 200;
+/// The most entries in one digest; the others wait for the next.
+pub const MAX_DIGEST_ENTRIES: usize = 24;
+/// The number of nodes that pool the evidence of one service.
+pub const JUDGE_COUNT: usize = 3;
+
+const ASSUMED_FAILURE_RATE: f32 = 0.01;
+const ASSUMED_REJECTION_RATE: f32 = 0.02;
+const ASSUMED_SLOW_RATE: f32 = 0.02;
+const MAX_CUSTOMERS: usize = 512;
+const MAX_ROUTES: usize = 256;
+
+/// How an attempt on a target ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AttemptOutcome {
+    /// The target answered and did what was asked.
+    Good,
+    /// The target answered that the request is at fault, as with the HTTP statuses from 400 to 499.
+    Rejected,
+    /// The target answered with an error.
+    Failed,
+    /// The target said that it did not run the request for want of capacity.
+    Shed,
+    /// The target accepted the request and did not answer in time.
+    TimedOut,
+    /// No connection to the target could be made.
+    ConnectFailed,
+    /// The connection was lost before the answer was complete.
+    Broken,
+    /// The attempt was given up for a reason that says nothing about the target.
+    Cancelled,
+}
+
+impl AttemptOutcome {
+    /// Returns whether the outcome is a failure of the target or of the path to it.
+    pub const fn is_failure(self) -> bool {
+        matches!(
+            self,
+            Self::Failed | Self::TimedOut | Self::ConnectFailed | Self::Broken
+        )
+    }
+
+    /// Returns whether no answer arrived, so that the path may be at fault.
+    pub const fn is_silent(self) -> bool {
+        matches!(self, Self::TimedOut | Self::ConnectFailed | Self::Broken)
+    }
+}
+
+/// What an attempt was for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AttemptScope {
+    /// The target that was called.
+    pub target: TargetId,
+    /// The route of the request.
+    pub route: RouteId,
+    /// The customer that the request ran for; open routes use one name for all callers.
+    pub customer: CustomerId,
+}
+
+/// What one outcome says about a target, for decisions on this node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetObservation {
+    /// The target.
+    pub target: TargetId,
+    /// The outcome, or `None` for an attempt that is still pending but late.
+    pub outcome: Option<AttemptOutcome>,
+    /// Whether the answer was slow against its population.
+    pub slow: bool,
+    /// The evidence against the target, in nats.
+    pub score: f32,
+}
+
+impl TargetObservation {
+    /// Returns whether the observation speaks against the target.
+    pub fn is_bad(&self) -> bool {
+        self.slow || self.outcome.is_some_and(AttemptOutcome::is_failure)
+    }
+
+    /// Returns whether no answer arrived in time.
+    pub fn is_silent(&self) -> bool {
+        self.outcome.is_none_or(AttemptOutcome::is_silent)
+    }
+}
+
+/// The evidence on one target and route since the digest before.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct EvidenceEntry {
+    /// The target.
+    pub target: TargetId,
+    /// The route.
+    pub route: RouteId,
+    /// The answers that were neither failures nor slow.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub good: u32,
+    /// The failures that the target answered with.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub failed: u32,
+    /// The attempts without an answer.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub silent: u32,
+    /// The slow answers.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub slow: u32,
+    /// The requests that the target shed.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub shed: u32,
+    /// The failed health probes.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub probes_failed: u32,
+    /// The scores of failures, in thousandths of a nat: strong, weak.
+    #[serde(default, skip_serializing_if = "is_zero_pair")]
+    pub failure_millinats: [i32; 2],
+    /// The scores of slow answers, in thousandths of a nat: strong, weak.
+    #[serde(default, skip_serializing_if = "is_zero_pair")]
+    pub slowness_millinats: [i32; 2],
+}
+
+const fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
+fn is_zero_pair(pair: &[i32; 2]) -> bool {
+    *pair == [0, 0]
+}
+
+/// The evidence of one node since its digest before.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct EvidenceDigest {
+    /// Numbers the digests of one node; a digest with a number already seen is not counted again.
+    pub sequence: u64,
+    /// The evidence.
+    #[serde(default)]
+    pub entries: Vec<EvidenceEntry>,
+}
+
+/// What nodes tell a service's judges.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EvidenceMessage {
+    /// The newest evidence of one node.
+    Digest(EvidenceDigest),
+}
+
+/// What the shell is to do for an [`EvidenceLog`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum EvidenceAction {
+    /// Send the message to a judge.
+    Send {
+        /// The judge.
+        to: NodeId,
+        /// The message.
+        message: EvidenceMessage,
+    },
+    /// Hand the digest to this node's own detector, since this node is a judge.
+    Pool(EvidenceDigest),
+}
+
+/// Returns the judges of a service, the first in rank first.
+///
+/// Every node that knows the same peers names the same judges, so that no election is needed.
+pub fn choose_judges(service: &ServiceId, peers: impl IntoIterator<Item = NodeId>) -> Vec<NodeId> {
+    let seed = hash_bytes(service.as_bytes(), 0);
+    let mut ranked: Vec<(u64, NodeId)> = peers
+        .into_iter()
+        .map(|node| {
+            (
+                hash_bytes(node.vm.as_bytes(), seed ^ node.incarnation.0),
+                node,
+            )
+        })
+        .collect();
+    ranked.sort_unstable();
+    ranked.dedup();
+    ranked.truncate(JUDGE_COUNT);
+    ranked.into_iter().map(|(_, node)| node).collect()
+}
+
+/// Whether the latency of an answer is still to be tested.
+#[derive(Clone, Copy, Debug)]
+enum AnswerTiming {
+    /// The latency was not tested yet.
+    Untested(Duration),
+    /// The attempt counted as late while it was pending.
+    KnownLate,
+}
+
+#[derive(Debug, Default)]
+struct EntryDraft {
+    counts: [u32; 6],
+    failure: ScorePair,
+    slowness: ScorePair,
+}
+
+const GOOD: usize = 0;
+const FAILED: usize = 1;
+const SILENT: usize = 2;
+const SLOW: usize = 3;
+const SHED: usize = 4;
+const PROBES_FAILED: usize = 5;
+
+#[derive(Debug)]
+struct RouteYardstick {
+    failures: RateEstimate,
+    rejections: RateEstimate,
+    slowness: RateEstimate,
+    latencies: LatencyPopulation,
+}
+
+impl Default for RouteYardstick {
+    fn default() -> Self {
+        Self {
+            failures: RateEstimate::new(ASSUMED_FAILURE_RATE),
+            rejections: RateEstimate::new(ASSUMED_REJECTION_RATE),
+            slowness: RateEstimate::new(ASSUMED_SLOW_RATE),
+            latencies: LatencyPopulation::default(),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct CustomerYardstick {
+    failures: RateEstimate,
+    rejections: RateEstimate,
+}
+
+impl Default for CustomerYardstick {
+    fn default() -> Self {
+        Self {
+            failures: RateEstimate::new(ASSUMED_FAILURE_RATE),
+            rejections: RateEstimate::new(ASSUMED_REJECTION_RATE),
+        }
+    }
+}
+
+/// The evidence of one node on the targets of one service.
+#[derive(Debug)]
+pub struct EvidenceLog {
+    node: NodeId,
+    service: ServiceId,
+    judges: Vec<NodeId>,
+    sequence: u64,
+    next_digest_at: MonoTime,
+    drafts: IndexMap<(TargetId, RouteId), EntryDraft>,
+    routes: IndexMap<RouteId, RouteYardstick>,
+    customers: IndexMap<CustomerId, CustomerYardstick>,
+    excused: IndexMap<TargetId, MonoTime>,
+    pending: PendingTable,
+}
+
+impl EvidenceLog {
+    /// Makes an empty log of `node` for `service`, with no judge but the node itself.
+    pub fn new(node: NodeId, service: ServiceId) -> Self {
+        Self {
+            judges: vec![node.clone()],
+            node,
+            service,
+            sequence: 0,
+            next_digest_at: MonoTime::ZERO,
+            drafts: IndexMap::new(),
+            routes: IndexMap::new(),
+            customers: IndexMap::new(),
+            excused: IndexMap::new(),
+            pending: PendingTable::default(),
+        }
+    }
+
+    /// Sets the live nodes that serve the service, this one included; the judges follow from them.
+    pub fn set_peers(&mut self, peers: impl IntoIterator<Item = NodeId>) {
+        self.judges = choose_judges(&self.service, peers);
+    }
+
+    /// Returns this node's rank among the judges, or `None` if it is not a judge.
+    pub fn judge_rank(&self) -> Option<usize> {
+        self.judges.iter().position(|judge| *judge == self.node)
+    }
+
+    /// Returns the judges of the service, the first in rank first.
+    pub fn judges(&self) -> &[NodeId] {
+        &self.judges
+    }
+
+    /// Notes that an attempt starts.
+    pub fn begin(&mut self, now: MonoTime, scope: AttemptScope) -> AttemptId {
+        self.pending.insert(now, scope)
+    }
+
+    /// Notes how an attempt ended.
+    ///
+    /// Returns `None` if the attempt is not pending or its end is no evidence.
+    pub fn finish(
+        &mut self,
+        now: MonoTime,
+        id: AttemptId,
+        outcome: AttemptOutcome,
+    ) -> Option<TargetObservation> {
+        let attempt = self.pending.remove(id)?;
+        let latency = now.since(attempt.started);
+        let timing = match attempt.overdue_count {
+            0 => AnswerTiming::Untested(latency),
+            _ => AnswerTiming::KnownLate,
+        };
+        self.score_outcome(now, &attempt.scope, outcome, timing)
+    }
+
+    /// Records a whole attempt with the time from its start to its end.
+    ///
+    /// Returns `None` if the outcome is no evidence for or against the target.
+    pub fn record(
+        &mut self,
+        now: MonoTime,
+        scope: &AttemptScope,
+        outcome: AttemptOutcome,
+        latency: Duration,
+    ) -> Option<TargetObservation> {
+        self.score_outcome(now, scope, outcome, AnswerTiming::Untested(latency))
+    }
+
+    /// Records a health probe; only a failed one has weight, since passing ones mislead.
+    pub fn record_probe(&mut self, target: &TargetId, route: &RouteId, passed: bool) {
+        if !passed {
+            self.draft(target, route).counts[PROBES_FAILED] += 1;
+        }
+    }
+
+    /// Disregards missing answers of `target` for `period`, as a request is known to crash it.
+    pub fn excuse(&mut self, now: MonoTime, target: &TargetId, period: Duration) {
+        self.excused.retain(|_, until| *until > now);
+        self.excused.insert(target.clone(), now + period);
+    }
+
+    /// Forgets targets that left the configuration.
+    pub fn retain_targets(&mut self, is_kept: impl Fn(&TargetId) -> bool) {
+        self.drafts.retain(|(target, _), _| is_kept(target));
+        self.excused.retain(|target, _| is_kept(target));
+    }
+
+    /// Counts attempts that are late by now, and returns what they say.
+    pub fn check_overdue(&mut self, now: MonoTime) -> Vec<TargetObservation> {
+        let routes = &self.routes;
+        let overdue = self.pending.take_overdue(now, |route| {
+            routes
+                .get(route)
+                .and_then(|yardstick| yardstick.latencies.slow_threshold())
+        });
+        overdue
+            .into_iter()
+            .filter_map(|attempt| self.score_overdue(now, &attempt))
+            .collect()
+    }
+
+    /// Sends the evidence to the judges when it is time to.
+    pub fn tick(&mut self, now: MonoTime) -> Vec<EvidenceAction> {
+        if now < self.next_digest_at {
+            return Vec::new();
+        }
+        self.next_digest_at = now + Duration::from_millis(DIGEST_INTERVAL_MS);
+        if self.drafts.is_empty() {
+            return Vec::new();
+        }
+        let digest = self.take_digest();
+        self.judges
+            .iter()
+            .map(|judge| {
+                if *judge == self.node {
+                    return EvidenceAction::Pool(digest.clone());
+                }
+                EvidenceAction::Send {
+                    to: judge.clone(),
+                    message: EvidenceMessage::Digest(digest.clone()),
+                }
+            })
+            .collect()
+    }
+
+    fn take_digest(&mut self) -> EvidenceDigest {
+        self.sequence += 1;
+        // The oldest drafts go first: choosing the worst ones would bias the pooled test.
+        let count = self.drafts.len().min(MAX_DIGEST_ENTRIES);
+        let entries = self
+            .drafts
+            .drain(..count)
+            .map(|((target, route), draft)| entry_of(target, route, &draft))
+            .collect();
+        EvidenceDigest {
+            sequence: self.sequence,
+            entries,
+        }
+    }
+
+    fn draft(&mut self, target: &TargetId, route: &RouteId) -> &mut EntryDraft {
+        self.drafts
+            .entry((target.clone(), route.clone()))
+            .or_default()
+    }
+
+    fn score_outcome(
+        &mut self,
+        now: MonoTime,
+        scope: &AttemptScope,
+        outcome: AttemptOutcome,
+        timing: AnswerTiming,
+    ) -> Option<TargetObservation> {
+        match outcome {
+            AttemptOutcome::Cancelled => return None,
+            AttemptOutcome::Shed => {
+                self.draft(&scope.target, &scope.route).counts[SHED] += 1;
+                return None;
+            }
+            _ if outcome.is_silent() && self.is_excused(now, &scope.target) => return None,
+            _ => {}
+        }
+        let failure = self.test_failure(scope, outcome);
+        let (slow, slowness) = match timing {
+            AnswerTiming::KnownLate => (true, ScorePair::default()),
+            AnswerTiming::Untested(latency) if outcome == AttemptOutcome::Good => {
+                self.test_latency(&scope.route, latency)
+            }
+            AnswerTiming::Untested(_) => (false, ScorePair::default()),
+        };
+        let draft = self.draft(&scope.target, &scope.route);
+        draft.failure.add(failure);
+        draft.slowness.add(slowness);
+        let class = match outcome {
+            _ if outcome.is_silent() => SILENT,
+            AttemptOutcome::Failed => FAILED,
+            _ if slow => SLOW,
+            _ => GOOD,
+        };
+        draft.counts[class] += 1;
+        Some(TargetObservation {
+            target: scope.target.clone(),
+            outcome: Some(outcome),
+            slow,
+            score: failure.strong + slowness.strong,
+        })
+    }
+
+    fn is_excused(&self, now: MonoTime, target: &TargetId) -> bool {
+        self.excused.get(target).is_some_and(|until| now < *until)
+    }
+
+    /// Tests for a failure first and, given none, for a rejection, so that the two likelihood
+    /// ratios multiply to one.
+    fn test_failure(&mut self, scope: &AttemptScope, outcome: AttemptOutcome) -> ScorePair {
+        let customer = bounded_entry(&mut self.customers, &scope.customer, MAX_CUSTOMERS);
+        let route = bounded_entry(&mut self.routes, &scope.route, MAX_ROUTES);
+        let failed = outcome.is_failure();
+        let null_rate = customer.failures.rate().max(route.failures.rate());
+        let mut scores = ScorePair::of(null_rate, failed);
+        customer.failures.record(failed);
+        route.failures.record(failed);
+        if !failed {
+            let rejected = outcome == AttemptOutcome::Rejected;
+            let null_rate = customer.rejections.rate().max(route.rejections.rate());
+            scores.add(ScorePair::of(null_rate, rejected));
+            customer.rejections.record(rejected);
+            route.rejections.record(rejected);
+        }
+        scores
+    }
+
+    fn test_latency(&mut self, route: &RouteId, latency: Duration) -> (bool, ScorePair) {
+        let yardstick = bounded_entry(&mut self.routes, route, MAX_ROUTES);
+        let threshold = yardstick.latencies.slow_threshold();
+        yardstick.latencies.record(latency);
+        let Some(threshold) = threshold else {
+            return (false, ScorePair::default());
+        };
+        let slow = latency > threshold;
+        let scores = ScorePair::of(yardstick.slowness.rate(), slow);
+        yardstick.slowness.record(slow);
+        (slow, scores)
+    }
+
+    fn score_overdue(
+        &mut self,
+        now: MonoTime,
+        attempt: &PendingAttempt,
+    ) -> Option<TargetObservation> {
+        let scope = &attempt.scope;
+        if self.is_excused(now, &scope.target) {
+            return None;
+        }
+        let yardstick = bounded_entry(&mut self.routes, &scope.route, MAX_ROUTES);
+        let scores = ScorePair::of(yardstick.slowness.rate(), true);
+        // The population counts requests; a pending one counts once however long it takes.
+        if attempt.overdue_count == 1 {
+            yardstick.slowness.record(true);
+        }
+        let draft = self.draft(&scope.target, &scope.route);
+        draft.slowness.add(scores);
+        draft.counts[SILENT] += u32::from(attempt.overdue_count == 1);
+        Some(TargetObservation {
+            target: scope.target.clone(),
+            outcome: None,
+            slow: true,
+            score: scores.strong,
+        })
+    }
+}
+
+fn bounded_entry<'a, K: Clone + Eq + std::hash::Hash, V: Default>(
+    map: &'a mut IndexMap<K, V>,
+    key: &K,
+    capacity: usize,
+) -> &'a mut V {
+    if !map.contains_key(key) && map.len() >= capacity {
+        map.shift_remove_index(0);
+    }
+    map.entry(key.clone()).or_default()
+}
+
+fn entry_of(target: TargetId, route: RouteId, draft: &EntryDraft) -> EvidenceEntry {
+    EvidenceEntry {
+        target,
+        route,
+        good: draft.counts[GOOD],
+        failed: draft.counts[FAILED],
+        silent: draft.counts[SILENT],
+        slow: draft.counts[SLOW],
+        shed: draft.counts[SHED],
+        probes_failed: draft.counts[PROBES_FAILED],
+        failure_millinats: millinats_of(draft.failure),
+        slowness_millinats: millinats_of(draft.slowness),
+    }
+}
+
+fn millinats_of(scores: ScorePair) -> [i32; 2] {
+    [scores.strong, scores.weak].map(|nats| (nats * 1_000.0) as i32)
+}
--- /dev/null
+++ b/lib/src/flap_history.rs
@@ -0,0 +1,62 @@
+//! How often targets were ejected in close succession, and how long the next ejection lasts.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::ids::TargetId;
+use crate::time::MonoTime;
+
+/// The time from an ejection to the first trial request, for a target that does not flap.
+pub const FIRST_TERM_MS: u64 = 5_000;
+const MAX_DOUBLINGS: u32 = 6;
+const FLAP_MEMORY_MS: u64 = 600_000;
+const FIRST_TRIAL_LENGTH: u32 = 8;
+const MAX_TRIAL_DOUBLINGS: u32 = 3;
+
+#[derive(Debug)]
+struct FlapRecord {
+    flaps: u32,
+    noted_at: MonoTime,
+}
+
+/// The targets that were ejected lately.
+#[derive(Debug, Default)]
+pub struct FlapHistory {
+    records: IndexMap<TargetId, FlapRecord>,
+}
+
+impl FlapHistory {
+    /// Returns how often the target was ejected before in close succession.
+    pub fn flaps(&self, now: MonoTime, target: &TargetId) -> u32 {
+        self.records
+            .get(target)
+            .filter(|record| is_remembered(now, record))
+            .map_or(0, |record| record.flaps)
+    }
+
+    /// Notes an ejection, here or at another node, with the number of those before it.
+    pub fn note(&mut self, now: MonoTime, target: &TargetId, flaps_before: u32) {
+        self.records.retain(|_, record| is_remembered(now, record));
+        let record = self.records.entry(target.clone()).or_insert(FlapRecord {
+            flaps: 0,
+            noted_at: now,
+        });
+        record.flaps = record.flaps.max(flaps_before + 1);
+        record.noted_at = now;
+    }
+}
+
+fn is_remembered(now: MonoTime, record: &FlapRecord) -> bool {
+    now.since(record.noted_at) < Duration::from_millis(FLAP_MEMORY_MS)
+}
+
+/// Returns the time from an ejection to its first trial request.
+pub fn ejection_term(flaps: u32) -> Duration {
+    Duration::from_millis(FIRST_TERM_MS << flaps.min(MAX_DOUBLINGS))
+}
+
+/// Returns the good answers in a row that end an ejection.
+pub fn trial_length(flaps: u32) -> u32 {
+    FIRST_TRIAL_LENGTH << flaps.min(MAX_TRIAL_DOUBLINGS)
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,6 +6,8 @@
 //! daemons in the sibling crates are thin shells around these modules. See
 //! [docs/architecture.md](../../docs/architecture.md).
 
+pub mod adaptive_policy;
+pub mod baseline_policy;
 pub mod budget;
 pub mod claim_log;
 pub mod config;
@@ -13,24 +15,35 @@
 pub mod detector;
 pub mod directory;
 pub mod distribution;
+pub mod ejection_lease;
 pub mod ejector;
 pub mod epoch;
 pub mod escrow;
 pub mod evidence;
 pub mod fair_queue;
+pub mod flap_history;
 pub mod freshness;
 pub mod ids;
 pub mod key;
 pub mod key_table;
 pub mod membership;
+pub mod mixer;
 pub mod outcome;
+pub mod path_guard;
+pub mod pending;
 pub mod plan;
 pub mod platform;
+pub mod population;
 pub mod rate_limiter;
 pub mod rendezvous;
 pub mod retry_budget;
+pub mod sequential_test;
 pub mod service_burn;
+pub mod service_health;
 pub mod slot_pool;
+pub mod target_chart;
+pub mod target_load;
 pub mod target_picker;
 pub mod time;
 pub mod units;
+pub mod verdict;
--- /dev/null
+++ b/lib/src/target_load.rs
@@ -0,0 +1,115 @@
+//! How loaded a target is, as one node can best tell.
+//!
+//! No single source is trusted: reports lag or stick, a node's own requests are a small part of the
+//! whole, and a target that fails fast looks idle. The estimate is the highest of the sources.
+
+use std::time::Duration;
+
+use crate::time::MonoTime;
+
+/// The time for which a report or a peer's news is used.
+const REPORT_MEMORY_MS: u64 = 3_000;
+/// The equal reports in a row after which a report is taken to be stuck.
+const STUCK_REPORTS: u32 = 8;
+/// The load of the population below which equal reports are believed.
+const IDLE_LOAD: f32 = 0.25;
+/// The time in which the load that failures stand for halves.
+const FAILURE_HALF_LIFE_S: f32 = 1.0;
+const MAX_FAILURE_LOAD_PER_SLOT: f32 = 4.0;
+
+#[derive(Clone, Copy, Debug)]
+struct LoadReport {
+    load: f32,
+    equal_count: u32,
+    heard_at: MonoTime,
+}
+
+/// One node's sources for the load of one target, in requests.
+#[derive(Clone, Debug, Default)]
+pub struct TargetLoad {
+    own: u32,
+    report: Option<LoadReport>,
+    peers: Option<(f32, MonoTime)>,
+    failures: f32,
+    failed_at: MonoTime,
+}
+
+impl TargetLoad {
+    /// Counts a request that this node starts.
+    pub const fn start(&mut self) {
+        self.own += 1;
+    }
+
+    /// Counts a request that ended.
+    pub const fn finish(&mut self) {
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// Returns this node's requests in flight.
+    pub const fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Counts a failure as load, so that failing fast does not look like being idle.
+    pub fn add_failure(&mut self, now: MonoTime, slots: u32) {
+        let ceiling = MAX_FAILURE_LOAD_PER_SLOT * slots as f32;
+        self.failures = (self.failure_load(now) + 1.0).min(ceiling);
+        self.failed_at = now;
+    }
+
+    /// Takes in the load that the target reports.
+    pub fn set_report(&mut self, now: MonoTime, load: f32) {
+        let equal_count = match self.report {
+            Some(report) if report.load == load => report.equal_count.saturating_add(1),
+            _ => 1,
+        };
+        self.report = Some(LoadReport {
+            load,
+            equal_count,
+            heard_at: now,
+        });
+    }
+
+    /// Takes in the requests that other nodes have in flight.
+    pub const fn set_peers(&mut self, now: MonoTime, in_flight: f32) {
+        self.peers = Some((in_flight, now));
+    }
+
+    /// Returns the report, unless it is old or stuck while the population is busy.
+    pub fn usable_report(&self, now: MonoTime, population_mean: f32) -> Option<f32> {
+        let report = self
+            .report
+            .filter(|report| is_fresh(now, report.heard_at))?;
+        let stuck = report.equal_count >= STUCK_REPORTS && population_mean > IDLE_LOAD;
+        (!stuck).then_some(report.load)
+    }
+
+    /// Returns the fresh report, stuck or not.
+    pub fn fresh_report(&self, now: MonoTime) -> Option<f32> {
+        self.report
+            .filter(|report| is_fresh(now, report.heard_at))
+            .map(|report| report.load)
+    }
+
+    /// Returns the estimated load; the population's mean stands in for a report that is no use.
+    pub fn estimate(&self, now: MonoTime, population_mean: f32) -> f32 {
+        let reported = self
+            .usable_report(now, population_mean)
+            .unwrap_or(population_mean);
+        let peers = self
+            .peers
+            .filter(|(_, heard_at)| is_fresh(now, *heard_at))
+            .map_or(0.0, |(load, _)| load);
+        let known = self.own as f32 + peers;
+        reported.max(known) + self.failure_load(now)
+    }
+
+    fn failure_load(&self, now: MonoTime) -> f32 {
+        let elapsed = now.since(self.failed_at).as_secs_f32();
+        self.failures * (-elapsed / FAILURE_HALF_LIFE_S).exp2()
+    }
+}
+
+fn is_fresh(now: MonoTime, heard_at: MonoTime) -> bool {
+    now.since(heard_at) < Duration::from_millis(REPORT_MEMORY_MS)
+}
--- a/lib/src/target_picker.rs
+++ b/lib/src/target_picker.rs
@@ -1,1 +1,297 @@
-//! Placeholder.
+//! The choice of a target for a request: the least loaded of a few random ones.
+//!
+//! Looking at few candidates keeps many nodes with the same old news from choosing the same target.
+//! Targets in the node's own data centre are looked at first and left when they are busier than
+//! others by more than the cost of the way. See
+//! [docs/design/picking.md](../../docs/design/picking.md).
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::config::{Target, TargetState};
+use crate::evidence::AttemptOutcome;
+use crate::ids::{DataCentreId, TargetId};
+use crate::mixer::SeedSequence;
+use crate::target_load::TargetLoad;
+use crate::time::MonoTime;
+
+const NEAR_CHOICES: usize = 2;
+const FAR_CHOICES: usize = 1;
+/// The draws for one pick, after which all targets are looked at.
+const MAX_DRAWS: usize = 12;
+/// The extra load per slot from which on a near target is left for a far one.
+const FAR_PENALTY: f32 = 0.5;
+/// The time in which a new or reinstated target comes to its full share.
+pub const RAMP_MS: u64 = 10_000;
+const FIRST_RAMP_WEIGHT: f32 = 0.1;
+/// The pause after a shed request that named none.
+const SHED_PAUSE_MS: u64 = 100;
+const MAX_SHED_PAUSE_MS: u64 = 10_000;
+
+/// Whether a target may be picked, as the detection parts see it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TargetStanding {
+    /// The target serves.
+    Serving,
+    /// This node prefers others.
+    Avoided,
+    /// The target gets no work.
+    Ejected,
+}
+
+#[derive(Clone, Debug)]
+struct PickerTarget {
+    slots: u32,
+    near: bool,
+    leaving: bool,
+    load: TargetLoad,
+    shed_until: MonoTime,
+    ejected: bool,
+    ramp_from: Option<MonoTime>,
+}
+
+impl PickerTarget {
+    fn weight(&self, now: MonoTime) -> f32 {
+        let Some(from) = self.ramp_from else {
+            return 1.0;
+        };
+        let progress = now.since(from).as_secs_f32() * 1_000.0 / RAMP_MS as f32;
+        progress.clamp(FIRST_RAMP_WEIGHT, 1.0)
+    }
+}
+
+/// Picks targets of one service for one node.
+#[derive(Debug)]
+pub struct TargetPicker {
+    data_centre: DataCentreId,
+    targets: IndexMap<TargetId, PickerTarget>,
+    near: Vec<usize>,
+    all: Vec<usize>,
+    mean_load: f32,
+}
+
+impl TargetPicker {
+    /// Makes a picker without targets for a node in `data_centre`.
+    pub fn new(data_centre: DataCentreId) -> Self {
+        Self {
+            data_centre,
+            targets: IndexMap::new(),
+            near: Vec::new(),
+            all: Vec::new(),
+            mean_load: 0.0,
+        }
+    }
+
+    /// Sets the targets of the service; those that join others start slowly.
+    pub fn set_targets<'a>(
+        &mut self,
+        now: MonoTime,
+        targets: impl IntoIterator<Item = &'a Target>,
+    ) {
+        let joining = !self.targets.is_empty();
+        let mut kept = IndexMap::new();
+        for target in targets {
+            let mut state = self
+                .targets
+                .swap_remove(&target.id)
+                .unwrap_or_else(|| PickerTarget {
+                    slots: 1,
+                    near: false,
+                    leaving: false,
+                    load: TargetLoad::default(),
+                    shed_until: MonoTime::ZERO,
+                    ejected: false,
+                    ramp_from: joining.then_some(now),
+                });
+            state.slots = target.slots.max(1);
+            state.near = target.data_centre == self.data_centre;
+            state.leaving = target.state == TargetState::Leaving;
+            kept.insert(target.id.clone(), state);
+        }
+        self.targets = kept;
+        self.index_targets();
+    }
+
+    fn index_targets(&mut self) {
+        let usable = |(index, target): (usize, &PickerTarget)| (!target.leaving).then_some(index);
+        self.all = self
+            .targets
+            .values()
+            .enumerate()
+            .filter_map(usable)
+            .collect();
+        self.near = self
+            .all
+            .iter()
+            .copied()
+            .filter(|index| self.targets[*index].near)
+            .collect();
+    }
+
+    /// Notes that a target said that it drains; it gets nothing new.
+    pub fn set_leaving(&mut self, target: &TargetId, leaving: bool) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.leaving = leaving;
+            self.index_targets();
+        }
+    }
+
+    /// Takes in the load that a target reports, in requests.
+    pub fn set_reported_load(&mut self, now: MonoTime, target: &TargetId, load: f32) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.load.set_report(now, load);
+            self.mean_load = self.mean_reported_load(now);
+        }
+    }
+
+    /// Takes in the requests that peers have in flight on a target.
+    pub fn set_peer_load(&mut self, now: MonoTime, target: &TargetId, in_flight: f32) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.load.set_peers(now, in_flight);
+        }
+    }
+
+    /// Notes whether a target is ejected; it starts slowly when it no longer is.
+    pub fn set_ejected(&mut self, now: MonoTime, target: &TargetId, ejected: bool) {
+        if let Some(state) = self.targets.get_mut(target) {
+            if state.ejected && !ejected {
+                state.ramp_from = Some(now);
+            }
+            state.ejected = ejected;
+        }
+    }
+
+    /// Notes that a request starts on a target.
+    pub fn start(&mut self, target: &TargetId) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.load.start();
+        }
+    }
+
+    /// Notes that a request ended on a target.
+    pub fn finish(&mut self, now: MonoTime, target: &TargetId, outcome: AttemptOutcome) {
+        let Some(state) = self.targets.get_mut(target) else {
+            return;
+        };
+        state.load.finish();
+        if outcome.is_failure() {
+            state.load.add_failure(now, state.slots);
+        }
+        if outcome == AttemptOutcome::Shed {
+            state.shed_until = state.shed_until.max(now + pause_of(None));
+        }
+    }
+
+    /// Notes the pause that a target asked for when it shed a request.
+    pub fn set_shed_pause(&mut self, now: MonoTime, target: &TargetId, pause: Duration) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.shed_until = now + pause_of(Some(pause));
+        }
+    }
+
+    /// Returns the targets in the order of the configuration, leaving ones included.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetId> {
+        self.targets.keys()
+    }
+
+    /// Picks a target, or returns `None` if none may get work.
+    ///
+    /// `seed` is a fresh random number, `standing_of` reads the standing at `now`, and targets in
+    /// `excluded` were tried before.
+    pub fn pick(
+        &self,
+        now: MonoTime,
+        seed: u64,
+        excluded: &[TargetId],
+        standing_of: impl Fn(&TargetId) -> TargetStanding,
+    ) -> Option<TargetId> {
+        let mut sequence = SeedSequence::new(seed);
+        let is_open = |index: usize, worst: TargetStanding| {
+            let (target, state) = self.targets.get_index(index)?;
+            let standing = standing_of(target);
+            let open = !state.leaving
+                && !excluded.contains(target)
+                && (standing == TargetStanding::Serving || standing == worst);
+            open.then_some(state)
+        };
+        let best = self.draw_best(now, &mut sequence, |index| {
+            is_open(index, TargetStanding::Serving).is_some_and(|state| now >= state.shed_until)
+        });
+        let best = best.or_else(|| self.scan_best(now, &is_open, TargetStanding::Serving));
+        let best = best.or_else(|| self.scan_best(now, &is_open, TargetStanding::Avoided));
+        best.and_then(|index| self.targets.get_index(index))
+            .map(|(target, _)| target.clone())
+    }
+
+    fn draw_best(
+        &self,
+        now: MonoTime,
+        sequence: &mut SeedSequence,
+        is_usable: impl Fn(usize) -> bool,
+    ) -> Option<usize> {
+        if self.all.is_empty() {
+            return None;
+        }
+        let mut best: Option<(f32, usize)> = None;
+        let mut accepted = 0;
+        for _ in 0..MAX_DRAWS {
+            let wants_near = accepted < NEAR_CHOICES && !self.near.is_empty();
+            let pool = if wants_near { &self.near } else { &self.all };
+            let index = pool[sequence.next_below(pool.len())];
+            let state = &self.targets[index];
+            let admitted = sequence.next_unit() < f64::from(state.weight(now));
+            if !admitted || !is_usable(index) {
+                continue;
+            }
+            let cost = self.cost(now, state);
+            if best.is_none_or(|(lowest, _)| cost < lowest) {
+                best = Some((cost, index));
+            }
+            accepted += 1;
+            if accepted == NEAR_CHOICES + FAR_CHOICES {
+                break;
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+
+    fn scan_best<'a>(
+        &'a self,
+        now: MonoTime,
+        is_open: &impl Fn(usize, TargetStanding) -> Option<&'a PickerTarget>,
+        worst: TargetStanding,
+    ) -> Option<usize> {
+        self.all
+            .iter()
+            .filter_map(|index| is_open(*index, worst).map(|state| (*index, state)))
+            .min_by(|(_, a), (_, b)| {
+                let shed = |state: &PickerTarget| now < state.shed_until;
+                (shed(a), self.cost(now, a))
+                    .partial_cmp(&(shed(b), self.cost(now, b)))
+                    .expect("costs are finite")
+            })
+            .map(|(index, _)| index)
+    }
+
+    fn cost(&self, now: MonoTime, state: &PickerTarget) -> f32 {
+        let load = state.load.estimate(now, self.mean_load) + 1.0;
+        let penalty = if state.near { 0.0 } else { FAR_PENALTY };
+        load / (state.slots as f32 * state.weight(now)) + penalty
+    }
+
+    fn mean_reported_load(&self, now: MonoTime) -> f32 {
+        let (sum, count) = self
+            .targets
+            .values()
+            .filter_map(|state| state.load.fresh_report(now))
+            .fold((0.0, 0), |(sum, count), load| (sum + load, count + 1));
+        if count == 0 { 0.0 } else { sum / count as f32 }
+    }
+}
+
+fn pause_of(pause: Option<Duration>) -> Duration {
+    pause
+        .unwrap_or(Duration::from_millis(SHED_PAUSE_MS))
+        .min(Duration::from_millis(MAX_SHED_PAUSE_MS))
+}
--- /dev/null
+++ b/lib/src/verdict.rs
@@ -0,0 +1,126 @@
+//! What the detector concludes about a target, and why.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::TargetId;
+
+/// The state of a target as its judges see it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetVerdict {
+    /// Nothing speaks against the target.
+    #[default]
+    Healthy,
+    /// The target serves worse than its population, on the word of several nodes.
+    BadTarget,
+    /// Some nodes cannot reach the target while others can.
+    BadPath,
+    /// Many targets of the service are bad alike, so that ejecting one would not help.
+    ServiceBad,
+    /// The target sheds requests and is otherwise fine.
+    Overloaded,
+}
+
+impl fmt::Display for TargetVerdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Healthy => "healthy",
+            Self::BadTarget => "bad target",
+            Self::BadPath => "bad path",
+            Self::ServiceBad => "service bad",
+            Self::Overloaded => "overloaded",
+        })
+    }
+}
+
+/// What spoke against a target.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SuspicionCause {
+    /// It answered with errors more often than the population.
+    Failures,
+    /// It answered slower than the population.
+    Slowness,
+    /// It did not answer.
+    Silence,
+}
+
+impl fmt::Display for SuspicionCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Failures => "failures",
+            Self::Slowness => "slow answers",
+            Self::Silence => "missing answers",
+        })
+    }
+}
+
+/// How the nodes that use a target fare with it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ReachCounts {
+    /// The nodes that get no answer.
+    pub cut: u32,
+    /// The nodes that get answers only.
+    pub clean: u32,
+    /// The nodes that get an answer at times.
+    pub mixed: u32,
+}
+
+/// Why a target has its verdict, for `ctl explain target`.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct TargetExplanation {
+    /// The target.
+    pub target: TargetId,
+    /// The verdict.
+    pub verdict: TargetVerdict,
+    /// What speaks most against the target, if anything does.
+    pub cause: Option<SuspicionCause>,
+    /// The highest score, in nats.
+    pub score: f32,
+    /// The score at which the target is judged bad, in nats.
+    pub threshold: f32,
+    /// The recent answers that were neither failures nor slow.
+    pub good: f32,
+    /// The recent failures that the target answered with.
+    pub failed: f32,
+    /// The recent attempts without an answer.
+    pub silent: f32,
+    /// The recent slow answers.
+    pub slow: f32,
+    /// The requests that the target recently shed.
+    pub shed: f32,
+    /// How the nodes fare with the target.
+    pub reach: ReachCounts,
+    /// The time since the newest evidence, in milliseconds, or `None` if there never was any.
+    pub evidence_age_ms: Option<u64>,
+    /// Whether the evidence is disregarded because the target is ejected.
+    pub held: bool,
+}
+
+impl fmt::Display for TargetExplanation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.target, self.verdict)?;
+        if let Some(cause) = self.cause {
+            write!(f, ", mostly {cause}")?;
+        }
+        writeln!(f, "; score {:.1} of {:.1}", self.score, self.threshold)?;
+        writeln!(
+            f,
+            "  recent answers: {:.0} good, {:.0} failed, {:.0} missing, {:.0} slow, {:.0} shed",
+            self.good, self.failed, self.silent, self.slow, self.shed
+        )?;
+        writeln!(
+            f,
+            "  nodes: {} get answers, {} get none, {} get some",
+            self.reach.clean, self.reach.cut, self.reach.mixed
+        )?;
+        match self.evidence_age_ms {
+            Some(age) => write!(f, "  newest evidence: {age} ms ago"),
+            None => write!(f, "  no evidence: the target keeps its state"),
+        }
+    }
+}
