--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -1,8 +1,4 @@
 //! The command line, the burn report and the demo.
-
-pub mod demo_story;
-pub mod deployment;
-pub mod local_fleet;
 //! The command line tools: operators' control, the burn report and the demo.
 
 pub mod ctl_args;
@@ -11,3 +7,6 @@
 pub mod ctl_output;
 pub mod ctl_run;
 pub mod ctl_table;
+pub mod demo_story;
+pub mod deployment;
+pub mod local_fleet;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,9 +6,9 @@
 //! daemons in the sibling crates are thin shells around these modules. See
 //! [docs/architecture.md](../../docs/architecture.md).
 
-pub mod bucket_hand;
 pub mod adaptive_policy;
 pub mod baseline_policy;
+pub mod bucket_hand;
 pub mod budget;
 pub mod claim_log;
 pub mod config;
@@ -33,9 +33,9 @@
 pub mod key_table;
 pub mod loan;
 pub mod membership;
+pub mod mixer;
 pub mod object_key;
 mod object_list;
-pub mod mixer;
 pub mod outcome;
 pub mod path_guard;
 pub mod pending;
@@ -44,15 +44,12 @@
 pub mod plan_diff;
 pub mod platform;
 pub mod platform_wire;
+pub mod population;
 mod rate_entry;
 pub mod rate_limiter;
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod route_table;
-pub mod population;
-pub mod rate_limiter;
-pub mod rendezvous;
-pub mod retry_budget;
 pub mod sequential_test;
 pub mod service_burn;
 pub mod service_health;
