peer link: carry messages and calls between gateways

The decision modules need a link that loses messages rather than block, and that hostile or broken peers cannot harm.

Add capnp-rpc over TCP on a thread of its own: both ends prove that they know the shared secret before there is a session, frames, queues and connections are bounded, versions one apart talk, messages for another incarnation are not delivered, and per-peer loss and one-way cuts can be set at run time.

--- /dev/null
+++ b/gateway/src/peer_link.rs
@@ -0,0 +1,366 @@
+//! The link between gateways: messages and calls over capnp-rpc.
+//!
+//! The objects of capnp-rpc cannot move between threads, so the link runs on a thread of its own and
+//! talks to the rest of the process through bounded channels. Messages may be lost, and every loss
+//! is counted: the decision modules are made for a network that loses messages, so that a slow peer
+//! holds nobody up. See [docs/design/peer-link.md](../../docs/design/peer-link.md).
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use damaskloom_lib::ids::{Epoch, Incarnation, NodeId, VmId};
+use damaskloom_lib::units::ByteSize;
+use indexmap::IndexMap;
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::LocalSet;
+
+use crate::peer_codec::{EnvelopeHeader, PeerMessage, PeerTopic};
+use crate::peer_dialer::{DialerPool, OutCall, OutMessage};
+use crate::peer_faults::PeerFaults;
+use crate::peer_listener::serve_listener;
+pub use crate::peer_settings::PeerSettings;
+pub use crate::peer_stream::PeerCounters;
+use crate::peer_stream::{LinkCounters, count};
+
+/// Says why the link did not start, or why a call has no answer.
+#[derive(Debug, Snafu)]
+pub enum PeerError {
+    /// The listener could not be opened.
+    #[snafu(display("cannot listen for peers on {address}"))]
+    Listen {
+        /// The address from the settings.
+        address: SocketAddr,
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// The link's thread could not be started.
+    #[snafu(display("cannot start the thread of the peer link"))]
+    Thread {
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// The body is larger than a frame may be.
+    #[snafu(display("a body of {size} is larger than a frame"))]
+    TooLarge {
+        /// The size of the body.
+        size: ByteSize,
+    },
+    /// The queue to the link or to the peer is full.
+    #[snafu(display("the queue to the peer is full"))]
+    QueueFull,
+    /// No answer came in time; the peer may have handled the call.
+    #[snafu(display("no answer within {timeout:?}"))]
+    Timeout {
+        /// How long the caller waited.
+        timeout: Duration,
+    },
+    /// The connection could not be made or broke; the peer may have handled the call.
+    #[snafu(display("the peer is not connected: {detail}"))]
+    Disconnected {
+        /// What was seen.
+        detail: String,
+    },
+}
+
+/// Whom a message is for.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct PeerTarget {
+    /// The peer's VM.
+    pub vm: VmId,
+    /// The start of the peer's process, if no other may get the message.
+    pub incarnation: Option<Incarnation>,
+}
+
+impl From<&NodeId> for PeerTarget {
+    fn from(node: &NodeId) -> Self {
+        Self {
+            vm: node.vm.clone(),
+            incarnation: Some(node.incarnation),
+        }
+    }
+}
+
+impl From<&VmId> for PeerTarget {
+    fn from(vm: &VmId) -> Self {
+        Self {
+            vm: vm.clone(),
+            incarnation: None,
+        }
+    }
+}
+
+/// Whether a message was taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[must_use]
+pub enum SendOutcome {
+    /// The message is on its way, and may still be lost.
+    Queued,
+    /// The message is too large, or a queue is full; it was counted and dropped.
+    Dropped,
+}
+
+/// A message from a peer.
+#[derive(Clone, Debug)]
+pub struct PeerDelivery {
+    /// The proven sender.
+    pub from: NodeId,
+    /// The newest epoch that the sender had entered.
+    pub epoch: Epoch,
+    /// What the message is about.
+    pub topic: PeerTopic,
+    /// A JSON document.
+    pub body: Bytes,
+}
+
+/// A call from a peer; dropping it leaves the caller without an answer.
+#[derive(Debug)]
+pub struct PeerRequest {
+    /// The message that wants an answer.
+    pub delivery: PeerDelivery,
+    /// Takes the answer.
+    pub reply: oneshot::Sender<Bytes>,
+}
+
+/// What peers send to this process.
+#[derive(Debug)]
+pub struct PeerInbox {
+    /// Messages.
+    pub deliveries: mpsc::Receiver<PeerDelivery>,
+    /// Calls.
+    pub requests: mpsc::Receiver<PeerRequest>,
+}
+
+pub(crate) enum LinkCommand {
+    Send(VmId, OutMessage),
+    Call(VmId, OutCall),
+}
+
+type AddressBook = Mutex<IndexMap<VmId, SocketAddr>>;
+
+/// What the threads of the process share with the link's thread.
+#[derive(Debug)]
+struct LinkShared {
+    settings: PeerSettings,
+    local_address: SocketAddr,
+    addresses: AddressBook,
+    epoch: AtomicU64,
+    counters: Arc<LinkCounters>,
+    faults: PeerFaults,
+}
+
+/// Sends messages and calls; it is cheap to clone, and the link stops when the last one is dropped.
+#[derive(Clone, Debug)]
+pub struct PeerHandle {
+    shared: Arc<LinkShared>,
+    commands: mpsc::Sender<LinkCommand>,
+}
+
+impl PeerHandle {
+    /// Returns where this node listens for peers.
+    pub fn local_address(&self) -> SocketAddr {
+        self.shared.local_address
+    }
+
+    /// Sets where a VM listens for peers.
+    pub fn set_address(&self, vm: VmId, address: SocketAddr) {
+        lock(&self.shared.addresses).insert(vm, address);
+    }
+
+    /// Forgets where a VM listens; messages to it are dropped from now on.
+    pub fn remove_address(&self, vm: &VmId) {
+        lock(&self.shared.addresses).swap_remove(vm);
+    }
+
+    /// Sets the newest epoch that this node entered, which its envelopes name.
+    pub fn set_epoch(&self, epoch: Epoch) {
+        self.shared.epoch.fetch_max(epoch.0, Ordering::Relaxed);
+    }
+
+    /// Returns the link's counters.
+    pub fn counters(&self) -> PeerCounters {
+        self.shared.counters.snapshot()
+    }
+
+    /// Returns the fault hook.
+    pub fn faults(&self) -> &PeerFaults {
+        &self.shared.faults
+    }
+
+    /// Sends a message without waiting.
+    pub fn send(&self, to: impl Into<PeerTarget>, topic: PeerTopic, body: Bytes) -> SendOutcome {
+        let to = to.into();
+        let fits = self.check_size(&body).is_ok();
+        let message = OutMessage {
+            incarnation: to.incarnation,
+            message: PeerMessage { topic, body },
+        };
+        let command = LinkCommand::Send(to.vm, message);
+        if fits && self.commands.try_send(command).is_ok() {
+            SendOutcome::Queued
+        } else {
+            count(&self.shared.counters.dropped_out, 1);
+            SendOutcome::Dropped
+        }
+    }
+
+    /// Sends a message and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is too large, a queue is full, the peer cannot be reached or no answer
+    /// comes in time. After the last two the peer may have handled the call.
+    pub async fn call(
+        &self,
+        to: impl Into<PeerTarget>,
+        topic: PeerTopic,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Bytes, PeerError> {
+        self.check_size(&body)?;
+        let to = to.into();
+        let (reply, answer) = oneshot::channel();
+        let call = OutCall {
+            incarnation: to.incarnation,
+            message: PeerMessage { topic, body },
+            reply,
+        };
+        let command = LinkCommand::Call(to.vm, call);
+        self.commands
+            .try_send(command)
+            .ok()
+            .context(QueueFullSnafu)?;
+        let answered = tokio::time::timeout(timeout, answer).await;
+        let outcome = answered.ok().context(TimeoutSnafu { timeout })?;
+        outcome.unwrap_or_else(|_| {
+            DisconnectedSnafu {
+                detail: "the link stopped",
+            }
+            .fail()
+        })
+    }
+
+    fn check_size(&self, body: &Bytes) -> Result<(), PeerError> {
+        let size = ByteSize(body.len() as u64);
+        let limit = self.shared.settings.max_frame.0 / 2;
+        ensure!(size.0 <= limit, TooLargeSnafu { size });
+        Ok(())
+    }
+}
+
+/// The part of the link that lives on its thread.
+pub(crate) struct LinkCore {
+    shared: Arc<LinkShared>,
+    pub(crate) deliveries: mpsc::Sender<PeerDelivery>,
+    pub(crate) requests: mpsc::Sender<PeerRequest>,
+}
+
+impl LinkCore {
+    pub(crate) fn settings(&self) -> &PeerSettings {
+        &self.shared.settings
+    }
+
+    pub(crate) fn counters(&self) -> &Arc<LinkCounters> {
+        &self.shared.counters
+    }
+
+    pub(crate) fn faults(&self) -> &PeerFaults {
+        &self.shared.faults
+    }
+
+    pub(crate) fn address_of(&self, vm: &VmId) -> Option<SocketAddr> {
+        lock(&self.shared.addresses).get(vm).copied()
+    }
+
+    pub(crate) fn header(&self, sequence: u64) -> EnvelopeHeader {
+        EnvelopeHeader {
+            version: self.shared.settings.protocol_version,
+            sender: self.shared.settings.node.clone(),
+            epoch: Epoch(self.shared.epoch.load(Ordering::Relaxed)),
+            sequence,
+        }
+    }
+}
+
+/// Starts the peer link of a process.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerLink;
+
+impl PeerLink {
+    /// Opens the listener and starts the link's thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address is taken or the thread cannot be started.
+    pub fn start(settings: PeerSettings) -> Result<(PeerHandle, PeerInbox), PeerError> {
+        let address = settings.listen;
+        let listener = std::net::TcpListener::bind(address).context(ListenSnafu { address })?;
+        listener
+            .set_nonblocking(true)
+            .context(ListenSnafu { address })?;
+        let local_address = listener.local_addr().context(ListenSnafu { address })?;
+        let (commands, command_receiver) = mpsc::channel(settings.queue_messages);
+        let (deliveries, delivery_receiver) = mpsc::channel(settings.queue_messages);
+        let (requests, request_receiver) = mpsc::channel(settings.queue_messages);
+        let shared = Arc::new(LinkShared {
+            local_address,
+            addresses: Mutex::default(),
+            epoch: AtomicU64::new(0),
+            counters: Arc::default(),
+            faults: PeerFaults::new(settings.fault_seed),
+            settings,
+        });
+        let core_shared = shared.clone();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .context(ThreadSnafu)?;
+        let run = move || {
+            let core = Rc::new(LinkCore {
+                shared: core_shared,
+                deliveries,
+                requests,
+            });
+            LocalSet::new().block_on(&runtime, run_link(core, listener, command_receiver));
+        };
+        std::thread::Builder::new()
+            .name("peer-link".to_owned())
+            .spawn(run)
+            .context(ThreadSnafu)?;
+        let handle = PeerHandle { shared, commands };
+        let inbox = PeerInbox {
+            deliveries: delivery_receiver,
+            requests: request_receiver,
+        };
+        Ok((handle, inbox))
+    }
+}
+
+async fn run_link(
+    core: Rc<LinkCore>,
+    listener: std::net::TcpListener,
+    mut commands: mpsc::Receiver<LinkCommand>,
+) {
+    match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => {
+            tokio::task::spawn_local(serve_listener(core.clone(), listener));
+        }
+        Err(error) => tracing::error!(%error, "peer listener not registered"),
+    }
+    let mut pool = DialerPool::new(core);
+    while let Some(command) = commands.recv().await {
+        match command {
+            LinkCommand::Send(vm, message) => pool.send(vm, message),
+            LinkCommand::Call(vm, call) => pool.call(vm, call),
+        }
+    }
+}
+
+fn lock(addresses: &AddressBook) -> std::sync::MutexGuard<'_, IndexMap<VmId, SocketAddr>> {
+    addresses.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/gateway/tests/test_peer_link.rs
+++ b/gateway/tests/test_peer_link.rs
@@ -1,1 +1,324 @@
-//! Placeholder.
+//! The peer link: proofs, hostile bytes, versions, one-way cuts, replaced processes and full queues.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use damaskloom_gateway::peer_auth::SharedSecret;
+use damaskloom_gateway::peer_codec::{PeerTopic, read_envelope};
+use damaskloom_gateway::peer_faults::PeerFault;
+use damaskloom_gateway::peer_link::{
+    PeerDelivery, PeerError, PeerHandle, PeerInbox, PeerLink, PeerSettings, SendOutcome,
+};
+use damaskloom_lib::generated::peer_capnp::{envelope, peer_gate};
+use damaskloom_lib::ids::{Epoch, Incarnation, NodeId};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+/// Far longer than anything takes, so that only a fault ends a test by it.
+const PATIENT: Duration = Duration::from_secs(20);
+const SHORT: Duration = Duration::from_millis(100);
+
+struct Node {
+    id: NodeId,
+    handle: PeerHandle,
+    inbox: PeerInbox,
+}
+
+fn node_id(vm: &str, incarnation: u64) -> NodeId {
+    NodeId {
+        vm: vm.parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn settings(vm: &str) -> PeerSettings {
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    PeerSettings::new(node_id(vm, 1), listen, SharedSecret::new(*b"fleet secret"))
+}
+
+fn start(settings: PeerSettings) -> Node {
+    let id = settings.node.clone();
+    let (handle, inbox) = PeerLink::start(settings).unwrap();
+    Node { id, handle, inbox }
+}
+
+fn introduce(a: &Node, b: &Node) {
+    a.handle
+        .set_address(b.id.vm.clone(), b.handle.local_address());
+    b.handle
+        .set_address(a.id.vm.clone(), a.handle.local_address());
+}
+
+fn pair() -> (Node, Node) {
+    let (a, b) = (start(settings("vm-a")), start(settings("vm-b")));
+    introduce(&a, &b);
+    (a, b)
+}
+
+impl Node {
+    fn send(&self, to: &Node, topic: PeerTopic, body: &'static str) -> SendOutcome {
+        self.handle
+            .send(&to.id, topic, Bytes::from_static(body.as_bytes()))
+    }
+
+    async fn receive(&mut self) -> PeerDelivery {
+        let received = tokio::time::timeout(PATIENT, self.inbox.deliveries.recv()).await;
+        received
+            .expect("a delivery in time")
+            .expect("a running link")
+    }
+
+    /// Sends until the first message arrives, for links that drop while they connect.
+    async fn reaches(&self, to: &mut Node) -> PeerDelivery {
+        loop {
+            let _ = self.send(to, PeerTopic::Membership, "\"ping\"");
+            let received = tokio::time::timeout(SHORT, to.inbox.deliveries.recv());
+            if let Ok(delivery) = received.await {
+                return delivery.expect("a running link");
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn messages_and_calls_carry_the_proven_sender_and_its_epoch() {
+    let (mut a, mut b) = pair();
+    a.handle.set_epoch(Epoch(7));
+    assert_eq!(a.send(&b, PeerTopic::Shares, "{}"), SendOutcome::Queued);
+    let delivery = b.receive().await;
+    assert_eq!((delivery.from, delivery.epoch), (a.id.clone(), Epoch(7)));
+    assert_eq!(
+        (delivery.topic, &delivery.body[..]),
+        (PeerTopic::Shares, &b"{}"[..])
+    );
+
+    let caller = a.handle.clone();
+    let to = b.id.clone();
+    let call = tokio::spawn(async move {
+        let body = Bytes::from_static(b"1");
+        caller
+            .call(&to, PeerTopic::Distribution, body, PATIENT)
+            .await
+    });
+    let request = b.inbox.requests.recv().await.unwrap();
+    assert_eq!(request.delivery.from, a.id);
+    request.reply.send(Bytes::from_static(b"2")).unwrap();
+    assert_eq!(call.await.unwrap().unwrap(), Bytes::from_static(b"2"));
+    let _ = b.send(&a, PeerTopic::Epoch, "[]");
+    assert_eq!(a.receive().await.from, b.id);
+}
+
+#[tokio::test]
+async fn a_peer_without_the_secret_is_heard_by_nobody() {
+    let mut stranger = settings("vm-a");
+    stranger.secret = SharedSecret::new(*b"guess");
+    let (a, mut b) = (start(stranger), start(settings("vm-b")));
+    introduce(&a, &b);
+    for (from, to) in [(&a, &b.id), (&b, &a.id)] {
+        let body = Bytes::from_static(b"1");
+        let called = from.handle.call(to, PeerTopic::Claims, body, PATIENT).await;
+        assert!(
+            matches!(called, Err(PeerError::Disconnected { .. })),
+            "{called:?}"
+        );
+    }
+    assert!(b.inbox.deliveries.try_recv().is_err());
+    assert!(b.inbox.requests.try_recv().is_err());
+}
+
+#[tokio::test]
+async fn random_and_hostile_bytes_stop_nobody_else() {
+    let (a, mut b) = pair();
+    let mut rng = SmallRng::seed_from_u64(3);
+    for round in 0_u32..64 {
+        let mut stream = TcpStream::connect(b.handle.local_address()).await.unwrap();
+        // One segment of 16 GiB, very many segments, or a frame of random words.
+        let header: &[u8] = match round % 4 {
+            0 => &[0, 0, 0, 0, 0xff, 0xff, 0xff, 0x7f],
+            1 => &[0xff, 0xff, 0xff, 0xff],
+            2 => &[0, 0, 0, 0, 16, 0, 0, 0],
+            _ => &[],
+        };
+        let noise: Vec<u8> = (0..rng.random_range(1..4_096))
+            .map(|_| rng.random())
+            .collect();
+        let bytes = [header, &noise].concat();
+        // The listener may close while bytes are still being written.
+        let _ = stream.write_all(&bytes).await;
+        let _ = stream.shutdown().await;
+        let _ = tokio::time::timeout(SHORT, stream.read(&mut [0; 64])).await;
+    }
+    assert_eq!(a.reaches(&mut b).await.from, a.id);
+}
+
+#[test]
+fn the_gate_gives_a_session_only_after_one_whole_exchange() {
+    let b = start(settings("vm-b"));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let stream = TcpStream::connect(b.handle.local_address()).await.unwrap();
+        let (reader, writer) = stream.into_split();
+        let network = twoparty::VatNetwork::new(
+            reader.compat(),
+            writer.compat_write(),
+            Side::Client,
+            capnp::message::ReaderOptions::new(),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let gate: peer_gate::Client = system.bootstrap(Side::Server);
+        tokio::task::spawn_local(system);
+        let greet = |vm: &str, nonce: &[u8]| {
+            let mut request = gate.greet_request();
+            request.get().set_protocol_version(1);
+            request.get().set_vm(vm);
+            request.get().set_nonce(nonce);
+            request.send().promise
+        };
+        let prove = || {
+            let mut request = gate.prove_request();
+            request.get().set_proof(&[7; 32]);
+            request.send().promise
+        };
+        assert!(greet("no/vm", &[1; 32]).await.is_err(), "a bad name");
+        assert!(greet("vm-a", &[1; 31]).await.is_err(), "a short nonce");
+        assert!(greet("vm-a", &[1; 32]).await.is_ok());
+        assert!(greet("vm-a", &[2; 32]).await.is_err(), "a second greeting");
+        assert!(prove().await.is_err(), "a wrong proof");
+        assert!(
+            greet("vm-a", &[1; 32]).await.is_err(),
+            "a greeting after a wrong proof"
+        );
+    });
+}
+
+#[tokio::test]
+async fn versions_one_apart_talk_and_versions_two_apart_do_not() {
+    let versioned = |vm, version| {
+        let mut settings = settings(vm);
+        settings.protocol_version = version;
+        start(settings)
+    };
+    let (mut old, mut new, newest) = (
+        versioned("vm-1", 1),
+        versioned("vm-2", 2),
+        versioned("vm-3", 3),
+    );
+    for (one, other) in [(&old, &new), (&old, &newest), (&new, &newest)] {
+        introduce(one, other);
+    }
+    assert_eq!(old.reaches(&mut new).await.from, old.id);
+    assert_eq!(new.reaches(&mut old).await.from, new.id);
+    let body = Bytes::from_static(b"1");
+    let called = old
+        .handle
+        .call(&newest.id, PeerTopic::Epoch, body, PATIENT)
+        .await;
+    assert!(
+        matches!(called, Err(PeerError::Disconnected { .. })),
+        "{called:?}"
+    );
+}
+
+#[test]
+fn unknown_topics_are_skipped_and_the_rest_is_read() {
+    let mut builder = capnp::message::Builder::new_default();
+    let mut root = builder.init_root::<envelope::Builder<'_>>();
+    root.set_vm("vm-a");
+    let mut messages = root.reborrow().init_messages(3);
+    for (index, topic) in [(0, 1), (1, 999), (2, 9)] {
+        messages.reborrow().get(index).set_topic(topic);
+    }
+    let read = read_envelope(root.into_reader()).unwrap();
+    let topics: Vec<_> = read.messages.iter().map(|message| message.topic).collect();
+    assert_eq!(
+        (topics, read.skipped),
+        (vec![PeerTopic::Membership, PeerTopic::Claims], 1)
+    );
+}
+
+#[tokio::test]
+async fn a_one_way_cut_stops_one_direction_only() {
+    let (mut a, mut b) = pair();
+    a.handle
+        .faults()
+        .set(b.id.vm.clone(), PeerFault::CUT_OUTGOING);
+    let _ = a.send(&b, PeerTopic::Epoch, "\"lost\"");
+    let body = Bytes::from_static(b"1");
+    let called = a.handle.call(&b.id, PeerTopic::Claims, body, SHORT).await;
+    assert!(
+        matches!(called, Err(PeerError::Timeout { .. })),
+        "{called:?}"
+    );
+    let _ = b.send(&a, PeerTopic::Epoch, "\"passes\"");
+    assert_eq!(&a.receive().await.body[..], b"\"passes\"");
+    // Commands are handled in order: once this one has failed, the lost message was dropped.
+    let nobody = node_id("vm-none", 1);
+    let called = a
+        .handle
+        .call(&nobody, PeerTopic::Claims, Bytes::new(), PATIENT)
+        .await;
+    assert!(
+        matches!(called, Err(PeerError::Disconnected { .. })),
+        "{called:?}"
+    );
+    a.handle.faults().clear();
+    let _ = a.send(&b, PeerTopic::Epoch, "\"first\"");
+    assert_eq!(&b.receive().await.body[..], b"\"first\"");
+}
+
+#[tokio::test]
+async fn a_replaced_process_gets_nothing_that_was_meant_for_the_one_before() {
+    let (a, b) = pair();
+    let mut replaced = settings("vm-b");
+    replaced.node = node_id("vm-b", 2);
+    let mut new = start(replaced);
+    a.handle
+        .set_address(b.id.vm.clone(), new.handle.local_address());
+    let _ = a
+        .handle
+        .send(&b.id, PeerTopic::Shares, Bytes::from_static(b"\"old\""));
+    let _ = a
+        .handle
+        .send(&b.id.vm, PeerTopic::Epoch, Bytes::from_static(b"\"any\""));
+    assert_eq!(&new.receive().await.body[..], b"\"any\"");
+    assert_eq!(a.handle.counters().misaddressed, 1);
+    let body = Bytes::from_static(b"1");
+    let called = a.handle.call(&b.id, PeerTopic::Claims, body, PATIENT).await;
+    assert!(
+        matches!(called, Err(PeerError::Disconnected { .. })),
+        "{called:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_peer_that_reads_nothing_costs_a_bounded_queue() {
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut bounded = settings("vm-a");
+    bounded.queue_messages = 8;
+    let a = start(bounded);
+    let to = node_id("vm-silent", 1);
+    a.handle
+        .set_address(to.vm.clone(), silent.local_addr().unwrap());
+    while a.handle.counters().dropped_out == 0 {
+        let _ = a
+            .handle
+            .send(&to, PeerTopic::Shares, Bytes::from_static(b"{}"));
+        tokio::task::yield_now().await;
+    }
+    let body = Bytes::from(vec![0; 1 << 20]);
+    let called = a.handle.call(&to, PeerTopic::Shares, body, PATIENT).await;
+    assert!(
+        matches!(called, Err(PeerError::TooLarge { .. })),
+        "{called:?}"
+    );
+}
