--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The modules here meet sockets, clocks and tasks; what they do is decided by the state machines
 //! of `damaskloom-lib`. See [docs/architecture.md](../../docs/architecture.md).
+//! The gateway process: callers in front, targets behind, peers beside.
 
 pub mod admin_server;
 pub mod admission;
@@ -19,6 +20,15 @@
 pub mod head_inspector;
 pub mod key_removal;
 pub mod meters;
+pub mod peer_auth;
+pub mod peer_codec;
+mod peer_connection;
+mod peer_dialer;
+pub mod peer_faults;
+pub mod peer_link;
+mod peer_listener;
+mod peer_settings;
+mod peer_stream;
 pub mod percent;
 pub mod process;
 pub mod refusal_answer;
