claims: keep claims of request ids at a home, so that a request runs at most once

A resend may land on any gateway, and gateways, homes and the store fail at any moment. The home of an id grants it to one sending, after the claim is a row of the store or, while the store is out, a copy in another data centre; a home that may have forgotten claims says unknown. 10,000 generated histories with crashes, restarts, resends, paused holders, lost write answers, outages and changes of the assignment run no id twice.

The tree's runner and lib.rs gain a line for each new module.

--- /dev/null
+++ b/lib/src/claim_durability.rs
@@ -0,0 +1,200 @@
+//! How a claim is made durable before its request may run: a row in the store, or, while the store
+//! is out, a copy at a node of another data centre.
+
+use crate::claim_action::{ClaimAction, RowRead, RowWrite};
+use crate::claim_entry::{ClaimEntry, EntryState, duplicate, unavailable, write_row};
+use crate::claim_log::ClaimLog;
+use crate::claim_message::{ClaimKey, ClaimMessage, ClaimRow, ClaimTicket, FirstClaim};
+use crate::claim_takeover::ClaimCertainty;
+use crate::ids::{Epoch, NodeId};
+use crate::outcome::Execution;
+use crate::time::MonoTime;
+
+impl ClaimLog {
+    /// Returns what can be said of an id without a claim.
+    pub(crate) fn execution_if_absent(&self) -> Execution {
+        match self.certainty() {
+            ClaimCertainty::Known => Execution::NotRun,
+            ClaimCertainty::KnownWithStore | ClaimCertainty::Uncertain => Execution::Unknown,
+        }
+    }
+
+    pub(crate) fn store_claim(&mut self, now: MonoTime, key: &ClaimKey) -> Vec<ClaimAction> {
+        if !self.store_up {
+            return self.copy_claim(now, key);
+        }
+        let entry = self.entries.get_mut(key).expect("the claim was entered");
+        entry.state = EntryState::Storing;
+        vec![write_row(key, entry)]
+    }
+
+    /// Holds a claim at a second node, which proves nothing about claims that only the store knows.
+    fn copy_claim(&mut self, now: MonoTime, key: &ClaimKey) -> Vec<ClaimAction> {
+        let certain = self.certainty() == ClaimCertainty::Known;
+        let execution = self.execution_if_absent();
+        let entry = self.entries.get_mut(key).expect("the claim was entered");
+        let Some(to) = entry.copy.clone().filter(|_| certain) else {
+            entry.state = EntryState::Failed;
+            return vec![unavailable(key, &entry.ticket, execution)];
+        };
+        let limit = now + self.limits.copy_timeout;
+        entry.state = EntryState::Copying(limit);
+        self.copying.push_back((limit, key.clone()));
+        let message = ClaimMessage::Copy {
+            epoch: self.epoch,
+            key: key.clone(),
+            row: entry.row.clone(),
+        };
+        vec![ClaimAction::Send { to, message }]
+    }
+
+    /// Takes the outcome of [`ClaimAction::WriteRow`].
+    pub fn row_written(
+        &mut self,
+        now: MonoTime,
+        key: &ClaimKey,
+        outcome: RowWrite,
+    ) -> Vec<ClaimAction> {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return Vec::new();
+        };
+        let storing = matches!(entry.state, EntryState::Storing);
+        match outcome {
+            RowWrite::Committed if storing => entry.grant_stored(key),
+            RowWrite::Conflict | RowWrite::AnswerLost if storing => {
+                vec![ClaimAction::ReadBack { key: key.clone() }]
+            }
+            // A flushed claim is in the store, whoever wrote it: the id is spent there.
+            RowWrite::Committed | RowWrite::Conflict => {
+                entry.in_store = true;
+                Vec::new()
+            }
+            RowWrite::Unavailable | RowWrite::AnswerLost => {
+                self.store_up = false;
+                match storing {
+                    true => self.copy_claim(now, key),
+                    false => Vec::new(),
+                }
+            }
+        }
+    }
+
+    /// Takes the outcome of [`ClaimAction::ReadBack`].
+    pub fn row_read(
+        &mut self,
+        now: MonoTime,
+        key: &ClaimKey,
+        outcome: RowRead,
+    ) -> Vec<ClaimAction> {
+        let entry = self.entries.get_mut(key);
+        let Some(entry) = entry.filter(|entry| matches!(entry.state, EntryState::Storing)) else {
+            return Vec::new();
+        };
+        match outcome {
+            RowRead::Found(row) if row.ticket == entry.row.ticket => entry.grant_stored(key),
+            RowRead::Found(row) => {
+                let asked = entry.row.fingerprint;
+                entry.row = row;
+                entry.in_store = true;
+                entry.state = EntryState::Spent;
+                let first = match entry.row.fingerprint == asked {
+                    true => FirstClaim::Spent,
+                    false => FirstClaim::Reused,
+                };
+                vec![duplicate(key, &entry.ticket, first)]
+            }
+            RowRead::Absent => vec![write_row(key, entry)],
+            RowRead::Failed => {
+                self.store_up = false;
+                self.copy_claim(now, key)
+            }
+        }
+    }
+
+    pub(crate) fn copy(
+        &mut self,
+        now: MonoTime,
+        from: &NodeId,
+        epoch: Epoch,
+        key: ClaimKey,
+        row: ClaimRow,
+    ) -> Vec<ClaimAction> {
+        let ticket = row.ticket.clone();
+        let is_full = self.entries.len() >= self.limits.max_claims;
+        let held = self.entries.get(&key);
+        let keeps = match held {
+            _ if epoch != self.epoch => false,
+            Some(held) => held.row.ticket == ticket,
+            None => !is_full,
+        };
+        let message = match keeps {
+            true => ClaimMessage::CopyAck {
+                key: key.clone(),
+                ticket: ticket.clone(),
+            },
+            false => ClaimMessage::CopyRefused {
+                key: key.clone(),
+                ticket: ticket.clone(),
+            },
+        };
+        if keeps {
+            self.entries.entry(key).or_insert_with(|| ClaimEntry {
+                ticket,
+                row,
+                copy: None,
+                state: EntryState::Spent,
+                in_store: false,
+                since: now,
+            });
+        }
+        vec![ClaimAction::Send {
+            to: from.clone(),
+            message,
+        }]
+    }
+
+    pub(crate) fn copy_answered(
+        &mut self,
+        key: &ClaimKey,
+        ticket: &ClaimTicket,
+        kept: bool,
+    ) -> Vec<ClaimAction> {
+        let entry = self.entries.get_mut(key);
+        let copying = |entry: &&mut ClaimEntry| {
+            entry.row.ticket == *ticket && matches!(entry.state, EntryState::Copying(_))
+        };
+        let Some(entry) = entry.filter(copying) else {
+            return Vec::new();
+        };
+        match kept {
+            true => entry.grant(key),
+            false => {
+                entry.state = EntryState::Failed;
+                vec![unavailable(key, &entry.ticket, Execution::Unknown)]
+            }
+        }
+    }
+
+    pub(crate) fn end_copies(&mut self, now: MonoTime) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        while let Some((limit, key)) = self.copying.pop_front() {
+            if limit > now {
+                self.copying.push_front((limit, key));
+                break;
+            }
+            let entry = self.entries.get_mut(&key);
+            let is_late = |entry: &&mut ClaimEntry| matches!(entry.state, EntryState::Copying(at) if at == limit);
+            if let Some(entry) = entry.filter(is_late) {
+                entry.state = EntryState::Failed;
+                actions.push(unavailable(&key, &entry.ticket, Execution::NotRun));
+            }
+        }
+        actions
+    }
+
+    pub(crate) fn flush(&self) -> Vec<ClaimAction> {
+        let held = self.entries.iter().filter(|(_, entry)| entry.needs_flush());
+        let writes = held.map(|(key, entry)| write_row(key, entry));
+        writes.take(self.limits.flush_batch).collect()
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,7 +7,13 @@
 //! [docs/architecture.md](../../docs/architecture.md).
 
 pub mod budget;
+pub mod claim_action;
+pub mod claim_client;
+mod claim_durability;
+mod claim_entry;
 pub mod claim_log;
+pub mod claim_message;
+pub mod claim_takeover;
 pub mod config;
 pub mod crash_guard;
 pub mod detector;
--- /dev/null
+++ b/lib/tests/claim_fleet.rs
@@ -0,0 +1,460 @@
+//! A handful of claim logs joined by a queue that loses, repeats and reorders, for test_claims.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use damaskloom_lib::claim_action::{ClaimAction, ClaimLimits, RowRead, RowWrite};
+use damaskloom_lib::claim_client::{
+    ClaimClient, ClaimClientAction, ClaimDecision, ClaimHome, ClaimTimes,
+};
+use damaskloom_lib::claim_log::ClaimLog;
+use damaskloom_lib::claim_message::{
+    BodyFingerprint, ClaimKey, ClaimMessage, ClaimResult, ClaimRow, ClaimTicket, KeptAnswer,
+    RequestId,
+};
+use damaskloom_lib::ids::{DataCentreId, Epoch, Incarnation, NodeId};
+use damaskloom_lib::outcome::Execution;
+use damaskloom_lib::time::MonoTime;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const VMS: usize = 6;
+const DATA_CENTRES: usize = 3;
+const REQUESTS: usize = 3;
+
+pub fn node(vm: usize, incarnation: u64) -> NodeId {
+    NodeId {
+        vm: format!("vm{vm}")
+            .parse()
+            .expect("the name is an identifier"),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+pub fn data_centre(vm: usize) -> DataCentreId {
+    let name = format!("dc{}", vm % DATA_CENTRES);
+    name.parse().expect("the name is an identifier")
+}
+
+pub fn key(request: usize) -> ClaimKey {
+    ClaimKey {
+        customer: "acme".parse().expect("the name is an identifier"),
+        request_id: RequestId::try_from(format!("r{request}")).expect("the id is short"),
+    }
+}
+
+pub fn fingerprint(content: usize) -> BodyFingerprint {
+    BodyFingerprint::of([content.to_le_bytes().as_slice()])
+}
+
+type Member = (NodeId, usize);
+
+struct FleetNode {
+    id: NodeId,
+    vm: usize,
+    log: ClaimLog,
+    client: ClaimClient,
+    epoch: usize,
+    granted: Vec<(ClaimTicket, usize, usize)>,
+    asked: HashMap<ClaimTicket, (usize, usize)>,
+}
+
+enum StoreCall {
+    Write(NodeId, ClaimKey, ClaimRow),
+    Read(NodeId, ClaimKey),
+    Forget(ClaimKey),
+    /// A write whose answer was reported lost before it takes effect.
+    Late(ClaimKey, ClaimRow),
+}
+
+/// The fleet and its history.
+pub struct ClaimFleet {
+    rng: SmallRng,
+    /// The share of fault events that take place, in percent.
+    roughness: u32,
+    now: MonoTime,
+    nodes: Vec<Option<FleetNode>>,
+    starts: Vec<u64>,
+    epochs: Vec<Vec<Member>>,
+    network: Vec<(NodeId, NodeId, ClaimMessage)>,
+    store: BTreeMap<ClaimKey, ClaimRow>,
+    store_up: bool,
+    calls: Vec<StoreCall>,
+    first_sent: HashMap<usize, MonoTime>,
+    pub executions: HashMap<usize, Vec<usize>>,
+    pub false_not_run: u32,
+}
+
+impl ClaimFleet {
+    pub fn new(seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut fleet = Self {
+            roughness: rng.random_range(0..=100),
+            rng,
+            now: MonoTime::from_millis(1_000_000),
+            nodes: Vec::new(),
+            starts: vec![0; VMS],
+            epochs: Vec::new(),
+            network: Vec::new(),
+            store: BTreeMap::new(),
+            store_up: true,
+            calls: Vec::new(),
+            first_sent: HashMap::new(),
+            executions: HashMap::new(),
+            false_not_run: 0,
+        };
+        fleet.nodes = (0..VMS).map(|vm| Some(new_node(vm, 0))).collect();
+        fleet
+            .epochs
+            .push((0..VMS).map(|vm| (node(vm, 0), vm)).collect());
+        for vm in 0..VMS {
+            fleet.learn_epoch(vm);
+        }
+        fleet
+    }
+
+    /// Runs a history of random events and then lets what is under way come to rest.
+    pub fn run(&mut self, events: usize) {
+        for _ in 0..events {
+            self.random_event();
+        }
+        for _ in 0..40 {
+            self.advance(50);
+            while !self.network.is_empty() || !self.calls.is_empty() {
+                self.deliver();
+                self.store_call();
+            }
+            (0..VMS).for_each(|vm| self.run_granted(vm));
+        }
+    }
+
+    fn random_event(&mut self) {
+        let vm = self.rng.random_range(0..VMS);
+        match self.rng.random_range(0..100) {
+            0..10 => self.send(vm),
+            10..55 => self.deliver(),
+            55..75 => self.store_call(),
+            75..85 => self.run_granted(vm),
+            85..95 => {
+                let millis = self.rng.random_range(1..200);
+                self.advance(millis);
+            }
+            _ if self.rng.random_range(0..100) < self.roughness => self.fault(vm),
+            _ => self.learn_epoch(vm),
+        }
+    }
+
+    fn fault(&mut self, vm: usize) {
+        match self.rng.random_range(0..14) {
+            0..2 => self.crash(vm),
+            2..4 => self.restart(vm),
+            4..6 => self.change_epoch(),
+            6..9 => self.learn_epoch(vm),
+            9..11 => self.report_gone(vm),
+            11..13 => self.toggle_store(),
+            _ => {
+                let millis = self.rng.random_range(1_000..300_000);
+                self.advance(millis);
+            }
+        }
+    }
+
+    fn send(&mut self, vm: usize) {
+        let request = self.rng.random_range(0..REQUESTS);
+        let content = usize::from(self.rng.random_range(0..10) == 0);
+        let now = self.now;
+        let first = *self.first_sent.entry(request).or_insert(now);
+        // Devices resend for less than the time for which claims are kept.
+        if now.since(first) > ClaimLimits::default().retention / 3 {
+            return;
+        }
+        let Some(node) = &mut self.nodes[vm] else {
+            return;
+        };
+        let members = &self.epochs[node.epoch];
+        let place = place(node.epoch, members, request);
+        let (ticket, actions) = node
+            .client
+            .claim(now, key(request), fingerprint(content), place);
+        node.asked.insert(ticket, (request, content));
+        self.client_actions(vm, actions);
+    }
+
+    fn deliver(&mut self) {
+        if self.network.is_empty() {
+            return;
+        }
+        let place = self.rng.random_range(0..self.network.len());
+        let (from, to, message) = match self.rng.random_range(0..10) {
+            0 => {
+                self.network.swap_remove(place);
+                return;
+            }
+            1 => self.network[place].clone(),
+            _ => self.network.swap_remove(place),
+        };
+        let now = self.now;
+        let Some(vm) = self.vm_of(&to) else {
+            return;
+        };
+        let node = self.nodes[vm].as_mut().expect("the node lives");
+        let to_client = node.client.handle(now, message.clone());
+        let to_log = node.log.handle(now, &from, message);
+        self.client_actions(vm, to_client);
+        self.log_actions(vm, to_log);
+    }
+
+    fn vm_of(&self, id: &NodeId) -> Option<usize> {
+        self.nodes
+            .iter()
+            .position(|node| node.as_ref().is_some_and(|node| node.id == *id))
+    }
+
+    fn client_actions(&mut self, vm: usize, actions: Vec<ClaimClientAction>) {
+        for action in actions {
+            let node = self.nodes[vm].as_mut().expect("the node lives");
+            match action {
+                ClaimClientAction::Send { to, message } => {
+                    self.network.push((node.id.clone(), to, message));
+                }
+                ClaimClientAction::Decide { ticket, decision } => {
+                    let (request, content) = node.asked[&ticket];
+                    match decision {
+                        ClaimDecision::Run => node.granted.push((ticket, request, content)),
+                        ClaimDecision::Refuse(_) | ClaimDecision::Answer(_) => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn log_actions(&mut self, vm: usize, actions: Vec<ClaimAction>) {
+        for action in actions {
+            let node = self.nodes[vm].as_ref().expect("the node lives");
+            let id = node.id.clone();
+            match action {
+                ClaimAction::Send { to, message } => {
+                    self.check_not_run(&message);
+                    self.network.push((id, to, message));
+                }
+                ClaimAction::WriteRow { key, row } => {
+                    self.calls.push(StoreCall::Write(id, key, row));
+                }
+                ClaimAction::ReadBack { key } => self.calls.push(StoreCall::Read(id, key)),
+                ClaimAction::ForgetRow { key } => self.calls.push(StoreCall::Forget(key)),
+                ClaimAction::HandOver { to } => {
+                    let members = &self.epochs[node.epoch];
+                    let epoch = node.epoch;
+                    let message = node.log.handover(self.now, |held| {
+                        (0..REQUESTS).any(|request| {
+                            *held == key(request) && place(epoch, members, request).home == to
+                        })
+                    });
+                    self.network.push((id, to, message));
+                }
+            }
+        }
+    }
+
+    /// Counts a refusal as not run whose request had run when its home refused it.
+    fn check_not_run(&mut self, message: &ClaimMessage) {
+        let ClaimMessage::Unavailable {
+            key: refused,
+            execution: Execution::NotRun,
+            ..
+        } = message
+        else {
+            return;
+        };
+        let ran = self
+            .executions
+            .keys()
+            .any(|request| key(*request) == *refused);
+        self.false_not_run += u32::from(ran);
+    }
+
+    fn store_call(&mut self) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let place = self.rng.random_range(0..self.calls.len());
+        let luck = self.rng.random_range(0..10);
+        match self.calls.swap_remove(place) {
+            StoreCall::Write(id, key, row) => {
+                let outcome = self.write_row(&key, row, luck);
+                if let Some(vm) = self.vm_of(&id) {
+                    let node = self.nodes[vm].as_mut().expect("the node lives");
+                    let actions = node.log.row_written(self.now, &key, outcome);
+                    self.log_actions(vm, actions);
+                }
+            }
+            StoreCall::Read(id, key) => {
+                let outcome = match (self.store_up && luck > 0, self.store.get(&key)) {
+                    (false, _) => RowRead::Failed,
+                    (true, Some(row)) => RowRead::Found(row.clone()),
+                    (true, None) => RowRead::Absent,
+                };
+                if let Some(vm) = self.vm_of(&id) {
+                    let node = self.nodes[vm].as_mut().expect("the node lives");
+                    let actions = node.log.row_read(self.now, &key, outcome);
+                    self.log_actions(vm, actions);
+                }
+            }
+            StoreCall::Forget(key) if self.store_up => {
+                self.store.remove(&key);
+            }
+            StoreCall::Forget(_) => {}
+            StoreCall::Late(key, row) => {
+                self.store.entry(key).or_insert(row);
+            }
+        }
+    }
+
+    fn write_row(&mut self, key: &ClaimKey, row: ClaimRow, luck: u32) -> RowWrite {
+        if !self.store_up {
+            return RowWrite::Unavailable;
+        }
+        if luck == 0 {
+            self.calls.push(StoreCall::Late(key.clone(), row));
+            return RowWrite::AnswerLost;
+        }
+        let outcome = match self.store.contains_key(key) {
+            true => RowWrite::Conflict,
+            false => RowWrite::Committed,
+        };
+        self.store.entry(key.clone()).or_insert(row);
+        match luck {
+            1 | 2 => RowWrite::AnswerLost,
+            _ => outcome,
+        }
+    }
+
+    fn run_granted(&mut self, vm: usize) {
+        let luck = self.rng.random_range(0..10);
+        let Some(node) = &mut self.nodes[vm] else {
+            return;
+        };
+        let Some((ticket, request, content)) = node.granted.pop() else {
+            return;
+        };
+        let runs = luck > 1 && node.client.may_run(self.now, &ticket);
+        let result = match (runs, luck) {
+            (false, _) => ClaimResult::NotRun,
+            (true, 2 | 3) => ClaimResult::Unknown,
+            (true, _) => ClaimResult::Answered(KeptAnswer {
+                status: 200,
+                headers: Vec::new(),
+                body: "booked".into(),
+            }),
+        };
+        if runs {
+            self.executions.entry(request).or_default().push(content);
+        }
+        let actions = node.client.complete(self.now, &ticket, result);
+        self.client_actions(vm, actions);
+    }
+
+    fn crash(&mut self, vm: usize) {
+        self.nodes[vm] = None;
+    }
+
+    fn restart(&mut self, vm: usize) {
+        if self.nodes[vm].is_none() {
+            self.starts[vm] += 1;
+            let mut node = new_node(vm, self.starts[vm]);
+            node.epoch = self.epochs.len() - 1;
+            self.nodes[vm] = Some(node);
+        }
+    }
+
+    /// Writes a new assignment, which needs the store.
+    fn change_epoch(&mut self) {
+        let live: Vec<Member> = self
+            .nodes
+            .iter()
+            .flatten()
+            .map(|node| (node.id.clone(), node.vm))
+            .collect();
+        if self.store_up && !live.is_empty() {
+            self.epochs.push(live);
+        }
+    }
+
+    fn learn_epoch(&mut self, vm: usize) {
+        let latest = self.epochs.len() - 1;
+        let Some(node) = &mut self.nodes[vm] else {
+            return;
+        };
+        if !self.epochs[latest].iter().any(|(id, _)| *id == node.id) {
+            return;
+        }
+        // The epoch before the first has no members.
+        let sources: Vec<_> = match latest {
+            0 => Vec::new(),
+            _ => self.epochs[node.epoch.min(latest - 1)..latest].concat(),
+        };
+        let sources = sources.into_iter().filter(|(id, _)| *id != node.id);
+        let sources = sources.map(|(id, vm)| (id, data_centre(vm)));
+        let epoch = Epoch(latest as u64 + 1);
+        node.epoch = latest;
+        let actions = node.log.enter_epoch(self.now, epoch, sources);
+        self.log_actions(vm, actions);
+    }
+
+    fn report_gone(&mut self, vm: usize) {
+        let members: Vec<Member> = self.epochs.concat();
+        let gone = members.iter().filter(|(id, _)| self.vm_of(id).is_none());
+        let gone: Vec<NodeId> = gone.map(|(id, _)| id.clone()).collect();
+        if let Some(node) = &mut self.nodes[vm] {
+            gone.iter()
+                .for_each(|id| node.log.source_gone(self.now, id));
+        }
+    }
+
+    fn toggle_store(&mut self) {
+        self.store_up = !self.store_up;
+        if self.store_up {
+            let nodes = self.nodes.iter_mut().flatten();
+            nodes.for_each(|node| node.log.store_recovered());
+        }
+    }
+
+    fn advance(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+        for vm in 0..VMS {
+            // A node that is paused does not tick.
+            let is_paused = self.rng.random_range(0..5) == 0;
+            if let Some(node) = self.nodes[vm].as_mut().filter(|_| !is_paused) {
+                let to_client = node.client.tick(self.now);
+                let to_log = node.log.tick(self.now);
+                self.client_actions(vm, to_client);
+                self.log_actions(vm, to_log);
+            }
+        }
+    }
+}
+
+fn new_node(vm: usize, incarnation: u64) -> FleetNode {
+    let id = node(vm, incarnation);
+    FleetNode {
+        log: ClaimLog::new(id.clone(), ClaimLimits::default()),
+        client: ClaimClient::new(id.clone(), ClaimTimes::default()),
+        id,
+        vm,
+        epoch: 0,
+        granted: Vec::new(),
+        asked: HashMap::new(),
+    }
+}
+
+fn place(epoch: usize, members: &[Member], request: usize) -> ClaimHome {
+    let first = (request * 7 + epoch) % members.len();
+    let (home, home_vm) = &members[first];
+    let others = members.iter().cycle().skip(first).take(members.len());
+    let mut others = others.filter(|(_, vm)| data_centre(*vm) != data_centre(*home_vm));
+    ClaimHome {
+        epoch: Epoch(epoch as u64 + 1),
+        home: home.clone(),
+        copy: others.next().map(|(id, _)| id.clone()),
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! All tests of the crate, one module a subject.
 
+mod claim_fleet;
 mod test_claims;
 mod test_configuration;
 mod test_crash_guard;
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -1,1 +1,314 @@
-//! Placeholder.
+//! A request id runs at most once, whatever happens to gateways, homes and the store.
+
+use std::time::Duration;
+
+use damaskloom_lib::claim_action::{ClaimAction, ClaimLimits, RowRead, RowWrite};
+use damaskloom_lib::claim_client::{
+    ClaimClient, ClaimClientAction, ClaimDecision, ClaimHome, ClaimTimes,
+};
+use damaskloom_lib::claim_log::ClaimLog;
+use damaskloom_lib::claim_message::{
+    ClaimMessage, ClaimResult, ClaimTicket, FirstClaim, KeptAnswer,
+};
+use damaskloom_lib::claim_takeover::ClaimCertainty;
+use damaskloom_lib::ids::{Epoch, NodeId};
+use damaskloom_lib::outcome::Execution;
+use damaskloom_lib::time::MonoTime;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+use crate::claim_fleet::{ClaimFleet, data_centre, fingerprint, key, node};
+
+const HISTORIES: u32 = 10_000;
+const EVENTS: usize = 200;
+
+#[test]
+fn no_history_runs_a_request_twice() {
+    let config = Config {
+        cases: HISTORIES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
+    let mut ran = 0;
+    let outcome = TestRunner::new_with_rng(config, rng).run(&proptest::num::u64::ANY, |seed| {
+        let mut fleet = ClaimFleet::new(seed);
+        fleet.run(EVENTS);
+        let most = fleet.executions.values().map(Vec::len).max();
+        proptest::prop_assert!(most.unwrap_or(0) <= 1, "{:?}", fleet.executions);
+        proptest::prop_assert_eq!(fleet.false_not_run, 0);
+        Ok(())
+    });
+    outcome.expect("no request runs twice");
+    for seed in 0..100 {
+        let mut fleet = ClaimFleet::new(seed);
+        fleet.run(EVENTS);
+        ran += fleet.executions.len();
+    }
+    assert!(
+        ran > 100,
+        "the histories prove little if hardly anything runs: {ran}"
+    );
+}
+
+const NOW: MonoTime = MonoTime::from_millis(1_000_000);
+
+fn later(millis: u64) -> MonoTime {
+    NOW + Duration::from_millis(millis)
+}
+
+/// A home that knows all claims, and a gateway's ticket.
+fn home() -> (ClaimLog, NodeId) {
+    home_with(ClaimLimits::default())
+}
+
+fn home_with(limits: ClaimLimits) -> (ClaimLog, NodeId) {
+    let mut log = ClaimLog::new(node(0, 0), limits);
+    log.enter_epoch(NOW, Epoch(1), []);
+    (log, node(1, 0))
+}
+
+fn ticket(number: u64) -> ClaimTicket {
+    ClaimTicket {
+        holder: node(1, 0),
+        number,
+    }
+}
+
+fn claim(number: u64, content: usize) -> ClaimMessage {
+    ClaimMessage::Claim {
+        epoch: Epoch(1),
+        key: key(0),
+        ticket: ticket(number),
+        fingerprint: fingerprint(content),
+        copy: Some(node(2, 0)),
+    }
+}
+
+fn messages(actions: Vec<ClaimAction>) -> Vec<ClaimMessage> {
+    let sent = actions.into_iter().map(|action| match action {
+        ClaimAction::Send { message, .. } => message,
+        other => panic!("no message: {other:?}"),
+    });
+    sent.collect()
+}
+
+fn granted(number: u64) -> Vec<ClaimMessage> {
+    vec![ClaimMessage::Granted {
+        key: key(0),
+        ticket: ticket(number),
+    }]
+}
+
+fn duplicate(number: u64, first: FirstClaim) -> Vec<ClaimMessage> {
+    vec![ClaimMessage::Duplicate {
+        key: key(0),
+        ticket: ticket(number),
+        first,
+    }]
+}
+
+fn unavailable(number: u64, execution: Execution) -> Vec<ClaimMessage> {
+    vec![ClaimMessage::Unavailable {
+        key: key(0),
+        ticket: ticket(number),
+        execution,
+    }]
+}
+
+fn complete(log: &mut ClaimLog, from: &NodeId, number: u64, result: ClaimResult) {
+    let message = ClaimMessage::Complete {
+        key: key(0),
+        ticket: ticket(number),
+        result,
+    };
+    log.handle(NOW, from, message);
+}
+
+fn answer(size: usize) -> KeptAnswer {
+    KeptAnswer {
+        status: 201,
+        headers: Vec::new(),
+        body: vec![b'x'; size].into(),
+    }
+}
+
+#[test]
+fn a_resend_gets_the_kept_answer_and_a_large_one_is_spent() {
+    for (size, first) in [
+        (100, FirstClaim::Answered(answer(100))),
+        (100_000, FirstClaim::Spent),
+    ] {
+        let (mut log, gateway) = home();
+        log.handle(NOW, &gateway, claim(1, 0));
+        let told = log.row_written(NOW, &key(0), RowWrite::Committed);
+        assert_eq!(messages(told), granted(1));
+        let busy = log.handle(NOW, &gateway, claim(2, 0));
+        assert_eq!(messages(busy), duplicate(2, FirstClaim::Busy));
+        complete(&mut log, &gateway, 1, ClaimResult::Answered(answer(size)));
+        let told = log.handle(NOW, &gateway, claim(3, 0));
+        assert_eq!(messages(told), duplicate(3, first));
+        let other = log.handle(NOW, &gateway, claim(4, 1));
+        assert_eq!(messages(other), duplicate(4, FirstClaim::Reused));
+    }
+}
+
+#[test]
+fn a_request_that_did_not_run_may_be_claimed_again() {
+    let (mut log, gateway) = home();
+    log.handle(NOW, &gateway, claim(1, 0));
+    log.row_written(NOW, &key(0), RowWrite::Committed);
+    complete(&mut log, &gateway, 1, ClaimResult::NotRun);
+    assert_eq!(messages(log.handle(NOW, &gateway, claim(2, 0))), granted(2));
+}
+
+#[test]
+fn a_lost_write_is_read_back_before_anything_runs() {
+    let (mut log, gateway) = home();
+    let wanted = log.handle(NOW, &gateway, claim(1, 0));
+    let [ClaimAction::WriteRow { row, .. }] = wanted.as_slice() else {
+        panic!("the claim is written first: {wanted:?}");
+    };
+    let told = log.row_written(NOW, &key(0), RowWrite::AnswerLost);
+    assert_eq!(told, [ClaimAction::ReadBack { key: key(0) }]);
+    let mut other = log.clone();
+    let own = log.row_read(NOW, &key(0), RowRead::Found(row.clone()));
+    assert_eq!(messages(own), granted(1));
+    let mut foreign = row.clone();
+    foreign.ticket = ticket(77);
+    let told = other.row_read(NOW, &key(0), RowRead::Found(foreign));
+    assert_eq!(messages(told), duplicate(1, FirstClaim::Spent));
+}
+
+#[test]
+fn without_the_store_a_second_data_centre_must_hold_the_claim() {
+    let (mut log, gateway) = home();
+    log.handle(NOW, &gateway, claim(1, 0));
+    let asked = log.row_written(NOW, &key(0), RowWrite::Unavailable);
+    let asked = messages(asked);
+    assert!(
+        matches!(asked[..], [ClaimMessage::Copy { .. }]),
+        "{asked:?}"
+    );
+    let mut silent = log.clone();
+    let ack = ClaimMessage::CopyAck {
+        key: key(0),
+        ticket: ticket(1),
+    };
+    assert_eq!(messages(log.handle(NOW, &node(2, 0), ack)), granted(1));
+    let told = messages(silent.tick(later(250)));
+    assert_eq!(told, unavailable(1, Execution::NotRun));
+
+    log.store_recovered();
+    let flushed = log.tick(later(1_000));
+    assert!(
+        matches!(flushed[..], [ClaimAction::WriteRow { .. }]),
+        "{flushed:?}"
+    );
+    log.row_written(later(1_000), &key(0), RowWrite::Committed);
+    assert_eq!(log.tick(later(2_000)), []);
+}
+
+#[test]
+fn a_copy_holder_of_a_later_epoch_refuses() {
+    let (mut log, gateway) = home();
+    log.handle(NOW, &gateway, claim(1, 0));
+    let asked = messages(log.row_written(NOW, &key(0), RowWrite::Unavailable));
+    let mut holder = ClaimLog::new(node(2, 0), ClaimLimits::default());
+    holder.enter_epoch(NOW, Epoch(2), []);
+    let told = messages(holder.handle(NOW, &node(0, 0), asked[0].clone()));
+    let told = messages(log.handle(NOW, &node(2, 0), told[0].clone()));
+    assert_eq!(told, unavailable(1, Execution::Unknown));
+}
+
+#[test]
+fn a_home_that_may_have_forgotten_says_unknown() {
+    let mut log = ClaimLog::new(node(0, 1), ClaimLimits::default());
+    let sources = [0, 1, 2, 3].map(|vm| (node(vm, 0), data_centre(vm)));
+    log.enter_epoch(NOW, Epoch(1), sources);
+    assert_eq!(log.certainty(), ClaimCertainty::Uncertain);
+    let told = log.handle(NOW, &node(1, 0), claim(1, 0));
+    assert_eq!(messages(told), unavailable(1, Execution::Unknown));
+
+    for vm in [1, 2] {
+        let handover = ClaimMessage::Handover {
+            epoch: Epoch(1),
+            claims: Vec::new(),
+            gone: Vec::new(),
+        };
+        log.handle(NOW, &node(vm, 0), handover);
+    }
+    // Both are of one data centre, so that they cannot have held a claim alone.
+    log.source_gone(NOW, &node(0, 0));
+    log.source_gone(NOW, &node(3, 0));
+    assert_eq!(log.certainty(), ClaimCertainty::KnownWithStore);
+    log.handle(NOW, &node(1, 0), claim(2, 0));
+    let told = log.row_written(NOW, &key(0), RowWrite::Unavailable);
+    assert_eq!(messages(told), unavailable(2, Execution::Unknown));
+    log.tick(later(600_000));
+    assert_eq!(log.certainty(), ClaimCertainty::Known);
+}
+
+#[test]
+fn a_full_log_refuses_and_forgets_nothing() {
+    let (mut log, gateway) = home_with(ClaimLimits {
+        max_claims: 1,
+        ..ClaimLimits::default()
+    });
+    log.handle(NOW, &gateway, claim(1, 0));
+    log.row_written(NOW, &key(0), RowWrite::Committed);
+    let second = ClaimMessage::Claim {
+        epoch: Epoch(1),
+        key: key(1),
+        ticket: ticket(2),
+        fingerprint: fingerprint(0),
+        copy: None,
+    };
+    let told = messages(log.handle(NOW, &gateway, second));
+    let expected = ClaimMessage::Unavailable {
+        key: key(1),
+        ticket: ticket(2),
+        execution: Execution::NotRun,
+    };
+    assert_eq!(told, [expected]);
+    let first = messages(log.handle(NOW, &gateway, claim(3, 0)));
+    assert_eq!(first, duplicate(3, FirstClaim::Busy));
+    let expired = log.tick(later(600_000));
+    assert_eq!(expired, [ClaimAction::ForgetRow { key: key(0) }]);
+    assert!(log.is_empty());
+}
+
+#[test]
+fn answers_are_kept_up_to_a_bound() {
+    let (mut log, gateway) = home_with(ClaimLimits {
+        max_kept_bytes: 50,
+        ..ClaimLimits::default()
+    });
+    log.handle(NOW, &gateway, claim(1, 0));
+    log.row_written(NOW, &key(0), RowWrite::Committed);
+    complete(&mut log, &gateway, 1, ClaimResult::Answered(answer(51)));
+    let told = messages(log.handle(NOW, &gateway, claim(2, 0)));
+    assert_eq!(told, duplicate(2, FirstClaim::Spent));
+}
+
+#[test]
+fn a_gateway_that_was_paused_does_not_run_an_old_grant() {
+    let mut client = ClaimClient::new(node(1, 0), ClaimTimes::default());
+    let place = ClaimHome {
+        epoch: Epoch(1),
+        home: node(0, 0),
+        copy: None,
+    };
+    let (ticket, _) = client.claim(NOW, key(0), fingerprint(0), place);
+    let granted = ClaimMessage::Granted {
+        key: key(0),
+        ticket: ticket.clone(),
+    };
+    let decided = client.handle(later(10), granted);
+    let run = ClaimClientAction::Decide {
+        ticket: ticket.clone(),
+        decision: ClaimDecision::Run,
+    };
+    assert_eq!(decided, [run]);
+    assert!(client.may_run(later(29_999), &ticket));
+    assert!(!client.may_run(later(30_000), &ticket));
+}
