--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! All tests of the crate, one module a subject.
 
+mod claim_fleet;
 mod seeded_run;
 mod share_fleet;
 mod test_claims;
