detection: test rejections apart from failures

One chart for both made good answers weigh double against the suspicion: 5% errors were never found and a target that answered every request with a caller's error was not accused. Rejections now have their own scores.

--- a/lib/benches/detection.rs
+++ b/lib/benches/detection.rs
@@ -1,3 +1,205 @@
-//! Measures detection.
+//! Measures detection, wrong ejections and the cost of decisions, ours beside the baseline.
 
-fn main() {}
+mod support;
+
+use std::time::Duration;
+
+use damaskloom_lib::config::{DetectionMode, PolicyMode};
+use damaskloom_lib::time::MonoTime;
+use support::fault::{FaultMode, TargetFault};
+use support::fleet::{Fleet, FleetOptions};
+
+const WARM_UP_S: u64 = 10;
+const FAULT_S: u64 = 30;
+const THREADS: usize = 4;
+
+#[derive(Clone, Copy)]
+struct Deployment {
+    name: &'static str,
+    targets: usize,
+    slots: usize,
+    floor: u32,
+    mode: DetectionMode,
+}
+
+const DEPLOYMENTS: [Deployment; 2] = [
+    Deployment {
+        name: "khovsgol/convoy-desk",
+        targets: 30,
+        slots: 2,
+        floor: 24,
+        mode: DetectionMode::Fast,
+    },
+    Deployment {
+        name: "mtkvari/hiredesk",
+        targets: 25,
+        slots: 4,
+        floor: 20,
+        mode: DetectionMode::Careful,
+    },
+];
+
+fn options(deployment: Deployment, nodes: usize, policy: PolicyMode, seed: u64) -> FleetOptions {
+    FleetOptions {
+        nodes,
+        targets: deployment.targets,
+        slots: deployment.slots,
+        floor: deployment.floor,
+        mode: deployment.mode,
+        policy,
+        load: 0.6,
+        seed,
+    }
+}
+
+struct DetectionRun {
+    detected_after: Option<Duration>,
+    wrong: u64,
+    failed_share: f64,
+}
+
+fn detect(options: FleetOptions, modes: &[FaultMode]) -> DetectionRun {
+    let seed = options.seed as usize;
+    let count = options.targets;
+    let mut fleet = Fleet::new(options);
+    let from = MonoTime::from_millis(WARM_UP_S * 1_000 + (seed as u64 * 37) % 500);
+    let until = from + Duration::from_secs(FAULT_S);
+    fleet.faults = modes
+        .iter()
+        .enumerate()
+        .map(|(index, mode)| TargetFault {
+            target: (seed + index * 7) % count,
+            mode: *mode,
+            from,
+            until,
+        })
+        .collect();
+    fleet.run_until(from);
+    let before = fleet.tally.clone();
+    let target = fleet.faults[0].target;
+    let out_at = fleet.run_until_out(target, until);
+    if out_at.is_some() {
+        fleet.run_until(until);
+    }
+    for (at, target, cause) in &fleet.tally.wrong_causes {
+        eprintln!("wrong: seed {seed} at {at} target {target} for {cause}");
+    }
+    let requests = fleet.tally.requests - before.requests;
+    DetectionRun {
+        detected_after: out_at.map(|at| at.since(from)),
+        wrong: fleet.tally.wrong_ejections - before.wrong_ejections,
+        failed_share: (fleet.tally.failed - before.failed) as f64 / requests as f64,
+    }
+}
+
+fn in_parallel<T: Send>(count: usize, run: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let results = std::sync::Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let index = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    if index >= count {
+                        break;
+                    }
+                    let result = run(index as u64);
+                    results.lock().expect("no run panics").push(result);
+                }
+            });
+        }
+    });
+    results.into_inner().expect("no run panics")
+}
+
+fn seconds(sorted: &[Duration], quantile: f64, runs: usize) -> String {
+    let rank = ((runs as f64 * quantile) as usize).min(runs - 1);
+    match sorted.get(rank) {
+        Some(time) => format!("{:.2}", time.as_secs_f64()),
+        None => format!(">{FAULT_S}"),
+    }
+}
+
+fn measure_detection(runs: usize, nodes: usize) {
+    let cases: [(&str, &[FaultMode]); 8] = [
+        ("errors 50%", &[FaultMode::Errors(0.5)]),
+        ("hang", &[FaultMode::Hang]),
+        ("10x slow", &[FaultMode::Slow(10.0)]),
+        ("errors 20%", &[FaultMode::Errors(0.2)]),
+        ("errors 5%", &[FaultMode::Errors(0.05)]),
+        ("wrong status", &[FaultMode::WrongStatus]),
+        ("slow route", &[FaultMode::SlowRoute(10.0)]),
+        ("50% + hang", &[FaultMode::Errors(0.5), FaultMode::Hang]),
+    ];
+    println!("detection to fleet-wide ejection, {nodes} nodes, load 60%, {runs} runs each");
+    println!(
+        "{:<22}{:<14}{:<10}{:>9}{:>9}{:>10}{:>8}{:>12}",
+        "deployment", "fault", "policy", "median s", "p99 s", "detected", "wrong", "failed %"
+    );
+    for deployment in DEPLOYMENTS {
+        for (name, modes) in cases {
+            for policy in [PolicyMode::Adaptive, PolicyMode::Baseline] {
+                let results = in_parallel(runs, |seed| {
+                    detect(options(deployment, nodes, policy, seed), modes)
+                });
+                let mut times: Vec<Duration> = results
+                    .iter()
+                    .filter_map(|run| run.detected_after)
+                    .collect();
+                times.sort_unstable();
+                let wrong: u64 = results.iter().map(|run| run.wrong).sum();
+                let failed: f64 =
+                    results.iter().map(|run| run.failed_share).sum::<f64>() / runs as f64;
+                println!(
+                    "{:<22}{:<14}{:<10}{:>9}{:>9}{:>10}{:>8}{:>12.3}",
+                    deployment.name,
+                    name,
+                    format!("{policy:?}"),
+                    seconds(&times, 0.5, runs),
+                    seconds(&times, 0.99, runs),
+                    format!("{}/{runs}", times.len()),
+                    wrong,
+                    failed * 100.0
+                );
+            }
+        }
+    }
+}
+
+fn measure_calm(hours: f64, nodes: usize) {
+    const RUN_MINUTES: u64 = 10;
+    println!("healthy targets ejected on calm virtual time, {nodes} nodes, load 60%");
+    for deployment in DEPLOYMENTS {
+        let runs = (hours * 60.0 / RUN_MINUTES as f64 / deployment.targets as f64).ceil() as usize;
+        for policy in [PolicyMode::Adaptive, PolicyMode::Baseline] {
+            let results = in_parallel(runs, |seed| {
+                let mut fleet = Fleet::new(options(deployment, nodes, policy, 1_000 + seed));
+                fleet.run_until(MonoTime::from_millis(RUN_MINUTES * 60_000));
+                fleet.tally.wrong_ejections
+            });
+            let target_hours = (runs * deployment.targets) as f64 * RUN_MINUTES as f64 / 60.0;
+            println!(
+                "{:<22}{:<10} target-hours {target_hours:.0}, ejected {}",
+                deployment.name,
+                format!("{policy:?}"),
+                results.iter().sum::<u64>()
+            );
+        }
+    }
+}
+
+fn main() {
+    let setting = |name: &str, default: f64| {
+        std::env::var(name)
+            .ok()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(default)
+    };
+    let runs = setting("DETECTION_RUNS", 20.0) as usize;
+    let hours = setting("CALM_TARGET_HOURS", 10.0);
+    let nodes = setting("NODES", 48.0) as usize;
+    measure_detection(runs, nodes);
+    if hours > 0.0 {
+        measure_calm(hours, nodes);
+    }
+}
--- /dev/null
+++ b/lib/benches/support/mod.rs
@@ -0,0 +1,5 @@
+//! A few nodes' state machines on virtual time, for the benchmarks and tests of detection.
+
+pub mod fault;
+pub mod fleet;
+pub mod stand_in_target;
--- a/lib/src/detector.rs
+++ b/lib/src/detector.rs
@@ -202,6 +202,7 @@
             good: tally.good,
             failed: tally.failed,
             silent: tally.silent,
+            rejected: tally.rejected,
             slow: tally.slow,
             shed: tally.shed,
             reach: judged.chart.reach(now),
@@ -272,7 +273,7 @@
 
 fn verdict_below_alarm(judged: &JudgedTarget) -> TargetVerdict {
     let tally = judged.chart.tally();
-    let answered = tally.good + tally.slow + tally.failed + tally.shed;
+    let answered = tally.good + tally.rejected + tally.slow + tally.failed + tally.shed;
     if tally.shed >= MIN_OVERLOAD_SHEDS && tally.shed >= answered * OVERLOAD_SHARE {
         return TargetVerdict::Overloaded;
     }
--- a/lib/src/evidence.rs
+++ b/lib/src/evidence.rs
@@ -26,7 +26,7 @@
 /// The number of nodes that pool the evidence of one service.
 pub const JUDGE_COUNT: usize = 3;
 
-const ASSUMED_FAILURE_RATE: f32 = 0.01;
+const ASSUMED_FAILURE_RATE: f32 = 0.005;
 const ASSUMED_REJECTION_RATE: f32 = 0.02;
 const ASSUMED_SLOW_RATE: f32 = 0.02;
 const MAX_CUSTOMERS: usize = 512;
@@ -113,7 +113,7 @@
     pub target: TargetId,
     /// The route.
     pub route: RouteId,
-    /// The answers that were neither failures nor slow.
+    /// The answers that were neither failures nor rejections nor slow.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub good: u32,
     /// The failures that the target answered with.
@@ -125,6 +125,9 @@
     /// The slow answers.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub slow: u32,
+    /// The requests that the target blamed on the caller.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub rejected: u32,
     /// The requests that the target shed.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub shed: u32,
@@ -134,6 +137,9 @@
     /// The scores of failures, in thousandths of a nat: strong, weak.
     #[serde(default, skip_serializing_if = "is_zero_pair")]
     pub failure_millinats: [i32; 2],
+    /// The scores of rejections, in thousandths of a nat: strong, weak.
+    #[serde(default, skip_serializing_if = "is_zero_pair")]
+    pub rejection_millinats: [i32; 2],
     /// The scores of slow answers, in thousandths of a nat: strong, weak.
     #[serde(default, skip_serializing_if = "is_zero_pair")]
     pub slowness_millinats: [i32; 2],
@@ -211,8 +217,9 @@
 
 #[derive(Debug, Default)]
 struct EntryDraft {
-    counts: [u32; 6],
+    counts: [u32; 7],
     failure: ScorePair,
+    rejection: ScorePair,
     slowness: ScorePair,
 }
 
@@ -222,6 +229,7 @@
 const SLOW: usize = 3;
 const SHED: usize = 4;
 const PROBES_FAILED: usize = 5;
+const REJECTED: usize = 6;
 
 #[derive(Debug)]
 struct RouteYardstick {
@@ -434,7 +442,7 @@
             _ if outcome.is_silent() && self.is_excused(now, &scope.target) => return None,
             _ => {}
         }
-        let failure = self.test_failure(scope, outcome);
+        let (failure, rejection) = self.test_failure(scope, outcome);
         let (slow, slowness) = match timing {
             AnswerTiming::KnownLate => (true, ScorePair::default()),
             AnswerTiming::Untested(latency) if outcome == AttemptOutcome::Good => {
@@ -444,10 +452,12 @@
         };
         let draft = self.draft(&scope.target, &scope.route);
         draft.failure.add(failure);
+        draft.rejection.add(rejection);
         draft.slowness.add(slowness);
         let class = match outcome {
             _ if outcome.is_silent() => SILENT,
             AttemptOutcome::Failed => FAILED,
+            AttemptOutcome::Rejected => REJECTED,
             _ if slow => SLOW,
             _ => GOOD,
         };
@@ -456,7 +466,7 @@
             target: scope.target.clone(),
             outcome: Some(outcome),
             slow,
-            score: failure.strong + slowness.strong,
+            score: failure.strong + rejection.strong + slowness.strong,
         })
     }
 
@@ -464,24 +474,28 @@
         self.excused.get(target).is_some_and(|until| now < *until)
     }
 
-    /// Tests for a failure first and, given none, for a rejection, so that the two likelihood
-    /// ratios multiply to one.
-    fn test_failure(&mut self, scope: &AttemptScope, outcome: AttemptOutcome) -> ScorePair {
+    /// Tests for a failure and, given none, for a rejection.
+    fn test_failure(
+        &mut self,
+        scope: &AttemptScope,
+        outcome: AttemptOutcome,
+    ) -> (ScorePair, ScorePair) {
         let customer = bounded_entry(&mut self.customers, &scope.customer, MAX_CUSTOMERS);
         let route = bounded_entry(&mut self.routes, &scope.route, MAX_ROUTES);
         let failed = outcome.is_failure();
         let null_rate = customer.failures.rate().max(route.failures.rate());
-        let mut scores = ScorePair::of(null_rate, failed);
+        let failure = ScorePair::of(null_rate, failed);
         customer.failures.record(failed);
         route.failures.record(failed);
-        if !failed {
-            let rejected = outcome == AttemptOutcome::Rejected;
-            let null_rate = customer.rejections.rate().max(route.rejections.rate());
-            scores.add(ScorePair::of(null_rate, rejected));
-            customer.rejections.record(rejected);
-            route.rejections.record(rejected);
+        if failed {
+            return (failure, ScorePair::default());
         }
-        scores
+        let rejected = outcome == AttemptOutcome::Rejected;
+        let null_rate = customer.rejections.rate().max(route.rejections.rate());
+        let rejection = ScorePair::of(null_rate, rejected);
+        customer.rejections.record(rejected);
+        route.rejections.record(rejected);
+        (failure, rejection)
     }
 
     fn test_latency(&mut self, route: &RouteId, latency: Duration) -> (bool, ScorePair) {
@@ -543,9 +557,11 @@
         failed: draft.counts[FAILED],
         silent: draft.counts[SILENT],
         slow: draft.counts[SLOW],
+        rejected: draft.counts[REJECTED],
         shed: draft.counts[SHED],
         probes_failed: draft.counts[PROBES_FAILED],
         failure_millinats: millinats_of(draft.failure),
+        rejection_millinats: millinats_of(draft.rejection),
         slowness_millinats: millinats_of(draft.slowness),
     }
 }
--- a/lib/src/target_chart.rs
+++ b/lib/src/target_chart.rs
@@ -35,6 +35,8 @@
     pub failed: f32,
     /// The attempts without an answer.
     pub silent: f32,
+    /// The requests that the target blamed on the caller.
+    pub rejected: f32,
     /// The slow answers.
     pub slow: f32,
     /// The shed requests.
@@ -52,6 +54,7 @@
             &mut self.good,
             &mut self.failed,
             &mut self.silent,
+            &mut self.rejected,
             &mut self.slow,
             &mut self.shed,
             &mut self.probes,
@@ -66,6 +69,7 @@
         self.good += entry.good as f32;
         self.failed += entry.failed as f32;
         self.silent += entry.silent as f32;
+        self.rejected += entry.rejected as f32;
         self.slow += entry.slow as f32;
         self.shed += entry.shed as f32;
         self.probes += entry.probes_failed as f32 * PROBE_SCORE;
@@ -75,6 +79,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct ChartPair {
     failure: ScorePair,
+    rejection: ScorePair,
     slowness: ScorePair,
 }
 
@@ -82,12 +87,17 @@
     fn add(&mut self, entry: &EvidenceEntry, ceiling: f32) {
         self.failure
             .accumulate(scores_of(entry.failure_millinats), ceiling);
+        self.rejection
+            .accumulate(scores_of(entry.rejection_millinats), ceiling);
         self.slowness
             .accumulate(scores_of(entry.slowness_millinats), ceiling);
     }
 
     fn highest(self) -> f32 {
-        self.failure.highest().max(self.slowness.highest())
+        self.failure
+            .highest()
+            .max(self.rejection.highest())
+            .max(self.slowness.highest())
     }
 }
 
@@ -154,15 +164,18 @@
         if self.score(f32::MAX) <= 0.0 {
             return None;
         }
-        if self.tally.silent > self.tally.failed + self.tally.slow {
+        if self.tally.silent > self.tally.failed + self.tally.rejected + self.tally.slow {
             return Some(SuspicionCause::Silence);
         }
         let failure = self.highest_of(|chart| chart.failure.highest());
+        let rejection = self.highest_of(|chart| chart.rejection.highest());
         let slowness = self.highest_of(|chart| chart.slowness.highest());
-        Some(if failure >= slowness {
-            SuspicionCause::Failures
-        } else {
+        Some(if slowness > failure.max(rejection) {
             SuspicionCause::Slowness
+        } else if rejection > failure {
+            SuspicionCause::Rejections
+        } else {
+            SuspicionCause::Failures
         })
     }
 
@@ -236,13 +249,13 @@
     fn note_node(&mut self, now: MonoTime, node: &NodeId, entry: &EvidenceEntry) {
         let view = self.nodes.entry(node.clone()).or_default();
         view.heard_at = Some(now);
-        if entry.good + entry.failed + entry.slow > 0 {
+        if entry.good + entry.failed + entry.rejected + entry.slow > 0 {
             view.answered_at = Some(now);
         }
         if entry.silent > 0 {
             view.silent_at = Some(now);
         }
-        if entry.failed + entry.slow + entry.silent > 0 {
+        if entry.failed + entry.rejected + entry.slow + entry.silent > 0 {
             view.bad_at = Some(now);
         }
     }
--- a/lib/src/verdict.rs
+++ b/lib/src/verdict.rs
@@ -41,6 +41,8 @@
 pub enum SuspicionCause {
     /// It answered with errors more often than the population.
     Failures,
+    /// It blamed callers more often than the population.
+    Rejections,
     /// It answered slower than the population.
     Slowness,
     /// It did not answer.
@@ -51,6 +53,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Failures => "failures",
+            Self::Rejections => "rejections",
             Self::Slowness => "slow answers",
             Self::Silence => "missing answers",
         })
@@ -89,6 +92,8 @@
     pub failed: f32,
     /// The recent attempts without an answer.
     pub silent: f32,
+    /// The requests that the target recently blamed on the caller.
+    pub rejected: f32,
     /// The recent slow answers.
     pub slow: f32,
     /// The requests that the target recently shed.
@@ -110,8 +115,9 @@
         writeln!(f, "; score {:.1} of {:.1}", self.score, self.threshold)?;
         writeln!(
             f,
-            "  recent answers: {:.0} good, {:.0} failed, {:.0} missing, {:.0} slow, {:.0} shed",
-            self.good, self.failed, self.silent, self.slow, self.shed
+            "  recent answers: {:.0} good, {:.0} failed, {:.0} rejected, {:.0} missing, {:.0} slow, \
+             {:.0} shed",
+            self.good, self.failed, self.rejected, self.silent, self.slow, self.shed
         )?;
         writeln!(
             f,
