gateway: judge targets and limit customers by the fleet's parts

Cause: the thin path used a local token bucket and errors in a row. Change: the rate limiter over escrowed shares and the pooled judgement of targets decide; the judges of a service hold its units of ejectable capacity.

--- a/cli/src/demo_story.rs
+++ b/cli/src/demo_story.rs
@@ -4,6 +4,7 @@
 
 use damaskloom_lib::config::PolicyMode;
 use damaskloom_lib::ids::CustomerId;
+use damaskloom_lib::target_picker::TargetStanding;
 use damaskloom_testutils::load_report::LoadReport;
 use damaskloom_testutils::load_runner::{LoadRunner, plan_terms};
 use damaskloom_testutils::target_mode::TargetMode;
@@ -117,11 +118,12 @@
 }
 
 fn is_ejected(fleet: &LocalFleet, target: &str) -> bool {
+    let service = &fleet.deployment.services[0].id;
     fleet.gateways().iter().any(|gateway| {
-        let state = &gateway.state;
-        target
+        let standing = target
             .parse()
-            .is_ok_and(|id| state.health.is_ejected(state.clock.now(), &id))
+            .map(|id| gateway.state.health.standing(service, &id));
+        standing == Ok(TargetStanding::Ejected)
     })
 }
 
--- a/gateway/src/admin_server.rs
+++ b/gateway/src/admin_server.rs
@@ -3,7 +3,9 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use damaskloom_lib::ids::{Revision, TargetId, VmId};
+use damaskloom_lib::ids::{Epoch, Revision, TargetId, VmId};
+use damaskloom_lib::target_picker::TargetStanding;
+use damaskloom_lib::verdict::TargetExplanation;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -21,6 +23,7 @@
 struct StatusDocument {
     vm: VmId,
     revision: Revision,
+    epoch: Epoch,
     serves_keyed: bool,
 }
 
@@ -76,6 +79,7 @@
     StatusDocument {
         vm: state.settings.vm.clone(),
         revision: state.config.revision(),
+        epoch: state.epoch.epoch(),
         serves_keyed: state.may_serve_keyed(),
     }
 }
@@ -101,8 +105,11 @@
 #[serde(rename_all = "snake_case")]
 struct TargetDocument {
     target: TargetId,
-    ejected: bool,
+    standing: TargetStanding,
     in_flight: u32,
+    /// What the judges know; only they have it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    judgement: Option<TargetExplanation>,
 }
 
 fn explain(state: &GatewayState, id: &str) -> Response<AnswerBody> {
@@ -113,12 +120,13 @@
         };
         return document(StatusCode::NOT_FOUND, &error);
     };
-    let document_body = TargetDocument {
-        ejected: state.health.is_ejected(state.clock.now(), &target.id),
+    let explanation = TargetDocument {
+        standing: state.health.standing(&target.service, &target.id),
         in_flight: state.targets.pool(&target).in_flight(),
+        judgement: state.health.explain(&target.service, &target.id),
         target: target.id,
     };
-    document(StatusCode::OK, &document_body)
+    document(StatusCode::OK, &explanation)
 }
 
 fn document(status: StatusCode, body: &impl Serialize) -> Response<AnswerBody> {
--- /dev/null
+++ b/gateway/src/control_loop.rs
@@ -0,0 +1,88 @@
+//! Drives the decision modules: time, changes of configuration, and messages from peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use damaskloom_lib::ids::NodeId;
+use damaskloom_lib::loan::EscrowMessage;
+use serde::de::DeserializeOwned;
+use tokio::time::MissedTickBehavior;
+
+use crate::gateway::GatewayState;
+use crate::health_board::ServiceMessage;
+use crate::peer_codec::PeerTopic;
+use crate::peer_link::PeerDelivery;
+
+/// The interval at which waits for transfers end.
+const RATE_TICK_MS: u64 = 5;
+/// The interval at which evidence travels and targets are judged.
+const HEALTH_TICK_MS: u64 = 50;
+/// The interval at which idle connections to targets are closed.
+const IDLE_TICK_MS: u64 = 1_000;
+
+/// Ends waits for transfers in time, until the task is ended.
+pub async fn run_rate_ticks(state: Arc<GatewayState>) {
+    every(RATE_TICK_MS, || state.rates.tick()).await;
+}
+
+/// Judges targets, until the task is ended.
+pub async fn run_health_ticks(state: Arc<GatewayState>) {
+    every(HEALTH_TICK_MS, || state.health.tick()).await;
+}
+
+/// Closes idle connections to targets, until the task is ended.
+pub async fn run_idle_ticks(state: Arc<GatewayState>) {
+    every(IDLE_TICK_MS, || state.targets.close_idle()).await;
+}
+
+/// Takes each new configuration over into all parts, until the task is ended.
+pub async fn run_config_changes(state: Arc<GatewayState>) {
+    let mut revisions = state.config.subscribe();
+    loop {
+        state.refresh();
+        if revisions.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn every(interval_ms: u64, mut act: impl FnMut()) {
+    let mut interval = tokio::time::interval(Duration::from_millis(interval_ms));
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        act();
+    }
+}
+
+/// Hands a message of the request path's parts to its part; other topics are left to the caller.
+///
+/// A message that cannot be read is dropped: a peer of another version may have sent it.
+pub fn dispatch(state: &GatewayState, delivery: &PeerDelivery) {
+    match delivery.topic {
+        PeerTopic::Shares => {
+            with_message(delivery, |from, message: EscrowMessage| {
+                state.rates.handle(from, &message)
+            });
+        }
+        PeerTopic::Evidence | PeerTopic::Ejection => {
+            with_message(delivery, |from, message: ServiceMessage| {
+                state.health.handle(from, message);
+            });
+        }
+        PeerTopic::Membership
+        | PeerTopic::Freshness
+        | PeerTopic::Distribution
+        | PeerTopic::Epoch
+        | PeerTopic::Crash
+        | PeerTopic::Claims => {}
+    }
+}
+
+/// Reads a message and acts on it.
+pub fn with_message<M: DeserializeOwned>(delivery: &PeerDelivery, act: impl FnOnce(&NodeId, M)) {
+    match serde_json::from_slice(&delivery.body) {
+        Ok(message) => act(&delivery.from, message),
+        Err(error) => tracing::debug!(topic = ?delivery.topic, %error, "peer message not read"),
+    }
+}
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -138,7 +138,7 @@
         return Err(Refusal::not_run(Reason::TooLarge));
     }
     if let Some(customer) = &scope.customer {
-        state.admission.admit(customer, deadline).await?;
+        state.rates.admit(customer, deadline).await?;
     }
     let body = take_body(scope, body, body_kind).await?;
     let head = OutgoingHead::new(parts, &scope.route, scope.customer.as_ref());
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -2,43 +2,49 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use damaskloom_lib::config::Target;
-use damaskloom_lib::ids::ServiceId;
+use damaskloom_lib::evidence::AttemptOutcome;
+use damaskloom_lib::ids::NodeId;
 use damaskloom_lib::outcome::Refusal;
 use http::Response;
-use rand::Rng;
 
-use crate::admission::AdmissionGate;
 use crate::bodies::AnswerBody;
 use crate::clock::MonoClock;
 use crate::config_view::ConfigView;
 use crate::exchange::RequestScope;
 use crate::fleet_directory::FleetDirectory;
-use crate::forward::{AttemptError, TargetAnswer};
+use crate::fleet_epoch::{FleetAssignment, FleetEpoch};
+use crate::forward::{AttemptError, LOAD_HEADER, TargetAnswer};
+use crate::health_board::HealthBoard;
 use crate::meters::{GatewayMeters, MeterError};
+use crate::peer_outbox::PeerOutbox;
+use crate::rate_gate::RateGate;
 use crate::retry_gate::RetryGate;
-use crate::service_call::Choice;
 use crate::settings::GatewaySettings;
-use crate::target_health::TargetHealth;
-use crate::target_set::{TargetSet, takes_work};
+use crate::target_set::TargetSet;
 
 /// Everything that the request path of one gateway reads and writes.
 #[derive(Debug)]
 pub struct GatewayState {
     /// The checked settings.
     pub settings: GatewaySettings,
+    /// This start of this gateway.
+    pub node: NodeId,
     /// The process's clock.
     pub clock: MonoClock,
     /// The configuration in force.
     pub config: Arc<ConfigView>,
+    /// The assignment in force.
+    pub epoch: Arc<FleetEpoch>,
+    /// The way to other gateways.
+    pub outbox: Arc<PeerOutbox>,
     /// The customers' limits.
-    pub admission: AdmissionGate,
+    pub rates: RateGate,
     /// The connections to targets.
     pub targets: TargetSet,
-    /// The state of targets.
-    pub health: TargetHealth,
+    /// The judgement of targets.
+    pub health: HealthBoard,
     /// The bound on retries.
     pub retries: RetryGate,
     /// Where callers are sent.
@@ -51,25 +57,53 @@
 impl GatewayState {
     /// Makes the state of a gateway that has served nothing yet.
     ///
+    /// A gateway without a platform is a fleet of its own and holds all budgets.
+    ///
     /// # Errors
     ///
     /// Fails if the metrics cannot be set up.
-    pub fn new(settings: GatewaySettings) -> Result<Arc<Self>, MeterError> {
+    pub fn new(settings: GatewaySettings, node: NodeId) -> Result<Arc<Self>, MeterError> {
         let clock = MonoClock::start();
         let config = Arc::new(ConfigView::default());
-        if let Some(own) = &settings.config {
+        let epoch = Arc::new(FleetEpoch::default());
+        let outbox = Arc::new(PeerOutbox::default());
+        let alone = settings.platform.is_none();
+        if let Some(own) = settings.config.as_ref().filter(|_| alone) {
             config.replace(own.clone());
+            epoch.enter(FleetAssignment {
+                members: vec![node.clone()],
+                ..FleetAssignment::default()
+            });
         }
+        let shared = || {
+            (
+                clock,
+                Arc::clone(&config),
+                Arc::clone(&epoch),
+                Arc::clone(&outbox),
+            )
+        };
+        let rates = {
+            let (clock, config, epoch, outbox) = shared();
+            RateGate::new(&node, clock, config, epoch, outbox)
+        };
+        let health = {
+            let (clock, config, epoch, outbox) = shared();
+            HealthBoard::new(&node, &settings.data_centre, clock, config, epoch, outbox)
+        };
         Ok(Arc::new(Self {
             clock,
-            admission: AdmissionGate::new(clock, Arc::clone(&config)),
             config,
+            epoch,
+            outbox,
+            rates,
             targets: TargetSet::default(),
-            health: TargetHealth::default(),
+            health,
             retries: RetryGate::default(),
             directory: FleetDirectory::new(settings.directory_lifetime_ms),
             meters: GatewayMeters::new()?,
-            fresh: AtomicBool::new(true),
+            fresh: AtomicBool::new(alone),
+            node,
             settings,
         }))
     }
@@ -79,70 +113,18 @@
         self.fresh.load(Ordering::Relaxed)
     }
 
-    /// Chooses a target with a free slot.
-    pub fn choose_target(
-        &self,
-        service: &ServiceId,
-        targets: &[Target],
-        tried: &[Arc<Target>],
-    ) -> Choice {
-        let now = self.clock.now();
-        let _ = service;
-        let usable: Vec<&Target> = targets
-            .iter()
-            .filter(|target| takes_work(target) && !self.health.is_ejected(now, &target.id))
-            .collect();
-        if usable.is_empty() {
-            return Choice::None;
-        }
-        let free: Vec<(&Target, u32)> = usable
-            .iter()
-            .filter(|target| !tried.iter().any(|tried| tried.id == target.id))
-            .map(|target| (*target, self.targets.pool(target)))
-            .filter(|(_, pool)| pool.has_free_slot())
-            .map(|(target, pool)| (target, pool.in_flight()))
-            .collect();
-        if free.is_empty() {
-            return if usable.len() <= tried.len() {
-                Choice::None
-            } else {
-                Choice::AllBusy
-            };
+    /// Sets whether the node may serve requests with keys.
+    pub fn set_fresh(&self, fresh: bool) {
+        if self.fresh.swap(fresh, Ordering::Relaxed) != fresh {
+            tracing::info!(vm = %self.settings.vm, fresh, "freshness changed");
         }
-        let mut random = rand::rng();
-        let first = &free[random.random_range(0..free.len())];
-        let second = &free[random.random_range(0..free.len())];
-        let (target, _) = if second.1 < first.1 { second } else { first };
-        Choice::Target((*target).clone())
     }
 
-    /// Notes how an attempt at a target ended.
-    pub fn note_attempt(
-        &self,
-        scope: &RequestScope,
-        target: &Target,
-        result: &Result<TargetAnswer, AttemptError>,
-        _duration: Duration,
-    ) {
-        let (label, good) = match result {
-            Ok(answer) if answer.status() >= 500 => ("error", false),
-            Ok(_) => ("answered", true),
-            Err(AttemptError::Busy) => ("busy", true),
-            Err(AttemptError::StaleConnection) => ("stale-connection", true),
-            Err(AttemptError::Shed) => ("shed", true),
-            Err(AttemptError::CallerBody) => ("caller-body", true),
-            Err(AttemptError::Unreachable) => ("unreachable", false),
-            Err(AttemptError::Broken) => ("broken", false),
-            Err(AttemptError::Timeout) => ("timeout", false),
-        };
-        self.meters.attempted(scope.route.service.as_str(), label);
-        let targets = self.config.targets_of(&target.service);
-        let floor = self
-            .config
-            .service(&target.service)
-            .map_or(0, |service| service.floor);
-        self.health
-            .note(self.clock.now(), target, good, &targets, floor);
+    /// Takes over the configuration and the assignment in force.
+    pub fn refresh(&self) {
+        self.rates.refresh();
+        self.health.refresh();
+        self.directory.set_customers(&self.config.customers());
     }
 
     /// Counts how a request ended.
@@ -162,3 +144,27 @@
         }
     }
 }
+
+/// Says what the end of an attempt means for the judgement of its target.
+pub fn attempt_outcome(result: &Result<TargetAnswer, AttemptError>) -> AttemptOutcome {
+    match result {
+        Ok(answer) => match answer.status() {
+            500.. => AttemptOutcome::Failed,
+            400..=499 => AttemptOutcome::Rejected,
+            _ => AttemptOutcome::Good,
+        },
+        Err(AttemptError::Shed) => AttemptOutcome::Shed,
+        Err(AttemptError::Unreachable) => AttemptOutcome::ConnectFailed,
+        Err(AttemptError::Broken) => AttemptOutcome::Broken,
+        Err(AttemptError::Timeout) => AttemptOutcome::TimedOut,
+        Err(AttemptError::Busy | AttemptError::StaleConnection | AttemptError::CallerBody) => {
+            AttemptOutcome::Cancelled
+        }
+    }
+}
+
+/// Reads the load that a target reports as `in-flight/slots`, in requests.
+pub fn reported_load(result: &Result<TargetAnswer, AttemptError>) -> Option<f32> {
+    let header = result.as_ref().ok()?.headers().get(LOAD_HEADER)?;
+    header.to_str().ok()?.split('/').next()?.trim().parse().ok()
+}
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use damaskloom_lib::directory::{DirectoryMember, EntryStanding};
+use damaskloom_lib::ids::{Incarnation, NodeId};
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -12,13 +13,11 @@
 
 use crate::admin_server::run_admin_server;
 use crate::caller_server::run_caller_server;
+use crate::control_loop::{run_config_changes, run_health_ticks, run_idle_ticks, run_rate_ticks};
 use crate::gateway::GatewayState;
 use crate::meters::MeterError;
 use crate::settings::GatewaySettings;
 
-/// The pause between two rounds of closing idle connections to targets.
-const IDLE_ROUND_MS: u64 = 1_000;
-
 /// Says why a gateway could not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -61,7 +60,11 @@
         let admin_listener = listen(settings.admin_listen).await?;
         let caller_address = local_address(&caller_listener, settings.caller_listen)?;
         let admin_address = local_address(&admin_listener, settings.admin_listen)?;
-        let state = GatewayState::new(settings).context(MetersSnafu)?;
+        let node = NodeId {
+            vm: settings.vm.clone(),
+            incarnation: Incarnation(1),
+        };
+        let state = GatewayState::new(settings, node).context(MetersSnafu)?;
         state
             .directory
             .set_members([own_entry(&state, caller_address)]);
@@ -73,7 +76,10 @@
         ));
         let helpers = vec![
             tokio::spawn(run_admin_server(Arc::clone(&state), admin_listener)),
-            tokio::spawn(close_idle_connections(Arc::clone(&state))),
+            tokio::spawn(run_idle_ticks(Arc::clone(&state))),
+            tokio::spawn(run_rate_ticks(Arc::clone(&state))),
+            tokio::spawn(run_health_ticks(Arc::clone(&state))),
+            tokio::spawn(run_config_changes(Arc::clone(&state))),
         ];
         tracing::info!(vm = %state.settings.vm, %caller_address, %admin_address, "gateway started");
         Ok(Self {
@@ -134,10 +140,3 @@
 fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, StartError> {
     listener.local_addr().context(ListenSnafu { address })
 }
-
-async fn close_idle_connections(state: Arc<GatewayState>) {
-    loop {
-        tokio::time::sleep(Duration::from_millis(IDLE_ROUND_MS)).await;
-        state.targets.close_idle();
-    }
-}
--- /dev/null
+++ b/gateway/src/rate_gate.rs
@@ -0,0 +1,241 @@
+//! Holds customers to their rates over the whole fleet, in shards.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use damaskloom_lib::budget::{BudgetId, BudgetTerms, BudgetView};
+use damaskloom_lib::config::Customer;
+use damaskloom_lib::ids::{CustomerId, NodeId};
+use damaskloom_lib::loan::EscrowMessage;
+use damaskloom_lib::outcome::{Reason, Refusal};
+use damaskloom_lib::rate_limiter::{
+    LimitPolicy, LimiterAction, RateDecision, RateLimiter, WaitTicket,
+};
+use damaskloom_lib::rendezvous::StableHash;
+use indexmap::IndexMap;
+use tokio::sync::oneshot;
+
+use crate::clock::MonoClock;
+use crate::config_view::ConfigView;
+use crate::fleet_epoch::FleetEpoch;
+use crate::peer_codec::PeerTopic;
+use crate::peer_outbox::PeerOutbox;
+
+const SHARDS: usize = 16;
+
+/// The answer to a request that waited for a transfer.
+type WaitAnswer = Result<(), Duration>;
+
+#[derive(Debug)]
+struct RateShard {
+    limiter: RateLimiter,
+    waiters: IndexMap<WaitTicket, oneshot::Sender<WaitAnswer>>,
+}
+
+/// Admits requests by the shares of their customers that this node holds.
+#[derive(Debug)]
+pub struct RateGate {
+    clock: MonoClock,
+    config: Arc<ConfigView>,
+    epoch: Arc<FleetEpoch>,
+    outbox: Arc<PeerOutbox>,
+    shards: Vec<Mutex<RateShard>>,
+}
+
+impl RateGate {
+    /// Makes a gate for one node.
+    pub fn new(
+        node: &NodeId,
+        clock: MonoClock,
+        config: Arc<ConfigView>,
+        epoch: Arc<FleetEpoch>,
+        outbox: Arc<PeerOutbox>,
+    ) -> Self {
+        let shard = || {
+            Mutex::new(RateShard {
+                limiter: RateLimiter::new(node.clone(), LimitPolicy::Escrow),
+                waiters: IndexMap::new(),
+            })
+        };
+        let shards = (0..SHARDS).map(|_| shard()).collect();
+        Self {
+            clock,
+            config,
+            epoch,
+            outbox,
+            shards,
+        }
+    }
+
+    /// Takes one request off the customer's rate, waiting for a peer's share where that helps.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with [`Reason::RateExceeded`] if the customer is over its rate and burst.
+    pub async fn admit(&self, customer: &CustomerId, deadline: Instant) -> Result<(), Refusal> {
+        let Some(limits) = self.config.customer(customer) else {
+            return Err(Refusal::not_run(Reason::KeyWithdrawn));
+        };
+        let (decision, answer) = self.decide(&limits);
+        let refused = match (decision, answer) {
+            (RateDecision::Admit, _) => return Ok(()),
+            (RateDecision::Refuse { retry_after }, _) => retry_after,
+            (RateDecision::Wait { ticket, .. }, Some(answer)) => {
+                let guard = WaitGuard {
+                    gate: self,
+                    customer,
+                    ticket,
+                };
+                let answered = tokio::time::timeout_at(deadline.into(), answer).await;
+                drop(guard);
+                match answered {
+                    Ok(Ok(Ok(()))) => return Ok(()),
+                    Ok(Ok(Err(retry_after))) => retry_after,
+                    Ok(Err(_)) | Err(_) => {
+                        return Err(Refusal::not_run(Reason::DeadlineUnmeetable));
+                    }
+                }
+            }
+            (RateDecision::Wait { until, .. }, None) => until.since(self.clock.now()),
+        };
+        Err(Refusal::not_run(Reason::RateExceeded).with_retry_after(refused))
+    }
+
+    fn decide(&self, limits: &Customer) -> (RateDecision, Option<oneshot::Receiver<WaitAnswer>>) {
+        let mut actions = Vec::new();
+        let mut shard = self.shard(&limits.id);
+        let now = self.clock.now();
+        let decision = shard
+            .limiter
+            .admit(now, &limits.id, || self.view(limits), &mut actions);
+        let answer = match decision {
+            RateDecision::Wait { ticket, .. } => {
+                let (sender, receiver) = oneshot::channel();
+                shard.waiters.insert(ticket, sender);
+                Some(receiver)
+            }
+            RateDecision::Admit | RateDecision::Refuse { .. } => None,
+        };
+        self.perform(&mut shard, actions);
+        (decision, answer)
+    }
+
+    /// Takes a peer's message about a customer's shares.
+    pub fn handle(&self, from: &NodeId, message: &EscrowMessage) {
+        let BudgetId::CustomerRate(customer) = message.budget() else {
+            return;
+        };
+        let mut actions = Vec::new();
+        let mut shard = self.shard(customer);
+        let now = self.clock.now();
+        let view = || {
+            self.config
+                .customer(customer)
+                .map(|limits| self.view(&limits))
+        };
+        shard.limiter.handle(now, from, message, view, &mut actions);
+        self.perform(&mut shard, actions);
+    }
+
+    /// Ends waits and renews loans; called every few milliseconds.
+    pub fn tick(&self) {
+        for shard in &self.shards {
+            let mut shard = shard.lock().expect("no holder of a shard panics");
+            let mut actions = Vec::new();
+            shard.limiter.tick(self.clock.now(), &mut actions);
+            self.perform(&mut shard, actions);
+        }
+    }
+
+    /// Takes over the configuration and the assignment in force.
+    pub fn refresh(&self) {
+        for shard in &self.shards {
+            let mut shard = shard.lock().expect("no holder of a shard panics");
+            let customers: Vec<CustomerId> = shard.limiter.customers().cloned().collect();
+            let mut actions = Vec::new();
+            for customer in customers {
+                let view = match self.config.customer(&customer) {
+                    Some(limits) => self.view(&limits),
+                    // A removed customer has no rate left to lend or to spend.
+                    None => self.epoch.view(
+                        &BudgetId::CustomerRate(customer.clone()),
+                        BudgetTerms {
+                            revision: self.config.revision(),
+                            ..BudgetTerms::default()
+                        },
+                    ),
+                };
+                shard
+                    .limiter
+                    .adopt(self.clock.now(), &customer, view, &mut actions);
+            }
+            self.perform(&mut shard, actions);
+        }
+    }
+
+    /// Says whether all shares conform to the newest assignment, so that it can be acknowledged.
+    pub fn conforms(&self) -> bool {
+        self.shards.iter().all(|shard| {
+            shard
+                .lock()
+                .expect("no holder of a shard panics")
+                .limiter
+                .conforms()
+        })
+    }
+
+    fn view(&self, limits: &Customer) -> BudgetView {
+        let terms = BudgetTerms::from_rate(self.config.revision(), limits.rate, limits.burst);
+        self.epoch
+            .view(&BudgetId::CustomerRate(limits.id.clone()), terms)
+    }
+
+    fn shard(&self, customer: &CustomerId) -> MutexGuard<'_, RateShard> {
+        let index = StableHash::of(customer.as_bytes()).0 as usize % SHARDS;
+        self.shards[index]
+            .lock()
+            .expect("no holder of a shard panics")
+    }
+
+    fn perform(&self, shard: &mut RateShard, actions: Vec<LimiterAction>) {
+        for action in actions {
+            match action {
+                LimiterAction::Send { to, message } => {
+                    self.outbox.send(&to, PeerTopic::Shares, &message);
+                }
+                LimiterAction::Admit(ticket) => shard.answer(ticket, Ok(())),
+                LimiterAction::Refuse {
+                    ticket,
+                    retry_after,
+                } => {
+                    shard.answer(ticket, Err(retry_after));
+                }
+            }
+        }
+    }
+}
+
+impl RateShard {
+    fn answer(&mut self, ticket: WaitTicket, answer: WaitAnswer) {
+        if let Some(waiter) = self.waiters.swap_remove(&ticket) {
+            // The caller may have gone away; its token was spent all the same.
+            let _ = waiter.send(answer);
+        }
+    }
+}
+
+/// Stops the wait of a request whose caller went away.
+struct WaitGuard<'a> {
+    gate: &'a RateGate,
+    customer: &'a CustomerId,
+    ticket: WaitTicket,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        let mut shard = self.gate.shard(self.customer);
+        if shard.waiters.swap_remove(&self.ticket).is_some() {
+            shard.limiter.cancel(self.customer, self.ticket);
+        }
+    }
+}
--- a/gateway/src/service_call.rs
+++ b/gateway/src/service_call.rs
@@ -5,12 +5,15 @@
 
 use bytes::Bytes;
 use damaskloom_lib::config::Target;
+use damaskloom_lib::evidence::{AttemptOutcome, AttemptScope};
+use damaskloom_lib::ids::{CustomerId, TargetId};
 use damaskloom_lib::outcome::{Reason, Refusal};
+use rand::Rng;
 
 use crate::bodies::RequestBody;
 use crate::exchange::{RequestScope, attempt_refusal};
 use crate::forward::{AttemptError, OutgoingHead, TargetAnswer, attempt};
-use crate::gateway::GatewayState;
+use crate::gateway::{GatewayState, attempt_outcome, reported_load};
 
 /// The most attempts that are made for one request.
 const MAX_ATTEMPTS: u32 = 3;
@@ -55,20 +58,15 @@
         let service = &self.scope.route.service;
         self.state.retries.note_request(service);
         let mut body = body;
-        let mut tried: Vec<Arc<Target>> = Vec::new();
+        let mut tried: Vec<TargetId> = Vec::new();
         let mut attempts = 0;
         loop {
-            let target = match self.wait_for_target(&tried).await {
-                Ok(target) => Arc::new(target),
+            let picked = match self.wait_for_target(&tried).await {
+                Ok(picked) => picked,
                 Err(refusal) => return CallOutcome::Refused(refusal),
             };
             let (sent, kept) = split_body(body);
-            let started = Instant::now();
-            let pool = self.state.targets.pool(&target);
-            let result = attempt(&pool, &target, self.head, sent, self.deadline).await;
-            self.state.targets.released(service).notify_one();
-            self.state
-                .note_attempt(self.scope, &target, &result, started.elapsed());
+            let result = self.attempt_at(&picked, sent).await;
             let error = match result {
                 Ok(answer) => return CallOutcome::Answer(answer),
                 Err(error) => error,
@@ -78,7 +76,7 @@
                 Some(kept) if self.may_retry(error, attempts) => kept,
                 _ => return CallOutcome::Refused(attempt_refusal(error)),
             };
-            tried.push(target);
+            tried.push(picked.target.id.clone());
         }
     }
 
@@ -95,15 +93,43 @@
         }
     }
 
+    /// Makes one attempt and tells the judgement of targets how it went.
+    async fn attempt_at(
+        &self,
+        picked: &PickedSlot,
+        body: RequestBody,
+    ) -> Result<TargetAnswer, AttemptError> {
+        let (service, target) = (&self.scope.route.service, &picked.target);
+        let scope = AttemptScope {
+            target: target.id.clone(),
+            route: self.scope.route.id.clone(),
+            customer: self.scope.customer.clone().unwrap_or_else(open_customer),
+        };
+        let attempt_id = self.state.health.begin(service, scope, picked.trial);
+        let pool = self.state.targets.pool(target);
+        let result = attempt(&pool, target, self.head, body, self.deadline).await;
+        self.state.targets.released(service).notify_one();
+        let outcome = attempt_outcome(&result);
+        self.state
+            .meters
+            .attempted(service.as_str(), outcome_label(outcome));
+        if let Some(id) = attempt_id {
+            let load = reported_load(&result);
+            self.state
+                .health
+                .finish(service, id, &target.id, outcome, load);
+        }
+        result
+    }
+
     /// Waits until a target with a free slot can be had.
-    async fn wait_for_target(&self, tried: &[Arc<Target>]) -> Result<Target, Refusal> {
+    async fn wait_for_target(&self, tried: &[TargetId]) -> Result<PickedSlot, Refusal> {
         let service = &self.scope.route.service;
         let released = self.state.targets.released(service);
         loop {
             let signal = released.notified();
-            let targets = self.state.config.targets_of(service);
-            match self.state.choose_target(service, &targets, tried) {
-                Choice::Target(target) => return Ok(target),
+            match self.choose_target(tried) {
+                Choice::Target(picked) => return Ok(picked),
                 Choice::None => return Err(Refusal::not_run(Reason::NoTarget)),
                 Choice::AllBusy => {}
             }
@@ -114,19 +140,77 @@
             let _ = tokio::time::timeout(recheck, signal).await;
         }
     }
+
+    /// Picks targets until one has a free slot for this node.
+    fn choose_target(&self, tried: &[TargetId]) -> Choice {
+        let service = &self.scope.route.service;
+        let mut excluded = tried.to_vec();
+        loop {
+            let seed = rand::rng().random();
+            let idempotence = self.scope.route.idempotence;
+            let picked = self
+                .state
+                .health
+                .pick(service, idempotence, seed, &excluded);
+            let Some(picked) = picked else {
+                let all_tried = excluded.len() == tried.len();
+                return if all_tried {
+                    Choice::None
+                } else {
+                    Choice::AllBusy
+                };
+            };
+            match self.state.config.target(&picked.target) {
+                Some(target) if self.state.targets.pool(&target).has_free_slot() => {
+                    return Choice::Target(PickedSlot {
+                        target,
+                        trial: picked.trial,
+                    });
+                }
+                _ => excluded.push(picked.target),
+            }
+        }
+    }
+}
+
+/// A target that was picked and has a free slot.
+#[derive(Clone, Debug)]
+pub struct PickedSlot {
+    /// The target.
+    pub target: Target,
+    /// Whether the request tries an ejected target.
+    pub trial: bool,
 }
 
 /// The result of a search for a target.
 #[derive(Clone, Debug)]
-pub enum Choice {
+enum Choice {
     /// This target has a free slot.
-    Target(Target),
+    Target(PickedSlot),
     /// Targets take work, but none has a free slot for this node.
     AllBusy,
     /// No target takes work.
     None,
 }
 
+/// The name under which requests without a key are judged.
+fn open_customer() -> CustomerId {
+    "open".parse().expect("the name is a valid identifier")
+}
+
+const fn outcome_label(outcome: AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Good => "good",
+        AttemptOutcome::Rejected => "rejected",
+        AttemptOutcome::Failed => "failed",
+        AttemptOutcome::Shed => "shed",
+        AttemptOutcome::TimedOut => "timed-out",
+        AttemptOutcome::ConnectFailed => "connect-failed",
+        AttemptOutcome::Broken => "broken",
+        AttemptOutcome::Cancelled => "cancelled",
+    }
+}
+
 fn split_body(body: CallBody) -> (RequestBody, Option<CallBody>) {
     match body {
         CallBody::Whole(bytes) => (
--- a/gateway/src/target_set.rs
+++ b/gateway/src/target_set.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex};
 
-use damaskloom_lib::config::{Target, TargetState};
+use damaskloom_lib::config::Target;
 use damaskloom_lib::ids::{ServiceId, TargetId};
 use indexmap::IndexMap;
 use tokio::sync::Notify;
@@ -63,8 +63,3 @@
         &self.shards[hash % SHARDS]
     }
 }
-
-/// Says whether a target may get new work, as far as its configuration goes.
-pub fn takes_work(target: &Target) -> bool {
-    target.state == TargetState::Active
-}
--- a/lib/src/target_picker.rs
+++ b/lib/src/target_picker.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::config::{Target, TargetState};
 use crate::evidence::AttemptOutcome;
@@ -30,7 +31,8 @@
 const MAX_SHED_PAUSE_MS: u64 = 10_000;
 
 /// Whether a target may be picked, as the detection parts see it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum TargetStanding {
     /// The target serves.
     Serving,
