--- a/lib/src/bucket_hand.rs
+++ b/lib/src/bucket_hand.rs
@@ -81,31 +81,22 @@
         messages
     }
 
-    /// Asks `lender` for a loan.
-    pub fn ask(
-        &mut self,
-        now: MonoTime,
-        lender: NodeId,
-        want: LoanAmount,
-        sequence: &mut TransferSequence,
-    ) -> Outgoing {
-        self.hand.ask(now, lender, want, sequence)
-    }
-
     /// Lends at most `want` of what is free besides what `keep` reserves for this node.
     ///
-    /// Tokens that the rest of the share could not hold go with the loan.
+    /// Unless the borrower collects parts, it gets whole tokens, so that two borrowers do not end
+    /// with half a token each. Tokens that the rest of the share could not hold go with the loan.
     pub fn lend(
         &mut self,
         now: MonoTime,
         borrower: NodeId,
         ask: TransferId,
         want: LoanAmount,
+        partial: bool,
         keep: LoanAmount,
         sequence: &mut TransferSequence,
     ) -> (LoanAmount, Outgoing) {
         self.refresh(now);
-        let amount = self.amount_to_lend(want, keep);
+        let amount = self.amount_to_lend(want, partial, keep);
         let message = self.hand.grant(now, borrower, ask, amount, sequence);
         let debited = self.bucket.take(amount.level);
         assert!(debited, "a loan's level is at most the lender's level");
@@ -113,14 +104,17 @@
         (amount, message)
     }
 
-    fn amount_to_lend(&self, want: LoanAmount, keep: LoanAmount) -> LoanAmount {
+    fn amount_to_lend(&self, want: LoanAmount, partial: bool, keep: LoanAmount) -> LoanAmount {
         let free = self.hand.own_free();
         let total = self.hand.share();
         let level = self.bucket.level();
         let spare_refill = total.refill.saturating_sub(keep.refill).min(free.refill);
         let spare_level = level.saturating_sub(keep.level).min(free.capacity);
         let refill = want.refill.min(spare_refill);
-        let asked_level = want.level.min(spare_level);
+        let asked_level = match want.level.min(spare_level) {
+            level if partial => level,
+            level => MicroUnits::from_units(level.whole_units()),
+        };
         if refill.is_zero() && asked_level.is_zero() {
             return LoanAmount::default();
         }
--- a/lib/src/demand_meter.rs
+++ b/lib/src/demand_meter.rs
@@ -3,8 +3,12 @@
 use crate::budget::{MICROS_PER_UNIT, MicroUnits, RefillRate};
 use crate::time::MonoTime;
 
-const WINDOW_MICROS: f64 = 300_000.0;
-const SILENT_GAPS: f64 = 3.0;
+const WINDOW_MICROS: f64 = 500_000.0;
+const SILENT_GAPS: f64 = 6.0;
+const YIELDING_GAPS: f64 = 2.0;
+const STEADY_GAP_MICROS: f64 = 50_000.0;
+const SHORTEST_YIELD_MICROS: f64 = 20_000.0;
+const SHORTEST_SILENCE_MICROS: f64 = 100_000.0;
 const NEGLIGIBLE_PER_SECOND: f64 = 0.5;
 const MICROS_PER_SECOND: f64 = 1_000_000.0;
 
@@ -27,15 +31,26 @@
         self.per_second * (-silence / WINDOW_MICROS).exp()
     }
 
+    /// Returns whether the callers seem to be elsewhere, given that another node asks for tokens.
+    pub fn yields_to_peers(&self, now: MonoTime) -> bool {
+        let gap = self.usual_gap();
+        let silence = now.since(self.last).as_micros() as f64;
+        gap > STEADY_GAP_MICROS || silence > (YIELDING_GAPS * gap).max(SHORTEST_YIELD_MICROS)
+    }
+
+    fn usual_gap(&self) -> f64 {
+        MICROS_PER_SECOND / self.per_second.max(NEGLIGIBLE_PER_SECOND)
+    }
+
     /// Returns the arrival rate, or zero once it is negligible.
     ///
     /// A silence of several times the usual gap shows that the callers went elsewhere long before
     /// the average has decayed.
     pub fn rate(&self, now: MonoTime) -> RefillRate {
-        let silence = now.since(self.last).as_micros().max(1) as f64;
-        let bound = SILENT_GAPS * MICROS_PER_SECOND / silence;
-        let rate = self.decayed(now).min(bound);
-        if rate < NEGLIGIBLE_PER_SECOND {
+        let silence = now.since(self.last).as_micros() as f64;
+        let is_silent = silence > (SILENT_GAPS * self.usual_gap()).max(SHORTEST_SILENCE_MICROS);
+        let rate = self.decayed(now);
+        if is_silent || rate < NEGLIGIBLE_PER_SECOND {
             return RefillRate::ZERO;
         }
         RefillRate((rate * MICROS_PER_UNIT as f64) as u64)
--- a/lib/src/escrow.rs
+++ b/lib/src/escrow.rs
@@ -156,17 +156,24 @@
         self.asks.retain(|ask| ask.sent_at + term > now);
     }
 
-    /// Asks `lender` for a loan.
+    /// Asks `lender` for a loan; `partial` says that less than a whole token helps.
     pub fn ask(
         &mut self,
         now: MonoTime,
         lender: NodeId,
         want: LoanAmount,
+        partial: bool,
         sequence: &mut TransferSequence,
     ) -> Outgoing {
         let ask = self.expect_answer(now, lender.clone(), None, sequence);
         let budget = self.budget.clone();
-        (lender, EscrowMessage::Ask { budget, ask, want })
+        let message = EscrowMessage::Ask {
+            budget,
+            ask,
+            want,
+            partial,
+        };
+        (lender, message)
     }
 
     fn expect_answer(
--- a/lib/src/loan.rs
+++ b/lib/src/loan.rs
@@ -89,6 +89,9 @@
         ask: TransferId,
         /// What would help.
         want: LoanAmount,
+        /// Whether less than a whole token helps.
+        #[serde(default)]
+        partial: bool,
     },
     /// Answers an ask; a zero amount says that nothing can be spared.
     Grant {
--- a/lib/src/rate_entry.rs
+++ b/lib/src/rate_entry.rs
@@ -9,18 +9,23 @@
 use crate::escrow::Outgoing;
 use crate::ids::NodeId;
 use crate::loan::{EscrowMessage, LoanAmount, TransferSequence};
-use crate::rate_limiter::{LimiterAction, WaitTicket};
+use crate::rate_limiter::{LimiterAction, MAX_TRANSFER_WAIT, WaitTicket};
 use crate::time::MonoTime;
 
 const ONE_REQUEST: MicroUnits = MicroUnits(MICROS_PER_UNIT);
 const ASK_TIMEOUT: Duration = Duration::from_millis(10);
 const RECALL_SPACING: Duration = Duration::from_millis(20);
 const RATE_ASK_SPACING: Duration = Duration::from_millis(50);
-/// Below this demand a node asks for single tokens in place of a part of the refill.
+/// Below this demand a node asks for single tokens, unless it has this part of all the demand.
 const LEASED_RATE_MIN: RefillRate = RefillRate::from_units(4);
-const BORROWED_PERCENT: u64 = 125;
+const LEASED_PART_MIN: u64 = 3;
+const LEASED_BURST_MAX: MicroUnits = MicroUnits::from_units(16);
+/// A node with little of the demand borrows less than it needs, so that its share rarely overflows
+/// while others run dry; a node with much of it borrows all that it needs.
+const BORROWED_MIN_PERCENT: u64 = 75;
+const BORROWED_MAX_PERCENT: u64 = 125;
+const BORROWED_SLOPE: u64 = 2;
 const KEPT_PERCENT: u64 = 110;
-const SURPLUS_PERCENT: u64 = 160;
 const BORROWED_HEADROOM_MS: u64 = 500;
 const KEPT_HEADROOM_MS: u64 = 250;
 const DRY_SWEEPS_BEFORE_REFUSAL: u32 = 3;
@@ -89,15 +94,20 @@
         self.waiters.is_empty() && self.hand.spend(ONE_REQUEST)
     }
 
-    /// Returns whether waiting for a transfer may help a request that just arrived.
+    /// Returns whether a request that just arrived may get a token in time.
+    ///
+    /// While no home has tokens to spare, only as many wait as the refill serves in time.
     pub fn may_wait(&self, now: MonoTime) -> bool {
         let escrow = self.hand.escrow();
-        let has_lender = escrow.homes().iter().any(|home| home != self.node());
+        let terms = escrow.view().terms;
+        let is_dry = self.dry_sweeps >= DRY_SWEEPS_BEFORE_REFUSAL && now < self.dry_until;
+        let expected = match is_dry {
+            true => terms.refill.over(MAX_TRANSFER_WAIT).min(terms.capacity),
+            false => terms.capacity,
+        };
+        let has_lender = escrow.homes().iter().any(|home| home != escrow.node());
         let has_loans = !escrow.lent_share().capacity.is_zero();
-        let burst = self.hand.escrow().view().terms.capacity.whole_units();
-        (has_lender || has_loans)
-            && (self.dry_sweeps < DRY_SWEEPS_BEFORE_REFUSAL || now >= self.dry_until)
-            && (self.waiters.len() as u64) < burst
+        (has_lender || has_loans) && (self.waiters.len() as u64) < expected.whole_units()
     }
 
     fn node(&self) -> &NodeId {
@@ -186,10 +196,14 @@
             let home_part = (total / homes.len().max(1) as u64).max(1);
             usize::try_from(missing.div_ceil(home_part)).unwrap_or(usize::MAX)
         };
+        // A first sweep asks ever more homes for whole tokens, a second one collects parts.
+        let partial = self.dry_sweeps > 0;
         let tried = homes.len() - open.len();
-        let token_fanout = part(tokens.0, terms.capacity.0)
-            .max(if tokens.is_zero() { 0 } else { tried })
-            .min(open.len());
+        let token_fanout = match (tokens.is_zero(), partial) {
+            (true, _) => 0,
+            (false, true) => open.len(),
+            (false, false) => part(tokens.0, terms.capacity.0).max(tried).min(open.len()),
+        };
         let refill_fanout = part(refill.0, terms.refill.0).min(open.len());
         let want = self.want(now, tokens, token_fanout, refill, refill_fanout);
         if !refill.is_zero() {
@@ -201,7 +215,9 @@
                 is_asked: true,
             };
             self.cursor = index + 1;
-            let message = self.hand.ask(now, homes[index].clone(), want, sequence);
+            let lender = homes[index].clone();
+            let escrow = self.hand.escrow_mut();
+            let message = escrow.ask(now, lender, want, partial, sequence);
             send_all([message], actions);
         }
     }
@@ -215,7 +231,7 @@
         refill_fanout: usize,
     ) -> LoanAmount {
         let each = |amount: u64, fanout: usize| amount.div_ceil(fanout.max(1) as u64);
-        let level = MicroUnits(each(tokens.0, token_fanout));
+        let level = MicroUnits(each(tokens.0, token_fanout).next_multiple_of(MICROS_PER_UNIT));
         if refill.is_zero() {
             return LoanAmount {
                 refill,
@@ -224,7 +240,11 @@
             };
         }
         let demand = self.meter.rate(now);
-        let target = headroom(demand, BORROWED_HEADROOM_MS, ONE_REQUEST + ONE_REQUEST);
+        let terms = self.hand.escrow().view().terms;
+        let part = u128::from(terms.capacity.0) * u128::from(demand.0.min(terms.refill.0))
+            / u128::from(terms.refill.0.max(1));
+        let burst = MicroUnits(part as u64).min(LEASED_BURST_MAX);
+        let target = headroom(demand, BORROWED_HEADROOM_MS, ONE_REQUEST + ONE_REQUEST).max(burst);
         let missing = target.saturating_sub(self.hand.escrow().share().capacity);
         let capacity = MicroUnits(each(missing.0, refill_fanout));
         LoanAmount {
@@ -238,11 +258,14 @@
         let demand = self.meter.rate(now);
         let share = self.hand.escrow().share();
         let has_enough = self.hand.level().0 > share.capacity.0 / 2;
-        if demand < LEASED_RATE_MIN || now < self.rate_ask_at || has_enough {
+        let total = self.hand.escrow().view().terms.refill;
+        let is_small = demand < LEASED_RATE_MIN && demand.0 < total.0 / LEASED_PART_MIN;
+        if is_small || now < self.rate_ask_at || has_enough {
             return RefillRate::ZERO;
         }
-        let total = self.hand.escrow().view().terms.refill;
-        let wanted = scale(demand, BORROWED_PERCENT).min(total);
+        let part_percent = demand.0.saturating_mul(100) / total.0.max(1);
+        let percent = BORROWED_MIN_PERCENT + BORROWED_SLOPE * part_percent;
+        let wanted = scale(demand, percent.min(BORROWED_MAX_PERCENT)).min(total);
         let missing = wanted.saturating_sub(share.refill);
         if missing.0 < demand.0 / 16 {
             return RefillRate::ZERO;
@@ -309,7 +332,10 @@
         sequence: &mut TransferSequence,
         actions: &mut Vec<LimiterAction>,
     ) {
-        let EscrowMessage::Ask { ask, want, .. } = message else {
+        let EscrowMessage::Ask {
+            ask, want, partial, ..
+        } = message
+        else {
             return;
         };
         let needed = self.needed(now, KEPT_PERCENT);
@@ -319,7 +345,9 @@
             level: MicroUnits::from_units(self.waiters.len() as u64),
         };
         let asker = borrower.clone();
-        let (amount, reply) = self.hand.lend(now, borrower, *ask, *want, keep, sequence);
+        let (amount, reply) = self
+            .hand
+            .lend(now, borrower, *ask, *want, *partial, keep, sequence);
         send_all([reply], actions);
         if amount.level < want.level || amount.refill < want.refill {
             let escrow = self.hand.escrow_mut();
@@ -340,7 +368,10 @@
         if !self.waiters.is_empty() {
             return;
         }
-        let needed = self.needed(now, KEPT_PERCENT);
+        let needed = match self.meter.yields_to_peers(now) {
+            true => BudgetShare::default(),
+            false => self.needed(now, KEPT_PERCENT),
+        };
         let surplus = self.hand.surplus_loans(needed);
         let ending: Vec<_> = self
             .hand
@@ -361,7 +392,7 @@
         );
     }
 
-    /// Renews the loans that are needed and returns those that are far from needed.
+    /// Renews the loans while requests arrive and returns them once none do.
     pub fn review_loans(
         &mut self,
         now: MonoTime,
@@ -371,9 +402,10 @@
         if self.hand.escrow().borrowed().is_empty() {
             return;
         }
-        let ample = self.needed(now, SURPLUS_PERCENT);
-        for grant in self.hand.surplus_loans(ample) {
-            send_all(self.hand.give_back(grant), actions);
+        if self.meter.rate(now).is_zero() && !self.is_waiting() {
+            for grant in self.hand.surplus_loans(BudgetShare::default()) {
+                send_all(self.hand.give_back(grant), actions);
+            }
         }
         let escrow = self.hand.escrow_mut();
         send_all(escrow.renew(now, sequence, |_| true), actions);
