--- a/lib/benches/limits/mod.rs
+++ b/lib/benches/limits/mod.rs
@@ -182,26 +182,13 @@
         late.filter(|(_, customer)| customer == name).count() as u64
     };
     let refused: Vec<u64> = names.iter().map(refused_of).collect();
-    if std::env::var("DBG").is_ok() && policy == LimitPolicy::Escrow {
-        for i in 0..names.len() {
-            println!("  cust {i} refused {} of {}", refused[i], sent[i]);
-        }
-        for (at, c) in fleet.refusals.iter().take(200) {
-            let a = fleet
-                .admissions
-                .get(c)
-                .map(|v| v.iter().rev().find(|x| *x < at).copied().unwrap_or(0))
-                .unwrap_or(0);
-            println!("   {at} {c} last admitted {} ago", at - a);
-        }
-    }
     let share = |index: usize| 100.0 * refused[index] as f64 / sent[index].max(1) as f64;
     Outcome {
         requests: sent.iter().sum(),
         refused: refused.iter().sum(),
         waited: fleet.counts.waited,
         mean_wait_micros: fleet.counts.wait_micros / fleet.counts.waited.max(1),
-        messages: fleet.counts.messages,
+        messages: fleet.net.sent,
         over_admitted: names
             .iter()
             .zip(&terms)
--- a/lib/src/bucket_hand.rs
+++ b/lib/src/bucket_hand.rs
@@ -10,6 +10,17 @@
 use crate::time::MonoTime;
 use crate::token_bucket::TokenBucket;
 
+/// Who asks for a loan.
+#[derive(Clone, Debug)]
+pub struct Asker {
+    /// The node.
+    pub borrower: NodeId,
+    /// The node's number of the ask.
+    pub ask: TransferId,
+    /// Whether less than a whole token helps.
+    pub partial: bool,
+}
+
 /// A hand whose tokens are spent and refill.
 #[derive(Clone, Debug)]
 pub struct BucketHand {
@@ -88,16 +99,16 @@
     pub fn lend(
         &mut self,
         now: MonoTime,
-        borrower: NodeId,
-        ask: TransferId,
+        asker: Asker,
         want: LoanAmount,
-        partial: bool,
         keep: LoanAmount,
         sequence: &mut TransferSequence,
     ) -> (LoanAmount, Outgoing) {
         self.refresh(now);
-        let amount = self.amount_to_lend(want, partial, keep);
-        let message = self.hand.grant(now, borrower, ask, amount, sequence);
+        let amount = self.amount_to_lend(want, asker.partial, keep);
+        let message = self
+            .hand
+            .grant(now, asker.borrower, asker.ask, amount, sequence);
         let debited = self.bucket.take(amount.level);
         assert!(debited, "a loan's level is at most the lender's level");
         self.bucket.bound(self.hand.share());
--- a/lib/src/escrow.rs
+++ b/lib/src/escrow.rs
@@ -249,6 +249,7 @@
                 grant,
                 lender: lender.clone(),
                 share: amount.share(),
+                accepted_at: now,
                 ends_at,
                 recalled: false,
                 closing: false,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod service_burn;
+mod slot_hand;
 pub mod slot_pool;
 pub mod target_picker;
 pub mod time;
--- a/lib/src/loan.rs
+++ b/lib/src/loan.rs
@@ -172,6 +172,7 @@
     pub grant: TransferId,
     pub lender: NodeId,
     pub share: BudgetShare,
+    pub accepted_at: MonoTime,
     pub ends_at: MonoTime,
     pub recalled: bool,
     /// The loan must end because its lender's share became smaller.
--- a/lib/src/rate_entry.rs
+++ b/lib/src/rate_entry.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::bucket_hand::BucketHand;
+use crate::bucket_hand::{Asker, BucketHand};
 use crate::budget::{BudgetShare, BudgetView, MICROS_PER_UNIT, MicroUnits, RefillRate};
 use crate::demand_meter::{DemandMeter, headroom, scale};
 use crate::escrow::Outgoing;
@@ -344,14 +344,16 @@
             capacity: needed.capacity,
             level: MicroUnits::from_units(self.waiters.len() as u64),
         };
-        let asker = borrower.clone();
-        let (amount, reply) = self
-            .hand
-            .lend(now, borrower, *ask, *want, *partial, keep, sequence);
+        let asker = Asker {
+            borrower: borrower.clone(),
+            ask: *ask,
+            partial: *partial,
+        };
+        let (amount, reply) = self.hand.lend(now, asker, *want, keep, sequence);
         send_all([reply], actions);
         if amount.level < want.level || amount.refill < want.refill {
             let escrow = self.hand.escrow_mut();
-            send_all(escrow.recall(now, Some(&asker), RECALL_SPACING), actions);
+            send_all(escrow.recall(now, Some(&borrower), RECALL_SPACING), actions);
         }
     }
 
--- a/lib/src/retry_budget.rs
+++ b/lib/src/retry_budget.rs
@@ -1,1 +1,105 @@
-//! Placeholder.
+//! Bounds retries and hedges to a part of the load that pays for them.
+//!
+//! Every request pays a part of a retry into its service's and its customer's account on the same
+//! node; a retry takes a whole one from both. So over all nodes retries stay below that part of the
+//! offered load without a transfer. See [docs/design/escrow.md](../../docs/design/escrow.md).
+
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::budget::{MICROS_PER_UNIT, MicroUnits};
+use crate::ids::{CustomerId, ServiceId};
+
+/// What a request pays towards retries: a tenth.
+const DEPOSIT: MicroUnits = MicroUnits(MICROS_PER_UNIT / 10);
+/// The most retries that an account saves up.
+const MAX_SAVED: MicroUnits = MicroUnits::from_units(10);
+const ONE_RETRY: MicroUnits = MicroUnits(MICROS_PER_UNIT);
+
+/// Whether a service has capacity to spare.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServiceLoad {
+    /// Requests find free slots.
+    #[default]
+    Ample,
+    /// Requests wait for slots, or targets shed.
+    Short,
+}
+
+/// The answer to a wish to retry or hedge.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RetryDecision {
+    /// The retry is paid for.
+    Allow,
+    /// The service is short of capacity.
+    ServiceShort,
+    /// The service's account is empty.
+    ServiceSpent,
+    /// The customer's account is empty.
+    CustomerSpent,
+}
+
+/// The retry accounts of one shard of one node.
+#[derive(Debug, Default)]
+pub struct RetryBudget {
+    services: IndexMap<ServiceId, MicroUnits>,
+    customers: IndexMap<(ServiceId, CustomerId), MicroUnits>,
+}
+
+impl RetryBudget {
+    /// Makes a budget with empty accounts.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a first attempt, which pays towards retries.
+    pub fn record_request(&mut self, service: &ServiceId, customer: &CustomerId) {
+        deposit(self.services.entry(service.clone()).or_default());
+        let key = (service.clone(), customer.clone());
+        deposit(self.customers.entry(key).or_default());
+    }
+
+    /// Takes a retry or hedge from both accounts, or from none.
+    pub fn try_retry(
+        &mut self,
+        service: &ServiceId,
+        customer: &CustomerId,
+        load: ServiceLoad,
+    ) -> RetryDecision {
+        if load == ServiceLoad::Short {
+            return RetryDecision::ServiceShort;
+        }
+        let key = (service.clone(), customer.clone());
+        let Some(saved) = self.services.get_mut(service).filter(|s| **s >= ONE_RETRY) else {
+            return RetryDecision::ServiceSpent;
+        };
+        let account = self.customers.get_mut(&key);
+        let Some(account) = account.filter(|account| **account >= ONE_RETRY) else {
+            return RetryDecision::CustomerSpent;
+        };
+        *saved = *saved - ONE_RETRY;
+        *account = *account - ONE_RETRY;
+        RetryDecision::Allow
+    }
+
+    /// Forgets a customer that is no longer configured or sent nothing for long.
+    pub fn forget(&mut self, customer: &CustomerId) {
+        self.customers.retain(|(_, owner), _| owner != customer);
+    }
+
+    /// Returns the number of accounts.
+    pub fn len(&self) -> usize {
+        self.services.len() + self.customers.len()
+    }
+
+    /// Returns whether there is no account.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+fn deposit(account: &mut MicroUnits) {
+    *account = (*account + DEPOSIT).min(MAX_SAVED);
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! All tests of the crate, one module a subject.
 
+mod fake_net;
 mod share_fleet;
 mod test_claims;
 mod test_configuration;
--- a/lib/tests/share_fleet.rs
+++ b/lib/tests/share_fleet.rs
@@ -1,17 +1,19 @@
 //! A handful of limiters joined by a queue of messages, on virtual time.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use damaskloom_lib::budget::{BudgetId, BudgetTerms, BudgetView, EpochView, SplitMode, split};
-use damaskloom_lib::ids::{CustomerId, Epoch, Incarnation, NodeId};
+use damaskloom_lib::ids::{CustomerId, Epoch, NodeId};
 use damaskloom_lib::loan::EscrowMessage;
 use damaskloom_lib::rate_limiter::{
     LimitPolicy, LimiterAction, RateDecision, RateLimiter, WaitTicket,
 };
 use damaskloom_lib::time::MonoTime;
 
+use crate::fake_net::{FakeNet, node_id};
+
 /// A node: its limiter, its clock and what it knows of the epochs.
 pub struct FleetNode {
     pub id: NodeId,
@@ -33,20 +35,11 @@
     }
 }
 
-/// What becomes of messages.
-#[derive(Clone, Copy, Default)]
-pub struct NetFaults {
-    pub lost_percent: u64,
-    pub doubled_percent: u64,
-    pub late_percent: u64,
-}
-
 #[derive(Clone, Copy, Default)]
 pub struct FleetCounts {
     pub admitted: u64,
     pub refused: u64,
     pub waited: u64,
-    pub messages: u64,
     pub wait_micros: u64,
 }
 
@@ -54,18 +47,14 @@
     pub now: u64,
     pub nodes: Vec<FleetNode>,
     pub terms: BTreeMap<CustomerId, BudgetTerms>,
-    pub faults: NetFaults,
-    pub cuts: BTreeSet<(usize, usize)>,
+    pub net: FakeNet,
     pub admissions: BTreeMap<CustomerId, Vec<u64>>,
     pub counts: FleetCounts,
     pub refusals: Vec<(u64, CustomerId)>,
-    pub delay: u64,
     pub tick_micros: u64,
     policy: LimitPolicy,
     epochs: Vec<Vec<NodeId>>,
     holders: RefCell<BTreeMap<(usize, CustomerId), Vec<NodeId>>>,
-    queue: BTreeMap<(u64, u64), (NodeId, NodeId, EscrowMessage)>,
-    seed: u64,
     next_tick: u64,
 }
 
@@ -77,29 +66,18 @@
             now: 0,
             nodes,
             terms: BTreeMap::new(),
-            faults: NetFaults::default(),
-            cuts: BTreeSet::new(),
+            net: FakeNet::new(seed),
             admissions: BTreeMap::new(),
             counts: FleetCounts::default(),
             refusals: Vec::new(),
-            delay: 1_500,
             tick_micros: 10_000,
             policy,
             epochs: vec![ids],
             holders: RefCell::default(),
-            queue: BTreeMap::new(),
-            seed: seed | 1,
             next_tick: 0,
         }
     }
 
-    pub fn random(&mut self, below: u64) -> u64 {
-        self.seed ^= self.seed << 13;
-        self.seed ^= self.seed >> 7;
-        self.seed ^= self.seed << 17;
-        self.seed % below
-    }
-
     fn holders(&self, epoch: usize, customer: &CustomerId) -> Vec<NodeId> {
         let mut holders = self.holders.borrow_mut();
         let place = || rank_holders(&self.epochs[epoch], customer, self.policy);
@@ -184,29 +162,17 @@
     }
 
     fn send(&mut self, index: usize, to: NodeId, message: EscrowMessage) {
-        self.counts.messages += 1;
-        let from = self.nodes[index].id.clone();
         let target = self.nodes.iter().position(|node| node.id.vm == to.vm);
-        let is_cut = target.is_none_or(|target| self.cuts.contains(&(index, target)));
-        if is_cut || self.random(100) < self.faults.lost_percent {
-            return;
-        }
-        let copies = 1 + u64::from(self.random(100) < self.faults.doubled_percent);
-        for _ in 0..copies {
-            let is_late = self.random(100) < self.faults.late_percent;
-            let extra = if is_late { self.random(5_000_000) } else { 0 };
-            let at = self.now + self.delay + extra;
-            let number = self.counts.messages * 2 + copies + self.random(1 << 20) * (1 << 32);
-            let delivery = (from.clone(), to.clone(), message.clone());
-            self.queue.insert((at, number), delivery);
-        }
+        let link = (index, target.expect("nodes know each other only"));
+        let from = self.nodes[index].id.clone();
+        self.net.send(self.now, link, from, message);
     }
 
     /// Runs the fleet for a time.
     pub fn advance(&mut self, micros: u64) {
         let end = self.now + micros;
         loop {
-            let next_message = self.queue.first_key_value().map(|(key, _)| key.0);
+            let next_message = self.net.next_at();
             let next = next_message.map_or(self.next_tick, |at| at.min(self.next_tick));
             if next > end {
                 break;
@@ -222,10 +188,7 @@
     }
 
     fn deliver(&mut self) {
-        let Some((_, (from, to, message))) = self.queue.pop_first() else {
-            return;
-        };
-        let Some(index) = self.nodes.iter().position(|node| node.id.vm == to.vm) else {
+        let Some((index, from, message)) = self.net.pop() else {
             return;
         };
         let node = &self.nodes[index];
@@ -233,11 +196,7 @@
             return;
         }
         if node.paused_until > self.now {
-            let key = (
-                node.paused_until,
-                self.counts.messages + self.queue.len() as u64,
-            );
-            self.queue.insert(key, (from, to, message));
+            self.net.defer(node.paused_until, index, from, message);
             return;
         }
         let BudgetId::CustomerRate(customer) = message.budget() else {
@@ -378,13 +337,6 @@
     }
 }
 
-pub fn node_id(index: usize, incarnation: u64) -> NodeId {
-    NodeId {
-        vm: format!("vm-{index}").parse().expect("the name is an id"),
-        incarnation: Incarnation(incarnation),
-    }
-}
-
 fn rank_holders(members: &[NodeId], customer: &CustomerId, policy: LimitPolicy) -> Vec<NodeId> {
     let mut holders = members.to_vec();
     if policy == LimitPolicy::Escrow {
--- a/lib/tests/test_shares.rs
+++ b/lib/tests/test_shares.rs
@@ -10,7 +10,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
-use crate::share_fleet::{NetFaults, ShareFleet};
+use crate::fake_net::NetFaults;
+use crate::share_fleet::ShareFleet;
 
 const HISTORIES: u32 = 10_000;
 const THREADS: u32 = 4;
@@ -88,13 +89,13 @@
         }
         Step::Advance(span) => fleet.advance(span),
         Step::Cut(from, to) => {
-            fleet.cuts.insert((from, to));
+            fleet.net.cuts.insert((from, to));
         }
-        Step::Heal => fleet.cuts.clear(),
+        Step::Heal => fleet.net.cuts.clear(),
         Step::Pause(node, span) => fleet.nodes[node].paused_until = fleet.now + span,
         Step::Restart(node) => fleet.restart(node),
         Step::Faults(lost_percent, doubled_percent, late_percent) => {
-            fleet.faults = NetFaults {
+            fleet.net.faults = NetFaults {
                 lost_percent,
                 doubled_percent,
                 late_percent,
