--- a/lib/src/bucket_hand.rs
+++ b/lib/src/bucket_hand.rs
@@ -92,6 +92,18 @@
         messages
     }
 
+    /// Asks `lender` for a loan; `partial` says that less than a whole token helps.
+    pub fn ask(
+        &mut self,
+        now: MonoTime,
+        lender: NodeId,
+        want: LoanAmount,
+        partial: bool,
+        sequence: &mut TransferSequence,
+    ) -> Outgoing {
+        self.hand.ask(now, lender, want, partial, sequence)
+    }
+
     /// Lends at most `want` of what is free besides what `keep` reserves for this node.
     ///
     /// Unless the borrower collects parts, it gets whole tokens, so that two borrowers do not end
--- a/lib/src/escrow.rs
+++ b/lib/src/escrow.rs
@@ -270,18 +270,13 @@
         Some(self.asks.swap_remove(index).sent_at)
     }
 
-    /// Asks to extend the loans that `wanted` picks and that are in the second half of their term.
-    pub(crate) fn renew(
-        &mut self,
-        now: MonoTime,
-        sequence: &mut TransferSequence,
-        wanted: impl Fn(&BorrowedLoan) -> bool,
-    ) -> Vec<Outgoing> {
+    /// Asks to extend the loans that are in the second half of their term.
+    pub fn renew(&mut self, now: MonoTime, sequence: &mut TransferSequence) -> Vec<Outgoing> {
         let term = self.budget.loan_term();
         let due: Vec<_> = self
             .borrowed
             .iter()
-            .filter(|loan| !loan.closing && wanted(loan) && loan.ends_at.since(now) < term / 2)
+            .filter(|loan| !loan.closing && loan.ends_at.since(now) < term / 2)
             .map(|loan| (loan.lender.clone(), loan.grant))
             .collect();
         let mut messages = Vec::new();
--- a/lib/src/rate_entry.rs
+++ b/lib/src/rate_entry.rs
@@ -216,8 +216,7 @@
             };
             self.cursor = index + 1;
             let lender = homes[index].clone();
-            let escrow = self.hand.escrow_mut();
-            let message = escrow.ask(now, lender, want, partial, sequence);
+            let message = self.hand.ask(now, lender, want, partial, sequence);
             send_all([message], actions);
         }
     }
@@ -410,7 +409,7 @@
             }
         }
         let escrow = self.hand.escrow_mut();
-        send_all(escrow.renew(now, sequence, |_| true), actions);
+        send_all(escrow.renew(now, sequence), actions);
     }
 
     /// Acts on a newer assignment or newer terms.
--- a/lib/src/slot_hand.rs
+++ b/lib/src/slot_hand.rs
@@ -302,7 +302,9 @@
 
     /// Renews the loans while their units are in use or wanted.
     pub fn renew(&mut self, now: MonoTime, sequence: &mut TransferSequence) -> Vec<Outgoing> {
-        let is_needed = self.in_use > 0 || self.is_wanted(now);
-        self.escrow.renew(now, sequence, |_| is_needed)
+        if self.in_use == 0 && !self.is_wanted(now) {
+            return Vec::new();
+        }
+        self.escrow.renew(now, sequence)
     }
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod fake_net;
 mod share_fleet;
+mod slot_fleet;
 mod test_claims;
 mod test_configuration;
 mod test_crash_guard;
@@ -13,6 +14,7 @@
 mod test_fair_queue;
 mod test_freshness;
 mod test_keys;
+mod test_loans;
 mod test_membership;
 mod test_picker;
 mod test_rate_limits;
--- /dev/null
+++ b/lib/tests/test_loans.rs
@@ -0,0 +1,196 @@
+//! The single rules that keep a loan out of two hands.
+
+use std::time::Duration;
+
+use damaskloom_lib::bucket_hand::{Asker, BucketHand};
+use damaskloom_lib::budget::{
+    BudgetId, BudgetTerms, BudgetView, EpochView, MicroUnits, RefillRate, SplitMode,
+};
+use damaskloom_lib::escrow::EscrowHand;
+use damaskloom_lib::ids::{Epoch, Incarnation, NodeId, Revision};
+use damaskloom_lib::loan::{EscrowMessage, LoanAmount, TransferSequence};
+use damaskloom_lib::time::MonoTime;
+
+use crate::fake_net::node_id;
+use crate::slot_fleet::{SlotFleet, budget};
+use crate::test_shares::{customer, terms};
+
+const LOAN_TERM: Duration = Duration::from_secs(30);
+
+fn view(epoch: u64, holders: &[NodeId], terms: BudgetTerms) -> BudgetView {
+    let epoch = EpochView {
+        epoch: Epoch(epoch),
+        holders: holders.to_vec(),
+        ..EpochView::default()
+    };
+    BudgetView { epoch, terms }
+}
+
+fn rate_hand(now: MonoTime, node: &NodeId, holders: &[NodeId]) -> BucketHand {
+    let budget = BudgetId::CustomerRate(customer("acme"));
+    let view = view(1, holders, terms(10, 10));
+    BucketHand::new(now, budget, node.clone(), view, SplitMode::Homes)
+}
+
+/// Lends half of a home's share and returns the grant, which is not yet taken.
+fn lend(now: MonoTime, home: &mut BucketHand, peer: &mut BucketHand) -> EscrowMessage {
+    let sequence = &mut TransferSequence::new(Incarnation(1));
+    let borrower = peer.escrow().node().clone();
+    let want = LoanAmount {
+        refill: RefillRate::from_units(5),
+        capacity: MicroUnits::from_units(5),
+        level: MicroUnits::from_units(5),
+    };
+    let lender = home.escrow().node().clone();
+    let (_, message) = peer.ask(now, lender, want, false, sequence);
+    let EscrowMessage::Ask { ask, partial, .. } = message else {
+        panic!("an ask was made");
+    };
+    let asker = Asker {
+        borrower,
+        ask,
+        partial,
+    };
+    let keep = LoanAmount::default();
+    home.lend(now, asker, want, keep, sequence).1.1
+}
+
+fn take(now: MonoTime, peer: &mut BucketHand, home: &NodeId, grant: &EscrowMessage) -> bool {
+    let EscrowMessage::Grant {
+        ask,
+        grant,
+        epoch,
+        amount,
+        ..
+    } = grant
+    else {
+        panic!("a grant was made");
+    };
+    peer.accept(now, home, *ask, *grant, *epoch, *amount)
+        .is_some()
+}
+
+#[test]
+fn a_pause_beyond_the_loan_gains_no_refill_from_it() {
+    let nodes = [node_id(0, 1), node_id(1, 1)];
+    let start = MonoTime::from_millis(100_000);
+    let mut home = rate_hand(start, &nodes[0], &nodes);
+    let mut peer = rate_hand(start, &nodes[1], &nodes);
+    let grant = lend(start, &mut home, &mut peer);
+    assert!(take(start, &mut peer, &nodes[0], &grant));
+    let before = start + Duration::from_millis(1_999);
+    peer.refresh(before);
+    while peer.spend(MicroUnits::from_units(1)) {}
+    let left = peer.level();
+
+    let after = before + Duration::from_millis(500);
+    peer.refresh(after);
+
+    let borrowed = MicroUnits(5_000);
+    let own = peer.escrow().own_free().refill.over(after.since(before));
+    assert!(peer.level() <= left + own + borrowed, "{}", peer.level());
+}
+
+#[test]
+fn a_grant_counts_once_and_not_out_of_an_earlier_epoch() {
+    let nodes = [node_id(0, 1), node_id(1, 1)];
+    let now = MonoTime::from_millis(100_000);
+    let mut home = rate_hand(now, &nodes[0], &nodes);
+    let mut peer = rate_hand(now, &nodes[1], &nodes);
+    let first = lend(now, &mut home, &mut peer);
+    assert!(take(now, &mut peer, &nodes[0], &first));
+    assert!(!take(now, &mut peer, &nodes[0], &first));
+
+    // The home may be gone by the time that the peer acts on the next epoch.
+    let mut home = rate_hand(now, &nodes[0], &nodes);
+    let late = lend(now, &mut home, &mut peer);
+    peer.adopt(now, view(2, &nodes[1..], terms(10, 10)));
+    assert!(!take(now, &mut peer, &nodes[0], &late));
+    assert!(peer.escrow().share().capacity <= MicroUnits::from_units(10));
+}
+
+#[test]
+fn a_node_conforms_to_an_epoch_only_without_loans_beyond_its_share() {
+    let nodes = [node_id(0, 1), node_id(1, 1)];
+    let now = MonoTime::from_millis(100_000);
+    let mut home = rate_hand(now, &nodes[0], &nodes);
+    let mut peer = rate_hand(now, &nodes[1], &nodes);
+    let grant = lend(now, &mut home, &mut peer);
+    assert!(take(now, &mut peer, &nodes[0], &grant));
+
+    let returned = peer.adopt(now, view(2, &nodes[1..], terms(10, 10)));
+    assert!(peer.escrow().conforms());
+    home.adopt(now, view(2, &nodes[1..], terms(10, 10)));
+    assert!(!home.escrow().conforms());
+    let [(_, EscrowMessage::Return { grant, level, .. })] = returned.as_slice() else {
+        panic!("the loan is returned: {returned:?}");
+    };
+    home.take_return(now, &nodes[1], *grant, *level);
+    assert!(home.escrow().conforms());
+    assert_eq!(home.level(), MicroUnits::ZERO);
+}
+
+#[test]
+fn a_renewal_counts_from_when_it_was_asked_for() {
+    let nodes = [node_id(0, 1), node_id(1, 1)];
+    let start = MonoTime::from_millis(100_000);
+    let slots = view(1, &nodes, BudgetTerms::from_units(Revision(1), 2));
+    let hand =
+        |node: &NodeId| EscrowHand::new(budget(0), node.clone(), slots.clone(), SplitMode::Homes);
+    let (mut home, mut peer) = (hand(&nodes[0]), hand(&nodes[1]));
+    let sequence = &mut TransferSequence::new(Incarnation(1));
+    let want = LoanAmount {
+        capacity: MicroUnits::from_units(1),
+        level: MicroUnits::from_units(1),
+        ..LoanAmount::default()
+    };
+    let (_, ask) = peer.ask(start, nodes[0].clone(), want, false, sequence);
+    let EscrowMessage::Ask { ask, .. } = ask else {
+        panic!("an ask was made");
+    };
+    let (_, grant) = home.grant(start, nodes[1].clone(), ask, want, sequence);
+    let EscrowMessage::Grant { grant, epoch, .. } = grant else {
+        panic!("a grant was made");
+    };
+    assert!(
+        peer.accept(start, &nodes[0], ask, grant, epoch, want)
+            .is_some()
+    );
+
+    let asked = start + LOAN_TERM * 2 / 3;
+    let renewals = peer.renew(asked, sequence);
+    let [(_, EscrowMessage::Renew { ask, .. })] = renewals.as_slice() else {
+        panic!("the loan is renewed: {renewals:?}");
+    };
+    peer.extended(asked + LOAN_TERM / 6, &nodes[0], *ask, grant);
+
+    let two = MicroUnits::from_units(2);
+    assert_eq!(peer.share_until(asked + LOAN_TERM).capacity, two);
+    let beyond = asked + LOAN_TERM + Duration::from_micros(1);
+    assert!(peer.share_until(beyond).capacity < two);
+}
+
+#[test]
+fn a_cut_off_borrower_stops_before_its_home_takes_the_slot_back() {
+    // The borrower's clock is as slow, and the home's as fast, as the drift allows.
+    let mut fleet = SlotFleet::new(2, 1, 2, 1);
+    fleet.nodes[0].clock_ppm = 1_001_000;
+    fleet.nodes[1].clock_ppm = 999_000;
+    const HELD_MICROS: u64 = 29_000_000;
+    assert!(fleet.acquire(1, &budget(0), HELD_MICROS));
+    assert!(!fleet.acquire(1, &budget(0), HELD_MICROS));
+    fleet.advance(5_000);
+    assert!(fleet.acquire(1, &budget(0), HELD_MICROS));
+    fleet.net.cuts = [(0, 1), (1, 0)].into();
+    fleet.advance(HELD_MICROS - 100_000);
+    fleet.tick_micros = 1_000;
+
+    let (mut from_home, mut from_peer) = (0, 0);
+    for _ in 0..1_500 {
+        from_peer += u32::from(fleet.acquire(1, &budget(0), 300_000));
+        from_home += u32::from(fleet.acquire(0, &budget(0), 300_000));
+        assert!(fleet.occupied(&budget(0)) <= 2);
+        fleet.advance(1_000);
+    }
+    assert!(from_peer >= 4 && from_home >= 1, "{from_peer} {from_home}");
+}
--- a/lib/tests/test_shares.rs
+++ b/lib/tests/test_shares.rs
@@ -12,6 +12,7 @@
 
 use crate::fake_net::NetFaults;
 use crate::share_fleet::ShareFleet;
+use crate::slot_fleet::{SlotFleet, budget};
 
 const HISTORIES: u32 = 10_000;
 const THREADS: u32 = 4;
@@ -159,3 +160,84 @@
     assert!(admitted > u64::from(HISTORIES) * 10, "{admitted}");
     assert!(waited > u64::from(HISTORIES) * 10, "{waited}");
 }
+
+#[derive(Clone, Debug)]
+enum SlotStep {
+    Acquire(usize, u64),
+    Release(usize),
+    Advance(u64),
+    Cut(usize, usize),
+    Heal,
+    Pause(usize, u64),
+    Faults(u64, u64, u64),
+}
+
+fn any_slot_step() -> impl Strategy<Value = SlotStep> {
+    let node = 0..NODES;
+    prop_oneof![
+        16 => (node.clone(), 1_000_000..28_000_000_u64)
+            .prop_map(|(node, span)| SlotStep::Acquire(node, span)),
+        5 => node.clone().prop_map(SlotStep::Release),
+        4 => (1_000..20_000_u64).prop_map(SlotStep::Advance),
+        1 => (100_000..2_000_000_u64).prop_map(SlotStep::Advance),
+        1 => (25_000_000..40_000_000_u64).prop_map(SlotStep::Advance),
+        1 => (node.clone(), node.clone()).prop_map(|(from, to)| SlotStep::Cut(from, to)),
+        1 => Just(SlotStep::Heal),
+        1 => (node, 0..40_000_000_u64).prop_map(|(node, span)| SlotStep::Pause(node, span)),
+        1 => (0..30_u64, 0..60_u64, 0..60_u64).prop_map(|(a, b, c)| SlotStep::Faults(a, b, c)),
+    ]
+}
+
+fn run_slot_step(fleet: &mut SlotFleet, step: &SlotStep) {
+    match *step {
+        SlotStep::Acquire(node, span) if !fleet.is_paused(node) => {
+            fleet.acquire(node, &budget(0), span);
+        }
+        SlotStep::Release(node) if !fleet.nodes[node].held.is_empty() => fleet.release(node, 0),
+        SlotStep::Acquire(..) | SlotStep::Release(_) => {}
+        SlotStep::Advance(span) => fleet.advance(span),
+        SlotStep::Cut(from, to) => {
+            fleet.net.cuts.insert((from, to));
+        }
+        SlotStep::Heal => fleet.net.cuts.clear(),
+        SlotStep::Pause(node, span) => fleet.nodes[node].paused_until = fleet.now + span,
+        SlotStep::Faults(lost_percent, doubled_percent, late_percent) => {
+            fleet.net.faults = NetFaults {
+                lost_percent,
+                doubled_percent,
+                late_percent,
+            };
+        }
+    }
+}
+
+#[test]
+fn no_target_runs_more_than_its_slots_in_any_history() {
+    const SLOTS: usize = 2;
+    let history = (
+        any::<u64>(),
+        prop::array::uniform4(1_000_000 - CLOCK_DRIFT_PPM..=1_000_000 + CLOCK_DRIFT_PPM),
+        prop::collection::vec(any_slot_step(), 10..40),
+    );
+    let (full, moved) = (Cell::new(0), Cell::new(0));
+    fixed_runner(HISTORIES / THREADS, 11)
+        .run(&history, |(seed, clocks, steps)| {
+            let mut fleet = SlotFleet::new(NODES, 1, SLOTS as u32, seed);
+            fleet.tick_micros = 100_000;
+            for (node, ppm) in fleet.nodes.iter_mut().zip(clocks) {
+                node.clock_ppm = ppm;
+            }
+            for step in &steps {
+                run_slot_step(&mut fleet, step);
+                let occupied = fleet.occupied(&budget(0));
+                prop_assert!(occupied <= SLOTS, "{occupied} slots in use");
+                full.set(full.get() + usize::from(occupied == SLOTS));
+            }
+            moved.set(moved.get() + fleet.available.len());
+            Ok(())
+        })
+        .expect("the slots hold");
+    // The histories must fill targets and move slots to mean anything.
+    assert!(full.get() > 10_000, "{full:?}");
+    assert!(moved.get() > 2_000, "{moved:?}");
+}
