--- a/lib/tests/test_loans.rs
+++ b/lib/tests/test_loans.rs
@@ -187,8 +187,8 @@
 
     let (mut from_home, mut from_peer) = (0, 0);
     for _ in 0..1_500 {
-        from_peer += u32::from(fleet.acquire(1, &budget(0), 300_000));
-        from_home += u32::from(fleet.acquire(0, &budget(0), 300_000));
+        from_peer += u32::from(fleet.acquire(1, &budget(0), 50_000));
+        from_home += u32::from(fleet.acquire(0, &budget(0), 50_000));
         assert!(fleet.occupied(&budget(0)) <= 2);
         fleet.advance(1_000);
     }
