--- a/lib/benches/limits/mod.rs
+++ b/lib/benches/shares/limits.rs
@@ -5,6 +5,7 @@
 use damaskloom_lib::rate_limiter::LimitPolicy;
 use damaskloom_lib::units::{BurstSize, RequestRate};
 
+use crate::random::Random;
 use crate::share_fleet::{ShareFleet, reference_refusals};
 
 const LENGTH_MICROS: u64 = 60_000_000;
@@ -60,22 +61,6 @@
     customer: usize,
 }
 
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, bound: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % bound
-    }
-
-    fn exponential(&mut self, mean: f64) -> u64 {
-        let uniform = (self.below(1 << 30) + 1) as f64 / (1_u64 << 30) as f64;
-        (-uniform.ln() * mean) as u64
-    }
-}
-
 fn terms_of(scenario: Scenario) -> Vec<BudgetTerms> {
     let list = match scenario {
         Scenario::Thin => THIN_CUSTOMERS,
@@ -156,7 +141,7 @@
 }
 
 fn measure(scenario: Scenario, nodes: usize, policy: LimitPolicy) -> Outcome {
-    let mut random = Random(0x9E37_79B9_7F4A_7C15);
+    let mut random = Random::new(1);
     let arrivals = arrivals(scenario, nodes, &mut random);
     let terms = terms_of(scenario);
     let names: Vec<CustomerId> = (0..terms.len())
--- /dev/null
+++ b/lib/benches/shares/main.rs
@@ -0,0 +1,25 @@
+//! Measures rate limits, slots and queues on virtual time, each beside its baseline.
+
+#[path = "../../tests/fake_net.rs"]
+#[allow(dead_code)]
+mod fake_net;
+#[path = "../../tests/share_fleet.rs"]
+#[allow(dead_code)]
+mod share_fleet;
+#[path = "../../tests/slot_fleet.rs"]
+#[allow(dead_code)]
+mod slot_fleet;
+
+mod cost;
+mod limits;
+mod queues;
+mod random;
+mod slots;
+
+fn main() {
+    // First, so that the resident memory is that of the customers alone.
+    cost::run();
+    limits::run();
+    slots::run();
+    queues::run();
+}
--- a/lib/src/fair_schedule.rs
+++ b/lib/src/fair_schedule.rs
@@ -140,7 +140,8 @@
     /// Forgets customers that owe nothing and have nothing waiting.
     fn sweep(&mut self) {
         self.pops += 1;
-        if self.pops.is_multiple_of(SWEEP_INTERVAL) {
+        if self.pops >= SWEEP_INTERVAL.max(self.queues.len() as u64) {
+            self.pops = 0;
             let now = self.virtual_time;
             self.queues
                 .retain(|_, queue| !queue.requests.is_empty() || queue.finish > now);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod fake_net;
 mod share_fleet;
+#[allow(dead_code)]
 mod slot_fleet;
 mod test_claims;
 mod test_configuration;
--- a/lib/tests/slot_fleet.rs
+++ b/lib/tests/slot_fleet.rs
@@ -88,38 +88,38 @@
 
     /// Occupies a unit for a time, or says that it is wanted.
     pub fn acquire(&mut self, index: usize, budget: &BudgetId, span: u64) -> bool {
-        let view = self.views[budget].clone();
-        let wanted = view.clone();
+        self.acquire_or(index, budget, span, true)
+    }
+
+    /// Occupies a unit for a time if one is at hand.
+    pub fn try_acquire(&mut self, index: usize, budget: &BudgetId, span: u64) -> bool {
+        self.acquire_or(index, budget, span, false)
+    }
+
+    fn acquire_or(&mut self, index: usize, budget: &BudgetId, span: u64, is_wanted: bool) -> bool {
         let deadline = self.nodes[index].local(self.now + span);
         let now = self.nodes[index].local(self.now);
+        let view = || self.views[budget].clone();
         let mut actions = Vec::new();
-        let pool = &mut self.nodes[index].pool;
-        let ticket = pool.acquire(now, budget, deadline, || view, &mut actions);
+        let node = &mut self.nodes[index];
+        let ticket = node.pool.acquire(now, budget, deadline, view, &mut actions);
         let is_held = ticket.is_some();
-        match ticket {
-            Some(ticket) => self.nodes[index].held.push(HeldSlot { ticket, deadline }),
-            None => pool.want(now, budget, 1, || wanted, &mut actions),
+        if let Some(ticket) = ticket {
+            node.held.push(HeldSlot { ticket, deadline });
+        } else if is_wanted {
+            node.pool.want(now, budget, 1, view, &mut actions);
         }
         self.perform(index, actions);
         is_held
     }
 
-    /// Returns the units that the node could occupy at once.
-    pub fn free(&mut self, index: usize, budget: &BudgetId, span: u64) -> u64 {
-        let view = self.views[budget].clone();
-        let deadline = self.nodes[index].local(self.now + span);
-        let now = self.nodes[index].local(self.now);
-        let pool = &mut self.nodes[index].pool;
-        pool.free_until(now, budget, deadline, || view)
-    }
-
     /// Says that a request waits for a unit.
     pub fn want(&mut self, index: usize, budget: &BudgetId) {
-        let view = self.views[budget].clone();
         let now = self.nodes[index].local(self.now);
+        let view = || self.views[budget].clone();
         let mut actions = Vec::new();
         let pool = &mut self.nodes[index].pool;
-        pool.want(now, budget, 1, || view, &mut actions);
+        pool.want(now, budget, 1, view, &mut actions);
         self.perform(index, actions);
     }
 
@@ -176,12 +176,11 @@
             self.net.defer(at, index, from, message);
             return;
         }
-        let view = self.views[message.budget()].clone();
+        let view = || Some(self.views[message.budget()].clone());
         let node = &mut self.nodes[index];
         let now = node.local(self.now);
         let mut actions = Vec::new();
-        node.pool
-            .handle(now, &from, &message, || Some(view), &mut actions);
+        node.pool.handle(now, &from, &message, view, &mut actions);
         self.perform(index, actions);
     }
 
