--- a/lib/src/escrow.rs
+++ b/lib/src/escrow.rs
@@ -156,17 +156,24 @@
         self.asks.retain(|ask| ask.sent_at + term > now);
     }
 
-    /// Asks `lender` for a loan.
+    /// Asks `lender` for a loan; `partial` says that less than a whole token helps.
     pub fn ask(
         &mut self,
         now: MonoTime,
         lender: NodeId,
         want: LoanAmount,
+        partial: bool,
         sequence: &mut TransferSequence,
     ) -> Outgoing {
         let ask = self.expect_answer(now, lender.clone(), None, sequence);
         let budget = self.budget.clone();
-        (lender, EscrowMessage::Ask { budget, ask, want })
+        let message = EscrowMessage::Ask {
+            budget,
+            ask,
+            want,
+            partial,
+        };
+        (lender, message)
     }
 
     fn expect_answer(
@@ -242,6 +249,7 @@
                 grant,
                 lender: lender.clone(),
                 share: amount.share(),
+                accepted_at: now,
                 ends_at,
                 recalled: false,
                 closing: false,
@@ -262,18 +270,13 @@
         Some(self.asks.swap_remove(index).sent_at)
     }
 
-    /// Asks to extend the loans that `wanted` picks and that are in the second half of their term.
-    pub(crate) fn renew(
-        &mut self,
-        now: MonoTime,
-        sequence: &mut TransferSequence,
-        wanted: impl Fn(&BorrowedLoan) -> bool,
-    ) -> Vec<Outgoing> {
+    /// Asks to extend the loans that are in the second half of their term.
+    pub fn renew(&mut self, now: MonoTime, sequence: &mut TransferSequence) -> Vec<Outgoing> {
         let term = self.budget.loan_term();
         let due: Vec<_> = self
             .borrowed
             .iter()
-            .filter(|loan| !loan.closing && wanted(loan) && loan.ends_at.since(now) < term / 2)
+            .filter(|loan| !loan.closing && loan.ends_at.since(now) < term / 2)
             .map(|loan| (loan.lender.clone(), loan.grant))
             .collect();
         let mut messages = Vec::new();
--- a/lib/src/loan.rs
+++ b/lib/src/loan.rs
@@ -89,6 +89,9 @@
         ask: TransferId,
         /// What would help.
         want: LoanAmount,
+        /// Whether less than a whole token helps.
+        #[serde(default)]
+        partial: bool,
     },
     /// Answers an ask; a zero amount says that nothing can be spared.
     Grant {
@@ -169,6 +172,7 @@
     pub grant: TransferId,
     pub lender: NodeId,
     pub share: BudgetShare,
+    pub accepted_at: MonoTime,
     pub ends_at: MonoTime,
     pub recalled: bool,
     /// The loan must end because its lender's share became smaller.
