freshness: tell a lost store from a node that is cut off

A node must refuse keyed work in bounded time when it has lost the store and its peers, and must go on when the store is gone for everybody.

--- /dev/null
+++ b/lib/tests/fake_network.rs
@@ -0,0 +1,116 @@
+//! A fake message queue with loss, delay, duplication and one-way cuts, and clocks that differ, for
+//! a handful of instances of one state machine.
+
+use std::collections::BTreeSet;
+use std::sync::LazyLock;
+
+use damaskloom_lib::ids::{Incarnation, NodeId};
+use damaskloom_lib::time::MonoTime;
+
+/// A message in flight.
+#[derive(Clone, Debug)]
+pub struct Flight<M> {
+    pub due: u64,
+    pub from: usize,
+    pub to: usize,
+    pub message: M,
+}
+
+/// What happens to the next messages between nodes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Weather {
+    pub drop_one_in: u64,
+    pub duplicate_one_in: u64,
+    pub max_delay: u64,
+}
+
+/// A queue of messages between a handful of state machines, on virtual time in milliseconds.
+#[derive(Debug)]
+pub struct FakeQueue<M> {
+    pub flights: Vec<Flight<M>>,
+    pub cuts: BTreeSet<(usize, usize)>,
+    pub weather: Weather,
+    state: u64,
+}
+
+impl<M: Clone> FakeQueue<M> {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            flights: Vec::new(),
+            cuts: BTreeSet::new(),
+            weather: Weather::default(),
+            state: seed | 1,
+        }
+    }
+
+    /// Draws the next number of the queue's own xorshift sequence.
+    pub fn draw(&mut self) -> u64 {
+        self.state ^= self.state << 13;
+        self.state ^= self.state >> 7;
+        self.state ^= self.state << 17;
+        self.state
+    }
+
+    fn hits(&mut self, one_in: u64) -> bool {
+        one_in > 0 && self.draw().is_multiple_of(one_in)
+    }
+
+    pub fn send(&mut self, now: u64, from: usize, to: usize, message: M) {
+        if self.cuts.contains(&(from, to)) || self.hits(self.weather.drop_one_in) {
+            return;
+        }
+        let copies = 1 + usize::from(self.hits(self.weather.duplicate_one_in));
+        for _ in 0..copies {
+            let due = now + 1 + self.draw() % (self.weather.max_delay + 1);
+            let message = message.clone();
+            self.flights.push(Flight {
+                due,
+                from,
+                to,
+                message,
+            });
+        }
+    }
+
+    /// Takes what is due, in order of time.
+    pub fn arrivals(&mut self, now: u64) -> Vec<Flight<M>> {
+        let mut due: Vec<_> = self
+            .flights
+            .extract_if(.., |flight| flight.due <= now)
+            .collect();
+        due.sort_by_key(|flight| flight.due);
+        due
+    }
+}
+
+/// The nodes of the tests, made once, since histories look them up all the time.
+static NODES: LazyLock<Vec<NodeId>> = LazyLock::new(|| {
+    let node = |index| NodeId {
+        vm: format!("vm-{index}").parse().unwrap(),
+        incarnation: Incarnation(1),
+    };
+    (0..64).map(node).collect()
+});
+
+/// Names the node of an index.
+pub fn node_id(index: usize) -> NodeId {
+    NODES[index].clone()
+}
+
+/// Returns the index of a node's VM.
+pub fn index_of(node: &NodeId) -> usize {
+    let position = NODES.iter().position(|known| known.vm == node.vm);
+    position.expect("only nodes of the test are named")
+}
+
+/// Reads the clock of a node: every node's has its own origin, and runs up to 0.05% fast or slow.
+pub fn clock_of(index: usize, now: u64) -> MonoTime {
+    let micros = now * 1_000;
+    let drift = micros / 2_000;
+    let origin = 1_000_000_000 * (index as u64 + 1);
+    match index % 3 {
+        0 => MonoTime::from_micros(origin + micros),
+        1 => MonoTime::from_micros(origin + micros + drift),
+        _ => MonoTime::from_micros(origin + micros - drift),
+    }
+}
--- a/lib/tests/test_freshness.rs
+++ b/lib/tests/test_freshness.rs
@@ -1,1 +1,278 @@
-//! Placeholder.
+//! When a node refuses keyed work: never while only the store is gone, always when it is cut off.
+
+use std::time::Duration;
+
+use damaskloom_lib::freshness::{
+    Freshness, FreshnessAction, FreshnessGuard, FreshnessMessage, FreshnessSettings,
+};
+use damaskloom_lib::ids::Epoch;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::TestCaseError;
+
+use crate::fake_network::{FakeQueue, Weather, clock_of, index_of, node_id};
+use crate::seeded_run::seeded_runner;
+
+const TERM_MS: u64 = 1_000;
+const TICK_MS: u64 = 50;
+const READ_INTERVAL_MS: u64 = 200;
+/// The term with what the clocks of the fake nodes drift apart, and one tick.
+const BOUND_MS: u64 = TERM_MS + TERM_MS / 500 + TICK_MS;
+
+/// What a generated history does next.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Run(u64),
+    Outage(bool),
+    Cut(usize, usize),
+    CutOff(usize),
+    Heal,
+    Pause(usize, bool),
+    Weather(Weather),
+}
+
+fn step(nodes: usize) -> impl Strategy<Value = Step> {
+    let weather = (0_u64..6, 0_u64..6, 0_u64..300).prop_map(|(drop, duplicate, delay)| {
+        Step::Weather(Weather {
+            drop_one_in: if drop == 0 { 0 } else { drop + 1 },
+            duplicate_one_in: duplicate,
+            max_delay: delay,
+        })
+    });
+    prop_oneof![
+        4 => (1_u64..12).prop_map(|ticks| Step::Run(ticks * TICK_MS)),
+        1 => any::<bool>().prop_map(Step::Outage),
+        1 => (0..nodes, 0..nodes).prop_map(|(from, to)| Step::Cut(from, to)),
+        1 => (0..nodes).prop_map(Step::CutOff),
+        1 => Just(Step::Heal),
+        1 => (0..nodes, any::<bool>()).prop_map(|(node, paused)| Step::Pause(node, paused)),
+        1 => weather,
+    ]
+}
+
+/// A handful of guards, with a store that nodes 0 and 1 read.
+struct World {
+    guards: Vec<FreshnessGuard>,
+    paused: Vec<bool>,
+    off_store: Vec<bool>,
+    queue: FakeQueue<FreshnessMessage>,
+    store_up: bool,
+    now: u64,
+    /// When any node last read the store.
+    last_read: Option<u64>,
+}
+
+impl World {
+    fn new(nodes: usize) -> Self {
+        let settings = FreshnessSettings {
+            term_ms: TERM_MS,
+            ping_interval_ms: 2 * TICK_MS,
+            calm_pings: 1,
+        };
+        let guard = |index| {
+            let mut guard = FreshnessGuard::new(settings.clone(), node_id(index), index as u64);
+            guard.set_epoch(Epoch(1), (0..nodes).map(node_id));
+            guard
+        };
+        Self {
+            guards: (0..nodes).map(guard).collect(),
+            paused: vec![false; nodes],
+            off_store: vec![false; nodes],
+            queue: FakeQueue::new(9),
+            store_up: true,
+            now: 0,
+            last_read: None,
+        }
+    }
+
+    fn act(&mut self, from: usize, actions: Vec<FreshnessAction>) {
+        for FreshnessAction::Send { to, message } in actions {
+            self.queue.send(self.now, from, index_of(&to), message);
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK_MS;
+        for flight in self.queue.arrivals(self.now) {
+            if self.paused[flight.to] {
+                self.queue.flights.push(flight);
+                continue;
+            }
+            let clock = clock_of(flight.to, self.now);
+            let from = node_id(flight.from);
+            let actions = self.guards[flight.to].handle(clock, &from, flight.message);
+            self.act(flight.to, actions);
+        }
+        for node in 0..self.guards.len() {
+            if self.paused[node] {
+                continue;
+            }
+            let clock = clock_of(node, self.now);
+            let reads = node < 2 && self.now.is_multiple_of(READ_INTERVAL_MS);
+            if reads && self.store_up && !self.off_store[node] {
+                self.guards[node].record_read(clock, Epoch(1));
+                self.last_read = Some(self.now);
+            }
+            let actions = self.guards[node].tick(clock);
+            self.act(node, actions);
+        }
+    }
+
+    fn run(&mut self, duration: u64) {
+        for _ in 0..duration / TICK_MS {
+            self.tick();
+        }
+    }
+
+    fn cut_off(&mut self, node: usize) {
+        self.off_store[node] = true;
+        for peer in 0..self.guards.len() {
+            self.queue.cuts.extend([(node, peer), (peer, node)]);
+        }
+    }
+
+    fn heal(&mut self) {
+        self.queue.cuts.clear();
+        self.off_store.fill(false);
+        self.paused.fill(false);
+        self.queue.weather = Weather::default();
+    }
+
+    fn check(&self, node: usize) -> Freshness {
+        self.guards[node].check(clock_of(node, self.now))
+    }
+
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::Run(duration) => self.run(duration),
+            Step::Outage(down) => self.store_up = !down,
+            Step::Cut(from, to) => {
+                self.queue.cuts.insert((from, to));
+            }
+            Step::CutOff(node) => self.cut_off(node),
+            Step::Heal => self.heal(),
+            Step::Pause(node, paused) => self.paused[node] = paused,
+            Step::Weather(weather) => self.queue.weather = weather,
+        }
+    }
+
+    /// A node that claims a fresh proof is right: somebody read the store within the bound.
+    fn assert_honest(&self) -> Result<(), TestCaseError> {
+        for node in 0..self.guards.len() {
+            if self.check(node) == Freshness::Fresh {
+                let age = self.last_read.map(|read| self.now - read);
+                prop_assert!(
+                    age.is_some_and(|age| age <= BOUND_MS),
+                    "node {node}, age {age:?}"
+                );
+            }
+        }
+        Ok(())
+    }
+}
+
+#[test]
+fn no_proof_looks_younger_than_it_is_and_a_cut_off_node_refuses_in_bounded_time() {
+    let histories = (vec(step(4), 1..16), 0_usize..4);
+    let run = seeded_runner(11).run(&histories, |(steps, victim)| {
+        let mut world = World::new(4);
+        for step in steps {
+            world.apply(step);
+            world.assert_honest()?;
+        }
+        world.cut_off(victim);
+        world.run(BOUND_MS + TICK_MS);
+        prop_assert_eq!(world.check(victim), Freshness::Fenced);
+        Ok(())
+    });
+    run.unwrap();
+}
+
+#[test]
+fn a_connected_fleet_without_its_store_never_refuses() {
+    let loss = (0_u64..20, 0_u64..5, 0_u64..80, any::<u64>());
+    let run = seeded_runner(12).run(&loss, |(drop, duplicate, delay, seed)| {
+        let mut world = World::new(3);
+        world.queue = FakeQueue::new(seed);
+        world.run(TERM_MS);
+        world.store_up = false;
+        world.queue.weather = Weather {
+            drop_one_in: if drop == 0 { 0 } else { drop + 9 },
+            duplicate_one_in: duplicate,
+            max_delay: delay,
+        };
+        for _ in 0..3 * TERM_MS / TICK_MS {
+            world.tick();
+            let all = (0..3).all(|node| world.check(node).allows_work());
+            prop_assert!(all, "a node refuses at {}", world.now);
+        }
+        prop_assert_eq!(world.check(0), Freshness::StoreLost);
+        Ok(())
+    });
+    run.unwrap();
+}
+
+#[test]
+fn a_cut_in_either_direction_is_no_exchange() {
+    for outgoing in [true, false] {
+        let mut world = World::new(5);
+        world.run(TERM_MS);
+        world.store_up = false;
+        for peer in 0..5 {
+            let cut = if outgoing { (4, peer) } else { (peer, 4) };
+            world.queue.cuts.insert(cut);
+        }
+        world.run(BOUND_MS + TICK_MS);
+        let states: Vec<_> = (0..5).map(|node| world.check(node)).collect();
+        assert_eq!(states[4], Freshness::Fenced);
+        assert!(
+            states[..4]
+                .iter()
+                .all(|state| *state == Freshness::StoreLost)
+        );
+    }
+}
+
+#[test]
+fn a_minority_without_the_store_refuses_and_the_rest_goes_on() {
+    let mut world = World::new(5);
+    world.run(TERM_MS);
+    world.store_up = false;
+    for (one, other) in (0..3).flat_map(|one| [(one, 3), (one, 4)]) {
+        world.queue.cuts.extend([(one, other), (other, one)]);
+    }
+    world.run(BOUND_MS + TICK_MS);
+    let states: Vec<_> = (0..5).map(|node| world.check(node)).collect();
+    assert_eq!(states[..3], [Freshness::StoreLost; 3]);
+    assert_eq!(states[3..], [Freshness::Fenced; 2]);
+}
+
+#[test]
+fn a_paused_node_does_not_work_on_an_old_proof() {
+    let mut world = World::new(3);
+    world.run(TERM_MS);
+    world.paused[2] = true;
+    world.run(4 * TERM_MS);
+    assert_eq!(world.check(2), Freshness::Fenced);
+    world.paused[2] = false;
+    world.run(TERM_MS);
+    assert_eq!(world.check(2), Freshness::Fresh);
+}
+
+#[test]
+fn a_proof_of_a_later_epoch_does_not_lengthen_the_term_of_this_one() {
+    let settings = FreshnessSettings::default();
+    let term = settings.term();
+    let mut guard = FreshnessGuard::new(settings, node_id(0), 0);
+    guard.set_epoch(Epoch(1), [node_id(0), node_id(1), node_id(2)]);
+    let start = clock_of(0, 0);
+    guard.record_read(start, Epoch(1));
+    let later = start + term;
+    guard.record_read(later, Epoch(2));
+    let after = later + Duration::from_millis(1);
+    assert_eq!(guard.check(after), Freshness::Fresh);
+    assert_eq!(guard.check_shares(after), Freshness::Fenced);
+    guard.set_epoch(Epoch(2), [node_id(0)]);
+    guard.record_read(after, Epoch(2));
+    assert_eq!(guard.check_shares(after), Freshness::Fresh);
+}
