freshness: ask at least eight members once the proof ages

With three nodes and 10% loss, half of the members was one peer every other interval, and a node refused although it was connected. Asking at least eight members a round mends it; the property test that showed it passes with the fleet connected and its store gone.

--- a/lib/src/freshness.rs
+++ b/lib/src/freshness.rs
@@ -26,6 +26,8 @@
 const ALARM_DIVISOR: u32 = 2;
 /// Asking everybody is spread over this many intervals.
 const ALARM_ROUNDS: usize = 2;
+/// At least so many members are asked in each of them, since few answers are easily lost.
+const MIN_ALARM_PINGS: usize = 8;
 
 /// Settings of the guard.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -307,7 +309,8 @@
                     .is_none_or(|newest| now.since(newest) > alarm_age)
             });
         let count = if alarmed {
-            self.members.len().div_ceil(ALARM_ROUNDS)
+            let part = self.members.len().div_ceil(ALARM_ROUNDS);
+            part.max(MIN_ALARM_PINGS)
         } else {
             self.settings.calm_pings
         };
