--- a/lib/src/freshness.rs
+++ b/lib/src/freshness.rs
@@ -228,9 +228,13 @@
 
     /// Takes note of an own read of the store's head and epoch.
     ///
-    /// `started` is the time before the read was sent; `epoch` is the epoch that it showed.
+    /// `started` is the time before the read was sent; `epoch` is the epoch that it showed. A read
+    /// that shows an earlier epoch than the entered one is an answer from the past and proves
+    /// nothing.
     pub fn record_read(&mut self, started: MonoTime, epoch: Epoch) {
-        self.record_proof(started, epoch);
+        if epoch >= self.entered {
+            self.record_proof(started, epoch);
+        }
     }
 
     /// Returns the state directly before an act that needs it.
--- a/lib/tests/fake_network.rs
+++ b/lib/tests/fake_network.rs
@@ -25,7 +25,7 @@
 }
 
 /// A queue of messages between a handful of state machines, on virtual time in milliseconds.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct FakeQueue<M> {
     pub flights: Vec<Flight<M>>,
     pub cuts: BTreeSet<(usize, usize)>,
