--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod claim_fleet;
 mod fake_net;
+mod fake_network;
 mod seeded_run;
 mod share_fleet;
 #[allow(dead_code)]
