distribution: bring every node to every revision in order

A node learns of newer revisions from the platform's head, read by a few nodes of each data centre, and from peers' stamps; pulls the deltas in between; and takes over a whole configuration in bounded parts when it has none. The state machine holds no configuration, so that a node keeps one copy.

--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -298,6 +298,14 @@
         Ok(())
     }
 
+    /// Puts the objects of a part of a snapshot; the revision stays.
+    ///
+    /// The result is consistent only once all parts are there, so this is no way to change a
+    /// configuration in force.
+    pub(crate) fn put_objects(&mut self, changes: &[ConfigChange]) {
+        changes.iter().for_each(|change| self.apply_change(change));
+    }
+
     fn apply_change(&mut self, change: &ConfigChange) {
         match change {
             ConfigChange::PutCustomer(customer) => {
--- /dev/null
+++ b/lib/src/distribution/gossip.rs
@@ -0,0 +1,90 @@
+//! Telling peers what is in force, and hearing it from them.
+
+use std::time::Duration;
+
+use super::{ConfigReplica, DistributionMessage, ReplicaAction};
+use crate::ids::{NodeId, Revision};
+use crate::time::MonoTime;
+
+/// Every how many rounds of gossip a peer of any data centre is told.
+const DISTANT_ROUND: u64 = 4;
+
+impl ConfigReplica {
+    pub(super) fn handle_stamp(
+        &mut self,
+        now: MonoTime,
+        from: &NodeId,
+        revision: Option<Revision>,
+        head_age_ms: Option<u64>,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        self.hear_revision(from, revision);
+        if let Some(age) = head_age_ms {
+            self.poller.hear_proof(now - Duration::from_millis(age));
+        }
+        if revision < self.revision {
+            actions.push(self.stamp(now, from.clone()));
+        }
+        if self.revision.is_some() && revision > self.revision {
+            self.pulls.hurry(now);
+            self.pull(now, actions);
+        }
+        self.settle(now, actions);
+    }
+
+    pub(super) fn hear_revision(&mut self, from: &NodeId, revision: Option<Revision>) {
+        if self.peers.contains_key(from) {
+            self.peer_revisions.insert(from.clone(), revision);
+        }
+        if let Some(revision) = revision {
+            self.hear_head(revision);
+        }
+    }
+
+    pub(super) fn hear_head(&mut self, revision: Revision) {
+        self.heard_head = true;
+        self.known_head = self.known_head.max(revision);
+    }
+
+    /// Tells a few peers what is in force here.
+    pub(super) fn gossip(&mut self, now: MonoTime, actions: &mut Vec<ReplicaAction>) {
+        self.gossip_rounds += 1;
+        // A node without a configuration asks more of them, since it serves nothing until then.
+        let count = if self.ready { 1 } else { self.settings.fanout };
+        self.tell_peers(now, count, actions);
+    }
+
+    pub(super) fn tell_peers(
+        &mut self,
+        now: MonoTime,
+        count: usize,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        let is_distant = self.gossip_rounds.is_multiple_of(DISTANT_ROUND) || !self.ready;
+        let audience: Vec<NodeId> = self
+            .peers
+            .iter()
+            .filter(|(_, at)| is_distant || **at == self.data_centre)
+            .map(|(node, _)| node.clone())
+            .collect();
+        let mut told: Vec<usize> = Vec::new();
+        for _ in 0..count.min(audience.len()) {
+            let index = self.draw_index(audience.len());
+            if !told.contains(&index) {
+                told.push(index);
+                actions.push(self.stamp(now, audience[index].clone()));
+            }
+        }
+    }
+
+    fn stamp(&self, now: MonoTime, to: NodeId) -> ReplicaAction {
+        let age = self.poller.last_proof().map(|proof| now.since(proof));
+        ReplicaAction::Send {
+            to,
+            message: DistributionMessage::HeadStamp {
+                revision: self.revision,
+                head_age_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/distribution/pull.rs
@@ -0,0 +1,205 @@
+//! Asking for what is missing: from a peer that has it, or from the platform.
+
+use std::time::Duration;
+
+use super::{ConfigReplica, DistributionMessage, ReplicaAction};
+use crate::config::ConfigDelta;
+use crate::ids::{NodeId, Revision};
+use crate::time::MonoTime;
+
+/// Every how many attempts the platform is asked rather than a peer.
+const STORE_ATTEMPT: u32 = 3;
+
+/// The number of peers that must lack a delta before a whole configuration is asked for.
+const MAX_REFUSALS: u32 = 2;
+
+/// The doublings of the pause between attempts, at most.
+const MAX_PAUSE_DOUBLINGS: u32 = 4;
+
+/// Where an answer is awaited from.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum PullSource {
+    Peer(NodeId),
+    Store,
+}
+
+#[derive(Clone, Debug)]
+struct PendingPull {
+    source: PullSource,
+    sent_at: MonoTime,
+}
+
+/// The request that is in flight, and when to send the next.
+#[derive(Clone, Debug)]
+pub(super) struct PullState {
+    pending: Option<PendingPull>,
+    attempts: u32,
+    refusals: u32,
+    next_attempt: MonoTime,
+    /// Whether only a whole configuration helps.
+    pub(super) needs_snapshot: bool,
+}
+
+impl PullState {
+    pub(super) const fn new(now: MonoTime) -> Self {
+        Self {
+            pending: None,
+            attempts: 0,
+            refusals: 0,
+            next_attempt: now,
+            needs_snapshot: true,
+        }
+    }
+
+    pub(super) const fn is_idle(&self) -> bool {
+        self.pending.is_none()
+    }
+
+    /// Lets the next attempt start at once, since there is a new place to ask.
+    pub(super) fn hurry(&mut self, now: MonoTime) {
+        self.next_attempt = self.next_attempt.min(now);
+    }
+
+    /// Notes an answer; returns whether it was awaited.
+    pub(super) fn finish(&mut self, source: &PullSource) -> bool {
+        let is_awaited = self.pending.as_ref().map(|pending| &pending.source) == Some(source);
+        if is_awaited {
+            self.pending = None;
+        }
+        is_awaited
+    }
+
+    /// Notes that a step forward was made.
+    pub(super) fn note_progress(&mut self, now: MonoTime) {
+        self.attempts = 0;
+        self.refusals = 0;
+        self.next_attempt = now;
+        self.needs_snapshot = false;
+    }
+
+    /// Notes that a peer does not keep the delta that is missing.
+    fn note_refusal(&mut self) {
+        self.refusals += 1;
+        self.needs_snapshot |= self.refusals >= MAX_REFUSALS;
+    }
+
+    /// Starts to wait for an answer.
+    pub(super) fn await_answer(&mut self, now: MonoTime, source: PullSource) {
+        self.pending = Some(PendingPull {
+            source,
+            sent_at: now,
+        });
+    }
+
+    /// Gives up on an answer; the next attempt asks elsewhere.
+    pub(super) fn give_up(&mut self) {
+        self.pending = None;
+    }
+
+    fn is_overdue(&self, now: MonoTime, timeout: Duration) -> bool {
+        self.pending
+            .as_ref()
+            .is_some_and(|pending| now.since(pending.sent_at) >= timeout)
+    }
+
+    /// Counts an attempt and returns its number; fruitless attempts get rarer.
+    fn start_attempt(&mut self, now: MonoTime, timeout: Duration) -> u32 {
+        let doublings = self.attempts.checked_sub(STORE_ATTEMPT);
+        self.next_attempt = match doublings {
+            None => now,
+            Some(doublings) => now + timeout * (1 << doublings.min(MAX_PAUSE_DOUBLINGS)),
+        };
+        self.attempts += 1;
+        self.attempts
+    }
+}
+
+impl ConfigReplica {
+    /// Asks the next node, or the platform, for what is missing.
+    pub(super) fn pull(&mut self, now: MonoTime, actions: &mut Vec<ReplicaAction>) {
+        let timeout = Duration::from_millis(self.settings.pull_timeout_ms);
+        if self.pulls.is_overdue(now, timeout) {
+            // The peer may be gone, so a transfer from it starts anew elsewhere.
+            self.snapshot = None;
+            self.pulls.give_up();
+        }
+        let is_early = now < self.pulls.next_attempt;
+        if !self.pulls.is_idle() || is_early || !self.is_behind() || self.is_listening(now) {
+            return;
+        }
+        let attempt = self.pulls.start_attempt(now, timeout);
+        let source = self.choose_source(attempt);
+        self.pull_from(now, source, actions);
+    }
+
+    pub(super) fn is_behind(&self) -> bool {
+        self.revision.is_none_or(|held| held < self.known_head)
+    }
+
+    /// Returns whether deltas are enough to catch up.
+    pub(super) const fn wants_deltas(&self) -> bool {
+        self.revision.is_some() && !self.pulls.needs_snapshot
+    }
+
+    /// Returns whether a starting node still waits for its peers to say what they have.
+    pub(super) fn is_listening(&self, now: MonoTime) -> bool {
+        let listens = now.since(self.started) < Duration::from_millis(self.settings.listen_ms);
+        !self.ready && listens && self.peer_revisions.len() < self.peers.len()
+    }
+
+    fn choose_source(&mut self, attempt: u32) -> PullSource {
+        let held = self.revision;
+        let newest = self.peer_revisions.values().max().copied().flatten();
+        let ahead: Vec<NodeId> = self
+            .peer_revisions
+            .iter()
+            // A starting node takes the newest that its peers have.
+            .filter(|(_, revision)| **revision > held && (held.is_some() || **revision == newest))
+            .map(|(node, _)| node.clone())
+            .collect();
+        if ahead.is_empty() || attempt.is_multiple_of(STORE_ATTEMPT) {
+            return PullSource::Store;
+        }
+        let index = self.draw_index(ahead.len());
+        PullSource::Peer(ahead[index].clone())
+    }
+
+    pub(super) fn pull_from(
+        &mut self,
+        now: MonoTime,
+        source: PullSource,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        let after = self.revision.filter(|_| self.wants_deltas());
+        let action = match (&source, after) {
+            (PullSource::Store, Some(after)) => ReplicaAction::ReadDeltas { after },
+            (PullSource::Store, None) => ReplicaAction::ReadSnapshot,
+            (PullSource::Peer(peer), Some(after)) => ReplicaAction::Send {
+                to: peer.clone(),
+                message: DistributionMessage::DeltaRequest { after },
+            },
+            (PullSource::Peer(peer), None) => self.start_transfer(peer.clone()),
+        };
+        actions.push(action);
+        self.pulls.await_answer(now, source);
+    }
+
+    pub(super) fn handle_deltas(
+        &mut self,
+        now: MonoTime,
+        from: &NodeId,
+        after: Revision,
+        deltas: &[ConfigDelta],
+        revision: Option<Revision>,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        let was_awaited = self.pulls.finish(&PullSource::Peer(from.clone()));
+        if self.snapshot.is_some() {
+            self.complete_transfer(now, from, after, deltas, actions);
+        } else if was_awaited && deltas.is_empty() && revision > Some(after) {
+            self.pulls.note_refusal();
+        }
+        self.apply_deltas(now, deltas, actions);
+        self.pull(now, actions);
+    }
+}
--- /dev/null
+++ b/lib/src/distribution/steps.rs
@@ -0,0 +1,72 @@
+//! Moving the revision in force forward.
+
+use super::{ConfigReplica, ReplicaAction};
+use crate::config::{ConfigDelta, FleetConfig};
+use crate::ids::Revision;
+use crate::time::MonoTime;
+
+impl ConfigReplica {
+    /// Puts deltas into force that follow the revision in force; others are ignored, whether they
+    /// are old, repeated or leave a gap.
+    pub(super) fn apply_deltas(
+        &mut self,
+        now: MonoTime,
+        deltas: &[ConfigDelta],
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        let before = self.revision;
+        for delta in deltas {
+            if self.revision.map(Revision::next) == Some(delta.revision) {
+                self.revision = Some(delta.revision);
+                self.log.push(delta.clone());
+                actions.push(ReplicaAction::Apply(delta.clone()));
+            }
+        }
+        if self.revision > before {
+            self.advance(now, actions);
+        }
+    }
+
+    /// Puts a whole configuration into force if it is newer than what is in force.
+    pub(super) fn install(
+        &mut self,
+        now: MonoTime,
+        config: FleetConfig,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        if self.revision.is_some_and(|held| config.revision <= held) {
+            return;
+        }
+        self.revision = Some(config.revision);
+        self.generation += 1;
+        self.log.clear();
+        actions.push(ReplicaAction::Install(config));
+        self.advance(now, actions);
+    }
+
+    /// Follows a step forward: less is missing, and peers are told.
+    fn advance(&mut self, now: MonoTime, actions: &mut Vec<ReplicaAction>) {
+        self.pulls.note_progress(now);
+        self.snapshot = None;
+        self.known_head = self.known_head.max(self.revision.unwrap_or_default());
+        self.settle(now, actions);
+        if !self.is_behind() {
+            self.tell_peers(now, self.settings.fanout, actions);
+        }
+    }
+
+    /// Notes what follows from having caught up with the newest revision that was heard of.
+    pub(super) fn settle(&mut self, now: MonoTime, actions: &mut Vec<ReplicaAction>) {
+        // Without word of the newest revision, an old snapshot may be all that there is.
+        let is_listening = self.is_listening(now);
+        if self.heard_head && !self.is_behind() && !is_listening {
+            self.ready = true;
+        }
+        let proven = self
+            .unproven
+            .take_if(|(head, _)| self.revision >= Some(*head));
+        if let Some((revision, at)) = proven {
+            actions.push(ReplicaAction::HeadProven { revision, at });
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/head_poll.rs
@@ -0,0 +1,108 @@
+//! When a node reads the platform's head itself.
+//!
+//! In each data centre the nodes are ranked by rendezvous hashing, so that no election is needed:
+//! the first few read the head at each interval, and the others read it only when they have not
+//! heard of a fresh reading for longer than their rank allows. So a cut-off or paused reader is
+//! replaced within seconds, and an outage of the platform does not make the whole fleet read at
+//! once. See [docs/design/distribution.md](../../docs/design/distribution.md).
+
+use std::time::Duration;
+
+use crate::rendezvous::StableHash;
+use crate::time::MonoTime;
+
+/// How long an unanswered reading counts as in flight.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The intervals of silence after which the ranks behind the readers start to read.
+const SILENT_INTERVALS: u32 = 2;
+
+/// The greatest number of further intervals that a rank waits.
+const MAX_RANK_INTERVALS: u32 = 3;
+
+/// The intervals between failed readings of a reader, at most.
+const READER_BACKOFF_INTERVALS: u32 = 2;
+
+/// The intervals between readings of the other ranks, at most.
+const OTHER_BACKOFF_INTERVALS: u32 = 16;
+
+/// Decides when to read the head.
+#[derive(Clone, Debug)]
+pub struct HeadPoller {
+    interval: Duration,
+    /// The rank divided by the number of readers; zero for the readers.
+    level: u32,
+    next_read: MonoTime,
+    reading_since: Option<MonoTime>,
+    failures: u32,
+    started: MonoTime,
+    last_proof: Option<MonoTime>,
+}
+
+impl HeadPoller {
+    /// Makes a poller that reads at once.
+    pub const fn new(now: MonoTime, interval: Duration) -> Self {
+        Self {
+            interval,
+            level: 0,
+            next_read: now,
+            reading_since: None,
+            failures: 0,
+            started: now,
+            last_proof: None,
+        }
+    }
+
+    /// Sets the node's rank in its data centre.
+    pub fn set_rank(&mut self, rank: usize, readers: usize) {
+        self.level = u32::try_from(rank / readers.max(1)).unwrap_or(u32::MAX);
+    }
+
+    /// Notes that a node read the head at `proof`.
+    pub fn hear_proof(&mut self, proof: MonoTime) {
+        self.last_proof = self.last_proof.max(Some(proof));
+    }
+
+    /// Returns the time of the newest reading that the node knows of.
+    pub const fn last_proof(&self) -> Option<MonoTime> {
+        self.last_proof
+    }
+
+    /// Returns whether to read now, and notes the reading.
+    pub fn start_read(&mut self, now: MonoTime, jitter: StableHash) -> bool {
+        let in_flight = self
+            .reading_since
+            .is_some_and(|since| now.since(since) < READ_TIMEOUT);
+        if in_flight || now < self.next_read || !self.is_due(now) {
+            return false;
+        }
+        self.reading_since = Some(now);
+        self.next_read = now + self.pause(jitter);
+        true
+    }
+
+    /// Notes the answer to the reading that is in flight; returns when the reading started.
+    pub fn finish_read(&mut self, succeeded: bool) -> Option<MonoTime> {
+        self.failures = if succeeded { 0 } else { self.failures + 1 };
+        self.reading_since.take()
+    }
+
+    fn is_due(&self, now: MonoTime) -> bool {
+        let silent = SILENT_INTERVALS + self.level.min(MAX_RANK_INTERVALS);
+        self.level == 0
+            || now.since(self.last_proof.unwrap_or(self.started)) > self.interval * silent
+    }
+
+    /// Returns the pause after a reading: one interval, or a growing one while readings fail.
+    fn pause(&self, jitter: StableHash) -> Duration {
+        let cap = if self.level == 0 {
+            READER_BACKOFF_INTERVALS
+        } else {
+            OTHER_BACKOFF_INTERVALS
+        };
+        let pause = self.interval * (1 << self.failures.min(5)).min(cap);
+        // Up to a quarter is taken off, so that readers spread over the interval.
+        let percent = u32::try_from(jitter.0 % 25).unwrap_or_default();
+        pause * (100 - percent) / 100
+    }
+}
--- /dev/null
+++ b/lib/src/snapshot_transfer.rs
@@ -0,0 +1,191 @@
+//! Moving a whole configuration in bounded parts while it changes.
+//!
+//! The sender keeps nothing about a transfer and copies nothing: each part is read from the
+//! configuration as it is at that moment. Parts run from the last object of a kind to the first.
+//! Removing an object moves the last one into its place, which is towards the part that is still
+//! to come or within what was sent, so that no object that stays unchanged is missed. Objects that
+//! change meanwhile are put right by the deltas from the first part's revision to the last's. See
+//! [docs/design/distribution.md](../../docs/design/distribution.md).
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::config::{ApplyError, ConfigChange, ConfigDelta, FleetConfig};
+use crate::ids::Revision;
+
+/// The size at which a part ends, as JSON.
+pub const PART_BYTES: usize = 64 << 10;
+
+/// The kinds of objects, in the order of a transfer.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SnapshotSection {
+    /// The services.
+    #[default]
+    Services,
+    /// The targets.
+    Targets,
+    /// The routes.
+    Routes,
+    /// The customers.
+    Customers,
+    /// The keys.
+    Keys,
+}
+
+impl SnapshotSection {
+    const fn next(self) -> Option<Self> {
+        match self {
+            Self::Services => Some(Self::Targets),
+            Self::Targets => Some(Self::Routes),
+            Self::Routes => Some(Self::Customers),
+            Self::Customers => Some(Self::Keys),
+            Self::Keys => None,
+        }
+    }
+}
+
+/// Where a part starts.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct SnapshotCursor {
+    /// The kind of objects.
+    pub section: SnapshotSection,
+    /// The number of objects of the kind that are still to come.
+    pub remaining: usize,
+}
+
+impl SnapshotCursor {
+    /// The start of a transfer.
+    pub const START: Self = Self::section_start(SnapshotSection::Services);
+
+    const fn section_start(section: SnapshotSection) -> Self {
+        Self {
+            section,
+            remaining: usize::MAX,
+        }
+    }
+}
+
+/// A part of a configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ConfigPart {
+    /// The revision that the part was read at.
+    pub revision: Revision,
+    /// The objects, each as the change that puts it there.
+    pub changes: Vec<ConfigChange>,
+    /// Where the next part starts; none after the last part.
+    pub next: Option<SnapshotCursor>,
+}
+
+/// Reads the part of a configuration that starts at `cursor`.
+pub fn read_part(config: &FleetConfig, cursor: SnapshotCursor) -> ConfigPart {
+    let mut changes = Vec::new();
+    let mut bytes = 0;
+    let mut next = Some(cursor);
+    while let Some(at) = next
+        && bytes < PART_BYTES
+    {
+        let remaining = match at.section {
+            SnapshotSection::Services => {
+                take(&config.services, at, &mut changes, &mut bytes, |v| {
+                    ConfigChange::PutService(v.clone())
+                })
+            }
+            SnapshotSection::Targets => take(&config.targets, at, &mut changes, &mut bytes, |v| {
+                ConfigChange::PutTarget(v.clone())
+            }),
+            SnapshotSection::Routes => take(&config.routes, at, &mut changes, &mut bytes, |v| {
+                ConfigChange::PutRoute(v.clone())
+            }),
+            SnapshotSection::Customers => {
+                take(&config.customers, at, &mut changes, &mut bytes, |v| {
+                    ConfigChange::PutCustomer(v.clone())
+                })
+            }
+            SnapshotSection::Keys => take(&config.keys, at, &mut changes, &mut bytes, |v| {
+                ConfigChange::PutKey(v.clone())
+            }),
+        };
+        next = match remaining {
+            0 => at.section.next().map(SnapshotCursor::section_start),
+            remaining => Some(SnapshotCursor { remaining, ..at }),
+        };
+    }
+    ConfigPart {
+        revision: config.revision,
+        changes,
+        next,
+    }
+}
+
+/// Takes objects from the cursor downwards until the part is full; returns how many are left.
+fn take<K, V>(
+    objects: &IndexMap<K, V>,
+    cursor: SnapshotCursor,
+    changes: &mut Vec<ConfigChange>,
+    bytes: &mut usize,
+    to_change: impl Fn(&V) -> ConfigChange,
+) -> usize {
+    let mut remaining = cursor.remaining.min(objects.len());
+    while remaining > 0 && *bytes < PART_BYTES {
+        remaining -= 1;
+        let Some((_, object)) = objects.get_index(remaining) else {
+            break;
+        };
+        let change = to_change(object);
+        *bytes += serde_json::to_vec(&change).map_or(0, |json| json.len());
+        changes.push(change);
+    }
+    remaining
+}
+
+/// Builds a configuration from parts that were read at different revisions.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigAssembly {
+    config: FleetConfig,
+    oldest: Option<Revision>,
+    newest: Revision,
+    is_whole: bool,
+}
+
+impl ConfigAssembly {
+    /// Adds the next part.
+    pub fn add_part(&mut self, revision: Revision, changes: &[ConfigChange], is_last: bool) {
+        self.config.put_objects(changes);
+        self.oldest = Some(self.oldest.map_or(revision, |oldest| oldest.min(revision)));
+        self.newest = self.newest.max(revision);
+        self.is_whole = is_last;
+        if let Some(oldest) = self.oldest.filter(|_| is_last) {
+            self.config.revision = oldest;
+        }
+    }
+
+    /// Returns the revision after which deltas are missing; none while parts are missing or once
+    /// the configuration is consistent.
+    pub fn missing_after(&self) -> Option<Revision> {
+        (self.is_whole && self.config.revision < self.newest).then_some(self.config.revision)
+    }
+
+    /// Applies a delta after the last part; old ones are skipped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the delta leaves a gap.
+    pub fn apply(&mut self, delta: &ConfigDelta) -> Result<(), ApplyError> {
+        if delta.revision <= self.config.revision {
+            return Ok(());
+        }
+        self.config.apply(delta)
+    }
+
+    /// Returns whether the configuration is as it was at one revision.
+    pub const fn is_consistent(&self) -> bool {
+        self.is_whole && self.config.revision.0 >= self.newest.0
+    }
+
+    /// Returns the configuration, which is consistent if [`Self::is_consistent`] says so.
+    pub fn into_config(self) -> FleetConfig {
+        self.config
+    }
+}
