--- a/lib/benches/configuration.rs
+++ b/lib/benches/configuration.rs
@@ -88,12 +88,11 @@
 }
 
 fn measure_deltas(customers: u64) {
-    let mut config = FleetConfig::default();
     let mut assembly = ConfigAssembly::default();
     let objects: Vec<ConfigChange> = (0..customers).flat_map(customer_and_key).collect();
     assembly.add_part(Default::default(), &objects, true);
     drop(objects);
-    std::mem::swap(&mut config, &mut assembly.into_config());
+    let mut config: FleetConfig = assembly.into_config();
     let table = KeyTable::default();
     table.replace(config.keys.values());
     let deltas: Vec<ConfigDelta> = (0..DELTAS)
@@ -139,7 +138,7 @@
     let mut parts = Vec::new();
     let mut next = Some(SnapshotCursor::START);
     while let Some(cursor) = next {
-        let part = read_part(&config, cursor);
+        let part = read_part(&config, cursor, 64 << 10);
         parts.push(serde_json::to_vec(&part.changes).expect("text keys only"));
         next = part.next;
     }
--- a/lib/src/distribution.rs
+++ b/lib/src/distribution.rs
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Returns the node as its peers know it.
+    pub fn member(&self) -> ReplicaPeer {
+        ReplicaPeer {
+            node: self.node.clone(),
+            data_centre: self.data_centre.clone(),
+        }
+    }
+
     /// Returns the revision in force; none before the first.
     pub const fn revision(&self) -> Option<Revision> {
         self.revision
@@ -113,6 +121,7 @@
         let peers = &self.peers;
         self.peer_revisions
             .retain(|node, _| peers.contains_key(node));
+        self.poller.retain_readers(|node| peers.contains_key(node));
         let near = self.peers.iter().filter(|(_, at)| **at == self.data_centre);
         let members: Vec<StableHash> = [&self.node]
             .into_iter()
@@ -135,7 +144,7 @@
         }
         if now >= self.next_gossip {
             self.next_gossip = now + Duration::from_millis(self.settings.gossip_interval_ms);
-            self.gossip(now, &mut actions);
+            self.gossip(&mut actions);
         }
         self.pull(now, &mut actions);
         actions
@@ -150,10 +159,9 @@
     ) -> Vec<ReplicaAction> {
         let mut actions = Vec::new();
         match message {
-            DistributionMessage::HeadStamp {
-                revision,
-                head_age_ms,
-            } => self.handle_stamp(now, from, revision, head_age_ms, &mut actions),
+            DistributionMessage::HeadStamp { revision, reading } => {
+                self.handle_stamp(now, from, revision, reading, &mut actions)
+            }
             DistributionMessage::DeltaRequest { after } => {
                 actions.push(self.answer_deltas(from, after));
             }
@@ -182,13 +190,12 @@
     /// Takes the platform's head; none if it could not be read.
     pub fn head_read(&mut self, now: MonoTime, head: Option<Revision>) -> Vec<ReplicaAction> {
         let mut actions = Vec::new();
-        let started = self.poller.finish_read(head.is_some());
+        let started = self.poller.finish_read(now, &self.node, head.is_some());
         let Some(head) = head else {
             return actions;
         };
         // A head that is older than what is in force was read from the past and proves nothing.
         if let Some(at) = started.filter(|_| Some(head) >= self.revision) {
-            self.poller.hear_proof(at);
             self.unproven = Some((head, at));
         }
         self.hear_head(head);
@@ -208,22 +215,22 @@
     ) -> Vec<ReplicaAction> {
         let mut actions = Vec::new();
         self.pulls.finish(&PullSource::Store);
-        let deltas = deltas.unwrap_or_default();
-        if let Some(first) = deltas.first()
-            && self
-                .revision
-                .is_some_and(|held| first.revision > held.next())
-        {
+        match deltas.as_deref() {
             // The platform keeps no delta between, so only a whole configuration helps.
-            self.pulls.needs_snapshot = true;
+            Some([first, ..]) if self.revision.map(Revision::next) < Some(first.revision) => {
+                self.pulls.needs_snapshot = true;
+            }
+            Some([]) if self.is_behind() => self.pulls.note_refusal(),
+            _ => {}
         }
+        let deltas = deltas.unwrap_or_default();
         self.apply_deltas(now, &deltas, &mut actions);
         self.pull(now, &mut actions);
         actions
     }
 
     /// Takes the platform's newest snapshot, at revision zero if the platform has none; none if it
-    /// could not be read.
+    /// could not be read or is not newer.
     pub fn snapshot_read(
         &mut self,
         now: MonoTime,
@@ -231,6 +238,7 @@
     ) -> Vec<ReplicaAction> {
         let mut actions = Vec::new();
         self.pulls.finish(&PullSource::Store);
+        self.pulls.note_snapshot_tried(self.revision.is_some());
         if let Some(config) = config {
             self.install(now, config, &mut actions);
         }
@@ -245,7 +253,8 @@
         transfer: u64,
         cursor: SnapshotCursor,
     ) -> DistributionMessage {
-        let part = self.revision.map(|_| read_part(config, cursor));
+        let part_bytes = self.settings.part_bytes;
+        let part = self.revision.map(|_| read_part(config, cursor, part_bytes));
         DistributionMessage::SnapshotOffer {
             transfer,
             cursor,
--- a/lib/src/distribution/actions.rs
+++ b/lib/src/distribution/actions.rs
@@ -27,6 +27,8 @@
     pub pull_timeout_ms: u64,
     /// How long a starting node listens to its peers before it chooses one, in milliseconds.
     pub listen_ms: u64,
+    /// The size at which a part of a snapshot ends, in bytes of JSON.
+    pub part_bytes: usize,
 }
 
 impl Default for ReplicaSettings {
@@ -38,6 +40,7 @@
             fanout: 3,
             pull_timeout_ms: 500,
             listen_ms: 500,
+            part_bytes: 64 << 10,
         }
     }
 }
@@ -70,8 +73,12 @@
         /// The revision after which the deltas start.
         after: Revision,
     },
-    /// Load the platform's newest snapshot and call [`snapshot_read`](super::ConfigReplica::snapshot_read).
-    ReadSnapshot,
+    /// Load the platform's newest snapshot, unless it is not newer than this revision, and call
+    /// [`snapshot_read`](super::ConfigReplica::snapshot_read).
+    ReadSnapshot {
+        /// The revision in force; none if there is no configuration yet.
+        newer_than: Option<Revision>,
+    },
     /// Build an offer with [`offer`](super::ConfigReplica::offer) from the configuration in force, and send it.
     OfferSnapshot {
         /// The receiver.
--- a/lib/src/distribution/gossip.rs
+++ b/lib/src/distribution/gossip.rs
@@ -1,8 +1,7 @@
 //! Telling peers what is in force, and hearing it from them.
 
-use std::time::Duration;
-
 use super::{ConfigReplica, DistributionMessage, ReplicaAction};
+use crate::distribution_message::HeadReading;
 use crate::ids::{NodeId, Revision};
 use crate::time::MonoTime;
 
@@ -15,15 +14,15 @@
         now: MonoTime,
         from: &NodeId,
         revision: Option<Revision>,
-        head_age_ms: Option<u64>,
+        reading: Option<HeadReading>,
         actions: &mut Vec<ReplicaAction>,
     ) {
         self.hear_revision(from, revision);
-        if let Some(age) = head_age_ms {
-            self.poller.hear_proof(now - Duration::from_millis(age));
+        if let Some(reading) = reading.filter(|reading| reading.reader != self.node) {
+            self.poller.hear(now, reading);
         }
         if revision < self.revision {
-            actions.push(self.stamp(now, from.clone()));
+            actions.push(self.stamp(from.clone()));
         }
         if self.revision.is_some() && revision > self.revision {
             self.pulls.hurry(now);
@@ -47,19 +46,14 @@
     }
 
     /// Tells a few peers what is in force here.
-    pub(super) fn gossip(&mut self, now: MonoTime, actions: &mut Vec<ReplicaAction>) {
+    pub(super) fn gossip(&mut self, actions: &mut Vec<ReplicaAction>) {
         self.gossip_rounds += 1;
         // A node without a configuration asks more of them, since it serves nothing until then.
         let count = if self.ready { 1 } else { self.settings.fanout };
-        self.tell_peers(now, count, actions);
+        self.tell_peers(count, actions);
     }
 
-    pub(super) fn tell_peers(
-        &mut self,
-        now: MonoTime,
-        count: usize,
-        actions: &mut Vec<ReplicaAction>,
-    ) {
+    pub(super) fn tell_peers(&mut self, count: usize, actions: &mut Vec<ReplicaAction>) {
         let is_distant = self.gossip_rounds.is_multiple_of(DISTANT_ROUND) || !self.ready;
         let audience: Vec<NodeId> = self
             .peers
@@ -72,18 +66,17 @@
             let index = self.draw_index(audience.len());
             if !told.contains(&index) {
                 told.push(index);
-                actions.push(self.stamp(now, audience[index].clone()));
+                actions.push(self.stamp(audience[index].clone()));
             }
         }
     }
 
-    fn stamp(&self, now: MonoTime, to: NodeId) -> ReplicaAction {
-        let age = self.poller.last_proof().map(|proof| now.since(proof));
+    fn stamp(&self, to: NodeId) -> ReplicaAction {
         ReplicaAction::Send {
             to,
             message: DistributionMessage::HeadStamp {
                 revision: self.revision,
-                head_age_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
+                reading: self.poller.newest().cloned(),
             },
         }
     }
--- a/lib/src/distribution/pull.rs
+++ b/lib/src/distribution/pull.rs
@@ -10,8 +10,8 @@
 /// Every how many attempts the platform is asked rather than a peer.
 const STORE_ATTEMPT: u32 = 3;
 
-/// The number of peers that must lack a delta before a whole configuration is asked for.
-const MAX_REFUSALS: u32 = 2;
+/// The number of answers without the missing delta before a whole configuration is asked for.
+const MAX_REFUSALS: u32 = 4;
 
 /// The doublings of the pause between attempts, at most.
 const MAX_PAUSE_DOUBLINGS: u32 = 4;
@@ -77,12 +77,22 @@
         self.needs_snapshot = false;
     }
 
-    /// Notes that a peer does not keep the delta that is missing.
-    fn note_refusal(&mut self) {
+    /// Notes that the one who was asked did not have the delta that is missing.
+    ///
+    /// The platform may have answered from the past, and a peer may have taken over a whole
+    /// configuration of late, so that one refusal says little.
+    pub(super) fn note_refusal(&mut self) {
         self.refusals += 1;
         self.needs_snapshot |= self.refusals >= MAX_REFUSALS;
     }
 
+    /// Notes that a whole configuration was asked for; if it does not come or is not newer, deltas
+    /// are tried again.
+    pub(super) fn note_snapshot_tried(&mut self, has_config: bool) {
+        self.refusals = 0;
+        self.needs_snapshot = !has_config;
+    }
+
     /// Starts to wait for an answer.
     pub(super) fn await_answer(&mut self, now: MonoTime, source: PullSource) {
         self.pending = Some(PendingPull {
@@ -120,8 +130,7 @@
         let timeout = Duration::from_millis(self.settings.pull_timeout_ms);
         if self.pulls.is_overdue(now, timeout) {
             // The peer may be gone, so a transfer from it starts anew elsewhere.
-            self.snapshot = None;
-            self.pulls.give_up();
+            self.drop_transfer();
         }
         let is_early = now < self.pulls.next_attempt;
         if !self.pulls.is_idle() || is_early || !self.is_behind() || self.is_listening(now) {
@@ -132,6 +141,14 @@
         self.pull_from(now, source, actions);
     }
 
+    /// Gives up on the transfer or request that is in flight.
+    pub(super) fn drop_transfer(&mut self) {
+        if self.snapshot.take().is_some() {
+            self.pulls.note_snapshot_tried(self.revision.is_some());
+        }
+        self.pulls.give_up();
+    }
+
     pub(super) fn is_behind(&self) -> bool {
         self.revision.is_none_or(|held| held < self.known_head)
     }
@@ -173,7 +190,9 @@
         let after = self.revision.filter(|_| self.wants_deltas());
         let action = match (&source, after) {
             (PullSource::Store, Some(after)) => ReplicaAction::ReadDeltas { after },
-            (PullSource::Store, None) => ReplicaAction::ReadSnapshot,
+            (PullSource::Store, None) => ReplicaAction::ReadSnapshot {
+                newer_than: self.revision,
+            },
             (PullSource::Peer(peer), Some(after)) => ReplicaAction::Send {
                 to: peer.clone(),
                 message: DistributionMessage::DeltaRequest { after },
--- a/lib/src/distribution/steps.rs
+++ b/lib/src/distribution/steps.rs
@@ -51,7 +51,7 @@
         self.known_head = self.known_head.max(self.revision.unwrap_or_default());
         self.settle(now, actions);
         if !self.is_behind() {
-            self.tell_peers(now, self.settings.fanout, actions);
+            self.tell_peers(self.settings.fanout, actions);
         }
     }
 
--- a/lib/src/distribution/transfer.rs
+++ b/lib/src/distribution/transfer.rs
@@ -62,8 +62,7 @@
         }
         let same_generation = *pull.generation.get_or_insert(generation) == generation;
         let Some(revision) = revision.filter(|_| same_generation) else {
-            self.snapshot = None;
-            self.pulls.give_up();
+            self.drop_transfer();
             return;
         };
         pull.assembly.add_part(revision, &changes, next.is_none());
@@ -121,11 +120,12 @@
         for delta in deltas {
             has_gap |= pull.assembly.apply(delta).is_err();
         }
+        self.snapshot = Some(pull);
         // The peer does not keep all the deltas any more, so the transfer starts anew.
         if has_gap {
+            self.drop_transfer();
             return;
         }
-        self.snapshot = Some(pull);
         self.continue_transfer(now, from, actions);
     }
 }
--- a/lib/src/distribution_message.rs
+++ b/lib/src/distribution_message.rs
@@ -3,12 +3,25 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::{ConfigChange, ConfigDelta};
-use crate::ids::Revision;
+use crate::ids::{NodeId, Revision};
 use crate::snapshot_transfer::SnapshotCursor;
 
 /// The greatest size of the deltas in one message, as JSON, unless a single one is larger.
 pub const MAX_DELTAS_BYTES: usize = 192 << 10;
 
+/// Names one successful reading of the platform's head.
+///
+/// Readings are told apart by number rather than by age, so that word of an old one that goes round
+/// slowly never passes for a new one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct HeadReading {
+    /// The node that read.
+    pub reader: NodeId,
+    /// The number of the reading on that node.
+    pub number: u64,
+}
+
 /// A message of the configuration's topic.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -18,10 +31,9 @@
         /// The revision in force on the sender; none before it has one.
         #[serde(default)]
         revision: Option<Revision>,
-        /// The time since the platform's head was read, by the sender or by the node that it
-        /// heard of it from, in milliseconds.
+        /// The newest reading of the platform's head that the sender made or heard of.
         #[serde(default)]
-        head_age_ms: Option<u64>,
+        reading: Option<HeadReading>,
     },
     /// Asks for the deltas after a revision.
     DeltaRequest {
--- a/lib/src/head_poll.rs
+++ b/lib/src/head_poll.rs
@@ -8,6 +8,10 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
+use crate::distribution_message::HeadReading;
+use crate::ids::NodeId;
 use crate::rendezvous::StableHash;
 use crate::time::MonoTime;
 
@@ -35,21 +39,25 @@
     next_read: MonoTime,
     reading_since: Option<MonoTime>,
     failures: u32,
-    started: MonoTime,
-    last_proof: Option<MonoTime>,
+    own_readings: u64,
+    heard: IndexMap<NodeId, u64>,
+    newest: Option<HeadReading>,
+    last_news: MonoTime,
 }
 
 impl HeadPoller {
     /// Makes a poller that reads at once.
-    pub const fn new(now: MonoTime, interval: Duration) -> Self {
+    pub fn new(now: MonoTime, interval: Duration) -> Self {
         Self {
             interval,
             level: 0,
             next_read: now,
             reading_since: None,
             failures: 0,
-            started: now,
-            last_proof: None,
+            own_readings: 0,
+            heard: IndexMap::new(),
+            newest: None,
+            last_news: now,
         }
     }
 
@@ -58,14 +66,24 @@
         self.level = u32::try_from(rank / readers.max(1)).unwrap_or(u32::MAX);
     }
 
-    /// Notes that a node read the head at `proof`.
-    pub fn hear_proof(&mut self, proof: MonoTime) {
-        self.last_proof = self.last_proof.max(Some(proof));
+    /// Notes a reading of another node, unless it was heard of before.
+    pub fn hear(&mut self, now: MonoTime, reading: HeadReading) {
+        let heard = self.heard.entry(reading.reader.clone()).or_default();
+        if reading.number > *heard {
+            *heard = reading.number;
+            self.newest = Some(reading);
+            self.last_news = now;
+        }
+    }
+
+    /// Forgets readings of nodes that are no members any more.
+    pub fn retain_readers(&mut self, is_member: impl Fn(&NodeId) -> bool) {
+        self.heard.retain(|node, _| is_member(node));
     }
 
-    /// Returns the time of the newest reading that the node knows of.
-    pub const fn last_proof(&self) -> Option<MonoTime> {
-        self.last_proof
+    /// Returns the newest reading that the node made or heard of.
+    pub const fn newest(&self) -> Option<&HeadReading> {
+        self.newest.as_ref()
     }
 
     /// Returns whether to read now, and notes the reading.
@@ -82,15 +100,29 @@
     }
 
     /// Notes the answer to the reading that is in flight; returns when the reading started.
-    pub fn finish_read(&mut self, succeeded: bool) -> Option<MonoTime> {
-        self.failures = if succeeded { 0 } else { self.failures + 1 };
+    pub fn finish_read(
+        &mut self,
+        now: MonoTime,
+        node: &NodeId,
+        succeeded: bool,
+    ) -> Option<MonoTime> {
+        if succeeded {
+            self.failures = 0;
+            self.own_readings += 1;
+            self.newest = Some(HeadReading {
+                reader: node.clone(),
+                number: self.own_readings,
+            });
+            self.last_news = now;
+        } else {
+            self.failures += 1;
+        }
         self.reading_since.take()
     }
 
     fn is_due(&self, now: MonoTime) -> bool {
         let silent = SILENT_INTERVALS + self.level.min(MAX_RANK_INTERVALS);
-        self.level == 0
-            || now.since(self.last_proof.unwrap_or(self.started)) > self.interval * silent
+        self.level == 0 || now.since(self.last_news) > self.interval * silent
     }
 
     /// Returns the pause after a reading: one interval, or a growing one while readings fail.
--- a/lib/src/snapshot_transfer.rs
+++ b/lib/src/snapshot_transfer.rs
@@ -13,9 +13,6 @@
 use crate::config::{ApplyError, ConfigChange, ConfigDelta, FleetConfig};
 use crate::ids::Revision;
 
-/// The size at which a part ends, as JSON.
-pub const PART_BYTES: usize = 64 << 10;
-
 /// The kinds of objects, in the order of a transfer.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -78,34 +75,27 @@
     pub next: Option<SnapshotCursor>,
 }
 
-/// Reads the part of a configuration that starts at `cursor`.
-pub fn read_part(config: &FleetConfig, cursor: SnapshotCursor) -> ConfigPart {
-    let mut changes = Vec::new();
-    let mut bytes = 0;
+/// Reads the part of a configuration that starts at `cursor` and ends at about `part_bytes` of
+/// JSON; it holds at least one object if there is one.
+pub fn read_part(config: &FleetConfig, cursor: SnapshotCursor, part_bytes: usize) -> ConfigPart {
+    let mut filling = PartFilling {
+        changes: Vec::new(),
+        room: part_bytes.max(1),
+    };
     let mut next = Some(cursor);
     while let Some(at) = next
-        && bytes < PART_BYTES
+        && filling.room > 0
     {
         let remaining = match at.section {
             SnapshotSection::Services => {
-                take(&config.services, at, &mut changes, &mut bytes, |v| {
-                    ConfigChange::PutService(v.clone())
-                })
+                filling.take(&config.services, at, ConfigChange::PutService)
             }
-            SnapshotSection::Targets => take(&config.targets, at, &mut changes, &mut bytes, |v| {
-                ConfigChange::PutTarget(v.clone())
-            }),
-            SnapshotSection::Routes => take(&config.routes, at, &mut changes, &mut bytes, |v| {
-                ConfigChange::PutRoute(v.clone())
-            }),
+            SnapshotSection::Targets => filling.take(&config.targets, at, ConfigChange::PutTarget),
+            SnapshotSection::Routes => filling.take(&config.routes, at, ConfigChange::PutRoute),
             SnapshotSection::Customers => {
-                take(&config.customers, at, &mut changes, &mut bytes, |v| {
-                    ConfigChange::PutCustomer(v.clone())
-                })
+                filling.take(&config.customers, at, ConfigChange::PutCustomer)
             }
-            SnapshotSection::Keys => take(&config.keys, at, &mut changes, &mut bytes, |v| {
-                ConfigChange::PutKey(v.clone())
-            }),
+            SnapshotSection::Keys => filling.take(&config.keys, at, ConfigChange::PutKey),
         };
         next = match remaining {
             0 => at.section.next().map(SnapshotCursor::section_start),
@@ -114,30 +104,38 @@
     }
     ConfigPart {
         revision: config.revision,
-        changes,
+        changes: filling.changes,
         next,
     }
 }
 
-/// Takes objects from the cursor downwards until the part is full; returns how many are left.
-fn take<K, V>(
-    objects: &IndexMap<K, V>,
-    cursor: SnapshotCursor,
-    changes: &mut Vec<ConfigChange>,
-    bytes: &mut usize,
-    to_change: impl Fn(&V) -> ConfigChange,
-) -> usize {
-    let mut remaining = cursor.remaining.min(objects.len());
-    while remaining > 0 && *bytes < PART_BYTES {
-        remaining -= 1;
-        let Some((_, object)) = objects.get_index(remaining) else {
-            break;
-        };
-        let change = to_change(object);
-        *bytes += serde_json::to_vec(&change).map_or(0, |json| json.len());
-        changes.push(change);
+/// A part that is being filled.
+#[derive(Debug)]
+struct PartFilling {
+    changes: Vec<ConfigChange>,
+    room: usize,
+}
+
+impl PartFilling {
+    /// Takes objects from the cursor downwards until the part is full; returns how many are left.
+    fn take<K, V: Clone>(
+        &mut self,
+        objects: &IndexMap<K, V>,
+        cursor: SnapshotCursor,
+        to_change: impl Fn(V) -> ConfigChange,
+    ) -> usize {
+        let mut remaining = cursor.remaining.min(objects.len());
+        while remaining > 0 && self.room > 0 {
+            remaining -= 1;
+            if let Some((_, object)) = objects.get_index(remaining) {
+                let change = to_change(object.clone());
+                let bytes = serde_json::to_vec(&change).map_or(0, |json| json.len());
+                self.room = self.room.saturating_sub(bytes);
+                self.changes.push(change);
+            }
+        }
+        remaining
     }
-    remaining
 }
 
 /// Builds a configuration from parts that were read at different revisions.
--- a/lib/tests/test_distribution.rs
+++ b/lib/tests/test_distribution.rs
@@ -1,1 +1,393 @@
-//! Placeholder.
+//! Distribution: under generated faults no node goes back, and all of them end at the head.
+
+use damaskloom_lib::config::{
+    ConfigChange, ConfigDelta, Customer, FleetConfig, KeyGrant, KeyState,
+};
+use damaskloom_lib::distribution::{
+    ConfigReplica, DistributionMessage, ReplicaAction, ReplicaPeer, ReplicaSettings,
+};
+use damaskloom_lib::ids::{Incarnation, NodeId, Revision};
+use damaskloom_lib::key::RawKey;
+use damaskloom_lib::time::MonoTime;
+use damaskloom_lib::units::{BurstSize, RequestRate};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::TestCaseError;
+
+use crate::seeded_run::seeded_runner;
+
+const NODES: usize = 4;
+const TICK_MS: u64 = 250;
+const MAX_DELAY_TICKS: u64 = 3;
+/// The virtual time within which the fleet converges once every fault is over.
+const CONVERGENCE_TICKS: u64 = 30_000 / TICK_MS;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Accept(u8),
+    Run(u8),
+    Cut(usize, usize),
+    HealLinks,
+    StoreOutage(bool),
+    StoreLag(u8),
+    Pause(usize),
+    Resume(usize),
+    Restart(usize),
+    Snapshot,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let node = 0..NODES;
+    prop_oneof![
+        5 => any::<u8>().prop_map(Step::Accept),
+        6 => (1_u8..12).prop_map(Step::Run),
+        2 => (node.clone(), node.clone()).prop_map(|(from, to)| Step::Cut(from, to)),
+        1 => Just(Step::HealLinks),
+        1 => any::<bool>().prop_map(Step::StoreOutage),
+        1 => (0_u8..4).prop_map(Step::StoreLag),
+        1 => node.clone().prop_map(Step::Pause),
+        1 => node.clone().prop_map(Step::Resume),
+        2 => node.prop_map(Step::Restart),
+        1 => Just(Step::Snapshot),
+    ]
+}
+
+/// The platform: all accepted deltas, and reads that may fail or lie in the past.
+#[derive(Default)]
+struct FakeStore {
+    deltas: Vec<ConfigDelta>,
+    snapshot: FleetConfig,
+    outage: bool,
+    lag: usize,
+}
+
+impl FakeStore {
+    fn head(&self) -> Revision {
+        Revision(self.deltas.len() as u64)
+    }
+
+    fn visible(&self) -> Option<usize> {
+        (!self.outage).then(|| self.deltas.len().saturating_sub(self.lag))
+    }
+
+    fn config_at(&self, revision: Revision) -> FleetConfig {
+        let mut config = FleetConfig::default();
+        let deltas = self.deltas.iter().take(revision.0 as usize);
+        deltas.for_each(|delta| config.apply(delta).unwrap());
+        config
+    }
+
+    /// Deltas up to the snapshot are trimmed.
+    fn deltas_after(&self, after: Revision) -> Option<Vec<ConfigDelta>> {
+        let kept = after.max(self.snapshot.revision).0 as usize;
+        let visible = self.visible()?;
+        Some(self.deltas[kept.min(visible)..visible].to_vec())
+    }
+}
+
+struct FakeNode {
+    replica: ConfigReplica,
+    served: Option<FleetConfig>,
+    paused: bool,
+    was_ready: bool,
+}
+
+struct World {
+    now: MonoTime,
+    ticks: u64,
+    nodes: Vec<FakeNode>,
+    store: FakeStore,
+    cuts: Vec<(usize, usize)>,
+    queue: Vec<(u64, usize, NodeId, DistributionMessage)>,
+    /// Drives loss, delay and duplication.
+    dice: Vec<u8>,
+    rolls: usize,
+    incarnation: u64,
+    healed: bool,
+}
+
+fn node_id(index: usize, incarnation: u64) -> NodeId {
+    let vm = format!("vm-{index}").parse().unwrap();
+    let incarnation = Incarnation(incarnation);
+    NodeId { vm, incarnation }
+}
+
+fn change(kind: u8) -> ConfigChange {
+    let customer = || format!("c{}", kind % 5).parse().unwrap();
+    let digest = RawKey::new([kind % 7]).digest();
+    match kind % 4 {
+        0 | 1 => ConfigChange::PutCustomer(Customer {
+            id: customer(),
+            rate: RequestRate::from_per_second(u64::from(kind)),
+            burst: BurstSize(1),
+            weight: 1,
+        }),
+        2 => ConfigChange::RemoveCustomer(customer()),
+        _ => ConfigChange::PutKey(KeyGrant {
+            digest,
+            customer: customer(),
+            state: KeyState::Granted,
+        }),
+    }
+}
+
+impl World {
+    fn new(dice: Vec<u8>) -> Self {
+        let mut world = Self {
+            now: MonoTime::from_millis(1_000_000),
+            ticks: 0,
+            nodes: Vec::new(),
+            store: FakeStore::default(),
+            cuts: Vec::new(),
+            queue: Vec::new(),
+            dice,
+            rolls: 0,
+            incarnation: 0,
+            healed: false,
+        };
+        for index in 0..NODES {
+            let node = world.start_node(index);
+            world.nodes.push(node);
+        }
+        world.share_members();
+        world
+    }
+
+    fn start_node(&mut self, index: usize) -> FakeNode {
+        self.incarnation += 1;
+        let member = ReplicaPeer {
+            node: node_id(index, self.incarnation),
+            data_centre: format!("dc-{}", index % 2).parse().unwrap(),
+        };
+        // One object a part, so that transfers overlap with changes.
+        let settings = ReplicaSettings {
+            part_bytes: 1,
+            readers: 1,
+            ..ReplicaSettings::default()
+        };
+        FakeNode {
+            replica: ConfigReplica::new(self.now, member, settings, self.incarnation),
+            served: None,
+            paused: false,
+            was_ready: false,
+        }
+    }
+
+    fn share_members(&mut self) {
+        let members: Vec<ReplicaPeer> = self.nodes.iter().map(|node| node.member()).collect();
+        for node in &mut self.nodes {
+            node.replica.set_peers(members.clone());
+        }
+    }
+
+    fn roll(&mut self) -> u8 {
+        self.rolls += 1;
+        self.dice[self.rolls % self.dice.len()].wrapping_add((self.rolls / self.dice.len()) as u8)
+    }
+
+    fn take(&mut self, step: &Step) -> Result<(), TestCaseError> {
+        match step {
+            Step::Accept(kind) => {
+                let revision = self.store.head().next();
+                let changes = vec![change(*kind)];
+                self.store.deltas.push(ConfigDelta { revision, changes });
+            }
+            Step::Run(ticks) => {
+                for _ in 0..*ticks {
+                    self.tick()?;
+                }
+            }
+            Step::Cut(from, to) => self.cuts.push((*from, *to)),
+            Step::HealLinks => self.cuts.clear(),
+            Step::StoreOutage(outage) => self.store.outage = *outage,
+            Step::StoreLag(lag) => self.store.lag = usize::from(*lag),
+            Step::Pause(index) => self.nodes[*index].paused = true,
+            Step::Resume(index) => self.nodes[*index].paused = false,
+            Step::Restart(index) => {
+                self.nodes[*index] = self.start_node(*index);
+                self.share_members();
+            }
+            Step::Snapshot => self.store.snapshot = self.store.config_at(self.store.head()),
+        }
+        Ok(())
+    }
+
+    fn tick(&mut self) -> Result<(), TestCaseError> {
+        self.ticks += 1;
+        self.now = self.now + std::time::Duration::from_millis(TICK_MS);
+        let (due, later) = std::mem::take(&mut self.queue)
+            .into_iter()
+            .partition(|(at, ..)| *at <= self.ticks);
+        self.queue = later;
+        let due: Vec<(u64, usize, NodeId, DistributionMessage)> = due;
+        for (_, from, to, message) in due {
+            self.deliver(from, &to, message)?;
+        }
+        for index in 0..NODES {
+            if !self.nodes[index].paused {
+                let actions = self.nodes[index].replica.tick(self.now);
+                self.perform(index, actions)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn deliver(
+        &mut self,
+        from: usize,
+        to: &NodeId,
+        message: DistributionMessage,
+    ) -> Result<(), TestCaseError> {
+        let receiver = self.nodes.iter().position(|node| node.member().node == *to);
+        let Some(receiver) = receiver else {
+            return Ok(());
+        };
+        if self.nodes[receiver].paused {
+            // A paused process finds its messages when it goes on.
+            self.queue.push((self.ticks + 1, from, to.clone(), message));
+            return Ok(());
+        }
+        let sender = self.nodes[from].member().node;
+        let actions = self.nodes[receiver]
+            .replica
+            .handle(self.now, &sender, message);
+        self.perform(receiver, actions)
+    }
+
+    fn send(&mut self, from: usize, to: &NodeId, message: DistributionMessage) {
+        let receiver = self.nodes.iter().position(|node| node.member().node == *to);
+        let is_cut = receiver.is_none_or(|receiver| self.cuts.contains(&(from, receiver)));
+        let fate = if self.healed { 1 } else { self.roll() };
+        if is_cut || fate.is_multiple_of(8) {
+            return;
+        }
+        let at = self.ticks + u64::from(fate) % MAX_DELAY_TICKS;
+        if fate.is_multiple_of(5) {
+            let copy = (at + 2, from, to.clone(), message.clone());
+            self.queue.push(copy);
+        }
+        self.queue.push((at, from, to.clone(), message));
+    }
+
+    fn perform(&mut self, index: usize, actions: Vec<ReplicaAction>) -> Result<(), TestCaseError> {
+        let mut actions = std::collections::VecDeque::from(actions);
+        while let Some(action) = actions.pop_front() {
+            actions.extend(self.perform_one(index, action)?);
+        }
+        self.nodes[index].check()
+    }
+
+    fn perform_one(
+        &mut self,
+        index: usize,
+        action: ReplicaAction,
+    ) -> Result<Vec<ReplicaAction>, TestCaseError> {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        match action {
+            ReplicaAction::Send { to, message } => self.send(index, &to, message),
+            ReplicaAction::OfferSnapshot {
+                to,
+                transfer,
+                cursor,
+            } => {
+                let config = node.served.clone().unwrap_or_default();
+                let offer = node.replica.offer(&config, transfer, cursor);
+                self.send(index, &to, offer);
+            }
+            ReplicaAction::ReadHead => {
+                let head = self.store.visible().map(|head| Revision(head as u64));
+                return Ok(node.replica.head_read(now, head));
+            }
+            ReplicaAction::ReadDeltas { after } => {
+                let deltas = self.store.deltas_after(after);
+                return Ok(node.replica.deltas_read(now, deltas));
+            }
+            ReplicaAction::ReadSnapshot { newer_than } => {
+                let snapshot = self.store.visible().map(|_| self.store.snapshot.clone());
+                let snapshot = snapshot.filter(|newest| Some(newest.revision) > newer_than);
+                return Ok(node.replica.snapshot_read(now, snapshot));
+            }
+            ReplicaAction::Install(config) => {
+                let before = node.served.as_ref().map(|served| served.revision);
+                prop_assert!(Some(config.revision) > before, "an install went back");
+                prop_assert_eq!(&config, &self.store.config_at(config.revision));
+                node.served = Some(config);
+            }
+            ReplicaAction::Apply(delta) => {
+                let accepted = &self.store.deltas[delta.revision.0 as usize - 1];
+                prop_assert_eq!(&delta, accepted);
+                let served = node.served.as_mut().expect("deltas follow a configuration");
+                prop_assert!(served.apply(&delta).is_ok(), "a delta out of order");
+            }
+            ReplicaAction::HeadProven { revision, at } => {
+                prop_assert!(at <= now && node.replica.revision() >= Some(revision));
+            }
+        }
+        Ok(Vec::new())
+    }
+
+    fn heal(&mut self) {
+        self.healed = true;
+        self.cuts.clear();
+        self.store.outage = false;
+        self.store.lag = 0;
+        self.nodes.iter_mut().for_each(|node| node.paused = false);
+    }
+
+    fn has_converged(&self) -> bool {
+        let head = Some(self.store.head());
+        self.nodes
+            .iter()
+            .all(|node| node.replica.revision() == head && node.replica.is_ready())
+    }
+}
+
+impl FakeNode {
+    fn member(&self) -> ReplicaPeer {
+        self.replica.member()
+    }
+
+    fn check(&mut self) -> Result<(), TestCaseError> {
+        let served = self.served.as_ref().map(|served| served.revision);
+        prop_assert_eq!(served, self.replica.revision());
+        prop_assert!(!self.replica.is_ready() || served.is_some());
+        prop_assert!(self.replica.is_ready() || !self.was_ready);
+        self.was_ready = self.replica.is_ready();
+        Ok(())
+    }
+}
+
+#[test]
+fn no_node_goes_back_and_all_reach_the_head() {
+    let histories = (vec(step(), 4..24), vec(any::<u8>(), 16..48));
+    let mut runner = seeded_runner(61);
+    let result = runner.run(&histories, |(steps, dice)| {
+        let mut world = World::new(dice);
+        steps.iter().try_for_each(|step| world.take(step))?;
+        world.heal();
+        for _ in 0..CONVERGENCE_TICKS {
+            if world.has_converged() {
+                break;
+            }
+            world.tick()?;
+        }
+            eprintln!(
+                "STEPS {steps:?} head {:?} snap {:?}",
+                world.store.head(),
+                world.store.snapshot.revision
+            );
+            for n in &world.nodes {
+                eprintln!("NODE {:?}", n.replica);
+            }
+            panic!("stop");
+        }
+        prop_assert!(world.has_converged(), "not all nodes reached the head");
+        let expected = world.store.config_at(world.store.head());
+        for node in &world.nodes {
+            prop_assert_eq!(node.served.as_ref(), Some(&expected));
+        }
+        Ok(())
+    });
+    result.unwrap_or_else(|error| panic!("{error}"));
+}
