--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! All tests of the crate, one module a subject.
 
+mod fake_table;
 mod seeded_run;
 mod test_claims;
 mod test_configuration;
--- a/lib/tests/test_distribution.rs
+++ b/lib/tests/test_distribution.rs
@@ -8,6 +8,7 @@
 };
 use damaskloom_lib::ids::{Incarnation, NodeId, Revision};
 use damaskloom_lib::key::RawKey;
+use damaskloom_lib::snapshot_transfer::SnapshotCursor;
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::units::{BurstSize, RequestRate};
 use proptest::collection::vec;
@@ -381,3 +382,105 @@
     });
     result.unwrap_or_else(|error| panic!("{error}"));
 }
+
+#[test]
+fn a_node_that_starts_in_an_outage_takes_the_newest_of_its_peers() {
+    let mut world = World::new(vec![1]);
+    world.heal();
+    let run = |world: &mut World, ticks| (0..ticks).for_each(|_| world.tick().unwrap());
+    world.take(&Step::Accept(0)).unwrap();
+    run(&mut world, 40);
+    // One peer hears of nothing more, so that the others are ahead of it.
+    world.nodes[0].paused = true;
+    world.take(&Step::Accept(1)).unwrap();
+    run(&mut world, 40);
+    world.store.outage = true;
+    world.nodes[0].paused = false;
+    (1..NODES).for_each(|peer| world.cuts.push((peer, 0)));
+    world.take(&Step::Restart(3)).unwrap();
+    assert!(!world.nodes[3].replica.is_ready());
+    run(&mut world, 40);
+    assert_eq!(world.nodes[0].replica.revision(), Some(Revision(1)));
+    assert_eq!(world.nodes[3].replica.revision(), Some(Revision(2)));
+    assert!(world.nodes[3].replica.is_ready());
+}
+
+fn lone_replica() -> ConfigReplica {
+    let member = ReplicaPeer {
+        node: node_id(0, 1),
+        data_centre: "dc".parse().unwrap(),
+    };
+    ConfigReplica::new(MonoTime::ZERO, member, ReplicaSettings::default(), 1)
+}
+
+#[test]
+fn an_old_snapshot_alone_is_not_enough_to_serve() {
+    let mut replica = lone_replica();
+    let now = MonoTime::from_millis(1_000);
+    replica.tick(now);
+    replica.snapshot_read(now, Some(FleetConfig::default()));
+    assert!(!replica.is_ready());
+    replica.head_read(now, Some(Revision(1)));
+    assert!(!replica.is_ready());
+    let delta = ConfigDelta {
+        revision: Revision(1),
+        changes: vec![change(0)],
+    };
+    let actions = replica.deltas_read(now, Some(vec![delta]));
+    assert!(replica.is_ready());
+    let proof = ReplicaAction::HeadProven {
+        revision: Revision(1),
+        at: now,
+    };
+    assert!(actions.contains(&proof));
+}
+
+#[test]
+fn parts_of_other_transfers_and_generations_are_not_mixed() {
+    let mut replica = lone_replica();
+    let peer = node_id(1, 1);
+    replica.set_peers([ReplicaPeer {
+        node: peer.clone(),
+        data_centre: "dc".parse().unwrap(),
+    }]);
+    let now = MonoTime::from_millis(1_000);
+    let stamp = DistributionMessage::HeadStamp {
+        revision: Some(Revision(3)),
+        reading: None,
+    };
+    replica.handle(now, &peer, stamp);
+    let request = replica
+        .tick(now)
+        .into_iter()
+        .find_map(|action| match action {
+            ReplicaAction::Send {
+                message: DistributionMessage::SnapshotRequest { transfer, cursor },
+                ..
+            } => Some((transfer, cursor)),
+            _ => None,
+        });
+    let (transfer, cursor) = request.expect("a starting node asks its newest peer");
+    let offer = |transfer, generation, cursor, next| DistributionMessage::SnapshotOffer {
+        transfer,
+        cursor,
+        generation,
+        revision: Some(Revision(3)),
+        changes: vec![change(0)],
+        next,
+    };
+    let installs = |actions: &[ReplicaAction]| {
+        let mut actions = actions.iter();
+        actions.any(|action| matches!(action, ReplicaAction::Install(_)))
+    };
+    let stale = replica.handle(now, &peer, offer(transfer + 1, 1, cursor, None));
+    assert!(!installs(&stale));
+    let next = SnapshotCursor {
+        remaining: 1,
+        ..cursor
+    };
+    let first = replica.handle(now, &peer, offer(transfer, 1, cursor, Some(next)));
+    assert!(!installs(&first));
+    let mixed = replica.handle(now, &peer, offer(transfer, 2, next, None));
+    assert!(!installs(&mixed));
+    assert_eq!(replica.revision(), None);
+}
