config: test counts that are read from the past

The conditions on usage rows were broken on purpose: the generated histories did not show it (10,000 cases), so a test forces it. Without the conditions it fails, with them it passes. Breaking the conditions on object rows or on the head fails the generated histories; breaking the one on the outcome row does not, since the object rows' versions already stop a second acceptance.

--- a/lib/tests/fake_table.rs
+++ b/lib/tests/fake_table.rs
@@ -16,11 +16,15 @@
 }
 
 impl FakeTable {
-    /// Reads rows as they were before the last `lag` commits.
-    pub fn read(&self, keys: Vec<RowKey>, lag: usize) -> RowMap {
-        let visible = self.commits.saturating_sub(lag as u64);
-        let read = |key: RowKey| (key.clone(), self.get(&key, visible));
-        keys.into_iter().map(read).collect()
+    /// Reads rows as they were before the last `lag` commits; only those whose bit is in `mask`
+    /// lag, since each may be read from another replica.
+    pub fn read(&self, keys: Vec<RowKey>, lag: usize, mask: u8) -> RowMap {
+        let read = |(index, key): (usize, RowKey)| {
+            let lag = if mask >> (index % 8) & 1 == 1 { lag } else { 0 };
+            let visible = self.commits.saturating_sub(lag as u64);
+            (key.clone(), self.get(&key, visible))
+        };
+        keys.into_iter().enumerate().map(read).collect()
     }
 
     /// Reads and parses one row.
--- a/lib/tests/test_configuration.rs
+++ b/lib/tests/test_configuration.rs
@@ -101,7 +101,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Fate {
     Served,
-    ReadFromPast(usize),
+    /// Some of the rows, by the mask, are read as of some commits ago.
+    ReadFromPast(usize, u8),
     Unavailable,
     /// The write takes effect and its answer is lost.
     AnswerLost,
@@ -113,22 +114,22 @@
 enum Step {
     Plan(Vec<ConfigChange>, usize),
     Start(usize),
-    Run(usize, Fate),
+    Run(usize, Vec<Fate>),
     Arrive,
 }
 
 fn step() -> impl Strategy<Value = Step> {
     let fate = prop_oneof![
         6 => Just(Fate::Served),
-        1 => (1_usize..3).prop_map(Fate::ReadFromPast),
+        2 => (1_usize..5, any::<u8>()).prop_map(|(lag, mask)| Fate::ReadFromPast(lag, mask)),
         1 => Just(Fate::Unavailable),
         2 => Just(Fate::AnswerLost),
         1 => Just(Fate::TakesEffectLater),
     ];
     prop_oneof![
         2 => (vec(change(), 1..4), 0_usize..2).prop_map(|(changes, lag)| Step::Plan(changes, lag)),
-        3 => any::<usize>().prop_map(Step::Start),
-        9 => (any::<usize>(), fate).prop_map(|(machine, fate)| Step::Run(machine, fate)),
+        2 => any::<usize>().prop_map(Step::Start),
+        6 => (any::<usize>(), vec(fate, 1..5)).prop_map(|(machine, fates)| Step::Run(machine, fates)),
         1 => Just(Step::Arrive),
     ]
 }
@@ -158,7 +159,7 @@
             if missing.is_empty() {
                 break;
             }
-            builder.supply(self.table.read(missing, lag));
+            builder.supply(self.table.read(missing, lag, u8::MAX));
         }
         let id: PlanId = format!("p{}", self.plans.len()).parse().unwrap();
         let plan = builder.build(id.clone(), "ada".parse().unwrap(), 1)?;
@@ -192,10 +193,10 @@
             (ConfirmAction::Read(_), Fate::Unavailable | Fate::AnswerLost) => {
                 ConfirmEvent::ReadFailed
             }
-            (ConfirmAction::Read(keys), Fate::ReadFromPast(lag)) => {
-                ConfirmEvent::Rows(self.table.read(keys, lag))
+            (ConfirmAction::Read(keys), Fate::ReadFromPast(lag, mask)) => {
+                ConfirmEvent::Rows(self.table.read(keys, lag, mask))
             }
-            (ConfirmAction::Read(keys), _) => ConfirmEvent::Rows(self.table.read(keys, 0)),
+            (ConfirmAction::Read(keys), _) => ConfirmEvent::Rows(self.table.read(keys, 0, 0)),
             (ConfirmAction::Commit(_), Fate::Unavailable) => {
                 ConfirmEvent::Commit(Err(unavailable()))
             }
@@ -238,8 +239,9 @@
                 let plan = self.plans[number % self.plans.len()].id.clone();
                 self.start(&plan);
             }
-            Step::Run(number, fate) if !self.confirms.is_empty() => {
-                self.run(number % self.confirms.len(), fate);
+            Step::Run(number, fates) if !self.confirms.is_empty() => {
+                let index = number % self.confirms.len();
+                fates.into_iter().for_each(|fate| self.run(index, fate));
             }
             Step::Arrive if !self.late.is_empty() => {
                 let transaction = self.late.remove(0);
@@ -347,7 +349,7 @@
 #[test]
 fn racing_confirms_have_one_outcome_each_and_lose_no_update() {
     let mut runner = seeded_runner(60);
-    let result = runner.run(&vec(step(), 10..60), |steps| {
+    let result = runner.run(&vec(step(), 6..24), |steps| {
         let mut world = World::default();
         world
             .plan(vec![service(0, 0), service(1, 0), customer(0, 1)], 0)
@@ -404,6 +406,26 @@
     );
 }
 
+#[test]
+fn counts_that_were_read_from_the_past_are_read_again() {
+    let mut world = World::default();
+    let setup = world.plan(vec![service(0, 1)], 0).unwrap().id;
+    world.outcome(&setup);
+    let add = |id| vec![target(id, 0, TargetState::Active)];
+    let [first, second] = [0, 1].map(|id| world.plan(add(id), 0).unwrap().id);
+    world.outcome(&first);
+    world.start(&second);
+    let index = world.confirms.len() - 1;
+    world.run(index, Fate::Served);
+    // The head is read as it is, the count of the service's targets as it was.
+    world.run(index, Fate::ReadFromPast(1, 0b1111_1100));
+    world.run(index, Fate::Served);
+    assert!(matches!(world.outcome(&second), PlanOutcome::Accepted(_)));
+    let usage = UsageKey::Service("s0".parse().unwrap());
+    let usage: UsageRow = world.table.row(usage.row_key()).unwrap();
+    assert_eq!((usage.targets, usage.active_targets), (2, 2));
+}
+
 #[test]
 fn a_removed_customer_takes_its_keys_along() {
     let mut world = World::default();
