--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,7 +1,12 @@
 //! All tests of the crate, one module a subject.
 
 mod fake_table;
+mod claim_fleet;
+mod fake_net;
 mod seeded_run;
+mod share_fleet;
+#[allow(dead_code)]
+mod slot_fleet;
 mod test_claims;
 mod test_configuration;
 mod test_crash_guard;
@@ -13,6 +18,7 @@
 mod test_fair_queue;
 mod test_freshness;
 mod test_keys;
+mod test_loans;
 mod test_membership;
 mod test_picker;
 mod test_rate_limits;
