--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,7 @@
 mod claim_fleet;
 mod fake_net;
 mod fake_network;
+mod fake_table;
 mod seeded_run;
 mod share_fleet;
 #[allow(dead_code)]
