detection: tell bad paths and bad services from bad targets

Cut paths were taken for slow targets, since background slow answers outweighed missing ones; a service that failed all over lost the first target to reach the threshold, and later the last one whose score had not decayed. The path test now covers late answers too, scores restart when many targets are suspect alike, and digests of nodes that started together are spread over the interval.

--- a/lib/src/detector.rs
+++ b/lib/src/detector.rs
@@ -16,14 +16,14 @@
 use crate::time::MonoTime;
 use crate::verdict::{ReachCounts, SuspicionCause, TargetExplanation, TargetVerdict};
 
+/// The time for which a service counts as bad after its targets were suspect alike.
+const SERVICE_BAD_MS: u64 = 3_000;
 /// How far scores may rise above the threshold, so that they also fall again soon.
 const CEILING_FACTOR: f32 = 1.25;
 /// The share of the threshold from which on a target counts as suspect.
-const SUSPECT_SHARE: f32 = 0.5;
+const SUSPECT_SHARE: f32 = 0.25;
 /// The share of suspect targets from which on the service is at fault, in percent.
 const SERVICE_SHARE_PERCENT: usize = 40;
-/// The nodes with answers that show a bad path.
-const MIN_CLEAN_NODES: u32 = 2;
 /// The share of the mean pace from which on a target answers as many requests as others.
 const PACE_SHARE: f32 = 0.7;
 /// How much longer late answers are watched while the target keeps pace: it then has a long queue
@@ -82,6 +82,7 @@
     threshold: f32,
     targets: IndexMap<TargetId, JudgedTarget>,
     parts: IndexMap<NodeId, EvidencePart>,
+    service_bad_until: MonoTime,
     next_cleanup_at: MonoTime,
 }
 
@@ -93,6 +94,7 @@
             threshold: alarm_threshold(mode),
             targets: IndexMap::new(),
             parts: IndexMap::new(),
+            service_bad_until: MonoTime::ZERO,
             next_cleanup_at: MonoTime::ZERO,
         }
     }
@@ -166,6 +168,7 @@
     /// Judges all targets.
     pub fn tick(&mut self, now: MonoTime) -> Vec<DetectorAction> {
         self.clean_up(now);
+        self.check_service(now);
         let service = self.service_view(now);
         let mut actions = Vec::new();
         for (target, judged) in &mut self.targets {
@@ -231,21 +234,34 @@
             .map(|judged| judged.chart.pace(now));
         let (sum, count) = paces.fold((0.0, 0.0), |(sum, count), pace| (sum + pace, count + 1.0));
         ServiceView {
-            bad: self.is_service_bad(),
+            bad: now < self.service_bad_until,
             mean_pace: sum / f32::max(count, 1.0),
         }
     }
 
-    /// Returns whether so many targets are suspect that the fault is the service's.
-    fn is_service_bad(&self) -> bool {
-        let suspects = self
+    /// Starts all targets anew when so many are suspect that the fault is the service's.
+    ///
+    /// Their scores were taken against a yardstick that no longer holds; the populations follow the
+    /// change while the service counts as bad.
+    fn check_service(&mut self, now: MonoTime) {
+        let scores = self
             .targets
             .values()
-            .filter(|judged| {
-                judged.held || judged.chart.score(self.threshold) >= SUSPECT_SHARE * self.threshold
-            })
-            .count();
-        suspects > 1 && suspects * 100 >= self.targets.len() * SERVICE_SHARE_PERCENT
+            .filter(|judged| !judged.held)
+            .map(|judged| judged.chart.score(self.threshold));
+        let (mut suspects, mut alarmed) = (0, false);
+        for score in scores {
+            suspects += usize::from(score >= SUSPECT_SHARE * self.threshold);
+            alarmed |= score >= self.threshold;
+        }
+        let many = suspects > 1 && suspects * 100 >= self.targets.len() * SERVICE_SHARE_PERCENT;
+        if alarmed && many {
+            self.service_bad_until = now + Duration::from_millis(SERVICE_BAD_MS);
+        }
+        if now < self.service_bad_until {
+            let judged = self.targets.values_mut().filter(|judged| !judged.held);
+            judged.for_each(|judged| judged.chart.clear_scores());
+        }
     }
 
     fn clean_up(&mut self, now: MonoTime) {
@@ -269,12 +285,12 @@
 ) -> TargetVerdict {
     let chart = &judged.chart;
     let threshold = alarm_threshold(mode);
-    if chart.score(threshold) < threshold {
-        return verdict_below_alarm(judged);
-    }
     if service.bad {
         return TargetVerdict::ServiceBad;
     }
+    if chart.score(threshold) < threshold {
+        return verdict_below_alarm(judged);
+    }
     let cause = chart.cause();
     let delayed = matches!(
         cause,
@@ -285,7 +301,7 @@
     if delayed && chart.suspected_for(now).is_some_and(|time| time < watch) {
         return judged.verdict;
     }
-    if cause == Some(SuspicionCause::Silence) && is_path_at_fault(chart.reach(now)) {
+    if delayed && is_path_at_fault(chart.reach(now)) {
         return TargetVerdict::BadPath;
     }
     let required = min_accusing_nodes(mode)
@@ -306,8 +322,13 @@
     TargetVerdict::Healthy
 }
 
+/// A path is at fault if enough nodes get answers only, few get answers at times and hardly any got
+/// a bad answer, which only the target can have given.
 const fn is_path_at_fault(reach: ReachCounts) -> bool {
-    reach.clean >= MIN_CLEAN_NODES && reach.clean * 4 >= reach.cut && reach.mixed * 2 <= reach.cut
+    reach.clean > 0
+        && reach.clean * 4 >= reach.cut
+        && reach.mixed * 2 <= reach.cut + reach.clean
+        && reach.accusing <= 1 + reach.clean / 6
 }
 
 /// Returns the time for which missing and slow answers are watched before they count.
--- a/lib/src/evidence.rs
+++ b/lib/src/evidence.rs
@@ -393,7 +393,7 @@
         if now < self.next_digest_at {
             return Vec::new();
         }
-        self.next_digest_at = now + Duration::from_millis(DIGEST_INTERVAL_MS);
+        self.next_digest_at = self.digest_after(now);
         if self.drafts.is_empty() {
             return Vec::new();
         }
@@ -412,6 +412,14 @@
             .collect()
     }
 
+    /// Spreads the digests of nodes that started together, so that a judge hears some at any time.
+    fn digest_after(&self, now: MonoTime) -> MonoTime {
+        let interval = DIGEST_INTERVAL_MS * 1_000;
+        let phase = hash_bytes(self.node.vm.as_bytes(), 0) % interval;
+        let started = (now.as_micros() + interval - phase) / interval;
+        MonoTime::from_micros(started * interval + phase)
+    }
+
     fn take_digest(&mut self) -> EvidenceDigest {
         self.sequence += 1;
         // The oldest drafts go first: choosing the worst ones would bias the pooled test.
--- a/lib/src/population.rs
+++ b/lib/src/population.rs
@@ -15,7 +15,9 @@
 /// An estimate of how often an observation is bad.
 ///
 /// The estimate errs on the high side: it is the highest of the assumed, the long-term and the
-/// short-term rate. Overestimating delays a detection; underestimating ejects healthy targets.
+/// short-term rate. Overestimating delays a detection; underestimating ejects healthy targets. One
+/// bad observation among good ones leaves the short-term rate at zero, since it may be the first
+/// sign of the bad target that the estimate is to be compared with.
 #[derive(Clone, Copy, Debug)]
 pub struct RateEstimate {
     assumed: f32,
@@ -50,7 +52,8 @@
     /// Returns the estimated rate.
     pub fn rate(&self) -> f64 {
         let long_term = (self.bad + PRIOR_WEIGHT * self.assumed) / (self.observed + PRIOR_WEIGHT);
-        f64::from(long_term.max(self.recent).max(self.assumed))
+        let short_term = self.recent - RECENT_WEIGHT;
+        f64::from(long_term.max(short_term).max(self.assumed))
     }
 }
 
--- a/lib/src/target_chart.rs
+++ b/lib/src/target_chart.rs
@@ -20,6 +20,8 @@
 const SETTLING_MS: u64 = 300;
 /// The time for which an answer shows that a path works.
 const REACH_MEMORY_MS: u64 = 1_500;
+/// The time for which a missing answer among others is counted.
+const MIXED_MEMORY_MS: u64 = 3_000;
 /// The time for which a node that sends nothing is still counted.
 const NODE_MEMORY_MS: u64 = 5_000;
 /// The score that one failed probe adds, in nats.
@@ -142,6 +144,7 @@
     answered_at: Option<MonoTime>,
     silent_at: Option<MonoTime>,
     bad_at: Option<MonoTime>,
+    bad_answer_at: Option<MonoTime>,
 }
 
 /// Everything that a judge knows about one target.
@@ -258,18 +261,31 @@
         let settled = (onset + millis(SETTLING_MS)).max(now - millis(REACH_MEMORY_MS));
         let mut counts = ReachCounts::default();
         for view in self.nodes.values() {
-            let silent = view.silent_at.is_some_and(|at| at >= onset);
-            let answered = view.answered_at.is_some_and(|at| at >= settled);
+            let silent = view.silent_at.filter(|at| *at >= onset);
+            let answered = view.answered_at.filter(|at| *at >= settled);
             match (silent, answered) {
-                (true, false) => counts.cut += 1,
-                (false, true) => counts.clean += 1,
-                (true, true) => counts.mixed += 1,
-                (false, false) => {}
+                (Some(_), None) => counts.cut += 1,
+                (None, Some(_)) => counts.clean += 1,
+                (Some(at), Some(_)) if is_within(now, Some(at), MIXED_MEMORY_MS) => {
+                    counts.mixed += 1;
+                }
+                _ => {}
             }
+            let accuses = view
+                .bad_answer_at
+                .is_some_and(|at| at >= onset.max(settled));
+            counts.accusing += u32::from(accuses);
         }
         counts
     }
 
+    /// Takes all scores back to zero and keeps the recent counts.
+    pub fn clear_scores(&mut self) {
+        self.overall = ChartPair::default();
+        self.routes.clear();
+        self.onset = None;
+    }
+
     /// Forgets all evidence, so that the target starts anew.
     pub fn reset(&mut self) {
         *self = Self::default();
@@ -287,6 +303,9 @@
         if answers_in(entry) > 0 {
             view.answered_at = Some(now);
         }
+        if entry.failed + entry.rejected + entry.slow > 0 {
+            view.bad_answer_at = Some(now);
+        }
         if entry.silent > 0 {
             view.silent_at = Some(now);
         }
--- a/lib/src/target_load.rs
+++ b/lib/src/target_load.rs
@@ -76,11 +76,11 @@
     }
 
     /// Returns the report, unless it is old or stuck while the population is busy.
-    pub fn usable_report(&self, now: MonoTime, population_mean: f32) -> Option<f32> {
+    pub fn usable_report(&self, now: MonoTime, typical_load: f32) -> Option<f32> {
         let report = self
             .report
             .filter(|report| is_fresh(now, report.heard_at))?;
-        let stuck = report.equal_count >= STUCK_REPORTS && population_mean > IDLE_LOAD;
+        let stuck = report.equal_count >= STUCK_REPORTS && typical_load > IDLE_LOAD;
         (!stuck).then_some(report.load)
     }
 
@@ -91,11 +91,11 @@
             .map(|report| report.load)
     }
 
-    /// Returns the estimated load; the population's mean stands in for a report that is no use.
-    pub fn estimate(&self, now: MonoTime, population_mean: f32) -> f32 {
+    /// Returns the estimated load; the typical load of the population stands in for a report that is no use.
+    pub fn estimate(&self, now: MonoTime, typical_load: f32) -> f32 {
         let reported = self
-            .usable_report(now, population_mean)
-            .unwrap_or(population_mean);
+            .usable_report(now, typical_load)
+            .unwrap_or(typical_load);
         let peers = self
             .peers
             .filter(|(_, heard_at)| is_fresh(now, *heard_at))
--- a/lib/src/target_picker.rs
+++ b/lib/src/target_picker.rs
@@ -68,7 +68,7 @@
     targets: IndexMap<TargetId, PickerTarget>,
     near: Vec<usize>,
     all: Vec<usize>,
-    mean_load: f32,
+    typical_load: f32,
 }
 
 impl TargetPicker {
@@ -79,7 +79,7 @@
             targets: IndexMap::new(),
             near: Vec::new(),
             all: Vec::new(),
-            mean_load: 0.0,
+            typical_load: 0.0,
         }
     }
 
@@ -141,7 +141,7 @@
     pub fn set_reported_load(&mut self, now: MonoTime, target: &TargetId, load: f32) {
         if let Some(state) = self.targets.get_mut(target) {
             state.load.set_report(now, load);
-            self.mean_load = self.mean_reported_load(now);
+            self.typical_load = self.typical_reported_load(now);
         }
     }
 
@@ -275,18 +275,22 @@
     }
 
     fn cost(&self, now: MonoTime, state: &PickerTarget) -> f32 {
-        let load = state.load.estimate(now, self.mean_load) + 1.0;
+        let load = state.load.estimate(now, self.typical_load) + 1.0;
         let penalty = if state.near { 0.0 } else { FAR_PENALTY };
         load / (state.slots as f32 * state.weight(now)) + penalty
     }
 
-    fn mean_reported_load(&self, now: MonoTime) -> f32 {
-        let (sum, count) = self
+    /// Returns the mean load as seen by a unit of load: busy targets weigh more than idle ones, so
+    /// that a target of unknown load is not preferred to one of known average load.
+    fn typical_reported_load(&self, now: MonoTime) -> f32 {
+        let (sum, squares) = self
             .targets
             .values()
             .filter_map(|state| state.load.fresh_report(now))
-            .fold((0.0, 0), |(sum, count), load| (sum + load, count + 1));
-        if count == 0 { 0.0 } else { sum / count as f32 }
+            .fold((0.0, 0.0), |(sum, squares), load| {
+                (sum + load, squares + load * load)
+            });
+        if sum == 0.0 { 0.0 } else { squares / sum }
     }
 }
 
--- a/lib/src/verdict.rs
+++ b/lib/src/verdict.rs
@@ -70,6 +70,9 @@
     pub clean: u32,
     /// The nodes that get an answer at times.
     pub mixed: u32,
+    /// The nodes that lately got an error or a slow answer, which shows that their path works.
+    #[serde(default)]
+    pub accusing: u32,
 }
 
 /// Why a target has its verdict, for `ctl explain target`.
--- a/lib/tests/test_detection.rs
+++ b/lib/tests/test_detection.rs
@@ -1,1 +1,330 @@
-//! Placeholder.
+//! Gray modes caused one by one, what they must not be taken for, and the false-alarm bound.
+
+use std::time::Duration;
+
+use damaskloom_lib::config::{DetectionMode, PolicyMode};
+use damaskloom_lib::detector::TargetDetector;
+use damaskloom_lib::evidence::{
+    AttemptOutcome, AttemptScope, EvidenceAction, EvidenceDigest, EvidenceLog, EvidenceMessage,
+    choose_judges,
+};
+use damaskloom_lib::ids::{Incarnation, NodeId, TargetId};
+use damaskloom_lib::mixer::SeedSequence;
+use damaskloom_lib::sequential_test::ScorePair;
+use damaskloom_lib::target_picker::TargetStanding;
+use damaskloom_lib::time::MonoTime;
+use damaskloom_lib::verdict::TargetVerdict;
+
+use crate::support::fault::{FaultMode, TargetFault};
+use crate::support::fleet::{Fleet, FleetOptions};
+
+const BAD: usize = 3;
+const NODES: usize = 24;
+const FAULT_AT_MS: u64 = 8_000;
+
+fn fleet(seed: u64) -> Fleet {
+    Fleet::new(FleetOptions {
+        nodes: NODES,
+        targets: 15,
+        slots: 2,
+        floor: 12,
+        mode: DetectionMode::Fast,
+        policy: PolicyMode::Adaptive,
+        load: 0.5,
+        seed,
+    })
+}
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn with_fault(mode: FaultMode, seed: u64) -> Fleet {
+    let mut fleet = fleet(seed);
+    fleet.faults.push(TargetFault {
+        target: BAD,
+        mode,
+        from: at(FAULT_AT_MS),
+        until: at(1_000_000),
+    });
+    fleet.run_until(at(FAULT_AT_MS));
+    fleet
+}
+
+/// Returns the milliseconds from the fault to the ejection on every node.
+fn detection_ms(mode: FaultMode, seed: u64, limit_ms: u64) -> Option<u128> {
+    let mut fleet = with_fault(mode, seed);
+    let out_at = fleet.run_until_out(BAD, at(FAULT_AT_MS + limit_ms))?;
+    assert_eq!(fleet.tally.wrong_ejections, 0, "{mode:?} seed {seed}");
+    Some(out_at.since(at(FAULT_AT_MS)).as_millis())
+}
+
+fn assert_ejected_within(mode: FaultMode, limit_ms: u64) {
+    for seed in 0..3 {
+        let elapsed = detection_ms(mode, seed, limit_ms);
+        assert!(elapsed.is_some(), "{mode:?} seed {seed}");
+    }
+}
+
+#[test]
+fn a_share_of_errors_is_found() {
+    assert_ejected_within(FaultMode::Errors(0.5), 2_000);
+    assert_ejected_within(FaultMode::Errors(0.2), 4_000);
+    assert_ejected_within(FaultMode::Errors(0.05), 60_000);
+}
+
+#[test]
+fn late_and_missing_answers_are_found_long_before_the_deadline() {
+    assert_ejected_within(FaultMode::Hang, 2_500);
+    assert_ejected_within(FaultMode::Slow(10.0), 2_500);
+    assert_ejected_within(FaultMode::SlowRoute(10.0), 5_000);
+}
+
+#[test]
+fn a_wrong_status_is_found_though_probes_pass() {
+    assert_ejected_within(FaultMode::WrongStatus, 2_000);
+}
+
+#[test]
+fn failing_fast_is_found_and_draws_no_traffic() {
+    assert_ejected_within(FaultMode::FastErrors(1.0), 1_500);
+    let mut fleet = with_fault(FaultMode::FastErrors(0.05), 1);
+    let before = fleet.tally.per_target.clone();
+    fleet.run_until(at(FAULT_AT_MS + 3_000));
+    let drawn = |index: usize| fleet.tally.per_target[index] - before[index];
+    let mean = (0..15).map(drawn).sum::<u64>() / 15;
+    assert!(drawn(BAD) < mean * 3 / 2, "{} of {mean}", drawn(BAD));
+}
+
+#[test]
+fn flapping_is_found_at_short_and_long_periods() {
+    for period in [2, 10, 60] {
+        assert_ejected_within(FaultMode::Flap(Duration::from_secs(period)), 62_000);
+    }
+}
+
+#[test]
+fn a_path_that_only_some_nodes_miss_is_avoided_by_these_alone() {
+    for seed in 0..3 {
+        let mut fleet = with_fault(FaultMode::Cut(8), seed);
+        fleet.run_until(at(FAULT_AT_MS + 10_000));
+        assert_eq!(fleet.count_standing(BAD, TargetStanding::Ejected), 0);
+        let target = fleet.target_ids[BAD].clone();
+        let serving = (0..NODES).filter(|node| {
+            fleet.nodes[*node].standing(fleet.now, &target) == TargetStanding::Serving
+        });
+        assert!(serving.filter(|node| *node >= 8).count() >= 14);
+        let before = fleet.tally.clone();
+        fleet.run_until(at(FAULT_AT_MS + 20_000));
+        let failed = fleet.tally.failed - before.failed;
+        let requests = fleet.tally.requests - before.requests;
+        assert!(failed * 200 < requests, "{failed} of {requests}");
+        assert_eq!(fleet.tally.ejections, 0);
+    }
+}
+
+#[test]
+fn a_stuck_load_report_draws_no_traffic() {
+    let mut fleet = with_fault(FaultMode::StuckLoad, 2);
+    fleet.run_until(at(FAULT_AT_MS + 5_000));
+    let before = fleet.tally.per_target.clone();
+    fleet.run_until(at(FAULT_AT_MS + 15_000));
+    let drawn = |index: usize| fleet.tally.per_target[index] - before[index];
+    let mean = (0..15).map(drawn).sum::<u64>() / 15;
+    assert!(drawn(BAD) < mean * 3 / 2, "{} of {mean}", drawn(BAD));
+}
+
+#[test]
+fn shedding_is_overload_and_not_a_fault() {
+    let mut fleet = with_fault(FaultMode::Shed(0.5), 0);
+    fleet.run_until(at(FAULT_AT_MS + 4_000));
+    let target = fleet.target_ids[BAD].clone();
+    let verdicts: Vec<TargetVerdict> = fleet
+        .nodes
+        .iter()
+        .filter_map(|node| node.explain(fleet.now, &target))
+        .map(|explanation| explanation.verdict)
+        .collect();
+    assert_eq!(verdicts, [TargetVerdict::Overloaded; 3]);
+    assert_eq!(fleet.tally.ejections, 0);
+}
+
+#[test]
+fn a_service_that_is_bad_all_over_loses_no_target() {
+    for share in [0.2, 0.5, 1.0] {
+        let mut fleet = fleet(5);
+        fleet.faults = (0..15)
+            .map(|target| TargetFault {
+                target,
+                mode: FaultMode::Errors(share),
+                from: at(FAULT_AT_MS),
+                until: at(1_000_000),
+            })
+            .collect();
+        fleet.run_until(at(FAULT_AT_MS + 10_000));
+        assert_eq!(fleet.tally.ejections, 0, "{share}");
+    }
+}
+
+#[test]
+fn a_customer_whose_own_requests_fail_costs_no_target() {
+    for customer in [0, 4] {
+        let mut fleet = fleet(6);
+        fleet.run_until(at(FAULT_AT_MS));
+        fleet.poisoned_customer = Some(customer);
+        fleet.run_until(at(FAULT_AT_MS + 20_000));
+        assert_eq!(fleet.tally.ejections, 0, "customer {customer}");
+    }
+}
+
+#[test]
+fn a_target_that_recovers_serves_again_and_is_not_ejected_once_more() {
+    let mut fleet = fleet(9);
+    fleet.faults.push(TargetFault {
+        target: BAD,
+        mode: FaultMode::Errors(0.5),
+        from: at(FAULT_AT_MS),
+        until: at(FAULT_AT_MS + 3_000),
+    });
+    fleet.run_until(at(FAULT_AT_MS + 3_000));
+    assert!(fleet.is_out_everywhere(BAD));
+    fleet.run_until(at(FAULT_AT_MS + 12_000));
+    assert_eq!(fleet.count_standing(BAD, TargetStanding::Ejected), 0);
+    fleet.run_until(at(FAULT_AT_MS + 30_000));
+    assert_eq!(fleet.tally.ejections, 1);
+}
+
+fn node(index: usize) -> NodeId {
+    NodeId {
+        vm: format!("vm-{index}").parse().unwrap(),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn scope(target: &str, customer: &str) -> AttemptScope {
+    AttemptScope {
+        target: target.parse().unwrap(),
+        route: "slots".parse().unwrap(),
+        customer: customer.parse().unwrap(),
+    }
+}
+
+fn record(log: &mut EvidenceLog, outcome: AttemptOutcome, count: usize) {
+    for _ in 0..count {
+        log.record(
+            at(1),
+            &scope("target-0", "acme"),
+            outcome,
+            Duration::from_millis(20),
+        );
+    }
+}
+
+fn digest(log: &mut EvidenceLog, now: MonoTime) -> EvidenceDigest {
+    match log.tick(now).pop() {
+        Some(EvidenceAction::Pool(digest)) => digest,
+        other => panic!("a lone node judges itself, not {other:?}"),
+    }
+}
+
+fn detector() -> TargetDetector {
+    let mut detector = TargetDetector::new(DetectionMode::Fast);
+    detector.set_targets((0..4).map(|index| format!("target-{index}").parse().unwrap()));
+    detector
+}
+
+fn score(detector: &TargetDetector) -> f32 {
+    let target: TargetId = "target-0".parse().unwrap();
+    detector.explain(at(1), &target).unwrap().score
+}
+
+#[test]
+fn a_digest_that_arrives_twice_counts_once() {
+    let mut log = EvidenceLog::new(node(0), "desk".parse().unwrap());
+    let mut detector = detector();
+    record(&mut log, AttemptOutcome::Failed, 2);
+    let first = digest(&mut log, at(1));
+    record(&mut log, AttemptOutcome::Failed, 1);
+    let second = digest(&mut log, at(1_000));
+    detector.pool(at(1), &node(0), &first);
+    let once = score(&detector);
+    detector.pool(at(1), &node(0), &first);
+    assert_eq!(score(&detector), once);
+    detector.pool(at(1), &node(0), &second);
+    let both = score(&detector);
+    assert!(both > once);
+    detector.pool(at(1), &node(0), &first);
+    assert_eq!(score(&detector), both);
+}
+
+#[test]
+fn probes_alone_raise_no_suspicion() {
+    let mut log = EvidenceLog::new(node(0), "desk".parse().unwrap());
+    let mut detector = detector();
+    for _ in 0..1_000 {
+        log.record_probe(
+            &"target-0".parse().unwrap(),
+            &"slots".parse().unwrap(),
+            false,
+        );
+    }
+    detector.pool(at(1), &node(0), &digest(&mut log, at(1)));
+    assert_eq!(score(&detector), 0.0);
+}
+
+#[test]
+fn an_excused_target_is_not_accused_of_silence() {
+    let mut log = EvidenceLog::new(node(0), "desk".parse().unwrap());
+    log.excuse(at(0), &"target-0".parse().unwrap(), Duration::from_secs(10));
+    record(&mut log, AttemptOutcome::ConnectFailed, 20);
+    assert_eq!(log.tick(at(1)), []);
+    record(&mut log, AttemptOutcome::Failed, 1);
+    assert_eq!(log.tick(at(1_000)).len(), 1);
+}
+
+#[test]
+fn a_message_of_another_version_is_understood() {
+    let json = r#"{"digest":{"sequence":3,"later":true,"entries":[
+        {"target":"target-0","route":"slots","good":2,"colour":"red"}]}}"#;
+    let EvidenceMessage::Digest(digest) = serde_json::from_str(json).unwrap();
+    assert_eq!(digest.entries[0].good, 2);
+    assert_eq!(digest.entries[0].failure_millinats, [0, 0]);
+}
+
+#[test]
+fn every_node_names_the_same_judges() {
+    let service = "desk".parse().unwrap();
+    let forward = choose_judges(&service, (0..48).map(node));
+    let backward = choose_judges(&service, (0..48).rev().map(node));
+    assert_eq!(forward, backward);
+    assert_eq!(forward.len(), 3);
+}
+
+/// Lorden's bound, at a threshold low enough to see alarms: at most `e^-h` a step under the null.
+#[test]
+fn false_alarms_stay_within_the_bound() {
+    const OBSERVATIONS: usize = 1_000_000;
+    const THRESHOLD: f32 = 7.0;
+    let mut random = SeedSequence::new(42);
+    for null_rate in [0.005, 0.02, 0.1, 0.5] {
+        let (mut chart, mut alarms) = (ScorePair::default(), [0.0; 2]);
+        for _ in 0..OBSERVATIONS {
+            let bad = random.next_unit() < null_rate;
+            chart.accumulate(ScorePair::of(null_rate, bad), f32::MAX);
+            for (score, alarms) in [&mut chart.strong, &mut chart.weak]
+                .into_iter()
+                .zip(&mut alarms)
+            {
+                if *score >= THRESHOLD {
+                    *score = 0.0;
+                    *alarms += 1.0;
+                }
+            }
+        }
+        let bound = OBSERVATIONS as f64 * f64::from(-THRESHOLD).exp();
+        assert!(
+            alarms.iter().all(|count| *count <= bound),
+            "{alarms:?} at {null_rate}"
+        );
+    }
+}
