--- a/lib/tests/test_crash_guard.rs
+++ b/lib/tests/test_crash_guard.rs
@@ -1,1 +1,150 @@
-//! Placeholder.
+//! Crashing requests: refused after two targets, without harm to anyone else.
+
+use std::time::Duration;
+
+use damaskloom_lib::crash_guard::{
+    BLOCK_MS, CONFIRMATION_MS, CrashAction, CrashGuard, CrashMessage, MAX_SUSPECTS,
+    MAX_SUSPECTS_PER_CUSTOMER, RequestDigest, RequestFingerprint,
+};
+use damaskloom_lib::ids::{Incarnation, NodeId, TargetId};
+use damaskloom_lib::time::MonoTime;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn target(index: usize) -> TargetId {
+    format!("target-{index}").parse().unwrap()
+}
+
+fn request(customer: usize, body: usize) -> RequestFingerprint {
+    RequestFingerprint {
+        customer: format!("customer-{customer}").parse().unwrap(),
+        route: "bookings".parse().unwrap(),
+        digest: RequestDigest::of(b"POST", b"/bookings", &body.to_le_bytes()),
+    }
+}
+
+fn node(index: usize) -> NodeId {
+    NodeId {
+        vm: format!("vm-{index}").parse().unwrap(),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn take_down(
+    guard: &mut CrashGuard,
+    now: MonoTime,
+    fingerprint: &RequestFingerprint,
+    index: usize,
+) -> Vec<CrashAction> {
+    guard.lost(now, fingerprint, &target(index));
+    guard.unreachable(now, &target(index))
+}
+
+fn messages(actions: &[CrashAction]) -> Vec<CrashMessage> {
+    let sent = actions.iter().filter_map(|action| match action {
+        CrashAction::Send { message, .. } => Some(message.clone()),
+        _ => None,
+    });
+    sent.collect()
+}
+
+#[test]
+fn two_targets_on_different_nodes_block_the_request_on_every_node() {
+    let mut guards: Vec<CrashGuard> = (0..3).map(|_| CrashGuard::new()).collect();
+    for guard in &mut guards {
+        guard.set_peers([node(9)]);
+    }
+    let crasher = request(0, 0);
+    for (index, now) in [(0, at(0)), (1, at(5_000))] {
+        let actions = take_down(&mut guards[index], now, &crasher, index);
+        for message in messages(&actions) {
+            for other in (0..3).filter(|other| *other != index) {
+                let heard = guards[other].handle(now, message.clone());
+                let excuses = |action: &CrashAction| {
+                    matches!(action, CrashAction::Excuse { target: excused, .. }
+                        if *excused == target(index))
+                };
+                assert!(heard.iter().any(excuses), "the target is innocent");
+            }
+        }
+        for guard in &guards {
+            assert_eq!(guard.check(now, &crasher).is_some(), index == 1);
+        }
+    }
+    assert_eq!(guards[2].check(at(5_000 + BLOCK_MS), &crasher), None);
+}
+
+#[test]
+fn one_target_twice_or_a_reachable_one_blocks_nothing() {
+    let mut guard = CrashGuard::new();
+    let unlucky = request(0, 0);
+    take_down(&mut guard, at(0), &unlucky, 0);
+    take_down(&mut guard, at(1_000), &unlucky, 0);
+    guard.lost(at(2_000), &unlucky, &target(1));
+    guard.unreachable(at(2_001 + CONFIRMATION_MS), &target(1));
+    assert_eq!(guard.check(at(9_000), &unlucky), None);
+}
+
+#[test]
+fn a_request_that_ran_with_the_crashing_one_is_cleared_by_a_good_answer() {
+    let mut guard = CrashGuard::new();
+    guard.set_peers([node(1)]);
+    let mut peer = CrashGuard::new();
+    let (crasher, poll) = (request(0, 0), request(0, 1));
+    for (index, now) in [(0, at(0)), (1, at(5_000))] {
+        guard.lost(now, &poll, &target(index));
+        for message in messages(&take_down(&mut guard, now, &crasher, index)) {
+            peer.handle(now, message);
+        }
+        for message in messages(&guard.completed(now, &poll)) {
+            peer.handle(now, message);
+        }
+    }
+    for guard in [&guard, &peer] {
+        assert_eq!(guard.check(at(5_001), &poll), None);
+        assert!(guard.check(at(5_001), &crasher).is_some());
+    }
+}
+
+#[test]
+fn a_customer_neither_blocks_nor_displaces_another() {
+    let mut guard = CrashGuard::new();
+    take_down(&mut guard, at(0), &request(0, 7), 0);
+    take_down(&mut guard, at(1), &request(0, 7), 1);
+    assert_eq!(guard.check(at(2), &request(1, 7)), None);
+    for body in 0..10 * MAX_SUSPECTS_PER_CUSTOMER {
+        take_down(&mut guard, at(10), &request(1, body), 0);
+    }
+    assert!(guard.check(at(11), &request(0, 7)).is_some());
+}
+
+#[test]
+fn memory_is_bounded_whatever_is_reported() {
+    let mut guard = CrashGuard::new();
+    let customers = 2 * MAX_SUSPECTS / MAX_SUSPECTS_PER_CUSTOMER;
+    let mut blocked = 0;
+    for customer in 0..customers {
+        for body in 0..2 * MAX_SUSPECTS_PER_CUSTOMER {
+            for index in 0..2 {
+                let message = CrashMessage::TookDown {
+                    fingerprint: request(customer, body),
+                    target: target(index),
+                };
+                guard.handle(at(0), message);
+            }
+        }
+    }
+    for customer in 0..customers {
+        let bodies = 0..2 * MAX_SUSPECTS_PER_CUSTOMER;
+        let own = bodies
+            .filter(|body| guard.check(at(1), &request(customer, *body)).is_some())
+            .count();
+        assert!(own <= MAX_SUSPECTS_PER_CUSTOMER);
+        blocked += own;
+    }
+    assert!(blocked <= MAX_SUSPECTS);
+    guard.tick(at(0) + Duration::from_secs(3_600));
+    assert!(guard.is_idle());
+}
