--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,9 @@
 mod share_fleet;
 #[allow(dead_code)]
 mod slot_fleet;
+#[allow(dead_code)]
+#[path = "../benches/support/mod.rs"]
+mod support;
 mod test_claims;
 mod test_configuration;
 mod test_crash_guard;
