claims: treat a home without any informed predecessor as uncertain

Histories that replace nodes more often found a request that ran twice: when all members of an epoch died, a home that joined later heard of one lost node only and took the claim for never granted.

--- a/lib/src/claim_log.rs
+++ b/lib/src/claim_log.rs
@@ -124,6 +124,7 @@
             epoch: self.epoch,
             claims: claims.collect(),
             gone: self.takeover.gone(now),
+            uninformed_ms: self.takeover.uninformed_ms(now),
         }
     }
 
@@ -160,9 +161,10 @@
                 epoch,
                 claims,
                 gone,
+                uninformed_ms,
             } if epoch == self.epoch => {
                 claims.into_iter().for_each(|claim| self.merge(now, claim));
-                self.takeover.handed_over(now, from, gone);
+                self.takeover.handed_over(now, from, gone, uninformed_ms);
                 Vec::new()
             }
             ClaimMessage::HandoverRequest { .. }
--- a/lib/src/claim_message.rs
+++ b/lib/src/claim_message.rs
@@ -293,5 +293,9 @@
         /// The nodes that are known to have died with their claims.
         #[serde(default)]
         gone: Vec<GoneNode>,
+        /// For how long the sender has not known what was lost before it joined, if it does not,
+        /// in milliseconds.
+        #[serde(default)]
+        uninformed_ms: Option<u64>,
     },
 }
--- a/lib/src/claim_takeover.rs
+++ b/lib/src/claim_takeover.rs
@@ -29,6 +29,9 @@
     missing: IndexMap<NodeId, (DataCentreId, MonoTime)>,
     gone: IndexMap<NodeId, (DataCentreId, MonoTime)>,
     handed: IndexSet<NodeId>,
+    /// When this node joined, if nobody who was there before has told it what was lost earlier.
+    uninformed: Option<MonoTime>,
+    has_begun: bool,
 }
 
 impl ClaimTakeover {
@@ -39,13 +42,27 @@
         sources: impl IntoIterator<Item = (NodeId, DataCentreId)>,
     ) {
         self.handed.clear();
+        let joins = !self.has_begun;
+        self.has_begun = true;
         for (node, data_centre) in sources {
             self.missing.entry(node).or_insert((data_centre, now));
         }
+        if joins && !self.missing.is_empty() {
+            self.uninformed = Some(now);
+        }
     }
 
-    /// Notes that a member has handed its claims over, and which nodes it knows to be gone.
-    pub fn handed_over(&mut self, now: MonoTime, from: &NodeId, gone: Vec<GoneNode>) {
+    /// Notes that a member has handed its claims over, which nodes it knows to be gone, and for how
+    /// long it has lacked knowledge of what was lost earlier, if it does.
+    pub fn handed_over(
+        &mut self,
+        now: MonoTime,
+        from: &NodeId,
+        gone: Vec<GoneNode>,
+        uninformed_ms: Option<u64>,
+    ) {
+        let uninformed = uninformed_ms.map(|age_ms| now - Duration::from_millis(age_ms));
+        self.uninformed = self.uninformed.and(uninformed);
         self.missing.shift_remove(from);
         self.gone.shift_remove(from);
         self.handed.insert(from.clone());
@@ -75,6 +92,7 @@
         let lives = |since: &MonoTime| now.since(*since) < retention;
         self.missing.retain(|_, (_, since)| lives(since));
         self.gone.retain(|_, (_, since)| lives(since));
+        self.uninformed = self.uninformed.filter(lives);
     }
 
     /// Returns the members that still have to hand over.
@@ -93,12 +111,18 @@
         lost.collect()
     }
 
+    /// Returns for how long this node has lacked knowledge of earlier losses, if it does.
+    pub fn uninformed_ms(&self, now: MonoTime) -> Option<u64> {
+        let since = self.uninformed?;
+        Some(now.since(since).as_millis() as u64)
+    }
+
     /// Returns what may be concluded from not knowing a claim.
     ///
     /// The two holders of a claim that is not in the store are in different data centres, so that
     /// nodes gone from one data centre alone cannot have been both.
     pub fn certainty(&self) -> ClaimCertainty {
-        if !self.missing.is_empty() {
+        if !self.missing.is_empty() || self.uninformed.is_some() {
             return ClaimCertainty::Uncertain;
         }
         let mut data_centres = self.gone.values().map(|(data_centre, _)| data_centre);
