--- /dev/null
+++ b/lib/src/burn_snapshot.rs
@@ -0,0 +1,212 @@
+//! What a node tells of its service-level burn at `GET /v1/burn`, and how nodes are added up.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{CustomerId, DataCentreId, ServiceId, TargetId};
+
+/// The number of windows over which burn is counted.
+pub const WINDOW_COUNT: usize = 4;
+
+/// A span of time, up to now, over which burn is counted.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BurnWindow {
+    /// Five minutes.
+    FiveMinutes,
+    /// One hour.
+    OneHour,
+    /// Six hours.
+    SixHours,
+    /// Three days, the period that the error budget is for.
+    ThreeDays,
+}
+
+impl BurnWindow {
+    /// Every window, from the shortest to the longest; a count's place is the window's place here.
+    pub const ALL: [Self; WINDOW_COUNT] = [
+        Self::FiveMinutes,
+        Self::OneHour,
+        Self::SixHours,
+        Self::ThreeDays,
+    ];
+
+    /// Returns the window's length.
+    pub const fn length(self) -> Duration {
+        match self {
+            Self::FiveMinutes => Duration::from_secs(300),
+            Self::OneHour => Duration::from_secs(3_600),
+            Self::SixHours => Duration::from_secs(6 * 3_600),
+            Self::ThreeDays => Duration::from_secs(72 * 3_600),
+        }
+    }
+}
+
+impl fmt::Display for BurnWindow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::FiveMinutes => "5 min",
+            Self::OneHour => "1 h",
+            Self::SixHours => "6 h",
+            Self::ThreeDays => "3 d",
+        })
+    }
+}
+
+/// The requests of one span of time.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", default)]
+pub struct BurnCount {
+    /// The requests that count towards the objective.
+    pub total: u64,
+    /// The ones among them that failed.
+    pub bad: u64,
+}
+
+impl BurnCount {
+    /// Adds another count.
+    pub fn add(&mut self, other: Self) {
+        self.total = self.total.saturating_add(other.total);
+        self.bad = self.bad.saturating_add(other.bad);
+    }
+}
+
+/// Counts for each window, in the order of [`BurnWindow::ALL`].
+pub type WindowCounts = [BurnCount; WINDOW_COUNT];
+
+/// What made a request fail.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct BurnCause {
+    /// The target that failed it, if one was involved.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target: Option<TargetId>,
+    /// The data centre of the target, or of the node that refused the request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub data_centre: Option<DataCentreId>,
+    /// The reason of the refusal, or the kind of failure, such as `status-500`.
+    pub reason: String,
+}
+
+/// The failures of one cause.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct CauseBurn {
+    /// The cause.
+    pub cause: BurnCause,
+    /// The failures in each window.
+    pub windows: WindowCounts,
+}
+
+/// One customer's requests to a service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct CustomerBurn {
+    /// The customer; none stands for all that are not counted one by one.
+    #[serde(default)]
+    pub customer: Option<CustomerId>,
+    /// The requests in each window.
+    pub windows: WindowCounts,
+}
+
+/// One service's requests.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ServiceBurn {
+    /// The service.
+    pub service: ServiceId,
+    /// The share of good answers that is promised, in parts per million.
+    pub objective_ppm: u32,
+    /// The requests in each window.
+    pub windows: WindowCounts,
+    /// The requests of the parts of each window, from the oldest to the newest, for plots.
+    #[serde(default)]
+    pub history: [Vec<BurnCount>; WINDOW_COUNT],
+    /// Customers, in no particular order.
+    #[serde(default)]
+    pub customers: Vec<CustomerBurn>,
+    /// Causes of failures, in no particular order.
+    #[serde(default)]
+    pub causes: Vec<CauseBurn>,
+}
+
+/// What one node, or several added up, counted.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct BurnSnapshot {
+    /// The nodes that the counts are from.
+    pub nodes: Vec<String>,
+    /// How long the node that started last has counted, in milliseconds.
+    #[serde(default)]
+    pub covered_ms: u64,
+    /// The services.
+    #[serde(default)]
+    pub services: Vec<ServiceBurn>,
+}
+
+impl BurnSnapshot {
+    /// Adds the counts of other nodes, or of another shard of the same node.
+    pub fn merge(&mut self, other: Self) {
+        self.covered_ms = match self.nodes.is_empty() {
+            true => other.covered_ms,
+            false => self.covered_ms.min(other.covered_ms),
+        };
+        for node in other.nodes {
+            if !self.nodes.contains(&node) {
+                self.nodes.push(node);
+            }
+        }
+        for service in other.services {
+            let held = self.services.iter_mut();
+            match held
+                .into_iter()
+                .find(|held| held.service == service.service)
+            {
+                Some(held) => held.merge(service),
+                None => self.services.push(service),
+            }
+        }
+    }
+}
+
+impl ServiceBurn {
+    fn merge(&mut self, other: Self) {
+        // While a change of the objective spreads, nodes differ; the stricter one stands.
+        self.objective_ppm = self.objective_ppm.max(other.objective_ppm);
+        add_windows(&mut self.windows, &other.windows);
+        for (held, added) in self.history.iter_mut().zip(other.history) {
+            add_history(held, &added);
+        }
+        for customer in other.customers {
+            let mut held = self.customers.iter_mut();
+            match held.find(|held| held.customer == customer.customer) {
+                Some(held) => add_windows(&mut held.windows, &customer.windows),
+                None => self.customers.push(customer),
+            }
+        }
+        for cause in other.causes {
+            let mut held = self.causes.iter_mut();
+            match held.find(|held| held.cause == cause.cause) {
+                Some(held) => add_windows(&mut held.windows, &cause.windows),
+                None => self.causes.push(cause),
+            }
+        }
+    }
+}
+
+fn add_windows(held: &mut WindowCounts, added: &WindowCounts) {
+    for (held, added) in held.iter_mut().zip(added) {
+        held.add(*added);
+    }
+}
+
+/// Adds parts by their age: the newest stand last in both.
+fn add_history(held: &mut Vec<BurnCount>, added: &[BurnCount]) {
+    let missing = added.len().saturating_sub(held.len());
+    held.splice(..0, std::iter::repeat_n(BurnCount::default(), missing));
+    for (held, added) in held.iter_mut().rev().zip(added.iter().rev()) {
+        held.add(*added);
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,6 +7,8 @@
 //! [docs/architecture.md](../../docs/architecture.md).
 
 pub mod budget;
+pub mod burn_budget;
+pub mod burn_snapshot;
 pub mod claim_action;
 pub mod claim_client;
 mod claim_durability;
--- a/lib/src/service_burn.rs
+++ b/lib/src/service_burn.rs
@@ -1,1 +1,284 @@
-//! Placeholder.
+//! Counts service-level burn: good and failed requests per service, customer and cause.
+//!
+//! Memory is fixed per series and series are bounded, so that a node's cost does not depend on the
+//! traffic. See [docs/design/service-level-burn.md](../../docs/design/service-level-burn.md).
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::burn_snapshot::{
+    BurnCause, BurnCount, BurnSnapshot, BurnWindow, CauseBurn, CustomerBurn, ServiceBurn,
+    WINDOW_COUNT, WindowCounts,
+};
+use crate::ids::{CustomerId, ServiceId};
+use crate::time::MonoTime;
+
+/// The parts that each window is divided into; a window is exact to one part.
+pub const PARTS_PER_WINDOW: usize = 30;
+
+const OTHER_CAUSE: &str = "other";
+
+/// The bounds on the number of series of a recorder.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BurnLimits {
+    /// The services; requests of further ones are not counted.
+    pub services: usize,
+    /// The customers counted one by one for each service; further ones are counted together.
+    pub customers: usize,
+    /// The causes counted one by one for each service; further ones are counted together.
+    pub causes: usize,
+}
+
+impl Default for BurnLimits {
+    fn default() -> Self {
+        Self {
+            services: 256,
+            customers: 512,
+            causes: 64,
+        }
+    }
+}
+
+/// One request that counts towards a service's objective.
+///
+/// A request that was refused for a fault of its caller's, or over the customer's rate, does not
+/// count.
+#[derive(Clone, Debug)]
+pub struct BurnEvent<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// The objective that the configuration gives the service.
+    pub objective_ppm: u32,
+    /// The customer, unless the route is open.
+    pub customer: Option<&'a CustomerId>,
+    /// Why the request failed; none for a good answer.
+    pub failure: Option<BurnCause>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Part {
+    total: u32,
+    bad: u32,
+}
+
+/// The parts of one window, as a ring.
+#[derive(Clone, Debug)]
+struct WindowRing {
+    parts: [Part; PARTS_PER_WINDOW],
+    newest: u64,
+}
+
+impl WindowRing {
+    const fn new() -> Self {
+        Self {
+            parts: [Part { total: 0, bad: 0 }; PARTS_PER_WINDOW],
+            newest: 0,
+        }
+    }
+
+    /// Clears the parts between the newest one so far and `part`.
+    fn advance(&mut self, part: u64) {
+        let skipped = part.saturating_sub(self.newest);
+        for step in 1..=skipped.min(PARTS_PER_WINDOW as u64) {
+            self.parts[place(self.newest + step)] = Part::default();
+        }
+        if skipped > PARTS_PER_WINDOW as u64 {
+            self.parts = [Part::default(); PARTS_PER_WINDOW];
+        }
+        self.newest = self.newest.max(part);
+    }
+
+    fn add(&mut self, part: u64, bad: bool) {
+        self.advance(part);
+        let held = &mut self.parts[place(self.newest)];
+        held.total = held.total.saturating_add(1);
+        held.bad = held.bad.saturating_add(u32::from(bad));
+    }
+
+    /// Returns the parts as of `part`, from the oldest to the newest.
+    fn history(&self, part: u64) -> Vec<BurnCount> {
+        let mut ring = self.clone();
+        ring.advance(part);
+        let first = ring.newest + 1;
+        let parts = (0..PARTS_PER_WINDOW as u64).map(|step| ring.parts[place(first + step)]);
+        let counts = parts.map(|part| BurnCount {
+            total: u64::from(part.total),
+            bad: u64::from(part.bad),
+        });
+        counts.collect()
+    }
+}
+
+fn place(part: u64) -> usize {
+    (part % PARTS_PER_WINDOW as u64) as usize
+}
+
+fn part_at(now: MonoTime, window: BurnWindow) -> u64 {
+    let length = window.length() / PARTS_PER_WINDOW as u32;
+    now.as_micros() / length.as_micros() as u64
+}
+
+#[derive(Clone, Debug)]
+struct BurnSeries {
+    rings: [WindowRing; WINDOW_COUNT],
+}
+
+impl BurnSeries {
+    const fn new() -> Self {
+        Self {
+            rings: [const { WindowRing::new() }; WINDOW_COUNT],
+        }
+    }
+
+    fn add(&mut self, now: MonoTime, bad: bool) {
+        for (ring, window) in self.rings.iter_mut().zip(BurnWindow::ALL) {
+            ring.add(part_at(now, window), bad);
+        }
+    }
+
+    fn history(&self, now: MonoTime) -> [Vec<BurnCount>; WINDOW_COUNT] {
+        std::array::from_fn(|index| self.rings[index].history(part_at(now, BurnWindow::ALL[index])))
+    }
+
+    fn windows(&self, now: MonoTime) -> WindowCounts {
+        self.history(now).map(|parts| {
+            parts
+                .into_iter()
+                .fold(BurnCount::default(), |mut sum, part| {
+                    sum.add(part);
+                    sum
+                })
+        })
+    }
+}
+
+#[derive(Clone, Debug)]
+struct ServiceSeries {
+    objective_ppm: u32,
+    all: BurnSeries,
+    customers: IndexMap<Option<CustomerId>, BurnSeries>,
+    causes: IndexMap<BurnCause, BurnSeries>,
+}
+
+/// Counts the requests of one node, or of one shard of it.
+#[derive(Clone, Debug)]
+pub struct BurnRecorder {
+    started: MonoTime,
+    limits: BurnLimits,
+    services: IndexMap<ServiceId, ServiceSeries>,
+}
+
+impl BurnRecorder {
+    /// Makes a recorder that has counted nothing yet.
+    pub fn new(now: MonoTime, limits: BurnLimits) -> Self {
+        Self {
+            started: now,
+            limits,
+            services: IndexMap::new(),
+        }
+    }
+
+    /// Counts one request.
+    pub fn record(&mut self, now: MonoTime, event: BurnEvent<'_>) {
+        if !self.services.contains_key(event.service) {
+            if self.services.len() >= self.limits.services {
+                return;
+            }
+            let series = ServiceSeries::new(event.objective_ppm);
+            self.services.insert(event.service.clone(), series);
+        }
+        let series = self.services.get_mut(event.service);
+        let series = series.expect("the series was made above");
+        series.objective_ppm = event.objective_ppm;
+        series.record(now, &self.limits, event.customer, event.failure);
+    }
+
+    /// Returns what was counted, for the node of this name.
+    pub fn snapshot(&self, now: MonoTime, node: impl Into<String>) -> BurnSnapshot {
+        let services = self.services.iter();
+        let services = services.map(|(service, series)| series.snapshot(now, service));
+        BurnSnapshot {
+            nodes: vec![node.into()],
+            covered_ms: now.since(self.started).as_millis() as u64,
+            services: services.collect(),
+        }
+    }
+
+    /// Forgets services that had no request in any window.
+    pub fn expire(&mut self, now: MonoTime) {
+        self.services.retain(|_, series| {
+            let counts = series.all.windows(now);
+            counts.iter().any(|count| count.total > 0)
+        });
+    }
+}
+
+impl ServiceSeries {
+    fn new(objective_ppm: u32) -> Self {
+        Self {
+            objective_ppm,
+            all: BurnSeries::new(),
+            customers: IndexMap::new(),
+            causes: IndexMap::new(),
+        }
+    }
+
+    fn record(
+        &mut self,
+        now: MonoTime,
+        limits: &BurnLimits,
+        customer: Option<&CustomerId>,
+        failure: Option<BurnCause>,
+    ) {
+        let bad = failure.is_some();
+        self.all.add(now, bad);
+        let customer = customer.cloned();
+        let customer = match self.customers.contains_key(&customer) {
+            true => customer,
+            false => customer.filter(|_| self.customers.len() < limits.customers),
+        };
+        let series = self.customers.entry(customer);
+        series.or_insert_with(BurnSeries::new).add(now, bad);
+        let Some(cause) = failure else {
+            return;
+        };
+        let is_counted = self.causes.contains_key(&cause) || self.causes.len() < limits.causes;
+        let cause = match is_counted {
+            true => cause,
+            false => BurnCause {
+                target: None,
+                data_centre: None,
+                reason: OTHER_CAUSE.to_owned(),
+            },
+        };
+        let series = self.causes.entry(cause);
+        series.or_insert_with(BurnSeries::new).add(now, bad);
+    }
+
+    fn snapshot(&self, now: MonoTime, service: &ServiceId) -> ServiceBurn {
+        let customers = self.customers.iter();
+        let customers = customers.map(|(customer, series)| CustomerBurn {
+            customer: customer.clone(),
+            windows: series.windows(now),
+        });
+        let causes = self.causes.iter();
+        let causes = causes.map(|(cause, series)| CauseBurn {
+            cause: cause.clone(),
+            windows: series.windows(now),
+        });
+        ServiceBurn {
+            service: service.clone(),
+            objective_ppm: self.objective_ppm,
+            windows: self.all.windows(now),
+            history: self.all.history(now),
+            customers: customers.collect(),
+            causes: causes.collect(),
+        }
+    }
+}
+
+/// Returns the time that a window's part stands for.
+pub fn part_length(window: BurnWindow) -> Duration {
+    window.length() / PARTS_PER_WINDOW as u32
+}
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -161,6 +161,21 @@
     assert_eq!(messages(log.handle(NOW, &gateway, claim(2, 0))), granted(2));
 }
 
+#[test]
+fn what_was_open_in_one_epoch_is_closed_in_the_next() {
+    let (mut log, gateway) = home();
+    log.handle(NOW, &gateway, claim(1, 0));
+    log.row_written(NOW, &key(0), RowWrite::Committed);
+    complete(&mut log, &gateway, 1, ClaimResult::NotRun);
+    log.enter_epoch(NOW, Epoch(2), []);
+    let mut again = claim(2, 0);
+    if let ClaimMessage::Claim { epoch, .. } = &mut again {
+        *epoch = Epoch(2);
+    }
+    let told = messages(log.handle(NOW, &gateway, again));
+    assert_eq!(told, duplicate(2, FirstClaim::Spent));
+}
+
 #[test]
 fn a_lost_write_is_read_back_before_anything_runs() {
     let (mut log, gateway) = home();
