--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -5,3 +5,15 @@
 pub mod report_model;
 pub mod report_plot;
 pub mod report_text;
+//! The command line, the burn report and the demo.
+//! The command line tools: operators' control, the burn report and the demo.
+
+pub mod ctl_args;
+pub mod ctl_client;
+pub mod ctl_command;
+pub mod ctl_output;
+pub mod ctl_run;
+pub mod ctl_table;
+pub mod demo_story;
+pub mod deployment;
+pub mod local_fleet;
