--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -1,11 +1,3 @@
-//! The parts of the command-line programs.
-
-pub mod report_html;
-pub mod report_input;
-pub mod report_model;
-pub mod report_plot;
-pub mod report_text;
-//! The command line, the burn report and the demo.
 //! The command line tools: operators' control, the burn report and the demo.
 
 pub mod ctl_args;
@@ -17,3 +9,8 @@
 pub mod demo_story;
 pub mod deployment;
 pub mod local_fleet;
+pub mod report_html;
+pub mod report_input;
+pub mod report_model;
+pub mod report_plot;
+pub mod report_text;
--- a/lib/src/claim_message.rs
+++ b/lib/src/claim_message.rs
@@ -121,6 +121,17 @@
     pub fingerprint: BodyFingerprint,
 }
 
+/// A header line of a kept answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct KeptHeader {
+    /// The header's name.
+    pub name: String,
+    /// The header's value.
+    #[serde(with = "crate::byte_text")]
+    pub value: Bytes,
+}
+
 /// A target's answer that is kept for resends.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -129,8 +140,9 @@
     pub status: u16,
     /// The header lines that a caller needs to read the body.
     #[serde(default)]
-    pub headers: Vec<(String, Bytes)>,
+    pub headers: Vec<KeptHeader>,
     /// The whole body.
+    #[serde(with = "crate::byte_text")]
     pub body: Bytes,
 }
 
@@ -138,7 +150,8 @@
     /// Returns the bytes that the answer takes.
     pub fn size(&self) -> usize {
         let headers = self.headers.iter();
-        let headers: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+        let headers = headers.map(|header| header.name.len() + header.value.len());
+        let headers: usize = headers.sum();
         headers + self.body.len()
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod budget;
 pub mod burn_budget;
 pub mod burn_snapshot;
+mod byte_text;
 pub mod claim_action;
 pub mod claim_client;
 mod claim_durability;
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -8,7 +8,7 @@
 };
 use damaskloom_lib::claim_log::ClaimLog;
 use damaskloom_lib::claim_message::{
-    ClaimMessage, ClaimResult, ClaimTicket, FirstClaim, KeptAnswer,
+    ClaimMessage, ClaimResult, ClaimTicket, FirstClaim, KeptAnswer, KeptHeader,
 };
 use damaskloom_lib::claim_takeover::ClaimCertainty;
 use damaskloom_lib::ids::{Epoch, NodeId};
@@ -328,3 +328,18 @@
     assert!(client.may_run(later(29_999), &ticket));
     assert!(!client.may_run(later(30_000), &ticket));
 }
+
+#[test]
+fn any_answer_survives_the_way_between_nodes() {
+    let answer = KeptAnswer {
+        status: 200,
+        headers: vec![KeptHeader {
+            name: "x-raw".to_owned(),
+            value: vec![0xff, b'a'].into(),
+        }],
+        body: (0..=255).collect::<Vec<u8>>().into(),
+    };
+    let json = serde_json::to_string(&answer).expect("it serialises");
+    let read: KeptAnswer = serde_json::from_str(&json).expect("it is read");
+    assert_eq!(read, answer);
+}
