--- a/lib/benches/burn.rs
+++ b/lib/benches/burn.rs
@@ -14,8 +14,14 @@
 
 fn main() {
     println!(
-        "{:>8} {:>9} {:>9} {:>13} {:>14} {:>12}",
-        "services", "customers", "ns/event", "bytes/series", "snapshot bytes", "snapshot ms"
+        "{:>8} {:>9} {:>7} {:>9} {:>13} {:>14} {:>12}",
+        "services",
+        "customers",
+        "series",
+        "ns/event",
+        "bytes/series",
+        "snapshot bytes",
+        "snapshot ms"
     );
     for (services, customers) in SIZES {
         measure(services, customers);
@@ -51,17 +57,23 @@
         );
     }
     let nanos = begin.elapsed().as_nanos() as u64 / EVENTS;
-    let series = (services * (customers + 1)) as u64;
-    let bytes = resident_bytes().saturating_sub(before) / series;
+    let grown = resident_bytes().saturating_sub(before);
     let begin = Instant::now();
     let snapshot = recorder.snapshot(now, "node");
     let json = serde_json::to_vec(&snapshot).expect("snapshots serialise");
     let millis = begin.elapsed().as_secs_f64() * 1e3;
     let size = json.len();
-    println!("{services:>8} {customers:>9} {nanos:>9} {bytes:>13} {size:>14} {millis:>12.1}");
+    let held = snapshot.services.iter();
+    let series: usize = held
+        .map(|one| 1 + one.customers.len() + one.causes.len())
+        .sum();
+    let bytes = grown / series as u64;
+    println!(
+        "{services:>8} {customers:>9} {series:>7} {nanos:>9} {bytes:>13} {size:>14} {millis:>12.1}"
+    );
     println!(
         "{{\"bench\":\"burn\",\"services\":{services},\"customers\":{customers},\
-         \"ns_per_event\":{nanos},\"bytes_per_series\":{bytes},\"snapshot_bytes\":{size},\
+         \"series\":{series},\"ns_per_event\":{nanos},\"bytes_per_series\":{bytes},\"snapshot_bytes\":{size},\
          \"snapshot_ms\":{millis:.1}}}"
     );
     std::mem::forget(recorder);
--- a/lib/src/claim_action.rs
+++ b/lib/src/claim_action.rs
@@ -48,14 +48,14 @@
         /// The message.
         message: ClaimMessage,
     },
-    /// Write the claim's row if it is absent, and report with [`ClaimLog::row_written`].
+    /// Write the claim's row if it is absent, and report with [`ClaimLog::row_written`](crate::claim_log::ClaimLog::row_written).
     WriteRow {
         /// What is claimed.
         key: ClaimKey,
         /// The row's value.
         row: ClaimRow,
     },
-    /// Read the claim's row and report with [`ClaimLog::row_read`].
+    /// Read the claim's row and report with [`ClaimLog::row_read`](crate::claim_log::ClaimLog::row_read).
     ReadBack {
         /// What is claimed.
         key: ClaimKey,
@@ -66,7 +66,7 @@
         /// What was claimed.
         key: ClaimKey,
     },
-    /// Make a handover with [`ClaimLog::handover`] and send it.
+    /// Make a handover with [`ClaimLog::handover`](crate::claim_log::ClaimLog::handover) and send it.
     HandOver {
         /// The new home.
         to: NodeId,
--- a/lib/src/service_burn.rs
+++ b/lib/src/service_burn.rs
@@ -28,6 +28,8 @@
     pub customers: usize,
     /// The causes counted one by one for each service; further ones are counted together.
     pub causes: usize,
+    /// The series altogether, beyond which nothing new is counted one by one.
+    pub series: usize,
 }
 
 impl Default for BurnLimits {
@@ -36,6 +38,7 @@
             services: 256,
             customers: 512,
             causes: 64,
+            series: 20_000,
         }
     }
 }
@@ -167,6 +170,7 @@
     started: MonoTime,
     limits: BurnLimits,
     services: IndexMap<ServiceId, ServiceSeries>,
+    series: usize,
 }
 
 impl BurnRecorder {
@@ -176,22 +180,34 @@
             started: now,
             limits,
             services: IndexMap::new(),
+            series: 0,
         }
     }
 
     /// Counts one request.
     pub fn record(&mut self, now: MonoTime, event: BurnEvent<'_>) {
+        let is_full = self.series >= self.limits.series;
         if !self.services.contains_key(event.service) {
-            if self.services.len() >= self.limits.services {
+            if is_full || self.services.len() >= self.limits.services {
                 return;
             }
             let series = ServiceSeries::new(event.objective_ppm);
+            self.series += series.len();
             self.services.insert(event.service.clone(), series);
         }
         let series = self.services.get_mut(event.service);
         let series = series.expect("the series was made above");
         series.objective_ppm = event.objective_ppm;
-        series.record(now, &self.limits, event.customer, event.failure);
+        let (customers, causes) = match is_full {
+            true => (0, 0),
+            false => (self.limits.customers, self.limits.causes),
+        };
+        let before = series.len();
+        series.count(now, event.customer, event.failure.is_some(), customers);
+        if let Some(cause) = event.failure {
+            series.count_cause(now, cause, causes);
+        }
+        self.series += series.len() - before;
     }
 
     /// Returns what was counted, for the node of this name.
@@ -211,6 +227,7 @@
             let counts = series.all.windows(now);
             counts.iter().any(|count| count.total > 0)
         });
+        self.series = self.services.values().map(ServiceSeries::len).sum();
     }
 }
 
@@ -224,26 +241,23 @@
         }
     }
 
-    fn record(
-        &mut self,
-        now: MonoTime,
-        limits: &BurnLimits,
-        customer: Option<&CustomerId>,
-        failure: Option<BurnCause>,
-    ) {
-        let bad = failure.is_some();
+    fn len(&self) -> usize {
+        1 + self.customers.len() + self.causes.len()
+    }
+
+    fn count(&mut self, now: MonoTime, customer: Option<&CustomerId>, bad: bool, bound: usize) {
         self.all.add(now, bad);
         let customer = customer.cloned();
         let customer = match self.customers.contains_key(&customer) {
             true => customer,
-            false => customer.filter(|_| self.customers.len() < limits.customers),
+            false => customer.filter(|_| self.customers.len() < bound),
         };
         let series = self.customers.entry(customer);
         series.or_insert_with(BurnSeries::new).add(now, bad);
-        let Some(cause) = failure else {
-            return;
-        };
-        let is_counted = self.causes.contains_key(&cause) || self.causes.len() < limits.causes;
+    }
+
+    fn count_cause(&mut self, now: MonoTime, cause: BurnCause, bound: usize) {
+        let is_counted = self.causes.contains_key(&cause) || self.causes.len() < bound;
         let cause = match is_counted {
             true => cause,
             false => BurnCause {
@@ -253,7 +267,7 @@
             },
         };
         let series = self.causes.entry(cause);
-        series.or_insert_with(BurnSeries::new).add(now, bad);
+        series.or_insert_with(BurnSeries::new).add(now, true);
     }
 
     fn snapshot(&self, now: MonoTime, service: &ServiceId) -> ServiceBurn {
--- a/lib/tests/test_service_burn.rs
+++ b/lib/tests/test_service_burn.rs
@@ -109,6 +109,7 @@
         services: 1,
         customers: 2,
         causes: 1,
+        ..BurnLimits::default()
     };
     let mut recorder = BurnRecorder::new(seconds(0), limits);
     for index in 0..5 {
@@ -132,6 +133,24 @@
     assert!(recorder.snapshot(seconds(400_000), "n").services.is_empty());
 }
 
+#[test]
+fn the_bound_on_all_series_holds_whatever_comes() {
+    let limits = BurnLimits {
+        series: 10,
+        ..BurnLimits::default()
+    };
+    let mut recorder = BurnRecorder::new(seconds(0), limits);
+    for index in 0..100 {
+        record(&mut recorder, seconds(1), index, true);
+    }
+    let snapshot = recorder.snapshot(seconds(2), "n");
+    let service = &snapshot.services[0];
+    // The last event that finds room, and the two series for all others, may go beyond it.
+    let series = 1 + service.customers.len() + service.causes.len();
+    assert!(series <= 10 + 3, "{series}");
+    assert_eq!(service.windows[0].bad, 100);
+}
+
 #[test]
 fn the_budget_follows_from_rates_over_several_windows() {
     // 0.1% may fail; 100,000 requests in each window.
