ledger: name false refusals of resends apart, and count sendings that can run

A resend that is refused as not run after the request ran was named like a refusal of what was never explained; the two need different mending. A request without an id may run as often as it was sent, which no longer counts sendings that were refused or never left.

--- a/testutils/src/caller_device.rs
+++ b/testutils/src/caller_device.rs
@@ -34,7 +34,7 @@
 /// Refusals after which a device goes on to the next entry of its list.
 const FOLLOW_REASONS: [&str; 2] = ["node-leaving", "node-stale"];
 
-type Connection = SendRequest<Full<Bytes>>;
+pub(crate) type Connection = SendRequest<Full<Bytes>>;
 
 /// What a device is made with.
 #[derive(Clone, Debug)]
@@ -320,7 +320,8 @@
     }
 }
 
-async fn connect(entry: SocketAddr) -> Option<Connection> {
+/// Opens a connection, or gives up after a second.
+pub(crate) async fn connect(entry: SocketAddr) -> Option<Connection> {
     let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let stream = tokio::time::timeout(limit, TcpStream::connect(entry)).await;
     let stream = stream.ok()?.ok()?;
--- a/testutils/src/ledger_breach.rs
+++ b/testutils/src/ledger_breach.rs
@@ -47,6 +47,15 @@
         /// The target that ran it.
         target: String,
     },
+    /// A resend of a non-idempotent request was refused as not run after the request had run.
+    ResendNotRun {
+        /// Names the request.
+        nonce: String,
+        /// The reason of the refusal.
+        reason: String,
+        /// The target that ran it.
+        target: String,
+    },
     /// A request ran with other content than its caller sent.
     ChangedBody {
         /// Names the request.
@@ -103,6 +112,7 @@
             Self::CutAnswer { .. } => "a cut answer does not look whole",
             Self::KeyLeaked { .. } => "no target sees a key",
             Self::FalseNotRun { .. } => "a refusal as not run is true",
+            Self::ResendNotRun { .. } => "a resend of what ran is not refused as not run",
             Self::ChangedBody { .. } => "a request runs as it was sent",
             Self::WrongCustomer { .. } => "a request runs for its key's customer only",
             Self::WithdrawnKeyRan { .. } => "a withdrawn key stops working in time",
@@ -144,6 +154,14 @@
                 f,
                 "request {nonce} was refused as not run ({reason}) and ran on {target}"
             ),
+            Self::ResendNotRun {
+                nonce,
+                reason,
+                target,
+            } => write!(
+                f,
+                "request {nonce} ran on {target}, then its resend was refused as not run ({reason})"
+            ),
             Self::ChangedBody { nonce, target } => write!(
                 f,
                 "request {nonce} ran on {target} with other content than was sent"
--- a/testutils/src/ledger_check.rs
+++ b/testutils/src/ledger_check.rs
@@ -9,7 +9,8 @@
 
 use crate::ledger_breach::LedgerBreach;
 use crate::ledger_rate::{RateAllowance, find_excess};
-use crate::ledger_record::{CallOutcome, CallRecord};
+use crate::ledger_record::CallRecord;
+use crate::ledger_request::{RequestHistory, admission, check_answers, check_not_run, check_runs};
 use crate::target_state::ExecutionRecord;
 
 const MICROS_PER_MS: u64 = 1_000;
@@ -122,13 +123,6 @@
     pub bounds: LedgerBounds,
 }
 
-/// One request: its sendings and its executions, in order of time.
-#[derive(Default)]
-struct RequestHistory<'a> {
-    calls: Vec<&'a CallRecord>,
-    executions: Vec<&'a ExecutionRecord>,
-}
-
 impl CallLedger {
     /// Checks every promise and returns what was found.
     pub fn check(&self) -> LedgerVerdict {
@@ -257,101 +251,6 @@
     }
 }
 
-fn check_runs(history: &RequestHistory<'_>, breaches: &mut Vec<LedgerBreach>) {
-    let Some(call) = history.calls.first() else {
-        return;
-    };
-    // Without a request id a second sending is a second request, so that it may run as well.
-    let sendings = match call.has_request_id {
-        true => 1,
-        false => history.calls.len(),
-    };
-    if !call.idempotent && history.executions.len() > sendings {
-        let targets = history.executions.iter().map(|run| run.target.clone());
-        breaches.push(LedgerBreach::RanTwice {
-            nonce: call.nonce.clone(),
-            targets: targets.collect(),
-        });
-    }
-    let changed = history
-        .executions
-        .iter()
-        .find(|run| run.finished && run.body_digest != call.body_digest && !run.body_unread);
-    if let Some(run) = changed {
-        breaches.push(LedgerBreach::ChangedBody {
-            nonce: call.nonce.clone(),
-            target: run.target.clone(),
-        });
-    }
-}
-
-fn check_answers(history: &RequestHistory<'_>, breaches: &mut Vec<LedgerBreach>) {
-    for call in &history.calls {
-        let (nonce, customer) = (call.nonce.clone(), call.customer.clone());
-        match call.outcome {
-            CallOutcome::Crossed => breaches.push(LedgerBreach::CrossedAnswer { nonce, customer }),
-            CallOutcome::CutLooksWhole => {
-                breaches.push(LedgerBreach::CutAnswer { nonce, customer });
-            }
-            _ => {}
-        }
-    }
-}
-
-/// Finds a refusal as not run that is false.
-///
-/// An execution needs a sending that was not refused as not run and began before it. For a
-/// non-idempotent request with an id, a resend must not be refused as not run either once the
-/// request has begun to run: its caller would take it that a new request is due.
-fn check_not_run(history: &RequestHistory<'_>, breaches: &mut Vec<LedgerBreach>) {
-    let refused = history
-        .calls
-        .iter()
-        .filter(|call| call.outcome.is_not_run());
-    for call in refused {
-        let CallOutcome::Refused { reason, .. } = &call.outcome else {
-            continue;
-        };
-        let false_for = history.executions.iter().find(|run| {
-            let explained = history.calls.iter().any(|other| {
-                !other.outcome.is_not_run() && other.sent_micros <= run.started_micros
-            });
-            let ran_before = run.started_micros <= call.ended_micros;
-            let claimed = !call.idempotent && call.has_request_id;
-            !explained || (claimed && ran_before)
-        });
-        if let Some(run) = false_for {
-            breaches.push(LedgerBreach::FalseNotRun {
-                nonce: call.nonce.clone(),
-                reason: reason.clone(),
-                target: run.target.clone(),
-            });
-            return;
-        }
-    }
-}
-
-/// Returns the time within which a call was certainly admitted, if it was.
-fn admission(call: &CallRecord, history: &RequestHistory<'_>) -> Option<(u64, u64)> {
-    let admitted = match &call.outcome {
-        CallOutcome::Answered(_) | CallOutcome::Crossed | CallOutcome::CutLooksWhole => true,
-        // A resend that meets its first claim is told so without a new admission.
-        CallOutcome::Refused { reason, .. } if reason.starts_with("request-id") => false,
-        CallOutcome::Refused { .. } => !call.outcome.is_not_run(),
-        CallOutcome::NotSent | CallOutcome::Lost | CallOutcome::TimedOut | CallOutcome::Dropped => {
-            false
-        }
-    };
-    let first_run = history.executions.first();
-    match (history.calls.len(), first_run) {
-        (1, Some(run)) => Some((call.sent_micros, run.started_micros.max(call.sent_micros))),
-        _ if admitted && (call.attempt == 0 || call.idempotent) => {
-            Some((call.sent_micros, call.ended_micros))
-        }
-        _ => None,
-    }
-}
-
 /// Counts refusals for the rate at whose time the customer had a token left.
 ///
 /// The tokens are those of a bucket that is charged with what was really admitted, at the time of
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ledger_clock;
 pub mod ledger_rate;
 pub mod ledger_record;
+mod ledger_request;
 pub mod load_plan;
 pub mod load_report;
 pub mod load_runner;
--- a/testutils/src/load_runner.rs
+++ b/testutils/src/load_runner.rs
@@ -12,15 +12,13 @@
 
 use bytes::Bytes;
 use http::Request;
-use http_body_util::{BodyExt, Empty};
-use hyper_util::rt::TokioIo;
+use http_body_util::{BodyExt, Full};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
-use crate::caller_device::{CallerDevice, DeviceRequest, DeviceSettings};
+use crate::caller_device::{CallerDevice, DeviceRequest, DeviceSettings, connect};
 use crate::ledger_check::{CallLedger, CustomerTerms};
 use crate::ledger_clock::unix_micros;
 use crate::ledger_rate::RateAllowance;
@@ -271,14 +269,12 @@
 ///
 /// Fails if the target does not answer or its answer is malformed.
 pub async fn fetch_executions(target: SocketAddr) -> io::Result<Vec<ExecutionRecord>> {
-    let stream = TcpStream::connect(target).await?;
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
-    let (mut connection, driver) = handshake.await.map_err(io::Error::other)?;
-    tokio::spawn(driver);
+    let connection = connect(target).await;
+    let mut connection = connection.ok_or(io::ErrorKind::ConnectionRefused)?;
     let message = Request::builder()
         .uri("/control/executions")
         .header("host", target.to_string())
-        .body(Empty::<Bytes>::new())
+        .body(Full::<Bytes>::default())
         .map_err(io::Error::other)?;
     let answer = connection.send_request(message).await;
     let answer = answer.map_err(io::Error::other)?;
--- a/testutils/tests/test_ledger.rs
+++ b/testutils/tests/test_ledger.rs
@@ -111,6 +111,16 @@
         only_breach(&ledger),
         LedgerBreach::RanTwice { nonce, targets }
     );
+    ledger
+        .calls
+        .iter_mut()
+        .for_each(|call| call.has_request_id = false);
+    assert_holds(&ledger);
+    ledger.calls[0].outcome = CallOutcome::NotSent;
+    assert_eq!(
+        only_breach(&ledger).promise(),
+        "a non-idempotent request runs at most once"
+    );
     ledger
         .calls
         .iter_mut()
@@ -166,7 +176,7 @@
     let before = ledger(vec![lost.clone(), resend.clone()], vec![run("a", "t1", MS)]);
     assert_eq!(
         only_breach(&before).promise(),
-        "a refusal as not run is true"
+        "a resend of what ran is not refused as not run"
     );
     let after = ledger(vec![lost, resend], vec![run("a", "t1", 35 * MS)]);
     assert_holds(&after);
