rate limiter: let a sole holder's requests wait for the refill

Cause: a new share starts empty, and a node without other homes refused at once although its next token was milliseconds away. Ruled out: a full bucket at the start, since the share's earlier holder may have spent it. Change: such a request waits as others do, as many as the refill serves in 100 ms.

--- a/gateway/tests/test_planned_stop.rs
+++ b/gateway/tests/test_planned_stop.rs
@@ -29,9 +29,13 @@
             .map(|target| target.executions().len())
             .sum::<usize>()
     };
-    while running() < 4 {
+    for _ in 0..1_000 {
+        if running() == 4 {
+            break;
+        }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
+    assert_eq!(running(), 4, "the requests did not reach the targets");
     fixture.gateway.stop().await;
     for request in in_flight {
         assert_eq!(request.await.expect("the caller ends").status, 200);
--- a/lib/src/rate_entry.rs
+++ b/lib/src/rate_entry.rs
@@ -96,18 +96,18 @@
 
     /// Returns whether a request that just arrived may get a token in time.
     ///
-    /// While no home has tokens to spare, only as many wait as the refill serves in time.
+    /// While no other home has tokens to spare, only as many wait as the refill serves in time.
     pub fn may_wait(&self, now: MonoTime) -> bool {
         let escrow = self.hand.escrow();
         let terms = escrow.view().terms;
         let is_dry = self.dry_sweeps >= DRY_SWEEPS_BEFORE_REFUSAL && now < self.dry_until;
-        let expected = match is_dry {
-            true => terms.refill.over(MAX_TRANSFER_WAIT).min(terms.capacity),
-            false => terms.capacity,
-        };
         let has_lender = escrow.homes().iter().any(|home| home != escrow.node());
         let has_loans = !escrow.lent_share().capacity.is_zero();
-        (has_lender || has_loans) && (self.waiters.len() as u64) < expected.whole_units()
+        let expected = match !is_dry && (has_lender || has_loans) {
+            true => terms.capacity,
+            false => terms.refill.over(MAX_TRANSFER_WAIT).min(terms.capacity),
+        };
+        (self.waiters.len() as u64) < expected.whole_units()
     }
 
     fn node(&self) -> &NodeId {
