membership: judge peers by own probes and know them by registration

Liveness must be judged without a write for each heartbeat, a one-way cut must not pass for a death, and a VM list that lags must not remove a VM that it does not show yet.

Add the member list with bounded direct and indirect probes, news that only make a node probe sooner, planned stops in two steps, and candidates for the next epoch. A proposal must now keep more than half of the members that have not stopped, so that a node with the store and without its peers votes nobody out.

--- a/lib/src/entry_tally.rs
+++ b/lib/src/entry_tally.rs
@@ -32,6 +32,11 @@
         self.gone.extend(nodes);
     }
 
+    /// Returns whether a node has stopped for good.
+    pub(crate) fn has_stopped(&self, node: &NodeId) -> bool {
+        self.gone.contains(node)
+    }
+
     /// Returns one bit for each member of the epoch before, in order, from the lowest bit.
     pub(crate) fn words(&self, previous: &[NodeId]) -> Vec<u32> {
         let mut words = vec![0_u32; previous.len().div_ceil(BITS_PER_WORD)];
--- a/lib/src/epoch.rs
+++ b/lib/src/epoch.rs
@@ -344,7 +344,7 @@
             .iter()
             .any(|record| record.node == self.node);
         let differs = self.members() != self.candidates;
-        if !(may_propose && is_candidate && differs) {
+        if !(may_propose && is_candidate && differs && self.keeps_majority()) {
             self.differs_since = None;
             return Vec::new();
         }
@@ -373,6 +373,22 @@
         })]
     }
 
+    /// Returns whether more than half of the members that have not stopped stay members.
+    ///
+    /// A node that has the store and has lost its peers must not vote them all out.
+    fn keeps_majority(&self) -> bool {
+        let there = self
+            .nodes
+            .iter()
+            .filter(|node| !self.tally.has_stopped(node));
+        let kept = |node: &&NodeId| {
+            let mut candidates = self.candidates.iter();
+            candidates.any(|candidate| candidate.node.vm == node.vm)
+        };
+        let count = there.clone().count();
+        count == 0 || there.filter(kept).count() * 2 > count
+    }
+
     /// Orders the proposers by rendezvous hashing, so that they rarely race.
     fn propose_delay(&self) -> Duration {
         let hashes: Vec<_> = self
--- /dev/null
+++ b/lib/src/member_entry.rs
@@ -0,0 +1,105 @@
+//! What is known of one peer: its registration, its VM, its own word and the probes.
+
+use std::time::Duration;
+
+use crate::directory::{DirectoryMember, EntryStanding};
+use crate::membership_types::{PeerState, ServingStatus};
+use crate::peer_probe::PeerProbe;
+use crate::platform::{VmEntry, VmState};
+use crate::registration::MemberRecord;
+use crate::time::MonoTime;
+
+/// What is known of one peer.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberEntry {
+    pub(crate) record: MemberRecord,
+    pub(crate) probe: PeerProbe,
+    pub(crate) status: ServingStatus,
+    listed: Option<VmState>,
+    absent_since: Option<MonoTime>,
+    pub(crate) gone: bool,
+    /// The state that was last told.
+    pub(crate) told: PeerState,
+}
+
+impl MemberEntry {
+    pub(crate) fn new(record: MemberRecord) -> Self {
+        Self {
+            record,
+            probe: PeerProbe::default(),
+            status: ServingStatus::Serving,
+            listed: None,
+            absent_since: None,
+            gone: false,
+            told: PeerState::Alive,
+        }
+    }
+
+    pub(crate) fn state(&self) -> PeerState {
+        let leaving = self.listed == Some(VmState::Leaving)
+            || matches!(
+                self.status,
+                ServingStatus::Leaving | ServingStatus::Stopping
+            );
+        match self.probe.state() {
+            _ if self.gone => PeerState::Gone,
+            PeerState::Unreachable => PeerState::Unreachable,
+            _ if leaving => PeerState::Leaving,
+            state => state,
+        }
+    }
+
+    /// A list from the past may lack a new VM, so that only a long absence after a sight counts.
+    pub(crate) fn take_list(&mut self, now: MonoTime, entry: Option<&VmEntry>, lag: Duration) {
+        match entry {
+            Some(entry) => {
+                self.listed = Some(entry.state);
+                self.absent_since = None;
+            }
+            None if self.listed.is_some() => {
+                let since = *self.absent_since.get_or_insert(now);
+                self.gone |= now.since(since) >= lag;
+            }
+            None => {}
+        }
+    }
+
+    /// Takes what the peer says of itself; returns whether it has only now said that it leaves.
+    ///
+    /// A planned stop is not taken back, so that a message from before cannot undo it.
+    pub(crate) fn take_status(&mut self, status: ServingStatus) -> bool {
+        let leaves = |status| matches!(status, ServingStatus::Leaving | ServingStatus::Stopping);
+        let was_leaving = leaves(self.status);
+        if !was_leaving || status == ServingStatus::Stopping {
+            self.status = status;
+        }
+        !was_leaving && leaves(status)
+    }
+
+    /// Returns the peer as the directory needs it.
+    pub(crate) fn directory_member(&self) -> DirectoryMember {
+        directory_member(&self.record, self.state(), self.status)
+    }
+}
+
+/// Returns a node as the directory needs it.
+pub(crate) fn directory_member(
+    record: &MemberRecord,
+    state: PeerState,
+    status: ServingStatus,
+) -> DirectoryMember {
+    let standing = match (state, status) {
+        (PeerState::Gone | PeerState::Unreachable, _) => EntryStanding::Unreachable,
+        (PeerState::Leaving, _) | (_, ServingStatus::Leaving | ServingStatus::Stopping) => {
+            EntryStanding::Leaving
+        }
+        (_, ServingStatus::Fenced) => EntryStanding::Stale,
+        (_, ServingStatus::Serving) => EntryStanding::Serving,
+    };
+    DirectoryMember {
+        vm: record.node.vm.clone(),
+        data_centre: record.data_centre.clone(),
+        address: record.caller_address,
+        standing,
+    }
+}
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -1,1 +1,469 @@
-//! Placeholder.
+//! Membership: which nodes there are, and what this node knows of them.
+//!
+//! Nodes are known from their registration in the table; whether a VM leaves or is gone comes from the
+//! platform's lagging VM list. Liveness is each node's own judgement by direct and indirect probes;
+//! what others say only makes a node probe sooner, so that one node behind a broken path cannot
+//! talk the fleet into dropping a healthy one. Nothing is written to the store for a heartbeat. See
+//! [docs/design/membership.md](../../docs/design/membership.md).
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::directory::DirectoryMember;
+use crate::ids::{NodeId, VmId};
+use crate::member_entry::{MemberEntry, directory_member};
+pub use crate::membership_types::{
+    CutDirection, MemberNews, MembershipAction, MembershipMessage, MembershipSettings, PeerState,
+    ServingStatus,
+};
+use crate::news_queue::NewsQueue;
+use crate::peer_probe::ProbeRound;
+use crate::platform::VmEntry;
+use crate::registration::MemberRecord;
+use crate::rendezvous::{StableHash, top_members};
+use crate::time::MonoTime;
+
+/// Answers to rounds that are over still count for so many intervals.
+const ROUND_MEMORY: u32 = 3;
+/// With more than so many intervals between two ticks, this node was paused.
+const PAUSE_INTERVALS: u32 = 2;
+
+/// Knows the members and probes them.
+#[derive(Clone, Debug)]
+pub struct MemberList {
+    settings: MembershipSettings,
+    own: MemberRecord,
+    seed: StableHash,
+    status: ServingStatus,
+    members: IndexMap<VmId, MemberEntry>,
+    rounds: IndexMap<u64, (VmId, ProbeRound)>,
+    next_seq: u64,
+    cursor: usize,
+    soon: IndexSet<VmId>,
+    news: NewsQueue,
+    next_round: MonoTime,
+    last_tick: Option<MonoTime>,
+}
+
+impl MemberList {
+    /// Makes a list that knows only this node; the seed decides the order of probes.
+    pub fn new(settings: MembershipSettings, own: MemberRecord, seed: u64) -> Self {
+        Self {
+            settings,
+            own,
+            seed: StableHash(seed),
+            status: ServingStatus::Serving,
+            members: IndexMap::new(),
+            rounds: IndexMap::new(),
+            next_seq: 0,
+            cursor: 0,
+            soon: IndexSet::new(),
+            news: NewsQueue::default(),
+            next_round: MonoTime::ZERO,
+            last_tick: None,
+        }
+    }
+
+    /// Adds registered nodes; a later start replaces what is known of earlier ones on its VM.
+    ///
+    /// A peer that is gone and is not registered any more is forgotten.
+    pub fn set_registered(&mut self, records: impl IntoIterator<Item = MemberRecord>) {
+        let mut seen = IndexSet::new();
+        for record in records {
+            let vm = record.node.vm.clone();
+            seen.insert(vm.clone());
+            if vm == self.own.node.vm {
+                continue;
+            }
+            match self.members.get_mut(&vm) {
+                Some(member) if record.node.incarnation < member.record.node.incarnation => {}
+                Some(member) if record.node.incarnation == member.record.node.incarnation => {
+                    member.record = record;
+                }
+                Some(_) | None => {
+                    self.members.insert(vm, MemberEntry::new(record));
+                }
+            }
+        }
+        self.members
+            .retain(|vm, member| !member.gone || seen.contains(vm));
+        let seed = self.seed;
+        self.members
+            .sort_by_cached_key(|vm, _| seed.with(StableHash::of(vm.as_bytes())));
+    }
+
+    /// Takes a reading of the platform's VM list.
+    pub fn set_vm_list(&mut self, now: MonoTime, entries: &[VmEntry]) {
+        let by_vm: IndexMap<_, _> = entries.iter().map(|entry| (&entry.id, entry)).collect();
+        let lag = Duration::from_millis(self.settings.list_lag_ms);
+        for (vm, member) in &mut self.members {
+            member.take_list(now, by_vm.get(vm).copied(), lag);
+        }
+    }
+
+    /// Sets what this node says about its own work, and tells every peer of a planned stop.
+    pub fn set_status(&mut self, status: ServingStatus) -> Vec<MembershipAction> {
+        let changed = self.status != status;
+        self.status = status;
+        match status {
+            ServingStatus::Leaving | ServingStatus::Stopping if changed => {
+                let nodes: Vec<_> = self.nodes().cloned().collect();
+                nodes.into_iter().map(|node| self.ping(node, 0)).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Returns what is known of a VM.
+    pub fn state_of(&self, vm: &VmId) -> Option<PeerState> {
+        self.members.get(vm).map(MemberEntry::state)
+    }
+
+    /// Returns the peers and what is known of them.
+    pub fn peers(&self) -> impl Iterator<Item = (&MemberRecord, PeerState)> {
+        self.members
+            .values()
+            .map(|member| (&member.record, member.state()))
+    }
+
+    /// Returns the nodes that should be members of the next epoch, this one included.
+    ///
+    /// A node that is about to stop stays a member while it serves the callers that it has.
+    pub fn candidates(&self, now: MonoTime) -> Vec<MemberRecord> {
+        let give_up = Duration::from_millis(self.settings.give_up_ms);
+        let wanted = |member: &&MemberEntry| {
+            let unreachable = member.probe.unreachable_for(now);
+            !member.gone
+                && member.status != ServingStatus::Stopping
+                && unreachable.is_none_or(|time| time < give_up)
+        };
+        let peers = self.members.values().filter(wanted);
+        let own = (self.status != ServingStatus::Stopping).then_some(&self.own);
+        peers
+            .map(|member| &member.record)
+            .chain(own)
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the nodes whose VMs were in the VM list and are not any more.
+    pub fn gone(&self) -> impl Iterator<Item = &NodeId> {
+        let gone = self.members.values().filter(|member| member.gone);
+        gone.map(|member| &member.record.node)
+    }
+
+    /// Returns all nodes as the directory needs them, this one included.
+    ///
+    /// A peer that only this node cannot reach stays in the answers: its callers can.
+    pub fn directory_members(&self) -> Vec<DirectoryMember> {
+        let own = directory_member(&self.own, PeerState::Alive, self.status);
+        let peers = self.members.values().map(MemberEntry::directory_member);
+        peers.chain([own]).collect()
+    }
+
+    /// Handles a message of a peer.
+    pub fn handle(
+        &mut self,
+        now: MonoTime,
+        from: &NodeId,
+        message: MembershipMessage,
+    ) -> Vec<MembershipAction> {
+        let known = self.members.get_mut(&from.vm);
+        let Some(member) = known.filter(|member| member.record.node == *from) else {
+            return self.handle_stranger(from, &message);
+        };
+        member.probe.last_heard = Some(now);
+        if member.probe.state() != PeerState::Alive {
+            self.soon.insert(from.vm.clone());
+        }
+        let mut actions = match message {
+            MembershipMessage::Ping { seq, status, news } => {
+                self.take_status(from, status);
+                self.take_news(now, news);
+                vec![self.ack(from, seq)]
+            }
+            MembershipMessage::Ack { seq, status, news } => {
+                self.take_ack(now, from, seq);
+                self.take_status(from, status);
+                self.take_news(now, news);
+                Vec::new()
+            }
+            MembershipMessage::PingRequest { seq, target } => {
+                let origin = from.clone();
+                vec![send(
+                    &target,
+                    MembershipMessage::IndirectPing { seq, origin },
+                )]
+            }
+            MembershipMessage::IndirectPing { seq, origin } => {
+                self.answer_indirect(now, from, seq, origin)
+            }
+            MembershipMessage::IndirectHello { seq } => {
+                if let Some((_, round)) = self.round(from, seq) {
+                    round.hello = true;
+                }
+                Vec::new()
+            }
+            MembershipMessage::IndirectAck {
+                seq,
+                origin,
+                heard_ago_ms,
+            } => {
+                let target = from.clone();
+                let report = MembershipMessage::IndirectReport {
+                    seq,
+                    target,
+                    heard_ago_ms,
+                };
+                vec![send(&origin, report)]
+            }
+            MembershipMessage::IndirectReport {
+                seq,
+                target,
+                heard_ago_ms,
+            } => {
+                let heard_ago = heard_ago_ms.map(Duration::from_millis);
+                if let Some((_, round)) = self.round(&target, seq) {
+                    round.add_report(now, heard_ago);
+                }
+                Vec::new()
+            }
+        };
+        actions.extend(self.tell_changes());
+        actions
+    }
+
+    /// Asks helpers, concludes rounds and starts new ones, each when it is due.
+    pub fn tick(&mut self, now: MonoTime) -> Vec<MembershipAction> {
+        let interval = Duration::from_millis(self.settings.probe_interval_ms);
+        let paused = |last| now.since(last) > interval * PAUSE_INTERVALS;
+        if self.last_tick.is_some_and(paused) {
+            // Answers may wait unread: what looks like silence of the peers was this node's.
+            self.rounds.clear();
+        }
+        self.last_tick = Some(now);
+        let mut actions = self.ask_helpers(now);
+        self.conclude_rounds(now, interval);
+        if now >= self.next_round {
+            self.next_round = now + interval;
+            actions.extend(self.start_rounds(now));
+        }
+        actions.extend(self.tell_changes());
+        actions
+    }
+
+    fn handle_stranger(&self, from: &NodeId, message: &MembershipMessage) -> Vec<MembershipAction> {
+        let known = self.members.get(&from.vm);
+        if known.is_some_and(|member| member.record.node.incarnation > from.incarnation) {
+            return Vec::new();
+        }
+        let mut actions = vec![MembershipAction::Refresh];
+        if let MembershipMessage::Ping { seq, .. } = message {
+            let ack = MembershipMessage::Ack {
+                seq: *seq,
+                status: self.status,
+                news: Vec::new(),
+            };
+            actions.push(send(from, ack));
+        }
+        actions
+    }
+
+    fn answer_indirect(
+        &self,
+        now: MonoTime,
+        helper: &NodeId,
+        seq: u64,
+        origin: NodeId,
+    ) -> Vec<MembershipAction> {
+        let heard = self
+            .members
+            .get(&origin.vm)
+            .and_then(|member| member.probe.last_heard);
+        let heard_ago_ms = heard.map(|heard| now.since(heard).as_millis() as u64);
+        let hello = send(&origin, MembershipMessage::IndirectHello { seq });
+        let ack = MembershipMessage::IndirectAck {
+            seq,
+            origin,
+            heard_ago_ms,
+        };
+        vec![hello, send(helper, ack)]
+    }
+
+    fn round(&mut self, target: &NodeId, seq: u64) -> Option<&mut (VmId, ProbeRound)> {
+        let round = self.rounds.get_mut(&seq);
+        round.filter(|(vm, _)| *vm == target.vm)
+    }
+
+    fn take_ack(&mut self, now: MonoTime, from: &NodeId, seq: u64) {
+        if self.round(from, seq).is_none() {
+            return;
+        }
+        self.rounds.swap_remove(&seq);
+        if let Some(member) = self.members.get_mut(&from.vm) {
+            member.probe.succeed(now);
+        }
+    }
+
+    fn take_status(&mut self, from: &NodeId, status: ServingStatus) {
+        let member = self.members.get_mut(&from.vm);
+        if member.is_some_and(|member| member.take_status(status)) {
+            let news = MemberNews::Leaving(from.clone());
+            self.news.push(news, self.members.len());
+        }
+    }
+
+    fn take_news(&mut self, now: MonoTime, news: Vec<MemberNews>) {
+        for item in news {
+            let (MemberNews::Suspect(node) | MemberNews::Leaving(node)) = &item;
+            let known = self.members.get_mut(&node.vm);
+            let Some(member) = known.filter(|member| member.record.node == *node) else {
+                continue;
+            };
+            match item {
+                MemberNews::Suspect(_) => {
+                    let interval = Duration::from_millis(self.settings.probe_interval_ms);
+                    let recent = |ack| now.since(ack) < interval;
+                    if !member.probe.last_ack.is_some_and(recent) {
+                        self.soon.insert(node.vm.clone());
+                    }
+                }
+                MemberNews::Leaving(_) => {
+                    if member.take_status(ServingStatus::Leaving) {
+                        self.news.push(item, self.members.len());
+                    }
+                }
+            }
+        }
+    }
+
+    fn ping(&mut self, to: NodeId, seq: u64) -> MembershipAction {
+        let message = MembershipMessage::Ping {
+            seq,
+            status: self.status,
+            news: self.news.take(),
+        };
+        MembershipAction::Send { to, message }
+    }
+
+    fn ack(&mut self, to: &NodeId, seq: u64) -> MembershipAction {
+        let message = MembershipMessage::Ack {
+            seq,
+            status: self.status,
+            news: self.news.take(),
+        };
+        send(to, message)
+    }
+
+    fn nodes(&self) -> impl Iterator<Item = &NodeId> {
+        let there = self.members.values().filter(|member| !member.gone);
+        there.map(|member| &member.record.node)
+    }
+
+    fn ask_helpers(&mut self, now: MonoTime) -> Vec<MembershipAction> {
+        let timeout = Duration::from_millis(self.settings.probe_timeout_ms);
+        let mut late = Vec::new();
+        for (seq, (vm, round)) in &mut self.rounds {
+            if !round.asked_helpers && now.since(round.started) >= timeout {
+                round.asked_helpers = true;
+                late.push((*seq, vm.clone()));
+            }
+        }
+        late.into_iter()
+            .flat_map(|(seq, vm)| self.ask_about(seq, &vm))
+            .collect()
+    }
+
+    fn ask_about(&self, seq: u64, vm: &VmId) -> Vec<MembershipAction> {
+        let Some(target) = self.members.get(vm).map(|member| &member.record.node) else {
+            return Vec::new();
+        };
+        let can_help = |member: &&MemberEntry| {
+            member.record.node != *target
+                && member.probe.state() == PeerState::Alive
+                && !member.gone
+        };
+        let helpers: Vec<_> = self.members.values().filter(can_help).collect();
+        let hashes: Vec<_> = helpers
+            .iter()
+            .map(|member| StableHash::of(member.record.node.vm.as_bytes()))
+            .collect();
+        let key = self.seed.with(StableHash(seq));
+        let message = MembershipMessage::PingRequest {
+            seq,
+            target: target.clone(),
+        };
+        top_members(key, &hashes, self.settings.helpers)
+            .into_iter()
+            .map(|index| send(&helpers[index].record.node, message.clone()))
+            .collect()
+    }
+
+    fn conclude_rounds(&mut self, now: MonoTime, interval: Duration) {
+        let mut failed = Vec::new();
+        for (vm, round) in self.rounds.values_mut() {
+            if !round.concluded && now.since(round.started) >= interval {
+                round.concluded = true;
+                failed.push((vm.clone(), round.clone()));
+            }
+        }
+        for (vm, round) in failed {
+            let Some(member) = self.members.get_mut(&vm) else {
+                continue;
+            };
+            let was_unreachable = member.probe.state() == PeerState::Unreachable;
+            member.probe.fail(now, &round);
+            let node = member.record.node.clone();
+            if !was_unreachable {
+                self.soon.insert(vm);
+                self.news
+                    .push(MemberNews::Suspect(node), self.members.len());
+            }
+        }
+        let memory = interval * ROUND_MEMORY;
+        self.rounds
+            .retain(|_, (_, round)| now.since(round.started) < memory);
+    }
+
+    fn start_rounds(&mut self, now: MonoTime) -> Vec<MembershipAction> {
+        let mut targets: IndexSet<VmId> = IndexSet::new();
+        for _ in 0..self.settings.extra_probes {
+            targets.extend(self.soon.shift_remove_index(0));
+        }
+        for _ in 0..self.settings.probes.min(self.members.len()) {
+            self.cursor = (self.cursor + 1) % self.members.len();
+            let next = self.members.get_index(self.cursor);
+            targets.extend(next.map(|(vm, _)| vm.clone()));
+        }
+        let mut actions = Vec::new();
+        for vm in targets {
+            let known = self.members.get(&vm).filter(|member| !member.gone);
+            if let Some(to) = known.map(|member| member.record.node.clone()) {
+                self.next_seq += 1;
+                let seq = self.next_seq;
+                self.rounds.insert(seq, (vm, ProbeRound::new(now)));
+                actions.push(self.ping(to, seq));
+            }
+        }
+        actions
+    }
+
+    fn tell_changes(&mut self) -> Vec<MembershipAction> {
+        let mut changes = Vec::new();
+        for member in self.members.values_mut() {
+            let to = member.state();
+            let from = std::mem::replace(&mut member.told, to);
+            if from != to {
+                let node = member.record.node.clone();
+                changes.push(MembershipAction::Changed { node, from, to });
+            }
+        }
+        changes
+    }
+}
+
+fn send(to: &NodeId, message: MembershipMessage) -> MembershipAction {
+    let to = to.clone();
+    MembershipAction::Send { to, message }
+}
--- /dev/null
+++ b/lib/src/peer_probe.rs
@@ -0,0 +1,124 @@
+//! What probes of one peer have shown, and the verdict.
+
+use std::time::Duration;
+
+use crate::membership_types::{CutDirection, PeerState};
+use crate::time::MonoTime;
+
+/// So many rounds in a row must fail before the path is called cut.
+const CUT_ROUNDS: u32 = 4;
+/// So many rounds in a row must reach nobody before the peer is called unreachable.
+const UNREACHABLE_ROUNDS: u32 = 3;
+
+/// One round of probing a peer: a direct ping, then indirect ones.
+#[derive(Clone, Debug)]
+pub(crate) struct ProbeRound {
+    pub(crate) started: MonoTime,
+    pub(crate) asked_helpers: bool,
+    pub(crate) concluded: bool,
+    /// Whether the peer has answered an indirect probe directly.
+    pub(crate) hello: bool,
+    /// What a helper has reported: whether the peer has heard this node in this round.
+    pub(crate) report: Option<bool>,
+}
+
+impl ProbeRound {
+    pub(crate) const fn new(started: MonoTime) -> Self {
+        Self {
+            started,
+            asked_helpers: false,
+            concluded: false,
+            hello: false,
+            report: None,
+        }
+    }
+
+    /// Takes a helper's report; a peer that was ever heard in this round stays so.
+    pub(crate) fn add_report(&mut self, now: MonoTime, heard_ago: Option<Duration>) {
+        let heard = heard_ago.is_some_and(|ago| ago <= now.since(self.started));
+        self.report = Some(heard || self.report == Some(true));
+    }
+
+    /// Returns the direction that this round found cut; none if the peer was not reached at all.
+    fn cut(&self) -> Option<PeerState> {
+        match (self.hello, self.report) {
+            (true, _) => Some(PeerState::CutOneWay {
+                direction: CutDirection::ToPeer,
+            }),
+            (false, Some(true)) => Some(PeerState::CutOneWay {
+                direction: CutDirection::FromPeer,
+            }),
+            (false, Some(false)) => Some(PeerState::CutBothWays),
+            (false, None) => None,
+        }
+    }
+}
+
+/// The probes of one peer so far.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerProbe {
+    state: PeerState,
+    failed_rounds: u32,
+    unreached_rounds: u32,
+    unreachable_since: Option<MonoTime>,
+    pub(crate) last_ack: Option<MonoTime>,
+    pub(crate) last_heard: Option<MonoTime>,
+}
+
+impl Default for PeerProbe {
+    fn default() -> Self {
+        Self {
+            state: PeerState::Alive,
+            failed_rounds: 0,
+            unreached_rounds: 0,
+            unreachable_since: None,
+            last_ack: None,
+            last_heard: None,
+        }
+    }
+}
+
+impl PeerProbe {
+    pub(crate) const fn state(&self) -> PeerState {
+        self.state
+    }
+
+    /// Returns for how long the peer has been unreachable.
+    pub(crate) fn unreachable_for(&self, now: MonoTime) -> Option<Duration> {
+        self.unreachable_since.map(|since| now.since(since))
+    }
+
+    /// Takes an answer to an own ping: both directions work.
+    pub(crate) fn succeed(&mut self, now: MonoTime) {
+        *self = Self {
+            last_ack: Some(now),
+            last_heard: Some(now),
+            ..Self::default()
+        };
+    }
+
+    /// Takes a round without an answer.
+    pub(crate) fn fail(&mut self, now: MonoTime, round: &ProbeRound) {
+        self.failed_rounds += 1;
+        match round.cut() {
+            Some(cut) => {
+                self.unreached_rounds = 0;
+                self.unreachable_since = None;
+                if self.failed_rounds >= CUT_ROUNDS {
+                    self.state = cut;
+                } else if matches!(self.state, PeerState::Suspect | PeerState::Unreachable) {
+                    self.state = PeerState::Alive;
+                }
+            }
+            None => {
+                self.unreached_rounds += 1;
+                if self.unreached_rounds >= UNREACHABLE_ROUNDS {
+                    self.state = PeerState::Unreachable;
+                    self.unreachable_since.get_or_insert(now);
+                } else if self.state == PeerState::Alive {
+                    self.state = PeerState::Suspect;
+                }
+            }
+        }
+    }
+}
