gateway: keep step with the fleet through the platform alone

Cause: gateways knew neither each other nor the platform. Change: one control task registers the node, judges members, enters epochs, brings the configuration up to date and proves freshness; a digest that would acknowledge an epoch is held back while a share is still too large. The demo's fleet now joins through the platform stand-in.

--- a/cli/src/demo_story.rs
+++ b/cli/src/demo_story.rs
@@ -131,11 +131,17 @@
     let customer: CustomerId = WITHDRAWN_CUSTOMER
         .parse()
         .expect("the built-in customer has a valid name");
-    fleet.withdraw_key(&customer)?;
+    let begin = Instant::now();
+    let revision = fleet.withdraw_key(&customer).await?;
     let withdrawn = damaskloom_testutils::ledger_clock::unix_micros();
     say(&format!(
         "the key of {customer} was withdrawn while its devices are connected"
     ));
+    fleet.wait_for_revision(revision).await?;
+    say(&format!(
+        "revision {revision} is in force on every gateway after {:?}",
+        begin.elapsed()
+    ));
     tokio::time::sleep(Duration::from_millis(WITHDRAWN_MS)).await;
     Ok(withdrawn)
 }
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demo_story;
 pub mod deployment;
 pub mod local_fleet;
+pub mod local_platform;
 pub mod report_html;
 pub mod report_input;
 pub mod report_model;
--- a/cli/src/local_fleet.rs
+++ b/cli/src/local_fleet.rs
@@ -1,22 +1,22 @@
 //! A whole deployment in one process on loopback, for the demo and the benchmarks.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::time::Duration;
 
+use damaskloom_gateway::gateway::GatewayState;
 use damaskloom_gateway::process::{GatewayProcess, StartError};
 use damaskloom_gateway::settings::{GatewaySettings, SettingsError};
-use damaskloom_lib::config::{
-    ApplyError, ConfigChange, ConfigDelta, FleetConfig, KeyGrant, KeyState, PolicyMode,
-};
-use damaskloom_lib::directory::{DirectoryMember, EntryStanding};
-use damaskloom_lib::ids::{CustomerId, VmId};
+use damaskloom_lib::config::{ConfigChange, KeyGrant, KeyState, PolicyMode};
+use damaskloom_lib::ids::{CustomerId, Revision, VmId};
 use damaskloom_lib::key::RawKey;
+use damaskloom_lib::platform::{VmEntry, VmState};
 use damaskloom_testutils::target_server::{TargetHandle, TargetServer};
 use damaskloom_testutils::target_state::ExecutionRecord;
 use serde_json::json;
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use crate::deployment::{Deployment, DeploymentError};
+use crate::local_platform::{LocalPlatform, LocalPlatformError};
 
 /// Says why a local fleet could not be started or changed.
 #[derive(Debug, Snafu)]
@@ -45,11 +45,17 @@
         /// Why.
         source: StartError,
     },
-    /// A change of the configuration did not follow the revision in force.
-    #[snafu(display("the configuration cannot be changed"))]
-    Apply {
+    /// The platform stand-in could not be used.
+    #[snafu(transparent)]
+    Platform {
         /// Why.
-        source: ApplyError,
+        source: LocalPlatformError,
+    },
+    /// Something did not come to pass in time.
+    #[snafu(display("waited in vain until {event}"))]
+    Overdue {
+        /// What was waited for.
+        event: &'static str,
     },
     /// There is no such customer or gateway.
     #[snafu(display("the fleet has no {name}"))]
@@ -59,18 +65,24 @@
     },
 }
 
-/// Targets and gateways of one deployment; all end when it is dropped.
+/// Platform, targets and gateways of one deployment; all end when it is dropped.
 pub struct LocalFleet {
     /// The deployment that runs.
     pub deployment: Deployment,
+    /// The platform stand-in.
+    pub platform: LocalPlatform,
     /// The targets, in the order of the configuration.
     pub targets: Vec<TargetHandle>,
     gateways: Vec<GatewayProcess>,
-    config: FleetConfig,
 }
 
+/// The time in which a fleet must be ready to serve.
+const READY_TIMEOUT_MS: u64 = 30_000;
+const READY_POLL_MS: u64 = 20;
+
 impl LocalFleet {
-    /// Starts all targets and gateways of a deployment.
+    /// Starts the platform and all targets and gateways of a deployment, and waits until every
+    /// gateway serves.
     ///
     /// # Errors
     ///
@@ -86,22 +98,25 @@
         }
         let addresses: Vec<SocketAddr> = targets.iter().map(TargetHandle::address).collect();
         let config = deployment.config(&addresses, policy)?;
-        let mut gateways = Vec::new();
-        for index in 0..deployment.gateways {
-            let settings = gateway_settings(&deployment, index, &config)?;
-            gateways.push(
-                GatewayProcess::start(settings)
-                    .await
-                    .context(GatewaySnafu)?,
-            );
-        }
+        let platform = LocalPlatform::start(&config).await?;
+        let starts = (0..deployment.gateways).map(|index| {
+            let settings = gateway_settings(&deployment, index, platform.address());
+            async move { GatewayProcess::start(settings?).await.context(GatewaySnafu) }
+        });
+        let gateways = futures::future::try_join_all(starts).await?;
         let fleet = Self {
             deployment,
+            platform,
             targets,
             gateways,
-            config,
         };
-        fleet.publish_members();
+        fleet.publish_vms();
+        let members = fleet.gateways.len();
+        fleet
+            .wait_until("every gateway serves", |state| {
+                state.may_serve_keyed() && state.epoch.members().len() == members
+            })
+            .await?;
         Ok(fleet)
     }
 
@@ -126,36 +141,49 @@
             .collect()
     }
 
-    /// Puts one change in force on all gateways.
-    ///
-    /// # Errors
-    ///
-    /// Fails if a gateway is at another revision than the fleet.
-    pub fn change(&mut self, change: ConfigChange) -> Result<(), FleetError> {
-        let delta = ConfigDelta {
-            revision: self.config.revision.next(),
-            changes: vec![change],
-        };
-        self.config.apply(&delta).context(ApplySnafu)?;
-        for gateway in &self.gateways {
-            gateway.state.config.apply(&delta).context(ApplySnafu)?;
-        }
-        Ok(())
-    }
-
-    /// Withdraws a customer's key.
+    /// Withdraws a customer's key and returns the revision that does it.
     ///
     /// # Errors
     ///
-    /// Fails as [`LocalFleet::change`] does.
-    pub fn withdraw_key(&mut self, customer: &CustomerId) -> Result<(), FleetError> {
+    /// Fails if the platform does not accept the change.
+    pub async fn withdraw_key(&mut self, customer: &CustomerId) -> Result<Revision, FleetError> {
         let digest = RawKey::new(Deployment::key_of(customer)).digest();
         let grant = KeyGrant {
             digest,
             customer: customer.clone(),
             state: KeyState::Withdrawn,
         };
-        self.change(ConfigChange::PutKey(grant))
+        Ok(self
+            .platform
+            .accept(vec![ConfigChange::PutKey(grant)])
+            .await?)
+    }
+
+    /// Waits until a revision is in force on every gateway.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that takes too long.
+    pub async fn wait_for_revision(&self, revision: Revision) -> Result<(), FleetError> {
+        let event = "a revision is in force everywhere";
+        self.wait_until(event, |state| state.config.revision() >= revision)
+            .await
+    }
+
+    /// Ends one gateway as a lost VM does, without any warning.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no gateway left.
+    pub fn kill_gateway(&mut self) -> Result<VmId, FleetError> {
+        let gateway = self
+            .gateways
+            .pop()
+            .context(NoSuchSnafu { name: "gateway" })?;
+        let vm = gateway.state.settings.vm.clone();
+        drop(gateway);
+        self.publish_vms();
+        Ok(vm)
     }
 
     /// Stops one gateway as planned.
@@ -168,37 +196,48 @@
             .gateways
             .pop()
             .context(NoSuchSnafu { name: "gateway" })?;
-        self.publish_members();
-        let state = Arc::clone(&gateway.state);
+        let vm = gateway.state.settings.vm.clone();
         gateway.stop().await;
-        Ok(state.settings.vm.clone())
+        self.publish_vms();
+        Ok(vm)
     }
 
-    fn publish_members(&self) {
-        let members: Vec<DirectoryMember> = self.gateways.iter().map(member).collect();
-        for gateway in &self.gateways {
-            gateway
-                .state
-                .directory
-                .set_customers(&self.deployment.customers);
-            gateway.state.directory.set_members(members.clone());
+    /// Waits until something holds on every gateway.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that takes too long.
+    pub async fn wait_until(
+        &self,
+        event: &'static str,
+        holds: impl Fn(&GatewayState) -> bool,
+    ) -> Result<(), FleetError> {
+        for _ in 0..READY_TIMEOUT_MS / READY_POLL_MS {
+            if self.gateways.iter().all(|gateway| holds(&gateway.state)) {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(READY_POLL_MS)).await;
         }
+        OverdueSnafu { event }.fail()
     }
-}
 
-fn member(gateway: &GatewayProcess) -> DirectoryMember {
-    DirectoryMember {
-        vm: gateway.state.settings.vm.clone(),
-        data_centre: gateway.state.settings.data_centre.clone(),
-        address: gateway.caller_address(),
-        standing: EntryStanding::Serving,
+    fn publish_vms(&self) {
+        let vms = self.gateways.iter().filter_map(|gateway| {
+            Some(VmEntry {
+                id: gateway.state.settings.vm.clone(),
+                data_centre: gateway.state.settings.data_centre.clone(),
+                peer_address: gateway.state.outbox.handle()?.local_address(),
+                state: VmState::Live,
+            })
+        });
+        self.platform.server().set_vms(vms.collect());
     }
 }
 
 fn gateway_settings(
     deployment: &Deployment,
     index: u32,
-    config: &FleetConfig,
+    platform: SocketAddr,
 ) -> Result<GatewaySettings, FleetError> {
     let centres = &deployment.data_centres;
     let document = json!({
@@ -207,8 +246,9 @@
         "caller_listen": "127.0.0.1:0",
         "admin_listen": "127.0.0.1:0",
         "peer_listen": "127.0.0.1:0",
+        "platform": platform,
+        "peer_secret": "a secret for loopback only",
         "directory_lifetime_ms": 1_000,
-        "config": config,
     });
     GatewaySettings::parse(document.to_string(), "built-in").context(SettingsSnafu)
 }
--- a/gateway/src/config_view.rs
+++ b/gateway/src/config_view.rs
@@ -163,6 +163,11 @@
         self.read().config.targets.get(id).cloned()
     }
 
+    /// Reads the whole configuration in place; `read` must be short, since changes wait for it.
+    pub fn with<R>(&self, read: impl FnOnce(&FleetConfig) -> R) -> R {
+        read(&self.read().config)
+    }
+
     /// Returns a copy of the whole configuration.
     pub fn snapshot(&self) -> FleetConfig {
         self.read().config.clone()
--- /dev/null
+++ b/gateway/src/control_plane.rs
@@ -0,0 +1,450 @@
+//! Keeps a gateway in step with the fleet: members, epochs, configuration and freshness.
+//!
+//! One task owns the state machines. Calls of the platform run beside it and come back as events,
+//! so that a slow platform delays nothing else.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use damaskloom_lib::config::{ConfigDelta, FleetConfig};
+use damaskloom_lib::distribution::{ConfigReplica, ReplicaAction, ReplicaPeer, ReplicaSettings};
+use damaskloom_lib::epoch::EpochKeeper;
+use damaskloom_lib::epoch_types::{EpochAction, EpochMessage, EpochRow, EpochSettings};
+use damaskloom_lib::freshness::FreshnessAction;
+use damaskloom_lib::ids::{Epoch, NodeId, Revision};
+use damaskloom_lib::membership::{MemberList, MembershipAction, MembershipSettings, ServingStatus};
+use damaskloom_lib::platform::{
+    CommitOutcome, PlatformError, RowKey, TableRow, TableStore, Transaction, VmEntry, VmList,
+};
+use damaskloom_lib::registration::MemberRecord;
+use damaskloom_lib::rendezvous::{StableHash, rank_members};
+use damaskloom_lib::share_basis::ShareBasis;
+use damaskloom_lib::time::MonoTime;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+
+use crate::control_loop::{dispatch, with_message};
+use crate::fleet_epoch::FleetAssignment;
+use crate::gateway::GatewayState;
+use crate::peer_codec::PeerTopic;
+use crate::peer_link::{PeerDelivery, PeerInbox};
+use crate::platform_reads::{
+    HeadReading, SharedClient, read_deltas, read_head, read_members, read_snapshot,
+};
+
+const TICK_MS: u64 = 25;
+/// The interval at which the first few members read all registrations.
+const MEMBER_SCAN_MS: u64 = 2_000;
+/// The members that read all registrations; the others hear of new members with the next epoch.
+const MEMBER_SCANNERS: usize = 3;
+/// The interval at which each member reads the VM list.
+const VM_LIST_MS: u64 = 5_000;
+
+/// An answer of the platform.
+#[derive(Debug)]
+enum PlatformEvent {
+    Members(Result<Vec<MemberRecord>, PlatformError>),
+    Vms(Result<Vec<VmEntry>, PlatformError>),
+    Head(Result<HeadReading, PlatformError>),
+    Deltas(Result<Vec<ConfigDelta>, PlatformError>),
+    Snapshot(Result<Option<FleetConfig>, PlatformError>),
+    EpochRow(Result<Option<TableRow>, PlatformError>),
+    Committed(Result<CommitOutcome, PlatformError>),
+}
+
+/// The state machines that keep one node in step with the fleet.
+pub struct ControlPlane {
+    state: Arc<GatewayState>,
+    client: SharedClient,
+    own: MemberRecord,
+    members: MemberList,
+    keeper: EpochKeeper,
+    replica: ConfigReplica,
+    scanned: Vec<MemberRecord>,
+    next_scan: MonoTime,
+    scan_running: bool,
+    next_vm_list: MonoTime,
+    read_epoch: Epoch,
+    held_since: MonoTime,
+    status: mpsc::Receiver<ServingStatus>,
+    events: mpsc::UnboundedSender<PlatformEvent>,
+    answers: mpsc::UnboundedReceiver<PlatformEvent>,
+}
+
+impl ControlPlane {
+    /// Makes the control plane of a registered node; `status` tells it of a planned stop.
+    pub fn new(
+        state: Arc<GatewayState>,
+        client: SharedClient,
+        own: MemberRecord,
+        status: mpsc::Receiver<ServingStatus>,
+    ) -> Self {
+        let now = state.clock.now();
+        let seed = StableHash::of(own.node.to_string()).0;
+        let peer = ReplicaPeer {
+            node: own.node.clone(),
+            data_centre: own.data_centre.clone(),
+        };
+        let (events, answers) = mpsc::unbounded_channel();
+        Self {
+            members: MemberList::new(MembershipSettings::default(), own.clone(), seed),
+            keeper: EpochKeeper::new(EpochSettings::default(), own.node.clone(), seed),
+            replica: ConfigReplica::new(now, peer, ReplicaSettings::default(), seed),
+            scanned: Vec::new(),
+            next_scan: now,
+            scan_running: false,
+            next_vm_list: now,
+            read_epoch: Epoch::default(),
+            held_since: now,
+            state,
+            client,
+            own,
+            status,
+            events,
+            answers,
+        }
+    }
+
+    /// Runs until the peer link ends.
+    pub async fn run(mut self, mut inbox: PeerInbox) {
+        let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick(),
+                Some(event) = self.answers.recv() => self.take_answer(event),
+                Some(status) = self.status.recv() => {
+                    let actions = self.members.set_status(status);
+                    self.perform_membership(actions);
+                    self.publish_members();
+                }
+                delivery = inbox.deliveries.recv() => match delivery {
+                    Some(delivery) => self.deliver(&delivery),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.state.clock.now();
+        let actions = self.members.tick(now);
+        self.perform_membership(actions);
+        self.keeper.set_candidates(self.members.candidates(now));
+        let gone: Vec<NodeId> = self.members.gone().cloned().collect();
+        self.keeper.set_gone(gone);
+        let actions = self.keeper.tick(now);
+        self.perform_epoch(actions);
+        let actions = self.replica.tick(now);
+        self.perform_replica(actions);
+        for FreshnessAction::Send { to, message } in self.state.guard.tick(now) {
+            self.state.outbox.send(&to, PeerTopic::Freshness, &message);
+        }
+        self.read_members_when_due(now);
+        self.note_freshness(now);
+    }
+
+    fn note_freshness(&mut self, now: MonoTime) {
+        let behind = self.replica.revision() < Some(self.replica.known_head());
+        self.state.guard.set_behind(now, behind);
+        self.state.guard.set_ready(self.replica.is_ready());
+        let allowed = self.state.note_freshness(now);
+        if let Some(allowed) = allowed {
+            let status = if allowed {
+                ServingStatus::Serving
+            } else {
+                ServingStatus::Fenced
+            };
+            if !self.state.is_leaving() {
+                let actions = self.members.set_status(status);
+                self.perform_membership(actions);
+                self.publish_members();
+            }
+        }
+    }
+
+    fn deliver(&mut self, delivery: &PeerDelivery) {
+        let now = self.state.clock.now();
+        match delivery.topic {
+            PeerTopic::Membership => with_message(delivery, |from, message| {
+                let actions = self.members.handle(now, from, message);
+                self.perform_membership(actions);
+            }),
+            PeerTopic::Epoch => with_message(delivery, |from, message| {
+                let actions = self.keeper.handle(from, message);
+                self.perform_epoch(actions);
+            }),
+            PeerTopic::Distribution => with_message(delivery, |from, message| {
+                let actions = self.replica.handle(now, from, message);
+                self.perform_replica(actions);
+            }),
+            PeerTopic::Freshness => with_message(delivery, |from, message| {
+                for FreshnessAction::Send { to, message } in
+                    self.state.guard.handle(now, from, message)
+                {
+                    self.state.outbox.send(&to, PeerTopic::Freshness, &message);
+                }
+            }),
+            PeerTopic::Shares
+            | PeerTopic::Evidence
+            | PeerTopic::Ejection
+            | PeerTopic::Crash
+            | PeerTopic::Claims => dispatch(&self.state, delivery),
+        }
+    }
+
+    fn take_answer(&mut self, event: PlatformEvent) {
+        let now = self.state.clock.now();
+        match event {
+            PlatformEvent::Members(answer) => {
+                self.scan_running = false;
+                if let Ok(members) = answer {
+                    self.scanned = members;
+                    self.know_members();
+                }
+            }
+            PlatformEvent::Vms(answer) => {
+                if let Ok(vms) = answer {
+                    self.members.set_vm_list(now, &vms);
+                    self.publish_members();
+                }
+            }
+            PlatformEvent::Head(answer) => {
+                let reading = answer.ok();
+                if let Some(reading) = &reading {
+                    self.note_epoch_row(reading.epoch.as_ref());
+                    let actions = self.keeper.on_row(Ok(reading.epoch.clone()));
+                    self.perform_epoch(actions);
+                }
+                let actions = self
+                    .replica
+                    .head_read(now, reading.map(|reading| reading.revision));
+                self.perform_replica(actions);
+            }
+            PlatformEvent::Deltas(answer) => {
+                let actions = self.replica.deltas_read(now, answer.ok());
+                self.perform_replica(actions);
+            }
+            PlatformEvent::Snapshot(answer) => {
+                let actions = self.replica.snapshot_read(now, answer.ok().flatten());
+                self.perform_replica(actions);
+            }
+            PlatformEvent::EpochRow(answer) => {
+                let actions = self.keeper.on_row(answer);
+                self.perform_epoch(actions);
+            }
+            PlatformEvent::Committed(outcome) => {
+                let actions = self.keeper.on_commit(outcome);
+                self.perform_epoch(actions);
+            }
+        }
+    }
+
+    fn note_epoch_row(&mut self, row: Option<&TableRow>) {
+        let shown = row
+            .and_then(|row| serde_json::from_value::<EpochRow>(row.value.clone()).ok())
+            .map_or(Epoch::default(), |row| row.epoch);
+        self.read_epoch = shown;
+    }
+
+    fn perform_membership(&mut self, actions: Vec<MembershipAction>) {
+        for action in actions {
+            match action {
+                MembershipAction::Send { to, message } => {
+                    self.state.outbox.send(&to, PeerTopic::Membership, &message);
+                }
+                MembershipAction::Changed { node, from, to } => {
+                    tracing::info!(%node, %from, %to, "peer state changed");
+                    self.publish_members();
+                }
+                MembershipAction::Refresh => self.next_scan = self.state.clock.now(),
+            }
+        }
+    }
+
+    fn perform_epoch(&mut self, actions: Vec<EpochAction>) {
+        for action in actions {
+            match action {
+                EpochAction::Entered(epoch) => self.enter_epoch(epoch),
+                EpochAction::AllAcknowledged(_) => self.put_assignment_in_force(),
+                EpochAction::Superseded(node) => {
+                    tracing::error!(%node, "a later start of this VM is a member; serving ends");
+                    self.state.guard.set_superseded();
+                }
+                EpochAction::ReadRow => {
+                    let client = Arc::clone(&self.client);
+                    self.call(async move {
+                        PlatformEvent::EpochRow(client.get(&RowKey::from(EPOCH_ROW_KEY)).await)
+                    });
+                }
+                EpochAction::Commit(transaction) => self.commit(transaction),
+                EpochAction::Send { to, message } => self.send_epoch(&to, &message),
+            }
+        }
+    }
+
+    /// Sends a message about epochs, unless it would acknowledge shares that are still too large.
+    fn send_epoch(&self, to: &NodeId, message: &EpochMessage) {
+        let acknowledges = matches!(message, EpochMessage::Digest { .. });
+        if !acknowledges || self.state.conforms() {
+            self.state.outbox.send(to, PeerTopic::Epoch, message);
+        }
+    }
+
+    fn enter_epoch(&mut self, epoch: Epoch) {
+        tracing::info!(%epoch, members = self.keeper.nodes().len(), "epoch entered");
+        self.held_since = self.state.clock.now();
+        if let Some(handle) = self.state.outbox.handle() {
+            handle.set_epoch(epoch);
+        }
+        self.know_members();
+        self.put_assignment_in_force();
+        self.state
+            .guard
+            .set_epoch(epoch, self.keeper.nodes().to_vec());
+    }
+
+    fn put_assignment_in_force(&self) {
+        let unsettled = match self.keeper.basis() {
+            ShareBasis::Settled(_) => Vec::new(),
+            ShareBasis::Moving { from, .. } => vec![from.to_vec()],
+        };
+        self.state.epoch.enter(FleetAssignment {
+            epoch: self.keeper.epoch(),
+            members: self.keeper.nodes().to_vec(),
+            unsettled,
+            held_since: self.held_since,
+        });
+        self.state.refresh();
+    }
+
+    /// Tells all parts of the members that are known from the table and from the epoch.
+    fn know_members(&mut self) {
+        let mut known: Vec<MemberRecord> = self.keeper.members().to_vec();
+        for record in &self.scanned {
+            match known
+                .iter_mut()
+                .find(|other| other.node.vm == record.node.vm)
+            {
+                Some(other) if other.node.incarnation < record.node.incarnation => {
+                    *other = record.clone();
+                }
+                Some(_) => {}
+                None => known.push(record.clone()),
+            }
+        }
+        if let Some(handle) = self.state.outbox.handle() {
+            for record in known
+                .iter()
+                .filter(|record| record.node.vm != self.own.node.vm)
+            {
+                handle.set_address(record.node.vm.clone(), record.peer_address);
+            }
+        }
+        self.replica
+            .set_peers(known.iter().map(|record| ReplicaPeer {
+                node: record.node.clone(),
+                data_centre: record.data_centre.clone(),
+            }));
+        self.members.set_registered(known);
+        self.publish_members();
+    }
+
+    fn publish_members(&self) {
+        self.state
+            .directory
+            .set_members(self.members.directory_members());
+    }
+
+    fn perform_replica(&mut self, actions: Vec<ReplicaAction>) {
+        for action in actions {
+            match action {
+                ReplicaAction::Send { to, message } => {
+                    self.state
+                        .outbox
+                        .send(&to, PeerTopic::Distribution, &message);
+                }
+                ReplicaAction::ReadHead => {
+                    let client = Arc::clone(&self.client);
+                    self.call(async move { PlatformEvent::Head(read_head(&client).await) });
+                }
+                ReplicaAction::ReadDeltas { after } => self.read_deltas(after),
+                ReplicaAction::ReadSnapshot { newer_than } => {
+                    let client = Arc::clone(&self.client);
+                    self.call(async move {
+                        PlatformEvent::Snapshot(read_snapshot(&client, newer_than).await)
+                    });
+                }
+                ReplicaAction::OfferSnapshot {
+                    to,
+                    transfer,
+                    cursor,
+                } => {
+                    let offer = self
+                        .state
+                        .config
+                        .with(|config| self.replica.offer(config, transfer, cursor));
+                    self.state.outbox.send(&to, PeerTopic::Distribution, &offer);
+                }
+                ReplicaAction::Install(config) => self.state.config.replace(config),
+                ReplicaAction::Apply(delta) => {
+                    let applied = self.state.config.apply(&delta);
+                    applied.expect("the replica applies deltas in order");
+                }
+                ReplicaAction::HeadProven { at, .. } => {
+                    self.state.guard.record_read(at, self.read_epoch);
+                }
+            }
+        }
+    }
+
+    fn read_deltas(&self, after: Revision) {
+        let client = Arc::clone(&self.client);
+        self.call(async move { PlatformEvent::Deltas(read_deltas(&client, after).await) });
+    }
+
+    fn commit(&self, transaction: Transaction) {
+        let client = Arc::clone(&self.client);
+        self.call(async move { PlatformEvent::Committed(client.commit(&transaction).await) });
+    }
+
+    fn read_members_when_due(&mut self, now: MonoTime) {
+        if now >= self.next_vm_list {
+            self.next_vm_list = now + Duration::from_millis(VM_LIST_MS);
+            let client = Arc::clone(&self.client);
+            self.call(async move { PlatformEvent::Vms(client.list_vms().await) });
+        }
+        if now >= self.next_scan && !self.scan_running && self.is_scanner() {
+            self.next_scan = now + Duration::from_millis(MEMBER_SCAN_MS);
+            self.scan_running = true;
+            let client = Arc::clone(&self.client);
+            self.call(async move { PlatformEvent::Members(read_members(&client).await) });
+        }
+    }
+
+    /// Says whether this node is one of the few that look for new members.
+    ///
+    /// A node that is no member yet looks for itself.
+    fn is_scanner(&self) -> bool {
+        let nodes = self.keeper.nodes();
+        let hashes: Vec<StableHash> = nodes
+            .iter()
+            .map(|node| StableHash::of(node.to_string()))
+            .collect();
+        let ranking = rank_members(StableHash::of("member-scan"), &hashes);
+        let rank = ranking
+            .iter()
+            .position(|index| nodes[*index] == self.own.node);
+        rank.is_none_or(|rank| rank < MEMBER_SCANNERS)
+    }
+
+    fn call(&self, call: impl Future<Output = PlatformEvent> + Send + 'static) {
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            // The control plane may have ended while the platform was asked.
+            let _ = events.send(call.await);
+        });
+    }
+}
+
+const EPOCH_ROW_KEY: &str = damaskloom_lib::epoch_types::EPOCH_ROW;
--- a/gateway/src/fleet_directory.rs
+++ b/gateway/src/fleet_directory.rs
@@ -1,6 +1,7 @@
 //! The fleet's members as this node knows them, for directory answers.
 
 use std::sync::RwLock;
+use std::time::Duration;
 
 use damaskloom_lib::config::Customer;
 use damaskloom_lib::directory::{
@@ -44,6 +45,14 @@
             .set_customers(rates);
     }
 
+    /// Returns the longest time for which a caller may keep an answer.
+    pub fn max_lifetime(&self) -> Duration {
+        self.planner
+            .read()
+            .expect("no holder of the directory panics")
+            .max_lifetime()
+    }
+
     /// Answers a caller.
     pub fn answer(&self, query: &DirectoryQuery<'_>) -> DirectoryAnswer {
         self.planner
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -5,8 +5,11 @@
 use std::time::Instant;
 
 use damaskloom_lib::evidence::AttemptOutcome;
+use damaskloom_lib::freshness::{FreshnessGuard, FreshnessSettings};
 use damaskloom_lib::ids::NodeId;
 use damaskloom_lib::outcome::Refusal;
+use damaskloom_lib::rendezvous::StableHash;
+use damaskloom_lib::time::MonoTime;
 use http::Response;
 
 use crate::bodies::AnswerBody;
@@ -21,6 +24,7 @@
 use crate::peer_outbox::PeerOutbox;
 use crate::rate_gate::RateGate;
 use crate::retry_gate::RetryGate;
+use crate::serving_guard::ServingGuard;
 use crate::settings::GatewaySettings;
 use crate::target_set::TargetSet;
 
@@ -51,7 +55,10 @@
     pub directory: FleetDirectory,
     /// The metrics.
     pub meters: GatewayMeters,
-    fresh: AtomicBool,
+    /// Whether requests with keys may be served.
+    pub guard: ServingGuard,
+    served_keyed: AtomicBool,
+    leaving: AtomicBool,
 }
 
 impl GatewayState {
@@ -62,8 +69,11 @@
     /// # Errors
     ///
     /// Fails if the metrics cannot be set up.
-    pub fn new(settings: GatewaySettings, node: NodeId) -> Result<Arc<Self>, MeterError> {
-        let clock = MonoClock::start();
+    pub fn new(
+        settings: GatewaySettings,
+        node: NodeId,
+        clock: MonoClock,
+    ) -> Result<Arc<Self>, MeterError> {
         let config = Arc::new(ConfigView::default());
         let epoch = Arc::new(FleetEpoch::default());
         let outbox = Arc::new(PeerOutbox::default());
@@ -75,6 +85,13 @@
                 ..FleetAssignment::default()
             });
         }
+        let guard = if alone {
+            ServingGuard::alone()
+        } else {
+            let seed = StableHash::of(node.to_string()).0;
+            let settings = FreshnessSettings::default();
+            ServingGuard::member(FreshnessGuard::new(settings, node.clone(), seed))
+        };
         let shared = || {
             (
                 clock,
@@ -102,22 +119,42 @@
             retries: RetryGate::default(),
             directory: FleetDirectory::new(settings.directory_lifetime_ms),
             meters: GatewayMeters::new()?,
-            fresh: AtomicBool::new(alone),
+            guard,
+            served_keyed: AtomicBool::new(alone),
+            leaving: AtomicBool::new(false),
             node,
             settings,
         }))
     }
 
-    /// Says whether the node knows the configuration well enough for requests with keys.
+    /// Says whether the node may serve requests with keys, at the time of the call.
     pub fn may_serve_keyed(&self) -> bool {
-        self.fresh.load(Ordering::Relaxed)
+        self.guard.allows_work(self.clock.now())
     }
 
-    /// Sets whether the node may serve requests with keys.
-    pub fn set_fresh(&self, fresh: bool) {
-        if self.fresh.swap(fresh, Ordering::Relaxed) != fresh {
-            tracing::info!(vm = %self.settings.vm, fresh, "freshness changed");
+    /// Notes whether requests with keys are served now; returns it if it has changed.
+    pub fn note_freshness(&self, now: MonoTime) -> Option<bool> {
+        let allowed = self.guard.allows_work(now);
+        let changed = self.served_keyed.swap(allowed, Ordering::Relaxed) != allowed;
+        if changed {
+            tracing::info!(vm = %self.settings.vm, allowed, "serving of keyed requests changed");
         }
+        changed.then_some(allowed)
+    }
+
+    /// Notes that a planned stop has begun.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Says whether a planned stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Says whether all shares conform to the newest assignment, so that it may be acknowledged.
+    pub fn conforms(&self) -> bool {
+        self.rates.conforms() && self.health.conforms()
     }
 
     /// Takes over the configuration and the assignment in force.
--- a/gateway/src/health_board.rs
+++ b/gateway/src/health_board.rs
@@ -164,6 +164,13 @@
         }
     }
 
+    /// Says whether no part has more units than this node's newest share.
+    pub fn conforms(&self) -> bool {
+        self.all_parts()
+            .into_iter()
+            .all(|(_, part)| part.lock().expect("no holder of a health part panics").owed == 0)
+    }
+
     /// Says whether a target gets work from this node.
     pub fn standing(&self, service: &ServiceId, target: &TargetId) -> TargetStanding {
         let Some(part) = self.part(service) else {
--- a/gateway/src/peer_link.rs
+++ b/gateway/src/peer_link.rs
@@ -300,6 +300,22 @@
     pub fn start(settings: PeerSettings) -> Result<(PeerHandle, PeerInbox), PeerError> {
         let address = settings.listen;
         let listener = std::net::TcpListener::bind(address).context(ListenSnafu { address })?;
+        Self::start_on(listener, settings)
+    }
+
+    /// Starts the link's thread on a listener that is bound already.
+    ///
+    /// A node binds it before it registers, so that its registration proves that no earlier start
+    /// still listens there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the listener cannot be used or the thread cannot be started.
+    pub fn start_on(
+        listener: std::net::TcpListener,
+        settings: PeerSettings,
+    ) -> Result<(PeerHandle, PeerInbox), PeerError> {
+        let address = settings.listen;
         listener
             .set_nonblocking(true)
             .context(ListenSnafu { address })?;
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -6,18 +6,29 @@
 
 use damaskloom_lib::directory::{DirectoryMember, EntryStanding};
 use damaskloom_lib::ids::{Incarnation, NodeId};
+use damaskloom_lib::membership::ServingStatus;
+use damaskloom_lib::registration::MemberRecord;
+use damaskloom_platform::client::{ClientSettings, PlatformClient};
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
 use crate::admin_server::run_admin_server;
 use crate::caller_server::run_caller_server;
+use crate::clock::MonoClock;
 use crate::control_loop::{run_config_changes, run_health_ticks, run_idle_ticks, run_rate_ticks};
+use crate::control_plane::ControlPlane;
+use crate::fleet_registration::register;
 use crate::gateway::GatewayState;
 use crate::meters::MeterError;
+use crate::peer_auth::SharedSecret;
+use crate::peer_link::{PeerError, PeerHandle, PeerInbox, PeerLink};
+use crate::peer_settings::PeerSettings;
 use crate::settings::GatewaySettings;
 
+const STATUS_QUEUE: usize = 8;
+
 /// Says why a gateway could not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -35,6 +46,12 @@
         /// What the library said.
         source: MeterError,
     },
+    /// The peer link cannot be started.
+    #[snafu(display("cannot start the peer link"))]
+    Peers {
+        /// Why.
+        source: PeerError,
+    },
 }
 
 /// A running gateway; dropping it ends the gateway at once.
@@ -45,48 +62,73 @@
     caller_address: SocketAddr,
     admin_address: SocketAddr,
     stop: watch::Sender<bool>,
+    status: mpsc::Sender<ServingStatus>,
     callers: JoinHandle<()>,
     helpers: Vec<JoinHandle<()>>,
 }
 
+/// What a member of a fleet has beside its state.
+struct FleetLink {
+    client: Arc<PlatformClient>,
+    record: MemberRecord,
+    handle: PeerHandle,
+    inbox: PeerInbox,
+}
+
 impl GatewayProcess {
     /// Starts a gateway on the addresses of its settings.
     ///
+    /// With a platform, it returns once the node is registered; requests with keys are refused until
+    /// the node has the fleet's configuration and its shares.
+    ///
     /// # Errors
     ///
-    /// Fails if an address is taken or the metrics cannot be set up.
+    /// Fails if an address is taken or a part cannot be set up.
     pub async fn start(settings: GatewaySettings) -> Result<Self, StartError> {
         let caller_listener = listen(settings.caller_listen).await?;
         let admin_listener = listen(settings.admin_listen).await?;
         let caller_address = local_address(&caller_listener, settings.caller_listen)?;
         let admin_address = local_address(&admin_listener, settings.admin_listen)?;
-        let node = NodeId {
-            vm: settings.vm.clone(),
-            incarnation: Incarnation(1),
+        let clock = MonoClock::start();
+        let link = join_fleet(&settings, clock, caller_address).await?;
+        let node = match &link {
+            Some(link) => link.record.node.clone(),
+            None => NodeId {
+                vm: settings.vm.clone(),
+                incarnation: Incarnation(1),
+            },
         };
-        let state = GatewayState::new(settings, node).context(MetersSnafu)?;
+        let state = GatewayState::new(settings, node, clock).context(MetersSnafu)?;
         state
             .directory
             .set_members([own_entry(&state, caller_address)]);
         let (stop, stopped) = watch::channel(false);
+        let (status, status_changes) = mpsc::channel(STATUS_QUEUE);
         let callers = tokio::spawn(run_caller_server(
             Arc::clone(&state),
             caller_listener,
             stopped,
         ));
-        let helpers = vec![
+        let mut helpers = vec![
             tokio::spawn(run_admin_server(Arc::clone(&state), admin_listener)),
             tokio::spawn(run_idle_ticks(Arc::clone(&state))),
             tokio::spawn(run_rate_ticks(Arc::clone(&state))),
             tokio::spawn(run_health_ticks(Arc::clone(&state))),
             tokio::spawn(run_config_changes(Arc::clone(&state))),
         ];
-        tracing::info!(vm = %state.settings.vm, %caller_address, %admin_address, "gateway started");
+        if let Some(link) = link {
+            state.outbox.open(link.handle);
+            let shared = Arc::clone(&state);
+            let plane = ControlPlane::new(shared, link.client, link.record, status_changes);
+            helpers.push(tokio::spawn(plane.run(link.inbox)));
+        }
+        tracing::info!(node = %state.node, %caller_address, %admin_address, "gateway started");
         Ok(Self {
             state,
             caller_address,
             admin_address,
             stop,
+            status,
             callers,
             helpers,
         })
@@ -107,14 +149,25 @@
     pub async fn stop(mut self) {
         let vm = self.state.settings.vm.clone();
         tracing::info!(%vm, "gateway leaves the directory");
-        let lifetime = Duration::from_millis(self.state.settings.directory_lifetime_ms);
-        tokio::time::sleep(lifetime).await;
+        self.state.set_leaving();
+        self.announce(ServingStatus::Leaving).await;
+        tokio::time::sleep(self.state.directory.max_lifetime()).await;
         self.stop.send_replace(true);
         let _ = (&mut self.callers).await;
+        self.announce(ServingStatus::Stopping).await;
         tracing::info!(%vm, "gateway stopped");
     }
+
+    async fn announce(&self, status: ServingStatus) {
+        // A gateway without a platform has nobody to tell.
+        let _ = self.status.send(status).await;
+        tokio::time::sleep(Duration::from_millis(ANNOUNCE_MS)).await;
+    }
 }
 
+/// The time in which peers are told of a change of status.
+const ANNOUNCE_MS: u64 = 50;
+
 impl Drop for GatewayProcess {
     fn drop(&mut self) {
         self.callers.abort();
@@ -122,15 +175,6 @@
     }
 }
 
-fn own_entry(state: &GatewayState, address: SocketAddr) -> DirectoryMember {
-    DirectoryMember {
-        vm: state.settings.vm.clone(),
-        data_centre: state.settings.data_centre.clone(),
-        address,
-        standing: EntryStanding::Serving,
-    }
-}
-
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
@@ -140,3 +184,37 @@
 fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, StartError> {
     listener.local_addr().context(ListenSnafu { address })
 }
+
+/// Registers the node and starts its peer link, if the settings name a platform.
+async fn join_fleet(
+    settings: &GatewaySettings,
+    clock: MonoClock,
+    caller_address: SocketAddr,
+) -> Result<Option<FleetLink>, StartError> {
+    let Some(platform) = settings.platform else {
+        return Ok(None);
+    };
+    let address = settings.peer_listen;
+    let listener = std::net::TcpListener::bind(address).context(ListenSnafu { address })?;
+    let peer_address = listener.local_addr().context(ListenSnafu { address })?;
+    let client = Arc::new(PlatformClient::new(platform, ClientSettings::default()));
+    let record = register(settings, &client, clock, caller_address, peer_address).await;
+    let secret = SharedSecret::new(settings.peer_secret.as_bytes());
+    let peer_settings = PeerSettings::new(record.node.clone(), peer_address, secret);
+    let (handle, inbox) = PeerLink::start_on(listener, peer_settings).context(PeersSnafu)?;
+    Ok(Some(FleetLink {
+        client,
+        record,
+        handle,
+        inbox,
+    }))
+}
+
+fn own_entry(state: &GatewayState, address: SocketAddr) -> DirectoryMember {
+    DirectoryMember {
+        vm: state.settings.vm.clone(),
+        data_centre: state.settings.data_centre.clone(),
+        address,
+        standing: EntryStanding::Serving,
+    }
+}
--- /dev/null
+++ b/gateway/src/serving_guard.rs
@@ -0,0 +1,128 @@
+//! Whether this node may serve requests with keys, checked directly before each one.
+
+use std::sync::RwLock;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use damaskloom_lib::freshness::{FreshnessAction, FreshnessGuard, FreshnessMessage};
+use damaskloom_lib::ids::{Epoch, NodeId};
+use damaskloom_lib::time::MonoTime;
+
+/// The time for which a node may know of a newer revision that is not in force on it.
+const MAX_BEHIND_MS: u64 = 5_000;
+const NOT_BEHIND: u64 = u64::MAX;
+
+/// Joins what decides whether requests with keys are served.
+///
+/// The node must have its first configuration, must not be behind for long, and must have a fresh
+/// proof of the head and of its shares; see [docs/design/freshness.md](../../docs/design/freshness.md).
+#[derive(Debug)]
+pub struct ServingGuard {
+    /// None for a gateway without a platform, which has nobody to be behind of.
+    freshness: Option<RwLock<FreshnessGuard>>,
+    ready: AtomicBool,
+    superseded: AtomicBool,
+    behind_since_micros: AtomicU64,
+}
+
+impl ServingGuard {
+    /// Makes the guard of a gateway that is a fleet of its own and always serves.
+    pub fn alone() -> Self {
+        Self {
+            freshness: None,
+            ready: AtomicBool::new(true),
+            superseded: AtomicBool::new(false),
+            behind_since_micros: AtomicU64::new(NOT_BEHIND),
+        }
+    }
+
+    /// Makes the guard of a member of a fleet, which serves nothing yet.
+    pub fn member(freshness: FreshnessGuard) -> Self {
+        Self {
+            freshness: Some(RwLock::new(freshness)),
+            ready: AtomicBool::new(false),
+            ..Self::alone()
+        }
+    }
+
+    /// Says whether requests with keys may be served at this moment.
+    pub fn allows_work(&self, now: MonoTime) -> bool {
+        let Some(freshness) = &self.freshness else {
+            return true;
+        };
+        if !self.ready.load(Ordering::Acquire) || self.superseded.load(Ordering::Acquire) {
+            return false;
+        }
+        let behind_since = self.behind_since_micros.load(Ordering::Acquire);
+        if behind_since != NOT_BEHIND {
+            let since = MonoTime::from_micros(behind_since);
+            if now.since(since) > Duration::from_millis(MAX_BEHIND_MS) {
+                return false;
+            }
+        }
+        let freshness = freshness
+            .read()
+            .expect("no holder of the freshness lock panics");
+        freshness.check(now).allows_work() && freshness.check_shares(now).allows_work()
+    }
+
+    /// Notes that the node has caught up with the fleet once.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Release);
+    }
+
+    /// Notes that a later start of this VM is a member, so that this process must not serve again.
+    pub fn set_superseded(&self) {
+        self.superseded.store(true, Ordering::Release);
+    }
+
+    /// Notes whether a newer revision than the one in force is known.
+    pub fn set_behind(&self, now: MonoTime, behind: bool) {
+        if !behind {
+            self.behind_since_micros
+                .store(NOT_BEHIND, Ordering::Release);
+            return;
+        }
+        // The first moment counts, however often the node is found behind.
+        let _ = self.behind_since_micros.compare_exchange(
+            NOT_BEHIND,
+            now.as_micros(),
+            Ordering::AcqRel,
+            Ordering::Acquire,
+        );
+    }
+
+    /// Changes the members whose contact counts.
+    pub fn set_epoch(&self, epoch: Epoch, members: impl IntoIterator<Item = NodeId>) {
+        self.with(|freshness| freshness.set_epoch(epoch, members));
+    }
+
+    /// Notes a proof of the head and of the epoch that it showed.
+    pub fn record_read(&self, started: MonoTime, epoch: Epoch) {
+        self.with(|freshness| freshness.record_read(started, epoch));
+    }
+
+    /// Takes a peer's message.
+    pub fn handle(
+        &self,
+        now: MonoTime,
+        from: &NodeId,
+        message: FreshnessMessage,
+    ) -> Vec<FreshnessAction> {
+        self.with(|freshness| freshness.handle(now, from, message))
+            .unwrap_or_default()
+    }
+
+    /// Asks peers for their proofs when that is due.
+    pub fn tick(&self, now: MonoTime) -> Vec<FreshnessAction> {
+        self.with(|freshness| freshness.tick(now))
+            .unwrap_or_default()
+    }
+
+    fn with<R>(&self, act: impl FnOnce(&mut FreshnessGuard) -> R) -> Option<R> {
+        let freshness = self.freshness.as_ref()?;
+        Some(act(&mut freshness
+            .write()
+            .expect("no holder of the freshness lock panics")))
+    }
+}
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -290,10 +290,7 @@
                 offered: delta.revision
             }
         );
-        delta
-            .changes
-            .iter()
-            .for_each(|change| self.apply_change(change));
+        delta.changes.iter().for_each(|change| self.put(change));
         self.revision = delta.revision;
         Ok(())
     }
@@ -303,10 +300,11 @@
     /// The result is consistent only once all parts are there, so this is no way to change a
     /// configuration in force.
     pub(crate) fn put_objects(&mut self, changes: &[ConfigChange]) {
-        changes.iter().for_each(|change| self.apply_change(change));
+        changes.iter().for_each(|change| self.put(change));
     }
 
-    fn apply_change(&mut self, change: &ConfigChange) {
+    /// Puts one object in place without changing the revision, to build a configuration from parts.
+    pub fn put(&mut self, change: &ConfigChange) {
         match change {
             ConfigChange::PutCustomer(customer) => {
                 self.customers.insert(customer.id.clone(), customer.clone());
@@ -341,6 +339,28 @@
         }
     }
 
+    /// Returns the changes that build this configuration from an empty one.
+    pub fn changes(&self) -> impl Iterator<Item = ConfigChange> {
+        let services = self
+            .services
+            .values()
+            .cloned()
+            .map(ConfigChange::PutService);
+        let targets = self.targets.values().cloned().map(ConfigChange::PutTarget);
+        let routes = self.routes.values().cloned().map(ConfigChange::PutRoute);
+        let customers = self
+            .customers
+            .values()
+            .cloned()
+            .map(ConfigChange::PutCustomer);
+        let keys = self.keys.values().cloned().map(ConfigChange::PutKey);
+        services
+            .chain(targets)
+            .chain(routes)
+            .chain(customers)
+            .chain(keys)
+    }
+
     /// Returns the targets of a service, in configuration order.
     pub fn targets_of(&self, service: &ServiceId) -> impl Iterator<Item = &Target> {
         self.targets
