gateway: share slots, queue fairly, bound retries, refuse crashing requests

Cause: each gateway used all slots of a target as if it were alone, and waited without order. Change: slots are taken from the fleet's escrow, waiting requests are served in fair turns, retries draw on service and customer accounts, a request that takes targets down is refused, connections are divided evenly, and the service-level burn is counted.

--- a/gateway/src/admin_server.rs
+++ b/gateway/src/admin_server.rs
@@ -62,6 +62,10 @@
     }
     match path {
         "/v1/status" => document(StatusCode::OK, &status(state)),
+        "/v1/burn" => document(
+            StatusCode::OK,
+            &state.burn.snapshot(state.clock.now(), &state.node),
+        ),
         "/metrics" => metrics(state),
         _ => match path.strip_prefix("/v1/explain/target/") {
             Some(id) => explain(state, id),
--- a/gateway/src/control_loop.rs
+++ b/gateway/src/control_loop.rs
@@ -22,7 +22,12 @@
 
 /// Ends waits for transfers in time, until the task is ended.
 pub async fn run_rate_ticks(state: Arc<GatewayState>) {
-    every(RATE_TICK_MS, || state.rates.tick()).await;
+    every(RATE_TICK_MS, || {
+        state.rates.tick();
+        state.slots.tick();
+        state.waiting.tick();
+    })
+    .await;
 }
 
 /// Judges targets, until the task is ended.
@@ -32,7 +37,11 @@
 
 /// Closes idle connections to targets, until the task is ended.
 pub async fn run_idle_ticks(state: Arc<GatewayState>) {
-    every(IDLE_TICK_MS, || state.targets.close_idle()).await;
+    every(IDLE_TICK_MS, || {
+        state.targets.close_idle();
+        state.crashes.tick();
+    })
+    .await;
 }
 
 /// Takes each new configuration over into all parts, until the task is ended.
@@ -62,7 +71,7 @@
     match delivery.topic {
         PeerTopic::Shares => {
             with_message(delivery, |from, message: EscrowMessage| {
-                state.rates.handle(from, &message)
+                take_shares(state, from, &message)
             });
         }
         PeerTopic::Evidence | PeerTopic::Ejection => {
@@ -70,15 +79,23 @@
                 state.health.handle(from, message);
             });
         }
+        PeerTopic::Crash => with_message(delivery, |_, message| state.crashes.handle(message)),
         PeerTopic::Membership
         | PeerTopic::Freshness
         | PeerTopic::Distribution
         | PeerTopic::Epoch
-        | PeerTopic::Crash
         | PeerTopic::Claims => {}
     }
 }
 
+fn take_shares(state: &GatewayState, from: &NodeId, message: &EscrowMessage) {
+    state.rates.handle(from, message);
+    let available = state.slots.handle(from, message);
+    if let Some(target) = available.and_then(|id| state.config.target(&id)) {
+        state.waiting.serve_queue(&target.service);
+    }
+}
+
 /// Reads a message and acts on it.
 pub fn with_message<M: DeserializeOwned>(delivery: &PeerDelivery, act: impl FnOnce(&NodeId, M)) {
     match serde_json::from_slice(&delivery.body) {
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -78,9 +78,13 @@
     if parts.uri.path() == DIRECTORY_PATH {
         return answer_directory(state, &scope, connection.peer());
     }
-    let result = run(state, &scope, &parts, body, arrival).await;
-    state.record_result(&scope, &result, arrival);
-    result.unwrap_or_else(refusal_answer)
+    match run(state, &scope, &parts, body, arrival).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            state.record_refusal(&scope, &refusal);
+            refusal_answer(refusal)
+        }
+    }
 }
 
 /// Checks the head, takes the key off and finds out who asks for what.
@@ -145,12 +149,16 @@
     let call = ServiceCall {
         state,
         scope,
+        parts,
         head: &head,
         deadline,
         idempotent: scope.route.idempotence == Idempotence::Idempotent,
     };
     match call.run(body).await {
-        CallOutcome::Answer(answer) => Ok(pass_on(answer)),
+        CallOutcome::Answer(answer, target) => {
+            state.record_answer(scope, &target, answer.status(), arrival);
+            Ok(pass_on(answer))
+        }
         CallOutcome::Refused(refusal) => Err(refusal),
     }
 }
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -18,6 +18,7 @@
 use hyper::client::conn::TrySendError;
 
 use crate::bodies::{RequestBody, WHOLE_BODY_BYTES, collect_body};
+use crate::slot_lease::SlotLease;
 use crate::target_pool::{AcquireError, ConnectionLease, TargetPool};
 
 /// Names the customer to the target, in place of the key.
@@ -177,8 +178,9 @@
     head: &OutgoingHead,
     body: RequestBody,
     deadline: Instant,
+    slot: SlotLease,
 ) -> Result<TargetAnswer, AttemptError> {
-    let exchange = exchange(pool, target, head, body, deadline);
+    let exchange = exchange(pool, target, head, body, deadline, slot);
     match tokio::time::timeout_at(deadline.into(), exchange).await {
         Ok(answer) => answer,
         Err(_) => Err(AttemptError::Timeout),
@@ -191,9 +193,10 @@
     head: &OutgoingHead,
     body: RequestBody,
     deadline: Instant,
+    slot: SlotLease,
 ) -> Result<TargetAnswer, AttemptError> {
-    let mut lease = pool.acquire().await.map_err(|error| match error {
-        AcquireError::NoSlot | AcquireError::NoConnection => AttemptError::Busy,
+    let mut lease = pool.acquire(slot).await.map_err(|error| match error {
+        AcquireError::NoConnection => AttemptError::Busy,
         AcquireError::Unreachable => AttemptError::Unreachable,
     })?;
     let request = head.request(target, deadline, body);
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -1,20 +1,22 @@
 //! The state that all requests of a gateway share.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+use damaskloom_lib::config::Target;
 use damaskloom_lib::evidence::AttemptOutcome;
 use damaskloom_lib::freshness::{FreshnessGuard, FreshnessSettings};
 use damaskloom_lib::ids::NodeId;
 use damaskloom_lib::outcome::Refusal;
 use damaskloom_lib::rendezvous::StableHash;
+use damaskloom_lib::retry_budget::RetryBudget;
 use damaskloom_lib::time::MonoTime;
-use http::Response;
 
-use crate::bodies::AnswerBody;
+use crate::burn_board::BurnBoard;
 use crate::clock::MonoClock;
 use crate::config_view::ConfigView;
+use crate::crash_desk::CrashDesk;
 use crate::exchange::RequestScope;
 use crate::fleet_directory::FleetDirectory;
 use crate::fleet_epoch::{FleetAssignment, FleetEpoch};
@@ -23,10 +25,11 @@
 use crate::meters::{GatewayMeters, MeterError};
 use crate::peer_outbox::PeerOutbox;
 use crate::rate_gate::RateGate;
-use crate::retry_gate::RetryGate;
 use crate::serving_guard::ServingGuard;
 use crate::settings::GatewaySettings;
+use crate::slot_desk::SlotDesk;
 use crate::target_set::TargetSet;
+use crate::waiting_calls::WaitingCalls;
 
 /// Everything that the request path of one gateway reads and writes.
 #[derive(Debug)]
@@ -48,9 +51,17 @@
     /// The connections to targets.
     pub targets: TargetSet,
     /// The judgement of targets.
-    pub health: HealthBoard,
+    pub health: Arc<HealthBoard>,
+    /// The slots of targets.
+    pub slots: Arc<SlotDesk>,
+    /// The requests that wait for slots.
+    pub waiting: WaitingCalls,
+    /// The requests that take targets down.
+    pub crashes: CrashDesk,
     /// The bound on retries.
-    pub retries: RetryGate,
+    pub retries: Mutex<RetryBudget>,
+    /// The service-level burn.
+    pub burn: BurnBoard,
     /// Where callers are sent.
     pub directory: FleetDirectory,
     /// The metrics.
@@ -106,7 +117,20 @@
         };
         let health = {
             let (clock, config, epoch, outbox) = shared();
-            HealthBoard::new(&node, &settings.data_centre, clock, config, epoch, outbox)
+            let centre = &settings.data_centre;
+            Arc::new(HealthBoard::new(
+                &node, centre, clock, config, epoch, outbox,
+            ))
+        };
+        let slots = {
+            let (clock, config, epoch, outbox) = shared();
+            Arc::new(SlotDesk::new(&node, clock, config, epoch, outbox))
+        };
+        let (board, desk) = (Arc::clone(&health), Arc::clone(&slots));
+        let waiting = WaitingCalls::new(clock, Arc::clone(&config), board, desk);
+        let crashes = {
+            let (clock, config, _, outbox) = shared();
+            CrashDesk::new(clock, config, Arc::clone(&health), outbox)
         };
         Ok(Arc::new(Self {
             clock,
@@ -116,7 +140,11 @@
             rates,
             targets: TargetSet::default(),
             health,
-            retries: RetryGate::default(),
+            slots,
+            waiting,
+            crashes,
+            retries: Mutex::default(),
+            burn: BurnBoard::new(clock.now()),
             directory: FleetDirectory::new(settings.directory_lifetime_ms),
             meters: GatewayMeters::new()?,
             guard,
@@ -154,30 +182,60 @@
 
     /// Says whether all shares conform to the newest assignment, so that it may be acknowledged.
     pub fn conforms(&self) -> bool {
-        self.rates.conforms() && self.health.conforms()
+        self.rates.conforms() && self.slots.conforms() && self.health.conforms()
     }
 
     /// Takes over the configuration and the assignment in force.
     pub fn refresh(&self) {
         self.rates.refresh();
+        self.slots.refresh();
         self.health.refresh();
+        let others = self
+            .epoch
+            .members()
+            .into_iter()
+            .filter(|member| *member != self.node);
+        self.crashes.set_peers(others);
+        let unsettled = self.epoch.unsettled_members();
+        let sharers = unsettled
+            .iter()
+            .map(Vec::len)
+            .chain([self.epoch.members().len()])
+            .max();
+        self.targets.set_sharers(sharers.unwrap_or(1), |id| {
+            self.config.target(id).map(|target| target.connections)
+        });
         self.directory.set_customers(&self.config.customers());
     }
 
-    /// Counts how a request ended.
-    pub fn record_result(
+    /// Counts a request that a target answered.
+    pub fn record_answer(
         &self,
         scope: &RequestScope,
-        result: &Result<Response<AnswerBody>, Refusal>,
+        target: &Target,
+        status: u16,
         arrival: Instant,
     ) {
-        match result {
-            Ok(response) => self.meters.answered(
-                scope.route.service.as_str(),
-                response.status().as_u16(),
-                arrival.elapsed(),
-            ),
-            Err(refusal) => self.meters.refused(refusal),
+        let service = &scope.route.service;
+        self.meters
+            .answered(service.as_str(), status, arrival.elapsed());
+        let Some(service) = self.config.service(service) else {
+            return;
+        };
+        let (now, customer) = (self.clock.now(), scope.customer.as_ref());
+        if status >= 500 {
+            self.burn.failed(now, &service, customer, target, status);
+        } else {
+            self.burn.good(now, &service, customer);
+        }
+    }
+
+    /// Counts a request that was refused.
+    pub fn record_refusal(&self, scope: &RequestScope, refusal: &Refusal) {
+        self.meters.refused(refusal);
+        if let Some(service) = self.config.service(&scope.route.service) {
+            self.burn
+                .refused(self.clock.now(), &service, scope.customer.as_ref(), refusal);
         }
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin_server;
 pub mod bodies;
+pub mod burn_board;
 pub mod caller_connection;
 pub mod caller_server;
 pub mod clock;
@@ -13,6 +14,7 @@
 pub mod config_view;
 pub mod control_loop;
 pub mod control_plane;
+pub mod crash_desk;
 pub mod directory_answer;
 pub mod exchange;
 pub mod fleet_directory;
@@ -40,9 +42,11 @@
 pub mod rate_gate;
 pub mod refusal_answer;
 pub mod request_check;
-pub mod retry_gate;
 pub mod service_call;
 pub mod serving_guard;
 pub mod settings;
+pub mod slot_desk;
+pub mod slot_lease;
 pub mod target_pool;
 pub mod target_set;
+pub mod waiting_calls;
--- a/gateway/src/service_call.rs
+++ b/gateway/src/service_call.rs
@@ -1,24 +1,31 @@
 //! The attempts that are made to serve one request: choice of target, waiting, retries.
 
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::sync::{Arc, LazyLock, MutexGuard};
+use std::time::Instant;
 
 use bytes::Bytes;
 use damaskloom_lib::config::Target;
+use damaskloom_lib::crash_guard::RequestFingerprint;
 use damaskloom_lib::evidence::{AttemptOutcome, AttemptScope};
 use damaskloom_lib::ids::{CustomerId, TargetId};
-use damaskloom_lib::outcome::{Reason, Refusal};
-use rand::Rng;
+use damaskloom_lib::outcome::Refusal;
+use damaskloom_lib::retry_budget::{RetryBudget, RetryDecision};
+use http::request::Parts;
 
 use crate::bodies::RequestBody;
+use crate::crash_desk::CrashDesk;
 use crate::exchange::{RequestScope, attempt_refusal};
 use crate::forward::{AttemptError, OutgoingHead, TargetAnswer, attempt};
 use crate::gateway::{GatewayState, attempt_outcome, reported_load};
+use crate::slot_lease::SlotLease;
+use crate::waiting_calls::{PickedSlot, SlotRequest};
 
 /// The most attempts that are made for one request.
 const MAX_ATTEMPTS: u32 = 3;
-/// The time after which a waiting request looks for a free slot again without a signal.
-const SLOT_RECHECK_MS: u64 = 5;
+
+/// The name under which requests without a key are judged and queued.
+static OPEN_CUSTOMER: LazyLock<CustomerId> =
+    LazyLock::new(|| "open".parse().expect("the name is a valid identifier"));
 
 /// A request body, as far as it can be sent more than once.
 #[derive(Debug)]
@@ -32,8 +39,8 @@
 /// How a call ended.
 #[derive(Debug)]
 pub enum CallOutcome {
-    /// A target answered.
-    Answer(TargetAnswer),
+    /// This target answered.
+    Answer(TargetAnswer, Target),
     /// No target's answer can be given.
     Refused(Refusal),
 }
@@ -44,6 +51,8 @@
     pub state: &'a Arc<GatewayState>,
     /// Who asks for what.
     pub scope: &'a RequestScope,
+    /// The caller's head, whose key was removed.
+    pub parts: &'a Parts,
     /// The head that every attempt sends.
     pub head: &'a OutgoingHead,
     /// When the caller must have its answer.
@@ -55,60 +64,63 @@
 impl ServiceCall<'_> {
     /// Makes attempts until one succeeds or none may follow.
     pub async fn run(&self, body: CallBody) -> CallOutcome {
-        let service = &self.scope.route.service;
-        self.state.retries.note_request(service);
+        let fingerprint = self.fingerprint(&body);
+        if let Some(Err(refusal)) = fingerprint
+            .as_ref()
+            .map(|fingerprint| self.state.crashes.check(fingerprint))
+        {
+            return CallOutcome::Refused(refusal);
+        }
+        self.retries()
+            .record_request(&self.scope.route.service, self.customer());
         let mut body = body;
         let mut tried: Vec<TargetId> = Vec::new();
-        let mut attempts = 0;
         loop {
-            let picked = match self.wait_for_target(&tried).await {
+            let picked = match self
+                .state
+                .waiting
+                .take_slot(&self.slot_request(&tried))
+                .await
+            {
                 Ok(picked) => picked,
                 Err(refusal) => return CallOutcome::Refused(refusal),
             };
+            let target = picked.target.clone();
             let (sent, kept) = split_body(body);
-            let result = self.attempt_at(&picked, sent).await;
+            let result = self.attempt_at(picked, sent, fingerprint.as_ref()).await;
             let error = match result {
-                Ok(answer) => return CallOutcome::Answer(answer),
+                Ok(answer) => return CallOutcome::Answer(answer, target),
                 Err(error) => error,
             };
-            attempts += 1;
+            tried.push(target.id);
             body = match kept {
-                Some(kept) if self.may_retry(error, attempts) => kept,
+                Some(kept) if self.may_retry(error, tried.len()) => kept,
                 _ => return CallOutcome::Refused(attempt_refusal(error)),
             };
-            tried.push(picked.target.id.clone());
-        }
-    }
-
-    /// Says whether the request may be sent again after this error.
-    fn may_retry(&self, error: AttemptError, attempts: u32) -> bool {
-        if !(error.is_not_run() || self.idempotent) || Instant::now() >= self.deadline {
-            return false;
-        }
-        match error {
-            // Nothing reached the service, so that a retry adds no load to it.
-            AttemptError::Busy | AttemptError::StaleConnection => true,
-            AttemptError::CallerBody => false,
-            _ => attempts < MAX_ATTEMPTS && self.state.retries.take(&self.scope.route.service),
         }
     }
 
     /// Makes one attempt and tells the judgement of targets how it went.
     async fn attempt_at(
         &self,
-        picked: &PickedSlot,
+        picked: PickedSlot,
         body: RequestBody,
+        fingerprint: Option<&RequestFingerprint>,
     ) -> Result<TargetAnswer, AttemptError> {
-        let (service, target) = (&self.scope.route.service, &picked.target);
+        let (service, target) = (&self.scope.route.service, picked.target);
         let scope = AttemptScope {
             target: target.id.clone(),
             route: self.scope.route.id.clone(),
-            customer: self.scope.customer.clone().unwrap_or_else(open_customer),
+            customer: self.customer().clone(),
         };
         let attempt_id = self.state.health.begin(service, scope, picked.trial);
-        let pool = self.state.targets.pool(target);
-        let result = attempt(&pool, target, self.head, body, self.deadline).await;
-        self.state.targets.released(service).notify_one();
+        let started = Instant::now();
+        let slot = SlotLease::new(self.state, &target, picked.ticket);
+        let pool = self.state.targets.pool(&target);
+        let result = attempt(&pool, &target, self.head, body, self.deadline, slot).await;
+        self.state
+            .waiting
+            .note_finished(&self.slot_request(&[]), started.elapsed());
         let outcome = attempt_outcome(&result);
         self.state
             .meters
@@ -119,83 +131,84 @@
                 .health
                 .finish(service, id, &target.id, outcome, load);
         }
+        if let Some(fingerprint) = fingerprint {
+            self.note_crash_evidence(fingerprint, &target.id, outcome);
+        }
         result
     }
 
-    /// Waits until a target with a free slot can be had.
-    async fn wait_for_target(&self, tried: &[TargetId]) -> Result<PickedSlot, Refusal> {
-        let service = &self.scope.route.service;
-        let released = self.state.targets.released(service);
-        loop {
-            let signal = released.notified();
-            match self.choose_target(tried) {
-                Choice::Target(picked) => return Ok(picked),
-                Choice::None => return Err(Refusal::not_run(Reason::NoTarget)),
-                Choice::AllBusy => {}
-            }
-            if Instant::now() >= self.deadline {
-                return Err(Refusal::not_run(Reason::DeadlineUnmeetable));
-            }
-            let recheck = Duration::from_millis(SLOT_RECHECK_MS);
-            let _ = tokio::time::timeout(recheck, signal).await;
+    fn note_crash_evidence(
+        &self,
+        fingerprint: &RequestFingerprint,
+        target: &TargetId,
+        outcome: AttemptOutcome,
+    ) {
+        match outcome {
+            AttemptOutcome::Broken => self.state.crashes.lost(fingerprint, target),
+            AttemptOutcome::ConnectFailed => self.state.crashes.unreachable(target),
+            AttemptOutcome::Good => self.state.crashes.completed(fingerprint),
+            AttemptOutcome::Rejected
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Shed
+            | AttemptOutcome::TimedOut
+            | AttemptOutcome::Cancelled => {}
         }
     }
 
-    /// Picks targets until one has a free slot for this node.
-    fn choose_target(&self, tried: &[TargetId]) -> Choice {
-        let service = &self.scope.route.service;
-        let mut excluded = tried.to_vec();
-        loop {
-            let seed = rand::rng().random();
-            let idempotence = self.scope.route.idempotence;
-            let picked = self
-                .state
-                .health
-                .pick(service, idempotence, seed, &excluded);
-            let Some(picked) = picked else {
-                let all_tried = excluded.len() == tried.len();
-                return if all_tried {
-                    Choice::None
-                } else {
-                    Choice::AllBusy
-                };
-            };
-            match self.state.config.target(&picked.target) {
-                Some(target) if self.state.targets.pool(&target).has_free_slot() => {
-                    return Choice::Target(PickedSlot {
-                        target,
-                        trial: picked.trial,
-                    });
-                }
-                _ => excluded.push(picked.target),
+    /// Says whether the request may be sent again after this error.
+    fn may_retry(&self, error: AttemptError, attempts: usize) -> bool {
+        if !(error.is_not_run() || self.idempotent) || Instant::now() >= self.deadline {
+            return false;
+        }
+        match error {
+            // Nothing reached the service, so that a retry adds no load to it.
+            AttemptError::Busy | AttemptError::StaleConnection => true,
+            AttemptError::CallerBody => false,
+            _ if attempts as u32 >= MAX_ATTEMPTS => false,
+            _ => {
+                let service = &self.scope.route.service;
+                let load = self.state.waiting.load(service);
+                let decision = self.retries().try_retry(service, self.customer(), load);
+                decision == RetryDecision::Allow
             }
         }
     }
-}
 
-/// A target that was picked and has a free slot.
-#[derive(Clone, Debug)]
-pub struct PickedSlot {
-    /// The target.
-    pub target: Target,
-    /// Whether the request tries an ejected target.
-    pub trial: bool,
-}
+    fn fingerprint(&self, body: &CallBody) -> Option<RequestFingerprint> {
+        let CallBody::Whole(bytes) = body else {
+            return None;
+        };
+        let route = &self.scope.route.id;
+        Some(CrashDesk::fingerprint(
+            self.customer(),
+            route,
+            self.parts,
+            bytes,
+        ))
+    }
 
-/// The result of a search for a target.
-#[derive(Clone, Debug)]
-enum Choice {
-    /// This target has a free slot.
-    Target(PickedSlot),
-    /// Targets take work, but none has a free slot for this node.
-    AllBusy,
-    /// No target takes work.
-    None,
-}
+    fn slot_request<'a>(&'a self, tried: &'a [TargetId]) -> SlotRequest<'a> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        SlotRequest {
+            service: &self.scope.route.service,
+            route: &self.scope.route.id,
+            customer: self.customer(),
+            idempotence: self.scope.route.idempotence,
+            deadline: self.state.clock.now() + left,
+            tried,
+        }
+    }
+
+    fn customer(&self) -> &CustomerId {
+        self.scope.customer.as_ref().unwrap_or(&OPEN_CUSTOMER)
+    }
 
-/// The name under which requests without a key are judged.
-fn open_customer() -> CustomerId {
-    "open".parse().expect("the name is a valid identifier")
+    fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.state
+            .retries
+            .lock()
+            .expect("no holder of the retry lock panics")
+    }
 }
 
 const fn outcome_label(outcome: AttemptOutcome) -> &'static str {
--- a/gateway/src/target_pool.rs
+++ b/gateway/src/target_pool.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 
 use crate::bodies::RequestBody;
+use crate::slot_lease::SlotLease;
 
 /// The time in which a target must accept a connection.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
@@ -22,9 +23,6 @@
 /// Says why no connection could be had; nothing was sent to the target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
 pub enum AcquireError {
-    /// All slots that this node may use are taken.
-    #[snafu(display("the target has no free slot for this node"))]
-    NoSlot,
     /// This node's share of the target's connections is used up.
     #[snafu(display("this node's share of the target's connections is used up"))]
     NoConnection,
@@ -43,7 +41,6 @@
 #[derive(Debug)]
 pub struct TargetPool {
     address: SocketAddr,
-    slots: AtomicU32,
     connections: AtomicU32,
     in_flight: AtomicU32,
     open: AtomicU32,
@@ -51,11 +48,10 @@
 }
 
 impl TargetPool {
-    /// Makes an empty pool for a target; `slots` and `connections` are this node's shares.
-    pub fn new(address: SocketAddr, slots: u32, connections: u32) -> Self {
+    /// Makes an empty pool for a target; `connections` is this node's share of its connections.
+    pub fn new(address: SocketAddr, connections: u32) -> Self {
         Self {
             address,
-            slots: AtomicU32::new(slots),
             connections: AtomicU32::new(connections),
             in_flight: AtomicU32::new(0),
             open: AtomicU32::new(0),
@@ -63,9 +59,8 @@
         }
     }
 
-    /// Changes this node's shares; what is in use above them ends by itself.
-    pub fn set_shares(&self, slots: u32, connections: u32) {
-        self.slots.store(slots, Ordering::Relaxed);
+    /// Changes this node's share of the connections; open ones above it end by themselves.
+    pub fn set_connections(&self, connections: u32) {
         self.connections.store(connections, Ordering::Relaxed);
     }
 
@@ -79,18 +74,16 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Says whether a slot is free for this node.
-    pub fn has_free_slot(&self) -> bool {
-        self.in_flight() < self.slots.load(Ordering::Relaxed)
-    }
-
-    /// Takes a slot and a connection.
+    /// Takes a connection for an exchange that has a slot.
     ///
     /// # Errors
     ///
-    /// Fails if no slot or connection is free, or if the target does not accept one in time.
-    pub async fn acquire(self: &Arc<Self>) -> Result<ConnectionLease, AcquireError> {
-        let slot = SlotGuard::take(self).ok_or(AcquireError::NoSlot)?;
+    /// Fails if no connection is free, or if the target does not accept one in time.
+    pub async fn acquire(
+        self: &Arc<Self>,
+        slot: SlotLease,
+    ) -> Result<ConnectionLease, AcquireError> {
+        let slot = ExchangeGuard::new(self, slot);
         while let Some((mut sender, connection)) = self.take_idle() {
             // The last answer is complete, so the connection is ready as soon as its task has run.
             if sender.ready().await.is_ok() {
@@ -163,20 +156,24 @@
         .is_ok()
 }
 
+/// Counts an exchange and holds its slot.
 #[derive(Debug)]
-struct SlotGuard {
+struct ExchangeGuard {
     pool: Arc<TargetPool>,
+    _slot: SlotLease,
 }
 
-impl SlotGuard {
-    fn take(pool: &Arc<TargetPool>) -> Option<Self> {
-        take_one(&pool.in_flight, &pool.slots).then(|| Self {
+impl ExchangeGuard {
+    fn new(pool: &Arc<TargetPool>, slot: SlotLease) -> Self {
+        pool.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self {
             pool: Arc::clone(pool),
-        })
+            _slot: slot,
+        }
     }
 }
 
-impl Drop for SlotGuard {
+impl Drop for ExchangeGuard {
     fn drop(&mut self) {
         self.pool.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
@@ -218,7 +215,7 @@
 pub struct ConnectionLease {
     sender: SendRequest<RequestBody>,
     connection: ConnectionGuard,
-    slot: SlotGuard,
+    slot: ExchangeGuard,
     reused: bool,
 }
 
--- a/gateway/src/target_set.rs
+++ b/gateway/src/target_set.rs
@@ -1,11 +1,11 @@
 //! The targets of the services that this node has sent requests to.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use damaskloom_lib::config::Target;
-use damaskloom_lib::ids::{ServiceId, TargetId};
+use damaskloom_lib::ids::TargetId;
 use indexmap::IndexMap;
-use tokio::sync::Notify;
 
 use crate::target_pool::TargetPool;
 
@@ -15,7 +15,7 @@
 #[derive(Debug, Default)]
 pub struct TargetSet {
     shards: [Mutex<IndexMap<TargetId, Arc<TargetPool>>>; SHARDS],
-    released: Mutex<IndexMap<ServiceId, Arc<Notify>>>,
+    sharers: AtomicUsize,
 }
 
 impl TargetSet {
@@ -28,7 +28,8 @@
         match shard.get(&target.id) {
             Some(pool) if pool.address() == target.address => Arc::clone(pool),
             _ => {
-                let pool = TargetPool::new(target.address, target.slots, target.connections);
+                let pool =
+                    TargetPool::new(target.address, self.connection_share(target.connections));
                 let pool = Arc::new(pool);
                 shard.insert(target.id.clone(), Arc::clone(&pool));
                 pool
@@ -36,13 +37,23 @@
         }
     }
 
-    /// Returns the signal that is given when a slot of the service becomes free.
-    pub fn released(&self, service: &ServiceId) -> Arc<Notify> {
-        let mut released = self
-            .released
-            .lock()
-            .expect("no holder of the signals panics");
-        Arc::clone(released.entry(service.clone()).or_default())
+    /// Divides the connections of each target evenly over so many nodes.
+    ///
+    /// A share is rounded down, so that all nodes together keep to what a target accepts.
+    pub fn set_sharers(&self, nodes: usize, connections_of: impl Fn(&TargetId) -> Option<u32>) {
+        self.sharers.store(nodes.max(1), Ordering::Relaxed);
+        for shard in &self.shards {
+            let shard = shard.lock().expect("no holder of a shard panics");
+            for (id, pool) in shard.iter() {
+                let connections = connections_of(id).unwrap_or(0);
+                pool.set_connections(self.connection_share(connections));
+            }
+        }
+    }
+
+    fn connection_share(&self, connections: u32) -> u32 {
+        let sharers = self.sharers.load(Ordering::Relaxed).max(1);
+        connections / u32::try_from(sharers).unwrap_or(u32::MAX)
     }
 
     /// Closes connections that were idle for too long.
