--- a/lib/src/table_layout.rs
+++ b/lib/src/table_layout.rs
@@ -153,15 +153,25 @@
 /// The newest snapshot of the configuration in the object store.
 ///
 /// A snapshot is split into parts, so that a node can load it without holding all of its text.
+/// Each one has a name of its own, so that two processes that write at once cannot mix their parts.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct SnapshotRow {
     /// The revision of the snapshot.
     pub revision: Revision,
+    /// The name that the names of the parts start with.
+    pub name: String,
     /// The number of parts.
     pub parts: u32,
 }
 
+impl SnapshotRow {
+    /// Returns the name of a part in the object store.
+    pub fn part_name(&self, part: u32) -> String {
+        format!("{}/{part:06}", self.name)
+    }
+}
+
 /// One part of a snapshot, which is an object of the object store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -171,8 +181,3 @@
     /// Objects of the configuration, each as the change that puts it there.
     pub changes: Vec<ConfigChange>,
 }
-
-/// Returns the name of a snapshot's part in the object store.
-pub fn snapshot_object(revision: Revision, part: u32) -> String {
-    format!("snapshot/{:020}/{part:06}", revision.0)
-}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,8 +1,8 @@
 //! All tests of the crate, one module a subject.
 
-mod fake_table;
 mod claim_fleet;
 mod fake_net;
+mod fake_table;
 mod seeded_run;
 mod share_fleet;
 #[allow(dead_code)]
--- a/operator/src/api.rs
+++ b/operator/src/api.rs
@@ -1,6 +1,9 @@
 //! The calls of the API: paths, roles and bodies.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
+use damaskloom_lib::confirm::PlanOutcome;
 use damaskloom_lib::ids::{CustomerId, PlanId, Revision};
 use damaskloom_lib::object_key::ObjectKey;
 use damaskloom_lib::plan::Intent;
@@ -17,6 +20,7 @@
 use crate::keys::{drain_target, grant_key, list_keys, read_object, rotate_key, withdraw_key};
 use crate::plans::{confirm_plan, list_plans, make_plan, read_plan};
 use crate::settings::OperatorSettings;
+use crate::snapshot::SnapshotWriter;
 use crate::status::fleet_status;
 use crate::wire::{AuditList, GrantRequest, KeyRequest};
 
@@ -66,20 +70,20 @@
 /// Answers calls; holds nothing that is not in the platform's table.
 #[derive(Debug)]
 pub struct OperatorApi {
-    platform: PlatformClient,
+    platform: Arc<PlatformClient>,
     settings: OperatorSettings,
+    snapshots: SnapshotWriter,
 }
 
 impl OperatorApi {
     /// Makes the API over the platform that the settings name.
     pub fn new(settings: OperatorSettings) -> Self {
         let platform = PlatformClient::new(settings.platform, settings.platform_client.clone());
-        Self { platform, settings }
-    }
-
-    /// Returns the platform's client.
-    pub const fn platform(&self) -> &PlatformClient {
-        &self.platform
+        Self {
+            platform: Arc::new(platform),
+            settings,
+            snapshots: SnapshotWriter::default(),
+        }
     }
 
     /// Returns the settings.
@@ -94,7 +98,7 @@
 
     async fn dispatch(&self, call: &ApiCall) -> Result<ApiReply, ApiError> {
         let bootstrap = self.settings.bootstrap_credential;
-        let caller = authenticate(&self.platform, bootstrap, &call.headers).await?;
+        let caller = authenticate(self.platform.as_ref(), bootstrap, &call.headers).await?;
         let segments: Vec<&str> = call.path.trim_matches('/').split('/').collect();
         match (&call.method, segments.as_slice()) {
             (&Method::GET, path) => {
@@ -107,7 +111,7 @@
             }
             (&Method::POST, ["v1", "operators"]) => {
                 let request = parse_body(call)?;
-                let response = add_operator(&self.platform, &caller, request).await?;
+                let response = add_operator(self.platform.as_ref(), &caller, request).await?;
                 Ok(ApiReply::new(StatusCode::CREATED, &response))
             }
             (&Method::POST, path) => {
@@ -119,7 +123,7 @@
     }
 
     async fn read(&self, path: &[&str], call: &ApiCall) -> Result<ApiReply, ApiError> {
-        let store = &self.platform;
+        let store = self.platform.as_ref();
         match path {
             ["v1", "plans"] => ok(&list_plans(store).await?),
             ["v1", "plans", id] => ok(&read_plan(store, &parse_id(id)?).await?),
@@ -143,7 +147,7 @@
         path: &[&str],
         call: &ApiCall,
     ) -> Result<ApiReply, ApiError> {
-        let (store, operator) = (&self.platform, &caller.operator);
+        let (store, operator) = (self.platform.as_ref(), &caller.operator);
         match path {
             ["v1", "plans"] => {
                 let intent: Intent = parse_body(call)?;
@@ -170,10 +174,14 @@
 
     async fn confirm(&self, caller: &Caller, id: &str) -> Result<ApiReply, ApiError> {
         let id: PlanId = parse_id(id)?;
-        let response = confirm_plan(&self.platform, &caller.operator, id).await?;
+        let response = confirm_plan(self.platform.as_ref(), &caller.operator, id).await?;
         let status = match &response.outcome {
-            damaskloom_lib::confirm::PlanOutcome::Accepted(_) => StatusCode::OK,
-            damaskloom_lib::confirm::PlanOutcome::Refused(_) => StatusCode::CONFLICT,
+            PlanOutcome::Accepted(_) => {
+                let every = self.settings.snapshot_every;
+                self.snapshots.start(self.platform.clone(), every);
+                StatusCode::OK
+            }
+            PlanOutcome::Refused(_) => StatusCode::CONFLICT,
         };
         Ok(ApiReply::new(status, &response))
     }
