--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,11 +2,15 @@
 
 mod claim_fleet;
 mod fake_net;
+mod fake_network;
 mod fake_table;
 mod seeded_run;
 mod share_fleet;
 #[allow(dead_code)]
 mod slot_fleet;
+#[allow(dead_code)]
+#[path = "../benches/support/mod.rs"]
+mod support;
 mod test_claims;
 mod test_configuration;
 mod test_crash_guard;
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -8,7 +8,7 @@
 };
 use damaskloom_lib::claim_log::ClaimLog;
 use damaskloom_lib::claim_message::{
-    ClaimMessage, ClaimResult, ClaimTicket, FirstClaim, KeptAnswer,
+    ClaimMessage, ClaimResult, ClaimTicket, FirstClaim, KeptAnswer, KeptHeader,
 };
 use damaskloom_lib::claim_takeover::ClaimCertainty;
 use damaskloom_lib::ids::{Epoch, NodeId};
@@ -80,7 +80,7 @@
         key: key(0),
         ticket: ticket(number),
         fingerprint: fingerprint(content),
-        copy: Some(node(2, 0)),
+        copy: Some(node(3, 0)),
     }
 }
 
@@ -161,6 +161,21 @@
     assert_eq!(messages(log.handle(NOW, &gateway, claim(2, 0))), granted(2));
 }
 
+#[test]
+fn what_was_open_in_one_epoch_is_closed_in_the_next() {
+    let (mut log, gateway) = home();
+    log.handle(NOW, &gateway, claim(1, 0));
+    log.row_written(NOW, &key(0), RowWrite::Committed);
+    complete(&mut log, &gateway, 1, ClaimResult::NotRun);
+    log.enter_epoch(NOW, Epoch(2), []);
+    let mut again = claim(2, 0);
+    if let ClaimMessage::Claim { epoch, .. } = &mut again {
+        *epoch = Epoch(2);
+    }
+    let told = messages(log.handle(NOW, &gateway, again));
+    assert_eq!(told, duplicate(2, FirstClaim::Spent));
+}
+
 #[test]
 fn a_lost_write_is_read_back_before_anything_runs() {
     let (mut log, gateway) = home();
@@ -194,7 +209,7 @@
         key: key(0),
         ticket: ticket(1),
     };
-    assert_eq!(messages(log.handle(NOW, &node(2, 0), ack)), granted(1));
+    assert_eq!(messages(log.handle(NOW, &node(3, 0), ack)), granted(1));
     let told = messages(silent.tick(later(250)));
     assert_eq!(told, unavailable(1, Execution::NotRun));
 
@@ -213,10 +228,10 @@
     let (mut log, gateway) = home();
     log.handle(NOW, &gateway, claim(1, 0));
     let asked = messages(log.row_written(NOW, &key(0), RowWrite::Unavailable));
-    let mut holder = ClaimLog::new(node(2, 0), ClaimLimits::default());
+    let mut holder = ClaimLog::new(node(3, 0), ClaimLimits::default());
     holder.enter_epoch(NOW, Epoch(2), []);
     let told = messages(holder.handle(NOW, &node(0, 0), asked[0].clone()));
-    let told = messages(log.handle(NOW, &node(2, 0), told[0].clone()));
+    let told = messages(log.handle(NOW, &node(3, 0), told[0].clone()));
     assert_eq!(told, unavailable(1, Execution::Unknown));
 }
 
@@ -229,17 +244,18 @@
     let told = log.handle(NOW, &node(1, 0), claim(1, 0));
     assert_eq!(messages(told), unavailable(1, Execution::Unknown));
 
-    for vm in [1, 2] {
+    for vm in [1, 3] {
         let handover = ClaimMessage::Handover {
             epoch: Epoch(1),
             claims: Vec::new(),
             gone: Vec::new(),
+            uninformed_ms: None,
         };
         log.handle(NOW, &node(vm, 0), handover);
     }
     // Both are of one data centre, so that they cannot have held a claim alone.
     log.source_gone(NOW, &node(0, 0));
-    log.source_gone(NOW, &node(3, 0));
+    log.source_gone(NOW, &node(2, 0));
     assert_eq!(log.certainty(), ClaimCertainty::KnownWithStore);
     log.handle(NOW, &node(1, 0), claim(2, 0));
     let told = log.row_written(NOW, &key(0), RowWrite::Unavailable);
@@ -312,3 +328,18 @@
     assert!(client.may_run(later(29_999), &ticket));
     assert!(!client.may_run(later(30_000), &ticket));
 }
+
+#[test]
+fn any_answer_survives_the_way_between_nodes() {
+    let answer = KeptAnswer {
+        status: 200,
+        headers: vec![KeptHeader {
+            name: "x-raw".to_owned(),
+            value: vec![0xff, b'a'].into(),
+        }],
+        body: (0..=255).collect::<Vec<u8>>().into(),
+    };
+    let json = serde_json::to_string(&answer).expect("it serialises");
+    let read: KeptAnswer = serde_json::from_str(&json).expect("it is read");
+    assert_eq!(read, answer);
+}
