--- a/cli/tests/test_ctl.rs
+++ b/cli/tests/test_ctl.rs
@@ -1,1 +1,166 @@
-//! Placeholder.
+//! The command line: what is understood, what is shown, and what scripts are told.
+
+use std::ffi::OsString;
+
+use damaskloom_cli::ctl_args::parse_args;
+use damaskloom_cli::ctl_client::CallError;
+use damaskloom_cli::ctl_command::{CtlCommand, ExitStatus, KeyArgument, KeysCommand};
+use damaskloom_cli::ctl_output::{show_outcome, show_plan, show_status};
+use damaskloom_cli::ctl_run::run_command;
+use damaskloom_operator::api::OperatorApi;
+use damaskloom_operator::server::OperatorServer;
+use damaskloom_operator::wire::{ErrorBody, FleetStatus, PlanView};
+use damaskloom_testutils::platform_server::PlatformServer;
+use http::StatusCode;
+use insta::assert_snapshot;
+use serde_json::{Value, json};
+
+fn words(line: &str) -> Vec<OsString> {
+    line.split_whitespace().map(OsString::from).collect()
+}
+
+fn from_json<T: serde::de::DeserializeOwned>(value: Value) -> T {
+    serde_json::from_value(value).unwrap()
+}
+
+#[test]
+fn a_command_line_is_understood_whole_or_not_at_all() {
+    let options = parse_args(words("--json keys withdraw - --confirm")).unwrap();
+    assert!(options.json && options.confirm);
+    let withdraw = KeysCommand::Withdraw(KeyArgument::StandardInput);
+    assert_eq!(options.command, CtlCommand::Keys(withdraw));
+    let wrong = [
+        "",
+        "plan",
+        "confirm",
+        "confirm a b",
+        "keys withdraw not-a-digest",
+        "targets undrain t1",
+        "status --wtach",
+        "operators add ada root",
+    ];
+    for line in wrong {
+        assert!(parse_args(words(line)).is_err(), "{line:?} was understood");
+    }
+}
+
+#[test]
+fn a_plan_shows_what_changes_and_what_to_know() {
+    let plan: PlanView = from_json(json!({
+        "id": "p1", "planned_by": "ada", "note": "drain t1", "base_revision": 4,
+        "diff": [{"object": "target/t1", "kind": "changed", "fields": [
+            {"field": "state", "before": "active", "after": "leaving"}]}],
+        "warnings": [{"floor_unreachable": {"service": "convoy-desk", "floor": 20, "active_targets": 19}}],
+    }));
+    assert_snapshot!(show_plan(&plan), @r"
+    plan p1 on revision 4
+
+    CHANGE  OBJECT     FIELD  BEFORE  AFTER
+    change  target/t1  state  active  leaving
+    warning: service convoy-desk will have 19 targets that take work, under its floor of 20
+
+    nothing has changed yet; run: confirm p1
+    ");
+    let refused = from_json(
+        json!({"refused": {"stale": [{"object": "target/t1", "changed_by":
+        {"plan": "p0", "operator": "ben", "revision": 5}}]}}),
+    );
+    assert_snapshot!(show_outcome(&refused), @"refused: target/t1 was changed by ben with plan p0 in revision 5");
+}
+
+#[test]
+fn status_counts_nodes_at_the_revision_and_nodes_without_an_answer() {
+    let status: FleetStatus = from_json(json!({"head": 7, "nodes": [
+        {"address": "10.0.0.1:80", "status": {"vm": "vm-1", "revision": 7, "epoch": 2}},
+        {"address": "10.0.0.2:80", "status": {"vm": "vm-2", "revision": 6}},
+        {"address": "10.0.0.3:80", "status": null},
+    ]}));
+    assert_snapshot!(show_status(&status, status.head), @r"
+    ADDRESS      VM    REVISION   EPOCH
+    10.0.0.1:80  vm-1  7          2
+    10.0.0.2:80  vm-2  6          -
+    10.0.0.3:80  -     no answer  -
+    revision 7: 1 of 3 nodes, 1 without an answer
+    ");
+}
+
+#[test]
+fn exit_codes_tell_a_wrong_intent_from_a_missing_decision() {
+    let refused = |status: StatusCode, code: &str| {
+        let body = ErrorBody {
+            code: code.to_owned(),
+            message: String::new(),
+        };
+        CallError::Refused { status, body }.exit_status()
+    };
+    let statuses = [
+        refused(StatusCode::UNPROCESSABLE_ENTITY, "invalid_intent"),
+        refused(StatusCode::UNPROCESSABLE_ENTITY, "unchanged"),
+        refused(StatusCode::FORBIDDEN, "forbidden"),
+        refused(StatusCode::SERVICE_UNAVAILABLE, "undecided"),
+    ];
+    let expected = [
+        ExitStatus::Usage,
+        ExitStatus::Done,
+        ExitStatus::NotAllowed,
+        ExitStatus::Pending,
+    ];
+    assert_eq!(statuses, expected);
+}
+
+/// From a changes file to a refused second plan, through the listening server.
+#[tokio::test]
+async fn a_plan_is_made_confirmed_and_refused_when_stale() {
+    let platform = PlatformServer::start(([127, 0, 0, 1], 0).into())
+        .await
+        .unwrap();
+    let credential = "bootstrap-credential";
+    let digest = damaskloom_lib::key::RawKey::new(credential).digest();
+    let settings = from_json(json!({
+        "listen": "127.0.0.1:0", "platform": platform.address(), "bootstrap_credential": digest,
+        "platform_client": {"attempt_timeout_ms": 10_000, "call_timeout_ms": 20_000,
+            "reads_per_second": 1_000, "writes_per_second": 1_000},
+    }));
+    let server = OperatorServer::bind(OperatorApi::new(settings))
+        .await
+        .unwrap();
+    let address = server.address();
+    let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+    let serving = tokio::spawn(server.serve(async { drop(stopped.await) }));
+    let files = std::env::temp_dir().join(format!("damaskloom-ctl-{}", std::process::id()));
+    std::fs::create_dir_all(&files).unwrap();
+    std::fs::write(files.join("credential"), credential).unwrap();
+    let changes = "{ // the border post\n\"changes\": [{\"put_customer\": \
+        {\"id\": \"border-post\", \"rate\": \"10/s\", \"burst\": 5}}]}";
+    std::fs::write(files.join("changes.json"), changes).unwrap();
+    let run = async |command: &str| {
+        let credential = files.join("credential").display().to_string();
+        let line = format!("--api {address} --credential-file {credential} {command}");
+        let options = parse_args(words(&line)).unwrap();
+        run_command(&options).await
+    };
+    let plan = format!("plan -f {}", files.join("changes.json").display());
+    assert_eq!(run(&plan).await.unwrap(), ExitStatus::Done);
+    assert_eq!(
+        run(&format!("{plan} --confirm")).await.unwrap(),
+        ExitStatus::Done
+    );
+    // The first plan was made from a state that has changed since.
+    let client = damaskloom_cli::ctl_client::CtlClient::new(address, Some(credential.to_owned()));
+    let plans: damaskloom_operator::wire::PlanList = client.get("/v1/plans").await.unwrap();
+    let stale = plans
+        .plans
+        .iter()
+        .find(|plan| plan.outcome.is_none())
+        .unwrap();
+    let confirm = format!("confirm {}", stale.id);
+    assert_eq!(run(&confirm).await.unwrap(), ExitStatus::Refused);
+    assert_eq!(
+        run(&plan).await.unwrap_err().exit_status(),
+        ExitStatus::Done
+    );
+    assert_eq!(run("status --watch").await.unwrap(), ExitStatus::Done);
+    stop.send(()).unwrap();
+    serving.await.unwrap();
+    std::fs::remove_dir_all(&files).unwrap();
+}
