--- a/cli/src/ctl_run.rs
+++ b/cli/src/ctl_run.rs
@@ -218,8 +218,9 @@
         loop {
             let status: FleetStatus = client.get("/v1/status").await?;
             let revision = command.revision.or(status.head);
-            let is_complete =
-                revision.is_some_and(|revision| status.nodes_at(revision) == status.nodes.len());
+            // Without a known node nothing says that the revision is in force anywhere.
+            let is_complete = !status.nodes.is_empty()
+                && revision.is_some_and(|revision| status.nodes_at(revision) == status.nodes.len());
             if !command.watch {
                 return Ok(self.print(&status, |status| show_status(status, revision)));
             }
