keys: hold the keys once, in the table that looks them up

Cause: a lookup table beside the configuration brought a node to 213.4 + 69.1 = 282.5 MB resident at 510,000 customers with a key each and 66,000 routes, over the 256 MB that everything on a node may take. Change: the table is the configuration's own list of keys, hashes by the digest's bytes, and shares each customer's name with the customer.

--- a/cli/src/deployment.rs
+++ b/cli/src/deployment.rs
@@ -4,10 +4,11 @@
 
 use damaskloom_lib::config::PolicyMode;
 use damaskloom_lib::config::{
-    Customer, DetectionMode, FleetConfig, KeyGrant, KeyState, Route, Service, Target, TargetState,
+    Customer, DetectionMode, FleetConfig, KeyState, Route, Service, Target, TargetState,
 };
 use damaskloom_lib::ids::{CustomerId, DataCentreId, IdError, Revision, ServiceId};
 use damaskloom_lib::key::RawKey;
+use damaskloom_lib::key_table::KeyEntry;
 use damaskloom_testutils::load_plan::{CustomerLoad, LoadPlan, RequestKind};
 use damaskloom_testutils::target_settings::{ServiceTime, TargetSettings};
 use serde::Deserialize;
@@ -154,12 +155,11 @@
                 .customers
                 .insert(customer.id.clone(), customer.clone());
             let digest = RawKey::new(Self::key_of(&customer.id)).digest();
-            let grant = KeyGrant {
-                digest,
+            let entry = KeyEntry {
                 customer: customer.id.clone(),
                 state: KeyState::Granted,
             };
-            config.keys.insert(digest, grant);
+            config.keys.put(digest, entry);
         }
         for route in &self.routes {
             config.routes.insert(route.id.clone(), route.clone());
--- a/lib/benches/configuration.rs
+++ b/lib/benches/configuration.rs
@@ -4,15 +4,16 @@
 //! set. Run it with `cargo bench -p damaskloom-lib --bench configuration`.
 
 use std::hint::black_box;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use damaskloom_lib::config::{
     ConfigChange, ConfigDelta, Customer, FleetConfig, KeyGrant, KeyState, Route, RouteAccess,
     Service,
 };
+use damaskloom_lib::ids::{CustomerId, Revision};
 use damaskloom_lib::key::{KeyDigest, RawKey};
 use damaskloom_lib::key_table::KeyTable;
-use damaskloom_lib::snapshot_transfer::{ConfigAssembly, SnapshotCursor, read_part};
+use damaskloom_lib::snapshot_transfer::ConfigAssembly;
 use damaskloom_lib::units::{BurstSize, RequestRate};
 use serde_json::json;
 
@@ -22,6 +23,7 @@
 const SMALL_CUSTOMERS: u64 = 5_100;
 const LOOKUPS: u32 = 2_000_000;
 const DELTAS: u64 = 20_000;
+const PART_OBJECTS: usize = 4_096;
 const PAGE_BYTES: u64 = 4_096;
 
 fn main() {
@@ -31,41 +33,37 @@
     }
 }
 
+/// Loads the configuration part by part, as from a snapshot; each part's text is made just before.
 fn measure_full_size() {
-    let parts = snapshot_parts();
     let before = resident_bytes();
-    let started = Instant::now();
+    let mut loading = Duration::ZERO;
+    let mut json_bytes = 0;
     let mut assembly = ConfigAssembly::default();
-    let last = parts.len() - 1;
-    let json_bytes: usize = parts.iter().map(Vec::len).sum();
-    for (index, part) in parts.iter().enumerate() {
-        let changes: Vec<ConfigChange> = serde_json::from_slice(part).expect("made above");
-        assembly.add_part(Default::default(), &changes, index == last);
+    let mut objects = all_objects();
+    loop {
+        let part: Vec<ConfigChange> = objects.by_ref().take(PART_OBJECTS).collect();
+        let is_last = part.len() < PART_OBJECTS;
+        let text = serde_json::to_vec(&part).expect("text keys only");
+        drop(part);
+        json_bytes += text.len();
+        let started = Instant::now();
+        let changes: Vec<ConfigChange> = serde_json::from_slice(&text).expect("made above");
+        assembly.add_part(Revision::default(), &changes, is_last);
+        loading += started.elapsed();
+        if is_last {
+            break;
+        }
     }
     let config = assembly.into_config();
+    let resident = resident_bytes() - before;
     report(
-        "load 510,000 customers, keys, 66,000 routes",
+        "load 510,000 customers and keys, 66,000 routes",
         "ms",
-        millis(started),
-    );
-    report("snapshot as JSON", "MB", megabytes(json_bytes as u64));
-    report(
-        "configuration, resident",
-        "MB",
-        megabytes(resident_bytes() - before),
+        loading.as_secs_f64() * 1e3,
     );
-
-    let before = resident_bytes();
-    let table = KeyTable::default();
-    let started = Instant::now();
-    table.replace(config.keys.values());
-    report("build key table", "ms", millis(started));
-    report(
-        "key table, resident",
-        "MB",
-        megabytes(resident_bytes().saturating_sub(before)),
-    );
-    measure_lookups(&table);
+    report("snapshot as JSON", "MB", json_bytes as f64 / 1e6);
+    report("configuration, resident", "MB", resident as f64 / 1e6);
+    measure_lookups(&config.keys);
     assert_eq!(config.customers.len() as u64, CUSTOMERS);
     black_box(config);
 }
@@ -89,15 +87,17 @@
 
 fn measure_deltas(customers: u64) {
     let mut assembly = ConfigAssembly::default();
-    let objects: Vec<ConfigChange> = (0..customers).flat_map(customer_and_key).collect();
-    assembly.add_part(Default::default(), &objects, true);
-    drop(objects);
+    for n in 0..customers {
+        let objects = [
+            ConfigChange::PutCustomer(customer(n)),
+            ConfigChange::PutKey(grant(n)),
+        ];
+        assembly.add_part(Revision::default(), &objects, n + 1 == customers);
+    }
     let mut config: FleetConfig = assembly.into_config();
-    let table = KeyTable::default();
-    table.replace(config.keys.values());
     let deltas: Vec<ConfigDelta> = (0..DELTAS)
         .map(|n| ConfigDelta {
-            revision: damaskloom_lib::ids::Revision(n + 1),
+            revision: Revision(n + 1),
             changes: vec![ConfigChange::PutKey(KeyGrant {
                 state: KeyState::Withdrawn,
                 ..grant(n * 7_919 % customers)
@@ -106,8 +106,8 @@
         .collect();
     let started = Instant::now();
     for delta in &deltas {
+        black_box(config.keys.stopped_by_delta(delta));
         config.apply(delta).expect("the deltas are consecutive");
-        black_box(table.apply(delta));
     }
     let nanos = started.elapsed().as_nanos() as f64 / DELTAS as f64;
     report(
@@ -117,8 +117,7 @@
     );
 }
 
-/// Writes the snapshot as the parts that a node would load, so that only one is parsed at a time.
-fn snapshot_parts() -> Vec<Vec<u8>> {
+fn all_objects() -> impl Iterator<Item = ConfigChange> {
     let services = (0..SERVICES).map(|n| {
         ConfigChange::PutService(Service {
             id: format!("service-{n}").parse().expect("a valid name"),
@@ -128,37 +127,22 @@
             objective_ppm: 999_000,
         })
     });
-    let objects: Vec<ConfigChange> = services
-        .chain((0..ROUTES).map(route))
-        .chain((0..CUSTOMERS).flat_map(customer_and_key))
-        .collect();
-    let mut assembly = ConfigAssembly::default();
-    assembly.add_part(Default::default(), &objects, true);
-    let config = assembly.into_config();
-    let mut parts = Vec::new();
-    let mut next = Some(SnapshotCursor::START);
-    while let Some(cursor) = next {
-        let part = read_part(&config, cursor, 64 << 10);
-        parts.push(serde_json::to_vec(&part.changes).expect("text keys only"));
-        next = part.next;
-    }
-    parts
+    let routes = (0..ROUTES).map(route);
+    let customers = (0..CUSTOMERS).map(|n| ConfigChange::PutCustomer(customer(n)));
+    let keys = (0..CUSTOMERS).map(|n| ConfigChange::PutKey(grant(n)));
+    services.chain(routes).chain(customers).chain(keys)
 }
 
-fn customer_and_key(n: u64) -> [ConfigChange; 2] {
-    let customer = Customer {
+fn customer(n: u64) -> Customer {
+    Customer {
         id: customer_id(n),
         rate: RequestRate::from_per_second(10),
         burst: BurstSize(20),
         weight: 1,
-    };
-    [
-        ConfigChange::PutCustomer(customer),
-        ConfigChange::PutKey(grant(n)),
-    ]
+    }
 }
 
-fn customer_id(n: u64) -> damaskloom_lib::ids::CustomerId {
+fn customer_id(n: u64) -> CustomerId {
     format!("customer-{n:06}").parse().expect("a valid name")
 }
 
@@ -196,14 +180,6 @@
     pages.unwrap_or(0_u64) * PAGE_BYTES
 }
 
-fn megabytes(bytes: u64) -> f64 {
-    bytes as f64 / 1e6
-}
-
-fn millis(started: Instant) -> f64 {
-    started.elapsed().as_secs_f64() * 1e3
-}
-
 fn report(what: &str, unit: &str, value: f64) {
     println!("{what:<48} {value:>12.1} {unit}");
     println!(
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -12,6 +12,7 @@
 
 use crate::ids::{CustomerId, DataCentreId, Revision, RouteId, ServiceId, TargetId};
 use crate::key::KeyDigest;
+use crate::key_table::{KeyEntry, KeyTable};
 use crate::object_list;
 use crate::units::{BurstSize, ByteSize, RequestRate};
 
@@ -263,8 +264,8 @@
     #[serde(with = "object_list::customers", default)]
     pub customers: IndexMap<CustomerId, Customer>,
     /// All keys, granted and withdrawn.
-    #[serde(with = "object_list::keys", default)]
-    pub keys: IndexMap<KeyDigest, KeyGrant>,
+    #[serde(default)]
+    pub keys: KeyTable,
     /// All routes.
     #[serde(with = "object_list::routes", default)]
     pub routes: IndexMap<RouteId, Route>,
@@ -315,10 +316,10 @@
                 self.customers.swap_remove(id);
             }
             ConfigChange::PutKey(grant) => {
-                self.keys.insert(grant.digest, grant.clone());
+                self.put_key(grant);
             }
             ConfigChange::RemoveKey(digest) => {
-                self.keys.swap_remove(digest);
+                self.keys.remove(digest);
             }
             ConfigChange::PutRoute(route) => {
                 self.routes.insert(route.id.clone(), route.clone());
@@ -341,6 +342,16 @@
         }
     }
 
+    /// Puts a key that shares its customer's name with the customer, which halves what a key costs.
+    fn put_key(&mut self, grant: &KeyGrant) {
+        let held = self.customers.get_key_value(&grant.customer);
+        let entry = KeyEntry {
+            customer: held.map_or(&grant.customer, |(id, _)| id).clone(),
+            state: grant.state,
+        };
+        self.keys.put(grant.digest, entry);
+    }
+
     /// Returns the targets of a service, in configuration order.
     pub fn targets_of(&self, service: &ServiceId) -> impl Iterator<Item = &Target> {
         self.targets
--- a/lib/src/key_table.rs
+++ b/lib/src/key_table.rs
@@ -1,23 +1,20 @@
 //! The lookup from a caller's key to its customer, on every request.
 //!
 //! Keys are found by their digest, so that the time of a lookup says nothing about the bytes of a
-//! granted key. The table is split into shards by the digest, each under its own lock, so that a
-//! withdrawal holds up only a few of the lookups and copies nothing. A withdrawn key is refused
-//! from the next lookup on; [`KeyTable::apply`] names it, so that idle and streaming connections
-//! that used it can be closed. See [docs/design/configuration.md](../../docs/design/configuration.md).
+//! granted key. The table is the part of the configuration that holds the keys, rather than an
+//! index beside it: at full size the keys are a third of a node's configuration, and a second copy
+//! would not fit. See [docs/design/configuration.md](../../docs/design/configuration.md).
 
 use std::hash::{BuildHasherDefault, Hasher};
-use std::sync::{RwLock, RwLockReadGuard, RwLockWriteGuard};
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use snafu::{Snafu, ensure};
 
 use crate::config::{ConfigChange, ConfigDelta, KeyGrant, KeyState};
 use crate::ids::CustomerId;
 use crate::key::KeyDigest;
 
-/// The number of shards.
-const SHARDS: usize = 64;
-
 /// What a key stands for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum KeyStanding {
@@ -49,32 +46,33 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct KeyEntry {
-    customer: CustomerId,
-    state: KeyState,
+/// A key's customer and whether the key works.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeyEntry {
+    /// The customer that the key belongs to.
+    pub customer: CustomerId,
+    /// Whether the key works.
+    pub state: KeyState,
 }
 
-type KeyShard = IndexMap<KeyDigest, KeyEntry, BuildHasherDefault<DigestHasher>>;
-
-/// All keys, granted and withdrawn, for lookups from many threads.
-#[derive(Debug)]
-pub struct KeyTable {
-    shards: Vec<RwLock<KeyShard>>,
+/// Says why a list of keys makes no table.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("key {digest} stands twice"))]
+pub struct DuplicateKey {
+    digest: KeyDigest,
 }
 
-impl Default for KeyTable {
-    fn default() -> Self {
-        Self {
-            shards: (0..SHARDS).map(|_| RwLock::default()).collect(),
-        }
-    }
+/// All keys, granted and withdrawn.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(try_from = "Vec<KeyGrant>", into = "Vec<KeyGrant>")]
+pub struct KeyTable {
+    entries: IndexMap<KeyDigest, KeyEntry, BuildHasherDefault<DigestHasher>>,
 }
 
 impl KeyTable {
     /// Looks a key up.
     pub fn lookup(&self, digest: &KeyDigest) -> KeyStanding {
-        match self.read(digest).get(digest) {
+        match self.entries.get(digest) {
             None => KeyStanding::Unknown,
             Some(entry) => match entry.state {
                 KeyState::Withdrawn => KeyStanding::Withdrawn,
@@ -83,106 +81,108 @@
         }
     }
 
-    /// Adds or replaces a key; returns whether the key worked and stopped working.
-    pub fn put(&self, grant: &KeyGrant) -> bool {
-        let entry = KeyEntry {
-            customer: grant.customer.clone(),
-            state: grant.state,
-        };
-        let old = self.write(&grant.digest).insert(grant.digest, entry);
-        old.is_some_and(|old| {
-            old.state == KeyState::Granted
-                && (grant.state == KeyState::Withdrawn || old.customer != grant.customer)
-        })
+    /// Returns a key's entry.
+    pub fn get(&self, digest: &KeyDigest) -> Option<&KeyEntry> {
+        self.entries.get(digest)
     }
 
-    /// Removes a key; returns whether it worked until now.
-    pub fn remove(&self, digest: &KeyDigest) -> bool {
-        let old = self.write(digest).swap_remove(digest);
-        old.is_some_and(|old| old.state == KeyState::Granted)
-    }
-
-    /// Applies the key changes of a delta and returns the keys that stopped working, or that now
-    /// belong to another customer.
-    pub fn apply(&self, delta: &ConfigDelta) -> Vec<KeyDigest> {
-        let mut stopped = Vec::new();
-        for change in &delta.changes {
-            let (digest, has_stopped) = match change {
-                ConfigChange::PutKey(grant) => (grant.digest, self.put(grant)),
-                ConfigChange::RemoveKey(digest) => (*digest, self.remove(digest)),
-                _ => continue,
-            };
-            if has_stopped {
-                stopped.push(digest);
-            }
-        }
-        stopped
+    /// Returns the key at a position, which changes when keys are removed.
+    pub(crate) fn grant_at(&self, index: usize) -> Option<KeyGrant> {
+        self.entries.get_index(index).map(to_grant)
     }
 
-    /// Replaces all keys, as when a whole configuration is taken over, and returns the keys that
-    /// stopped working.
-    ///
-    /// Keys that stay are found at every moment of the replacement.
-    pub fn replace<'a>(&self, grants: impl Iterator<Item = &'a KeyGrant>) -> Vec<KeyDigest> {
-        let mut fresh: Vec<KeyShard> = (0..SHARDS).map(|_| KeyShard::default()).collect();
-        for grant in grants {
-            let entry = KeyEntry {
-                customer: grant.customer.clone(),
-                state: grant.state,
-            };
-            fresh[shard_of(&grant.digest)].insert(grant.digest, entry);
-        }
-        let mut stopped = Vec::new();
-        for (shard, mut fresh) in self.shards.iter().zip(fresh) {
-            fresh.shrink_to_fit();
-            let old = std::mem::replace(&mut *write_shard(shard), fresh);
-            let fresh = read_shard(shard);
-            let worked = old
-                .iter()
-                .filter(|(_, entry)| entry.state == KeyState::Granted);
-            let gone = worked.filter(|(digest, entry)| {
-                let kept = fresh.get(*digest);
-                !kept.is_some_and(|kept| {
-                    kept.state == KeyState::Granted && kept.customer == entry.customer
-                })
-            });
-            stopped.extend(gone.map(|(digest, _)| *digest));
-        }
-        stopped
+    /// Returns all keys.
+    pub fn iter(&self) -> impl Iterator<Item = KeyGrant> {
+        self.entries.iter().map(to_grant)
+    }
+
+    /// Adds or replaces a key.
+    pub fn put(&mut self, digest: KeyDigest, entry: KeyEntry) {
+        self.entries.insert(digest, entry);
+    }
+
+    /// Removes a key.
+    pub fn remove(&mut self, digest: &KeyDigest) {
+        self.entries.swap_remove(digest);
     }
 
     /// Returns the number of keys, granted and withdrawn.
     pub fn len(&self) -> usize {
-        self.shards
-            .iter()
-            .map(|shard| read_shard(shard).len())
-            .sum()
+        self.entries.len()
     }
 
     /// Returns whether there is no key.
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.entries.is_empty()
     }
 
-    fn read(&self, digest: &KeyDigest) -> RwLockReadGuard<'_, KeyShard> {
-        read_shard(&self.shards[shard_of(digest)])
+    /// Returns the keys that work now and will not after a delta, or not for the same customer.
+    ///
+    /// A connection that used one of them is closed, even if it is idle or streams an answer.
+    pub fn stopped_by_delta(&self, delta: &ConfigDelta) -> Vec<KeyDigest> {
+        let changed = delta.changes.iter().filter_map(|change| match change {
+            ConfigChange::PutKey(grant) => Some((grant.digest, Some(grant))),
+            ConfigChange::RemoveKey(digest) => Some((*digest, None)),
+            _ => None,
+        });
+        changed
+            .filter(|(digest, after)| {
+                let after = after.map(|grant| (&grant.customer, grant.state));
+                self.stops(digest, after)
+            })
+            .map(|(digest, _)| digest)
+            .collect()
     }
 
-    fn write(&self, digest: &KeyDigest) -> RwLockWriteGuard<'_, KeyShard> {
-        write_shard(&self.shards[shard_of(digest)])
+    /// Returns the keys that work now and do not in `newer`, or not for the same customer.
+    pub fn stopped_by_replacement(&self, newer: &Self) -> Vec<KeyDigest> {
+        let digests = self.entries.keys().copied();
+        digests
+            .filter(|digest| {
+                let after = newer.get(digest);
+                self.stops(digest, after.map(|entry| (&entry.customer, entry.state)))
+            })
+            .collect()
+    }
+
+    fn stops(&self, digest: &KeyDigest, after: Option<(&CustomerId, KeyState)>) -> bool {
+        let before = self.entries.get(digest);
+        before.is_some_and(|before| {
+            before.state == KeyState::Granted
+                && after != Some((&before.customer, KeyState::Granted))
+        })
     }
 }
 
-/// Picks the shard by the digest's last byte, since its first ones pick the place in the shard.
-fn shard_of(digest: &KeyDigest) -> usize {
-    let [.., last] = digest.as_bytes();
-    usize::from(*last) % SHARDS
+fn to_grant((digest, entry): (&KeyDigest, &KeyEntry)) -> KeyGrant {
+    KeyGrant {
+        digest: *digest,
+        customer: entry.customer.clone(),
+        state: entry.state,
+    }
 }
 
-fn read_shard(shard: &RwLock<KeyShard>) -> RwLockReadGuard<'_, KeyShard> {
-    shard.read().expect("no holder of a key shard panics")
+impl TryFrom<Vec<KeyGrant>> for KeyTable {
+    type Error = DuplicateKey;
+
+    fn try_from(grants: Vec<KeyGrant>) -> Result<Self, DuplicateKey> {
+        let mut table = Self::default();
+        table.entries.reserve(grants.len());
+        for grant in grants {
+            let KeyGrant {
+                digest,
+                customer,
+                state,
+            } = grant;
+            let old = table.entries.insert(digest, KeyEntry { customer, state });
+            ensure!(old.is_none(), DuplicateKeySnafu { digest });
+        }
+        Ok(table)
+    }
 }
 
-fn write_shard(shard: &RwLock<KeyShard>) -> RwLockWriteGuard<'_, KeyShard> {
-    shard.write().expect("no holder of a key shard panics")
+impl From<KeyTable> for Vec<KeyGrant> {
+    fn from(table: KeyTable) -> Self {
+        table.iter().collect()
+    }
 }
--- a/lib/src/object_list.rs
+++ b/lib/src/object_list.rs
@@ -39,7 +39,6 @@
     crate::config::Customer,
     id
 );
-object_list!(keys, crate::key::KeyDigest, crate::config::KeyGrant, digest);
 object_list!(routes, crate::ids::RouteId, crate::config::Route, id);
 object_list!(services, crate::ids::ServiceId, crate::config::Service, id);
 object_list!(targets, crate::ids::TargetId, crate::config::Target, id);
--- a/lib/src/snapshot_transfer.rs
+++ b/lib/src/snapshot_transfer.rs
@@ -12,6 +12,7 @@
 
 use crate::config::{ApplyError, ConfigChange, ConfigDelta, FleetConfig};
 use crate::ids::Revision;
+use crate::key_table::KeyTable;
 
 /// The kinds of objects, in the order of a transfer.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -95,7 +96,7 @@
             SnapshotSection::Customers => {
                 filling.take(&config.customers, at, ConfigChange::PutCustomer)
             }
-            SnapshotSection::Keys => filling.take(&config.keys, at, ConfigChange::PutKey),
+            SnapshotSection::Keys => filling.take_keys(&config.keys, at),
         };
         next = match remaining {
             0 => at.section.next().map(SnapshotCursor::section_start),
@@ -124,11 +125,26 @@
         cursor: SnapshotCursor,
         to_change: impl Fn(V) -> ConfigChange,
     ) -> usize {
-        let mut remaining = cursor.remaining.min(objects.len());
+        self.fill(cursor.remaining.min(objects.len()), |index| {
+            let (_, object) = objects.get_index(index)?;
+            Some(to_change(object.clone()))
+        })
+    }
+
+    fn take_keys(&mut self, keys: &KeyTable, cursor: SnapshotCursor) -> usize {
+        self.fill(cursor.remaining.min(keys.len()), |index| {
+            keys.grant_at(index).map(ConfigChange::PutKey)
+        })
+    }
+
+    fn fill(
+        &mut self,
+        mut remaining: usize,
+        change_at: impl Fn(usize) -> Option<ConfigChange>,
+    ) -> usize {
         while remaining > 0 && self.room > 0 {
             remaining -= 1;
-            if let Some((_, object)) = objects.get_index(remaining) {
-                let change = to_change(object.clone());
+            if let Some(change) = change_at(remaining) {
                 let bytes = serde_json::to_vec(&change).map_or(0, |json| json.len());
                 self.room = self.room.saturating_sub(bytes);
                 self.changes.push(change);
--- a/lib/tests/test_configuration.rs
+++ b/lib/tests/test_configuration.rs
@@ -335,7 +335,11 @@
             .get(id)
             .cloned()
             .map(ConfigChange::PutCustomer),
-        ObjectKey::Key(digest) => config.keys.get(digest).cloned().map(ConfigChange::PutKey),
+        ObjectKey::Key(digest) => {
+            let mut grants = config.keys.iter();
+            let grant = grants.find(|grant| grant.digest == *digest);
+            grant.map(ConfigChange::PutKey)
+        }
         ObjectKey::Route(id) => config.routes.get(id).cloned().map(ConfigChange::PutRoute),
         ObjectKey::Service(id) => config
             .services
--- a/lib/tests/test_keys.rs
+++ b/lib/tests/test_keys.rs
@@ -2,8 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use damaskloom_lib::config::{ConfigChange, ConfigDelta, KeyGrant, KeyState};
-use damaskloom_lib::ids::Revision;
+use damaskloom_lib::config::{ConfigChange, ConfigDelta, FleetConfig, KeyGrant, KeyState};
 use damaskloom_lib::key::{KeyDigest, RawKey};
 use damaskloom_lib::key_table::{KeyStanding, KeyTable};
 use proptest::collection::vec;
@@ -42,7 +41,7 @@
     let histories = vec((vec(change(), 1..4), any::<bool>()), 1..16);
     let mut runner = seeded_runner(62);
     let result = runner.run(&histories, |history| {
-        let table = KeyTable::default();
+        let mut config = FleetConfig::default();
         let mut model = BTreeMap::new();
         for (changes, whole) in history {
             let before = model.clone();
@@ -53,21 +52,34 @@
                     _ => None,
                 };
             }
-            let revision = Revision::default();
+            let revision = config.revision.next();
+            let delta = ConfigDelta { revision, changes };
+            let old = config.keys.clone();
+            config.apply(&delta).expect("the delta follows");
             let stopped = if whole {
-                table.replace(model.values())
+                old.stopped_by_replacement(&config.keys)
             } else {
-                table.apply(&ConfigDelta { revision, changes })
+                old.stopped_by_delta(&delta)
             };
             for digest in (0..6).map(|id| RawKey::new([id]).digest()) {
                 let (old, new) = (standing(&before, &digest), standing(&model, &digest));
-                prop_assert_eq!(&table.lookup(&digest), &new);
+                prop_assert_eq!(&config.keys.lookup(&digest), &new);
                 let has_stopped = matches!(old, KeyStanding::Granted(_)) && old != new;
                 prop_assert!(!has_stopped || stopped.contains(&digest));
             }
-            prop_assert_eq!(table.len(), model.len());
+            prop_assert_eq!(config.keys.len(), model.len());
         }
         Ok(())
     });
     result.unwrap_or_else(|error| panic!("{error}"));
 }
+
+#[test]
+fn a_key_that_stands_twice_is_refused() {
+    let twice = [
+        grant(1, 0, KeyState::Granted),
+        grant(1, 1, KeyState::Granted),
+    ];
+    let text = serde_json::to_string(&twice).unwrap();
+    assert!(serde_json::from_str::<KeyTable>(&text).is_err());
+}
