--- a/lib/tests/test_distribution.rs
+++ b/lib/tests/test_distribution.rs
@@ -1,13 +1,18 @@
 //! Distribution: under generated faults no node goes back, and all of them end at the head.
 
+use std::time::Duration;
+
 use damaskloom_lib::config::{
     ConfigChange, ConfigDelta, Customer, FleetConfig, KeyGrant, KeyState,
 };
 use damaskloom_lib::distribution::{
     ConfigReplica, DistributionMessage, ReplicaAction, ReplicaPeer, ReplicaSettings,
 };
+use damaskloom_lib::distribution_message::HeadReading;
+use damaskloom_lib::head_poll::HeadPoller;
 use damaskloom_lib::ids::{Incarnation, NodeId, Revision};
 use damaskloom_lib::key::RawKey;
+use damaskloom_lib::rendezvous::StableHash;
 use damaskloom_lib::snapshot_transfer::SnapshotCursor;
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::units::{BurstSize, RequestRate};
@@ -215,7 +220,7 @@
 
     fn tick(&mut self) -> Result<(), TestCaseError> {
         self.ticks += 1;
-        self.now = self.now + std::time::Duration::from_millis(TICK_MS);
+        self.now = self.now + Duration::from_millis(TICK_MS);
         let (due, later) = std::mem::take(&mut self.queue)
             .into_iter()
             .partition(|(at, ..)| *at <= self.ticks);
@@ -484,3 +489,35 @@
     assert!(!installs(&mixed));
     assert_eq!(replica.revision(), None);
 }
+
+/// Runs a poller alone for a minute, and returns the seconds at which it read.
+fn reading_seconds(rank: usize, answers: bool, news_until_ms: u64) -> Vec<u64> {
+    let (reader, node) = (node_id(0, 1), node_id(1, 1));
+    let mut poller = HeadPoller::new(MonoTime::ZERO, Duration::from_secs(1));
+    poller.set_rank(rank, 2);
+    let mut seconds = Vec::new();
+    for ms in (0..60_000).step_by(100) {
+        let now = MonoTime::from_millis(ms);
+        if ms <= news_until_ms {
+            let (reader, number) = (reader.clone(), 1 + ms / 1_000);
+            poller.hear(now, HeadReading { reader, number });
+        }
+        if poller.start_read(now, StableHash(ms)) {
+            seconds.push(ms / 1_000);
+            poller.finish_read(now, &node, answers);
+        }
+    }
+    seconds
+}
+
+#[test]
+fn readers_read_each_second_and_others_only_when_readers_fall_silent() {
+    assert!(reading_seconds(0, true, 60_000).len() >= 59);
+    assert!(reading_seconds(2, true, 60_000).is_empty());
+    // Word of a reading that stays the same is no news, however often it comes.
+    let after_silence = reading_seconds(7, true, 10_000);
+    assert!((12..17).contains(&after_silence[0]), "{after_silence:?}");
+    // In an outage readers find its end within seconds, and the others hardly ask.
+    assert!((28..45).contains(&reading_seconds(0, false, 0).len()));
+    assert!(reading_seconds(2, false, 0).len() <= 8);
+}
