--- a/cli/src/local_platform.rs
+++ b/cli/src/local_platform.rs
@@ -5,11 +5,9 @@
 use damaskloom_lib::config::{ConfigChange, ConfigDelta, FleetConfig};
 use damaskloom_lib::ids::Revision;
 use damaskloom_lib::platform::{
-    CommitOutcome, Condition, Mutation, ObjectStore, PlatformError, TableStore, Transaction,
-};
-use damaskloom_lib::table_layout::{
-    HeadRow, SnapshotPart, SnapshotRow, delta_key, head_key, snapshot_key, snapshot_object,
+    CommitOutcome, Condition, Mutation, PlatformError, TableStore, Transaction,
 };
+use damaskloom_lib::table_layout::{HeadRow, delta_key, head_key};
 use damaskloom_platform::client::{ClientSettings, PlatformClient};
 use damaskloom_testutils::platform_faults::PlatformFaults;
 use damaskloom_testutils::platform_server::{PlatformServer, ServerError};
@@ -44,7 +42,7 @@
 }
 
 impl LocalPlatform {
-    /// Starts the stand-in and stores a configuration as its snapshot.
+    /// Starts the stand-in and stores a configuration as its first revision.
     ///
     /// # Errors
     ///
@@ -53,40 +51,12 @@
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = PlatformServer::start(loopback).await.context(StartSnafu)?;
         let client = PlatformClient::new(server.address(), ClientSettings::default());
-        let part = SnapshotPart {
-            revision: config.revision,
-            changes: config.changes().collect(),
-        };
-        let body = serde_json::to_vec(&part).expect("a snapshot is always valid JSON");
-        let name = snapshot_object(config.revision, 0);
-        client
-            .put_object(&name, body.into())
-            .await
-            .context(CallSnafu)?;
-        let platform = Self {
+        let mut platform = Self {
             server,
             client,
-            revision: config.revision,
-        };
-        let snapshot = SnapshotRow {
-            revision: config.revision,
-            parts: 1,
+            revision: Revision::default(),
         };
-        let mutations = vec![
-            put(snapshot_key(), &snapshot),
-            put(
-                head_key(),
-                &HeadRow {
-                    revision: config.revision,
-                },
-            ),
-        ];
-        platform
-            .commit(Transaction {
-                conditions: Vec::new(),
-                mutations,
-            })
-            .await?;
+        platform.accept(config.changes().collect()).await?;
         Ok(platform)
     }
 
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -4,8 +4,9 @@
 use std::sync::Mutex;
 
 use damaskloom_lib::key::KeyDigest;
+use damaskloom_lib::key_table::KeyStanding;
 
-use crate::config_view::{ConfigView, KeyStanding};
+use crate::config_view::ConfigView;
 use crate::head_inspector::{FramingLog, UnseenRequest};
 
 /// The keys that were used on one connection, so that it can be closed when one is withdrawn.
--- a/gateway/src/control_plane.rs
+++ b/gateway/src/control_plane.rs
@@ -20,6 +20,7 @@
 use damaskloom_lib::rendezvous::{StableHash, rank_members};
 use damaskloom_lib::share_basis::ShareBasis;
 use damaskloom_lib::time::MonoTime;
+use damaskloom_platform::config_reader::{read_deltas, read_snapshot};
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
@@ -28,9 +29,7 @@
 use crate::gateway::GatewayState;
 use crate::peer_codec::PeerTopic;
 use crate::peer_link::{PeerDelivery, PeerInbox};
-use crate::platform_reads::{
-    HeadReading, SharedClient, read_deltas, read_head, read_members, read_snapshot,
-};
+use crate::platform_reads::{HeadReading, SharedClient, read_head, read_members};
 
 const TICK_MS: u64 = 25;
 /// The interval at which the first few members read all registrations.
@@ -372,7 +371,7 @@
                 ReplicaAction::ReadSnapshot { newer_than } => {
                     let client = Arc::clone(&self.client);
                     self.call(async move {
-                        PlatformEvent::Snapshot(read_snapshot(&client, newer_than).await)
+                        PlatformEvent::Snapshot(read_snapshot(&*client, newer_than).await)
                     });
                 }
                 ReplicaAction::OfferSnapshot {
@@ -400,7 +399,7 @@
 
     fn read_deltas(&self, after: Revision) {
         let client = Arc::clone(&self.client);
-        self.call(async move { PlatformEvent::Deltas(read_deltas(&client, after).await) });
+        self.call(async move { PlatformEvent::Deltas(read_deltas(&*client, after).await) });
     }
 
     fn commit(&self, transaction: Transaction) {
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -7,6 +7,7 @@
 use damaskloom_lib::config::{Idempotence, Route, RouteAccess};
 use damaskloom_lib::ids::CustomerId;
 use damaskloom_lib::key::KeyDigest;
+use damaskloom_lib::key_table::KeyStanding;
 use damaskloom_lib::outcome::{Reason, Refusal};
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use http::request::Parts;
@@ -17,7 +18,6 @@
     AnswerBody, AnswerStream, BodyError, RequestBody, WHOLE_BODY_BYTES, collect_body,
 };
 use crate::caller_connection::{CallerConnection, FramingVerdict};
-use crate::config_view::KeyStanding;
 use crate::directory_answer::{DIRECTORY_PATH, answer_directory};
 use crate::forward::{AttemptError, LOAD_HEADER, OutgoingHead, TargetAnswer};
 use crate::gateway::GatewayState;
--- a/gateway/src/platform_reads.rs
+++ b/gateway/src/platform_reads.rs
@@ -2,17 +2,12 @@
 
 use std::sync::Arc;
 
-use damaskloom_lib::config::{ConfigDelta, FleetConfig};
-use damaskloom_lib::distribution::DELTA_BATCH;
 use damaskloom_lib::epoch_types::EPOCH_ROW;
 use damaskloom_lib::ids::Revision;
-use damaskloom_lib::platform::{ObjectStore, PlatformError, RowKey, TableRow, TableStore};
+use damaskloom_lib::platform::{PlatformError, RowKey, TableRow, TableStore};
 use damaskloom_lib::registration::{MEMBER_ROW_PREFIX, MemberRecord};
-use damaskloom_lib::table_layout::{
-    DELTA_PREFIX, HeadRow, SnapshotPart, SnapshotRow, delta_key, head_key, snapshot_key,
-    snapshot_object,
-};
 use damaskloom_platform::client::PlatformClient;
+use damaskloom_platform::config_reader;
 use serde::de::DeserializeOwned;
 
 /// The rows that one scan asks for.
@@ -39,63 +34,11 @@
 ///
 /// Fails if either cannot be read.
 pub async fn read_head(client: &PlatformClient) -> Result<HeadReading, PlatformError> {
-    let (head, epoch) = (head_key(), RowKey::from(EPOCH_ROW));
-    let (head, epoch) = tokio::try_join!(client.get(&head), client.get(&epoch))?;
-    let revision = match head {
-        Some(row) => parse::<HeadRow>(row)?.revision,
-        None => Revision::default(),
-    };
+    let epoch = RowKey::from(EPOCH_ROW);
+    let (revision, epoch) = tokio::try_join!(config_reader::read_head(client), client.get(&epoch))?;
     Ok(HeadReading { revision, epoch })
 }
 
-/// Reads the deltas that follow a revision.
-///
-/// # Errors
-///
-/// Fails if they cannot be read or understood.
-pub async fn read_deltas(
-    client: &PlatformClient,
-    after: Revision,
-) -> Result<Vec<ConfigDelta>, PlatformError> {
-    let rows = client
-        .scan(DELTA_PREFIX, Some(&delta_key(after)), DELTA_BATCH)
-        .await?;
-    rows.into_iter().map(parse).collect()
-}
-
-/// Loads the newest snapshot; an empty configuration if there is none, nothing if it is not newer.
-///
-/// # Errors
-///
-/// Fails if a part cannot be read or understood.
-pub async fn read_snapshot(
-    client: &PlatformClient,
-    newer_than: Option<Revision>,
-) -> Result<Option<FleetConfig>, PlatformError> {
-    let Some(row) = client.get(&snapshot_key()).await? else {
-        return Ok(newer_than.is_none().then(FleetConfig::default));
-    };
-    let snapshot: SnapshotRow = parse(row)?;
-    if newer_than.is_some_and(|held| snapshot.revision <= held) {
-        return Ok(None);
-    }
-    let mut config = FleetConfig::default();
-    for index in 0..snapshot.parts {
-        let name = snapshot_object(snapshot.revision, index);
-        let missing = || PlatformError::Unavailable {
-            detail: format!("no object {name}"),
-        };
-        let body = client.get_object(&name).await?.ok_or_else(missing)?;
-        let part: SnapshotPart =
-            serde_json::from_slice(&body).map_err(|error| PlatformError::Malformed {
-                detail: format!("{name}: {error}"),
-            })?;
-        part.changes.iter().for_each(|change| config.put(change));
-    }
-    config.revision = snapshot.revision;
-    Ok(Some(config))
-}
-
 /// Reads all registered members.
 ///
 /// # Errors
