--- a/lib/src/adaptive_policy.rs
+++ b/lib/src/adaptive_policy.rs
@@ -93,6 +93,11 @@
         &mut self.log
     }
 
+    /// Returns the nodes that judge the targets, the first in rank first; they can explain them.
+    pub fn judges(&self) -> &[NodeId] {
+        self.log.judges()
+    }
+
     /// Takes over units of ejectable capacity from the escrow.
     pub fn add_units(&mut self, count: u32) {
         self.ejector.add_units(count);
--- a/lib/src/detector.rs
+++ b/lib/src/detector.rs
@@ -29,6 +29,8 @@
 /// How much longer late answers are watched while the target keeps pace: it then has a long queue
 /// and works it off, while a slow target answers less.
 const PACE_WATCH_FACTOR: u32 = 6;
+/// The time after which the nodes that use a target decide, even if they are few.
+const LONE_WATCH_MS: u64 = 1_500;
 const OVERLOAD_SHARE: f32 = 0.2;
 const MIN_OVERLOAD_SHEDS: f32 = 3.0;
 /// The time for which a silent node's digests are remembered.
@@ -304,10 +306,7 @@
     if delayed && is_path_at_fault(chart.reach(now)) {
         return TargetVerdict::BadPath;
     }
-    let required = min_accusing_nodes(mode)
-        .min(chart.reporting_nodes(now))
-        .max(1);
-    if chart.accusing_nodes(now) < required {
+    if chart.accusing_nodes(now) < required_accusers(now, mode, chart) {
         return judged.verdict;
     }
     TargetVerdict::BadTarget
@@ -343,9 +342,20 @@
     })
 }
 
-const fn min_accusing_nodes(mode: DetectionMode) -> usize {
-    match mode {
+/// Returns the nodes on whose word a target is bad.
+///
+/// Where few nodes use the target, the others have had their chance to speak for it after a while.
+fn required_accusers(now: MonoTime, mode: DetectionMode, chart: &TargetChart) -> usize {
+    let required = match mode {
         DetectionMode::Fast => 2,
         DetectionMode::Balanced | DetectionMode::Careful => 3,
+    };
+    let watched = chart
+        .suspected_for(now)
+        .is_some_and(|time| time >= Duration::from_millis(LONE_WATCH_MS));
+    if watched {
+        required.min(chart.reporting_nodes(now)).max(1)
+    } else {
+        required
     }
 }
--- a/lib/src/ejector.rs
+++ b/lib/src/ejector.rs
@@ -16,7 +16,7 @@
 use crate::flap_history::{FlapHistory, ejection_term, trial_length};
 use crate::ids::{NodeId, TargetId};
 use crate::time::MonoTime;
-use crate::verdict::SuspicionCause;
+use crate::verdict::{EjectionExplanation, SuspicionCause};
 
 /// The time by which each further judge waits for those before it.
 const RANK_STAGGER_MS: u64 = 300;
@@ -222,6 +222,30 @@
         self.leases.find(now, target).map(|(holder, _)| holder)
     }
 
+    /// Explains why a target is ejected, or returns `None` if it is not.
+    pub fn explain(&self, now: MonoTime, target: &TargetId) -> Option<EjectionExplanation> {
+        let held = self.held.get(target).and_then(|ejection| {
+            let (ends, on_trial) = match ejection.state {
+                HeldState::Ejected { term_ends } => (term_ends, false),
+                HeldState::OnTrial { lapses_at, .. } => (lapses_at, true),
+                HeldState::Lifted => return None,
+            };
+            Some((self.node.clone(), ejection.cause, ends, on_trial))
+        });
+        let leased = || {
+            let (holder, lease) = self.leases.find(now, target)?;
+            Some((holder.clone(), lease.cause, lease.until, false))
+        };
+        let (holder, cause, ends, on_trial) = held.or_else(leased)?;
+        Some(EjectionExplanation {
+            holder,
+            cause,
+            flaps: self.history.flaps(now, target).saturating_sub(1),
+            remaining_ms: ends.since(now).as_millis() as u64,
+            on_trial,
+        })
+    }
+
     /// Returns a target that is due for a trial request, which must be idempotent.
     pub fn next_trial(&mut self, now: MonoTime) -> Option<TargetId> {
         let (target, ejection) = self.held.iter_mut().find(
--- a/lib/src/target_chart.rs
+++ b/lib/src/target_chart.rs
@@ -247,11 +247,13 @@
             .count()
     }
 
-    /// Returns the nodes that have recently sent evidence.
+    /// Returns the nodes that have sent evidence since the suspicion began, or recently without one.
     pub fn reporting_nodes(&self, now: MonoTime) -> usize {
+        let recent = now - millis(NODE_MEMORY_MS);
+        let since = self.onset.map_or(recent, |onset| onset.max(recent));
         self.nodes
             .values()
-            .filter(|view| is_within(now, view.heard_at, NODE_MEMORY_MS))
+            .filter(|view| view.heard_at.is_some_and(|at| at >= since))
             .count()
     }
 
--- a/lib/src/verdict.rs
+++ b/lib/src/verdict.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::TargetId;
+use crate::ids::{NodeId, TargetId};
 
 /// The state of a target as its judges see it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -133,3 +133,34 @@
         }
     }
 }
+
+/// Why a target is ejected, for `ctl explain target`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct EjectionExplanation {
+    /// The node whose unit of ejectable capacity backs the ejection.
+    pub holder: NodeId,
+    /// What spoke against the target.
+    pub cause: SuspicionCause,
+    /// How often the target was ejected before in close succession.
+    pub flaps: u32,
+    /// The time to the first trial request or the end of the lease, in milliseconds.
+    pub remaining_ms: u64,
+    /// Whether the holder sends trial requests.
+    pub on_trial: bool,
+}
+
+impl fmt::Display for EjectionExplanation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "ejected by {} for {}, {} times before; ",
+            self.holder, self.cause, self.flaps
+        )?;
+        if self.on_trial {
+            write!(f, "trial requests run for {} ms more", self.remaining_ms)
+        } else {
+            write!(f, "next change in {} ms", self.remaining_ms)
+        }
+    }
+}
