--- a/lib/src/evidence.rs
+++ b/lib/src/evidence.rs
@@ -106,45 +106,49 @@
 }
 
 /// The evidence on one target and route since the digest before.
+///
+/// Field names are short on the wire, where entries are most of what nodes send each other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct EvidenceEntry {
     /// The target.
+    #[serde(rename = "t")]
     pub target: TargetId,
     /// The route.
+    #[serde(rename = "r")]
     pub route: RouteId,
     /// The answers that were neither failures nor rejections nor slow.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(rename = "g", default, skip_serializing_if = "is_zero")]
     pub good: u32,
     /// The failures that the target answered with.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(rename = "e", default, skip_serializing_if = "is_zero")]
     pub failed: u32,
     /// The attempts without an answer.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(rename = "m", default, skip_serializing_if = "is_zero")]
     pub silent: u32,
     /// The slow answers.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(rename = "l", default, skip_serializing_if = "is_zero")]
     pub slow: u32,
     /// The requests that the target blamed on the caller.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(rename = "j", default, skip_serializing_if = "is_zero")]
     pub rejected: u32,
     /// The requests that the target shed.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(rename = "d", default, skip_serializing_if = "is_zero")]
     pub shed: u32,
     /// The failed health probes.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(rename = "p", default, skip_serializing_if = "is_zero")]
     pub probes_failed: u32,
     /// The scores of failures, in thousandths of a nat: strong, weak.
-    #[serde(default, skip_serializing_if = "is_zero_pair")]
+    #[serde(rename = "fs", default, skip_serializing_if = "is_zero_pair")]
     pub failure_millinats: [i32; 2],
     /// The scores of rejections, in thousandths of a nat: strong, weak.
-    #[serde(default, skip_serializing_if = "is_zero_pair")]
+    #[serde(rename = "js", default, skip_serializing_if = "is_zero_pair")]
     pub rejection_millinats: [i32; 2],
     /// The score of slow answers against the strong departure, in thousandths of a nat.
     ///
     /// There is no weak test: slow answers come in clumps, whenever a queue is long for a moment,
     /// and a test that is tuned to few of them would take the clumps for a slow target.
-    #[serde(default, skip_serializing_if = "is_zero_score")]
+    #[serde(rename = "ls", default, skip_serializing_if = "is_zero_score")]
     pub slowness_millinats: i32,
 }
 
--- a/lib/src/target_picker.rs
+++ b/lib/src/target_picker.rs
@@ -175,10 +175,11 @@
             return;
         };
         state.load.finish();
-        if outcome.is_failure() {
+        let shed = outcome == AttemptOutcome::Shed;
+        if outcome.is_failure() || shed {
             state.load.add_failure(now, state.slots);
         }
-        if outcome == AttemptOutcome::Shed {
+        if shed {
             state.shed_until = state.shed_until.max(now + pause_of(None));
         }
     }
