--- /dev/null
+++ b/lib/examples/crash_guard.rs
@@ -0,0 +1,47 @@
+//! Embeds the crash guard: a request that takes two targets down is refused on every node.
+
+use damaskloom_lib::crash_guard::{CrashAction, CrashGuard, RequestDigest, RequestFingerprint};
+use damaskloom_lib::ids::{Incarnation, NodeId};
+use damaskloom_lib::time::MonoTime;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let peer = NodeId {
+        vm: "vm-1".parse()?,
+        incarnation: Incarnation(1),
+    };
+    let mut guard = CrashGuard::new();
+    guard.set_peers([peer]);
+    let mut peer_guard = CrashGuard::new();
+    let request = RequestFingerprint {
+        customer: "ferries".parse()?,
+        route: "bookings".parse()?,
+        digest: RequestDigest::of(b"POST", b"/bookings", b"the digest of the body"),
+    };
+    for (index, millis) in [(0, 1_000), (1, 4_000)] {
+        let target = format!("server-{index}").parse()?;
+        let lost_at = MonoTime::from_millis(millis);
+        // The connection broke while the target ran the request ...
+        guard.lost(lost_at, &request, &target);
+        // ... and the target refuses connections right after.
+        let now = MonoTime::from_millis(millis + 100);
+        for action in guard.unreachable(now, &target) {
+            match action {
+                CrashAction::Send { message, .. } => {
+                    peer_guard.handle(now, message);
+                }
+                CrashAction::Excuse { target, period } => {
+                    println!("{now} {target} is not blamed for {period:?}");
+                }
+                CrashAction::Blocked(fingerprint) => {
+                    println!("{now} refused from now on: {}", fingerprint.digest);
+                }
+            }
+        }
+    }
+    let now = MonoTime::from_millis(5_000);
+    let left = peer_guard
+        .check(now, &request)
+        .ok_or("the peer does not refuse the request")?;
+    println!("{now} the peer refuses it for {} s more", left.as_secs());
+    Ok(())
+}
--- a/lib/src/detector.rs
+++ b/lib/src/detector.rs
@@ -298,6 +298,9 @@
         cause,
         Some(SuspicionCause::Silence | SuspicionCause::Slowness)
     );
+    if delayed && !chart.is_late(now) {
+        return verdict_below_alarm(judged);
+    }
     let keeps_pace = chart.pace(now) >= PACE_SHARE * service.mean_pace;
     let watch = delay_watch(mode) * if keeps_pace { PACE_WATCH_FACTOR } else { 1 };
     if delayed && chart.suspected_for(now).is_some_and(|time| time < watch) {
--- a/lib/src/pending.rs
+++ b/lib/src/pending.rs
@@ -14,7 +14,7 @@
 use crate::time::MonoTime;
 
 /// The most times that one pending attempt counts as late.
-pub const MAX_OVERDUE_COUNT: u32 = 6;
+pub const MAX_OVERDUE_COUNT: u32 = 12;
 
 /// Names an attempt of one node.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
--- a/lib/src/target_chart.rs
+++ b/lib/src/target_chart.rs
@@ -14,6 +14,8 @@
 const TALLY_HALF_LIFE_S: f32 = 3.0;
 /// The half-life of the pace of answers.
 const PACE_HALF_LIFE_S: f32 = 0.4;
+/// The time for which a late answer shows that a target is late: two digests of a node.
+const LATE_MEMORY_MS: u64 = 400;
 /// The score from which on a target is on its way to an alarm, in nats.
 const ONSET_SCORE: f32 = 1.0;
 /// The time after the onset in which answers may still be from before it.
@@ -155,6 +157,7 @@
     nodes: IndexMap<NodeId, NodeView>,
     tally: FadingTally,
     pace: AnswerPace,
+    late_at: Option<MonoTime>,
     onset: Option<MonoTime>,
     heard_at: Option<MonoTime>,
 }
@@ -165,6 +168,9 @@
         self.heard_at = Some(now);
         self.tally.add(now, entry);
         self.pace.add(now, answers_in(entry));
+        if entry.slowness_millinats > 0 || entry.silent > 0 {
+            self.late_at = Some(now);
+        }
         self.overall.add(entry, ceiling);
         if self.routes.contains_key(&entry.route) || self.routes.len() < MAX_CHARTED_ROUTES {
             let chart = self.routes.entry(entry.route.clone()).or_default();
@@ -224,6 +230,14 @@
         self.onset.map(|onset| now.since(onset))
     }
 
+    /// Returns whether late answers have been reported in the last moments.
+    ///
+    /// After a long queue the score is high and the target is fine; it then gets few requests, so
+    /// that the score alone would take long to fall.
+    pub fn is_late(&self, now: MonoTime) -> bool {
+        is_within(now, self.late_at, LATE_MEMORY_MS)
+    }
+
     /// Returns the answers of the last moments, for comparison with other targets.
     pub fn pace(&self, now: MonoTime) -> f32 {
         self.pace.at(now)
