--- a/lib/src/ejector.rs
+++ b/lib/src/ejector.rs
@@ -10,10 +10,11 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 
 use crate::ejection_lease::{EJECTION_LEASE_MS, GrantedEjection, LeaseTable, holder_margin};
-use crate::flap_history::{FlapHistory, ejection_term, trial_length};
+pub use crate::ejection_message::{EjectionAction, EjectionMessage};
+use crate::flap_history::FlapHistory;
+use crate::held_ejection::{HeldEjection, HeldState, TrialProgress};
 use crate::ids::{NodeId, TargetId};
 use crate::time::MonoTime;
 use crate::verdict::{EjectionExplanation, SuspicionCause};
@@ -24,81 +25,9 @@
 const PROPOSAL_MEMORY_MS: u64 = 1_000;
 const CLAIM_RETRY_MS: u64 = 500;
 const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
-/// The time between two trial requests to one target.
-const TRIAL_INTERVAL_MS: u64 = 100;
-/// The time after which an ejection without enough trial requests ends by itself.
-const TRIAL_PATIENCE_MS: u64 = 20_000;
 /// The time for which a free unit is kept before it goes back to the escrow.
 const IDLE_UNIT_MS: u64 = 10_000;
 
-/// What nodes tell each other about ejections.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum EjectionMessage {
-    /// The sender's ejections changed; poll it.
-    Announce,
-    /// Asks for the ejections of the receiver.
-    Poll {
-        /// Numbers the polls of the sender.
-        number: u64,
-    },
-    /// Lists all ejections of the sender.
-    Grant {
-        /// The number of the poll that this answers.
-        number: u64,
-        /// The ejections, each with its lease.
-        #[serde(default)]
-        ejections: Vec<GrantedEjection>,
-    },
-}
-
-/// What the shell is to do for a [`TargetEjector`].
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum EjectionAction {
-    /// Send the message to a peer.
-    Send {
-        /// The peer.
-        to: NodeId,
-        /// The message.
-        message: EjectionMessage,
-    },
-    /// Ask the escrow for units; it answers by [`TargetEjector::add_units`].
-    ClaimUnits(u32),
-    /// Give units back to the escrow; the ejector no longer holds them.
-    ReleaseUnits(u32),
-    /// This node ejected the target.
-    Ejected {
-        /// The target.
-        target: TargetId,
-        /// What speaks against it.
-        cause: SuspicionCause,
-    },
-    /// This node ended its ejection of the target.
-    Lifted(TargetId),
-}
-
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum HeldState {
-    Ejected {
-        term_ends: MonoTime,
-    },
-    OnTrial {
-        good: u32,
-        next_at: MonoTime,
-        lapses_at: MonoTime,
-    },
-    /// The target serves again; the unit stays bound while others may still honour a lease.
-    Lifted,
-}
-
-#[derive(Debug)]
-struct HeldEjection {
-    state: HeldState,
-    cause: SuspicionCause,
-    flaps: u32,
-    leased_until: MonoTime,
-}
-
 #[derive(Debug)]
 struct EjectionProposal {
     cause: SuspicionCause,
@@ -163,7 +92,7 @@
             let newest = self
                 .held
                 .iter()
-                .rfind(|(_, ejection)| ejection.state != HeldState::Lifted)
+                .rfind(|(_, ejection)| ejection.is_active())
                 .map(|(target, _)| target.clone())
                 .expect("an active ejection exists, since their number is above a limit");
             self.lift(now, &newest, &mut actions);
@@ -248,13 +177,9 @@
 
     /// Returns a target that is due for a trial request, which must be idempotent.
     pub fn next_trial(&mut self, now: MonoTime) -> Option<TargetId> {
-        let (target, ejection) = self.held.iter_mut().find(
-            |(_, ejection)| matches!(ejection.state, HeldState::OnTrial { next_at, .. } if now >= next_at),
-        )?;
-        if let HeldState::OnTrial { next_at, .. } = &mut ejection.state {
-            *next_at = now + Duration::from_millis(TRIAL_INTERVAL_MS);
-        }
-        Some(target.clone())
+        self.held
+            .iter_mut()
+            .find_map(|(target, ejection)| ejection.take_trial(now).then(|| target.clone()))
     }
 
     /// Takes in the result of a trial request: whether its answer was good and not slow.
@@ -268,22 +193,13 @@
         let Some(ejection) = self.held.get_mut(target) else {
             return actions;
         };
-        let HeldState::OnTrial { good: streak, .. } = &mut ejection.state else {
-            return actions;
-        };
-        if good {
-            *streak += 1;
-            if *streak >= trial_length(ejection.flaps) {
-                self.lift(now, target, &mut actions);
-            }
-            return actions;
-        }
-        ejection.flaps += 1;
-        ejection.state = HeldState::Ejected {
-            term_ends: now + ejection_term(ejection.flaps),
-        };
+        let progress = ejection.end_trial_request(now, good);
         let flaps = ejection.flaps;
-        self.history.note(now, target, flaps);
+        match progress {
+            TrialProgress::Unchanged => {}
+            TrialProgress::Passed => self.lift(now, target, &mut actions),
+            TrialProgress::Failed => self.history.note(now, target, flaps),
+        }
         actions
     }
 
@@ -313,9 +229,8 @@
     pub fn tick(&mut self, now: MonoTime) -> Vec<EjectionAction> {
         let mut actions = Vec::new();
         self.advance_terms(now, &mut actions);
-        self.held.retain(|_, ejection| {
-            ejection.state != HeldState::Lifted || now < ejection.leased_until
-        });
+        self.held
+            .retain(|_, ejection| ejection.is_active() || now < ejection.leased_until);
         self.decide_proposals(now, &mut actions);
         self.return_units(now, &mut actions);
         self.announce(now, &mut actions);
@@ -324,15 +239,13 @@
     }
 
     fn is_held(&self, target: &TargetId) -> bool {
-        self.held
-            .get(target)
-            .is_some_and(|ejection| ejection.state != HeldState::Lifted)
+        self.held.get(target).is_some_and(HeldEjection::is_active)
     }
 
     fn active_count(&self) -> usize {
         self.held
             .values()
-            .filter(|ejection| ejection.state != HeldState::Lifted)
+            .filter(|ejection| ejection.is_active())
             .count()
     }
 
@@ -344,7 +257,7 @@
         self.unaware_peers.swap_remove(to);
         let mut ejections = Vec::new();
         for (target, ejection) in &mut self.held {
-            if ejection.state == HeldState::Lifted {
+            if !ejection.is_active() {
                 continue;
             }
             ejection.leased_until = now + holder_margin(EJECTION_LEASE_MS);
@@ -392,22 +305,11 @@
     }
 
     fn advance_terms(&mut self, now: MonoTime, actions: &mut Vec<EjectionAction>) {
-        let mut lapsed = Vec::new();
-        for (target, ejection) in &mut self.held {
-            match ejection.state {
-                HeldState::Ejected { term_ends } if now >= term_ends => {
-                    ejection.state = HeldState::OnTrial {
-                        good: 0,
-                        next_at: now,
-                        lapses_at: now + Duration::from_millis(TRIAL_PATIENCE_MS),
-                    };
-                }
-                HeldState::OnTrial { lapses_at, .. } if now >= lapses_at => {
-                    lapsed.push(target.clone());
-                }
-                _ => {}
-            }
-        }
+        let lapsed: Vec<TargetId> = self
+            .held
+            .iter_mut()
+            .filter_map(|(target, ejection)| ejection.advance(now).then(|| target.clone()))
+            .collect();
         for target in lapsed {
             self.lift(now, &target, actions);
         }
@@ -460,14 +362,7 @@
             .held
             .get(&target)
             .map_or(now, |ejection| ejection.leased_until);
-        let ejection = HeldEjection {
-            state: HeldState::Ejected {
-                term_ends: now + ejection_term(flaps),
-            },
-            cause,
-            flaps,
-            leased_until,
-        };
+        let ejection = HeldEjection::new(now, cause, flaps, leased_until);
         self.held.insert(target.clone(), ejection);
         self.mark_peers_unaware(now);
         actions.push(EjectionAction::Ejected { target, cause });
--- a/lib/src/evidence.rs
+++ b/lib/src/evidence.rs
@@ -12,12 +12,13 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::evidence_digest::{CountClass, EntryDraft};
+pub use crate::evidence_digest::{EvidenceDigest, EvidenceEntry, EvidenceMessage};
 use crate::ids::{CustomerId, NodeId, RouteId, ServiceId, TargetId};
 use crate::mixer::hash_bytes;
 use crate::pending::{AttemptId, PendingAttempt, PendingTable};
-use crate::population::{LatencyPopulation, RateEstimate};
-use crate::sequential_test::{Departure, ScorePair, log_likelihood_ratio};
 use crate::time::MonoTime;
+use crate::yardstick::ServiceYardstick;
 
 /// The time between two digests.
 pub const DIGEST_INTERVAL_MS: u64 = 200;
@@ -26,12 +27,6 @@
 /// The number of nodes that pool the evidence of one service.
 pub const JUDGE_COUNT: usize = 3;
 
-const ASSUMED_FAILURE_RATE: f32 = 0.005;
-const ASSUMED_REJECTION_RATE: f32 = 0.02;
-const ASSUMED_SLOW_RATE: f32 = 0.02;
-const MAX_CUSTOMERS: usize = 512;
-const MAX_ROUTES: usize = 256;
-
 /// How an attempt on a target ended.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -105,84 +100,6 @@
     }
 }
 
-/// The evidence on one target and route since the digest before.
-///
-/// Field names are short on the wire, where entries are most of what nodes send each other.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub struct EvidenceEntry {
-    /// The target.
-    #[serde(rename = "t")]
-    pub target: TargetId,
-    /// The route.
-    #[serde(rename = "r")]
-    pub route: RouteId,
-    /// The answers that were neither failures nor rejections nor slow.
-    #[serde(rename = "g", default, skip_serializing_if = "is_zero")]
-    pub good: u32,
-    /// The failures that the target answered with.
-    #[serde(rename = "e", default, skip_serializing_if = "is_zero")]
-    pub failed: u32,
-    /// The attempts without an answer.
-    #[serde(rename = "m", default, skip_serializing_if = "is_zero")]
-    pub silent: u32,
-    /// The slow answers.
-    #[serde(rename = "l", default, skip_serializing_if = "is_zero")]
-    pub slow: u32,
-    /// The requests that the target blamed on the caller.
-    #[serde(rename = "j", default, skip_serializing_if = "is_zero")]
-    pub rejected: u32,
-    /// The requests that the target shed.
-    #[serde(rename = "d", default, skip_serializing_if = "is_zero")]
-    pub shed: u32,
-    /// The failed health probes.
-    #[serde(rename = "p", default, skip_serializing_if = "is_zero")]
-    pub probes_failed: u32,
-    /// The scores of failures, in thousandths of a nat: strong, weak.
-    #[serde(rename = "fs", default, skip_serializing_if = "is_zero_pair")]
-    pub failure_millinats: [i32; 2],
-    /// The scores of rejections, in thousandths of a nat: strong, weak.
-    #[serde(rename = "js", default, skip_serializing_if = "is_zero_pair")]
-    pub rejection_millinats: [i32; 2],
-    /// The score of slow answers against the strong departure, in thousandths of a nat.
-    ///
-    /// There is no weak test: slow answers come in clumps, whenever a queue is long for a moment,
-    /// and a test that is tuned to few of them would take the clumps for a slow target.
-    #[serde(rename = "ls", default, skip_serializing_if = "is_zero_score")]
-    pub slowness_millinats: i32,
-}
-
-const fn is_zero(count: &u32) -> bool {
-    *count == 0
-}
-
-const fn is_zero_score(score: &i32) -> bool {
-    *score == 0
-}
-
-fn is_zero_pair(pair: &[i32; 2]) -> bool {
-    *pair == [0, 0]
-}
-
-/// The evidence of one node since its digest before.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub struct EvidenceDigest {
-    /// Numbers the digests of one node; a digest with a number already seen is not counted again.
-    pub sequence: u64,
-    /// The evidence.
-    #[serde(default)]
-    pub entries: Vec<EvidenceEntry>,
-}
-
-/// What nodes tell a service's judges.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum EvidenceMessage {
-    /// The newest evidence of one node.
-    Digest(EvidenceDigest),
-}
-
 /// What the shell is to do for an [`EvidenceLog`].
 #[derive(Clone, Debug, PartialEq)]
 pub enum EvidenceAction {
@@ -226,56 +143,6 @@
     KnownLate,
 }
 
-#[derive(Debug, Default)]
-struct EntryDraft {
-    counts: [u32; 7],
-    failure: ScorePair,
-    rejection: ScorePair,
-    slowness: f32,
-}
-
-const GOOD: usize = 0;
-const FAILED: usize = 1;
-const SILENT: usize = 2;
-const SLOW: usize = 3;
-const SHED: usize = 4;
-const PROBES_FAILED: usize = 5;
-const REJECTED: usize = 6;
-
-#[derive(Debug)]
-struct RouteYardstick {
-    failures: RateEstimate,
-    rejections: RateEstimate,
-    slowness: RateEstimate,
-    latencies: LatencyPopulation,
-}
-
-impl Default for RouteYardstick {
-    fn default() -> Self {
-        Self {
-            failures: RateEstimate::new(ASSUMED_FAILURE_RATE),
-            rejections: RateEstimate::new(ASSUMED_REJECTION_RATE),
-            slowness: RateEstimate::new(ASSUMED_SLOW_RATE),
-            latencies: LatencyPopulation::default(),
-        }
-    }
-}
-
-#[derive(Debug)]
-struct CustomerYardstick {
-    failures: RateEstimate,
-    rejections: RateEstimate,
-}
-
-impl Default for CustomerYardstick {
-    fn default() -> Self {
-        Self {
-            failures: RateEstimate::new(ASSUMED_FAILURE_RATE),
-            rejections: RateEstimate::new(ASSUMED_REJECTION_RATE),
-        }
-    }
-}
-
 /// The evidence of one node on the targets of one service.
 #[derive(Debug)]
 pub struct EvidenceLog {
@@ -285,8 +152,7 @@
     sequence: u64,
     next_digest_at: MonoTime,
     drafts: IndexMap<(TargetId, RouteId), EntryDraft>,
-    routes: IndexMap<RouteId, RouteYardstick>,
-    customers: IndexMap<CustomerId, CustomerYardstick>,
+    yardstick: ServiceYardstick,
     excused: IndexMap<TargetId, MonoTime>,
     pending: PendingTable,
 }
@@ -301,8 +167,7 @@
             sequence: 0,
             next_digest_at: MonoTime::ZERO,
             drafts: IndexMap::new(),
-            routes: IndexMap::new(),
-            customers: IndexMap::new(),
+            yardstick: ServiceYardstick::default(),
             excused: IndexMap::new(),
             pending: PendingTable::default(),
         }
@@ -362,7 +227,7 @@
     /// Records a health probe; only a failed one has weight, since passing ones mislead.
     pub fn record_probe(&mut self, target: &TargetId, route: &RouteId, passed: bool) {
         if !passed {
-            self.draft(target, route).counts[PROBES_FAILED] += 1;
+            self.draft(target, route).count(CountClass::ProbeFailed);
         }
     }
 
@@ -380,12 +245,10 @@
 
     /// Counts attempts that are late by now, and returns what they say.
     pub fn check_overdue(&mut self, now: MonoTime) -> Vec<TargetObservation> {
-        let routes = &self.routes;
-        let overdue = self.pending.take_overdue(now, |route| {
-            routes
-                .get(route)
-                .and_then(|yardstick| yardstick.latencies.slow_threshold())
-        });
+        let yardstick = &self.yardstick;
+        let overdue = self
+            .pending
+            .take_overdue(now, |route| yardstick.slow_threshold(route));
         overdue
             .into_iter()
             .filter_map(|attempt| self.score_overdue(now, &attempt))
@@ -431,7 +294,7 @@
         let entries = self
             .drafts
             .drain(..count)
-            .map(|((target, route), draft)| entry_of(target, route, &draft))
+            .map(|((target, route), draft)| draft.into_entry(target, route))
             .collect();
         EvidenceDigest {
             sequence: self.sequence,
@@ -455,17 +318,18 @@
         match outcome {
             AttemptOutcome::Cancelled => return None,
             AttemptOutcome::Shed => {
-                self.draft(&scope.target, &scope.route).counts[SHED] += 1;
+                self.draft(&scope.target, &scope.route)
+                    .count(CountClass::Shed);
                 return None;
             }
             _ if outcome.is_silent() && self.is_excused(now, &scope.target) => return None,
             _ => {}
         }
-        let (failure, rejection) = self.test_failure(scope, outcome);
+        let (failure, rejection) = self.yardstick.test_failure(scope, outcome);
         let (slow, slowness) = match timing {
             AnswerTiming::KnownLate => (true, 0.0),
             AnswerTiming::Untested(latency) if outcome == AttemptOutcome::Good => {
-                self.test_latency(&scope.route, latency)
+                self.yardstick.test_latency(&scope.route, latency)
             }
             AnswerTiming::Untested(_) => (false, 0.0),
         };
@@ -474,13 +338,13 @@
         draft.rejection.add(rejection);
         draft.slowness += slowness;
         let class = match outcome {
-            _ if outcome.is_silent() => SILENT,
-            AttemptOutcome::Failed => FAILED,
-            AttemptOutcome::Rejected => REJECTED,
-            _ if slow => SLOW,
-            _ => GOOD,
+            _ if outcome.is_silent() => CountClass::Silent,
+            AttemptOutcome::Failed => CountClass::Failed,
+            AttemptOutcome::Rejected => CountClass::Rejected,
+            _ if slow => CountClass::Slow,
+            _ => CountClass::Good,
         };
-        draft.counts[class] += 1;
+        draft.count(class);
         Some(TargetObservation {
             target: scope.target.clone(),
             outcome: Some(outcome),
@@ -493,43 +357,6 @@
         self.excused.get(target).is_some_and(|until| now < *until)
     }
 
-    /// Tests for a failure and, given none, for a rejection.
-    fn test_failure(
-        &mut self,
-        scope: &AttemptScope,
-        outcome: AttemptOutcome,
-    ) -> (ScorePair, ScorePair) {
-        let customer = bounded_entry(&mut self.customers, &scope.customer, MAX_CUSTOMERS);
-        let route = bounded_entry(&mut self.routes, &scope.route, MAX_ROUTES);
-        let failed = outcome.is_failure();
-        let null_rate = customer.failures.rate().max(route.failures.rate());
-        let failure = ScorePair::of(null_rate, failed);
-        customer.failures.record(failed);
-        route.failures.record(failed);
-        if failed {
-            return (failure, ScorePair::default());
-        }
-        let rejected = outcome == AttemptOutcome::Rejected;
-        let null_rate = customer.rejections.rate().max(route.rejections.rate());
-        let rejection = ScorePair::of(null_rate, rejected);
-        customer.rejections.record(rejected);
-        route.rejections.record(rejected);
-        (failure, rejection)
-    }
-
-    fn test_latency(&mut self, route: &RouteId, latency: Duration) -> (bool, f32) {
-        let yardstick = bounded_entry(&mut self.routes, route, MAX_ROUTES);
-        let threshold = yardstick.latencies.slow_threshold();
-        yardstick.latencies.record(latency);
-        let Some(threshold) = threshold else {
-            return (false, 0.0);
-        };
-        let slow = latency > threshold;
-        let score = slowness_score(yardstick.slowness.rate(), slow);
-        yardstick.slowness.record(slow);
-        (slow, score)
-    }
-
     fn score_overdue(
         &mut self,
         now: MonoTime,
@@ -539,15 +366,13 @@
         if self.is_excused(now, &scope.target) {
             return None;
         }
-        let yardstick = bounded_entry(&mut self.routes, &scope.route, MAX_ROUTES);
-        let score = slowness_score(yardstick.slowness.rate(), true);
-        // The population counts requests; a pending one counts once however long it takes.
-        if attempt.overdue_count == 1 {
-            yardstick.slowness.record(true);
-        }
+        let is_first = attempt.overdue_count == 1;
+        let score = self.yardstick.test_overdue(&scope.route, is_first);
         let draft = self.draft(&scope.target, &scope.route);
         draft.slowness += score;
-        draft.counts[SILENT] += u32::from(attempt.overdue_count == 1);
+        if is_first {
+            draft.count(CountClass::Silent);
+        }
         Some(TargetObservation {
             target: scope.target.clone(),
             outcome: None,
@@ -556,39 +381,3 @@
         })
     }
 }
-
-fn bounded_entry<'a, K: Clone + Eq + std::hash::Hash, V: Default>(
-    map: &'a mut IndexMap<K, V>,
-    key: &K,
-    capacity: usize,
-) -> &'a mut V {
-    if !map.contains_key(key) && map.len() >= capacity {
-        map.shift_remove_index(0);
-    }
-    map.entry(key.clone()).or_default()
-}
-
-fn entry_of(target: TargetId, route: RouteId, draft: &EntryDraft) -> EvidenceEntry {
-    EvidenceEntry {
-        target,
-        route,
-        good: draft.counts[GOOD],
-        failed: draft.counts[FAILED],
-        silent: draft.counts[SILENT],
-        slow: draft.counts[SLOW],
-        rejected: draft.counts[REJECTED],
-        shed: draft.counts[SHED],
-        probes_failed: draft.counts[PROBES_FAILED],
-        failure_millinats: millinats_of(draft.failure),
-        rejection_millinats: millinats_of(draft.rejection),
-        slowness_millinats: (draft.slowness * 1_000.0) as i32,
-    }
-}
-
-fn slowness_score(null_rate: f64, slow: bool) -> f32 {
-    log_likelihood_ratio(Departure::Strong, null_rate, slow) as f32
-}
-
-fn millinats_of(scores: ScorePair) -> [i32; 2] {
-    [scores.strong, scores.weak].map(|nats| (nats * 1_000.0) as i32)
-}
--- /dev/null
+++ b/lib/src/held_ejection.rs
@@ -0,0 +1,115 @@
+//! An ejection that this node holds, from its term over its trial to its end.
+
+use std::time::Duration;
+
+use crate::flap_history::{ejection_term, trial_length};
+use crate::time::MonoTime;
+use crate::verdict::SuspicionCause;
+
+/// The time between two trial requests to one target.
+const TRIAL_INTERVAL_MS: u64 = 100;
+/// The time after which an ejection without enough trial requests ends by itself.
+const TRIAL_PATIENCE_MS: u64 = 20_000;
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum HeldState {
+    Ejected {
+        term_ends: MonoTime,
+    },
+    OnTrial {
+        good: u32,
+        next_at: MonoTime,
+        lapses_at: MonoTime,
+    },
+    /// The target serves again; the unit stays bound while others may still honour a lease.
+    Lifted,
+}
+
+#[derive(Debug)]
+pub(crate) struct HeldEjection {
+    pub(crate) state: HeldState,
+    pub(crate) cause: SuspicionCause,
+    pub(crate) flaps: u32,
+    pub(crate) leased_until: MonoTime,
+}
+
+/// What a trial request showed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum TrialProgress {
+    /// The trial goes on, or there is none.
+    Unchanged,
+    /// The target passed its trial.
+    Passed,
+    /// The target failed and is ejected for a longer term.
+    Failed,
+}
+
+impl HeldEjection {
+    pub(crate) fn new(
+        now: MonoTime,
+        cause: SuspicionCause,
+        flaps: u32,
+        leased_until: MonoTime,
+    ) -> Self {
+        Self {
+            state: HeldState::Ejected {
+                term_ends: now + ejection_term(flaps),
+            },
+            cause,
+            flaps,
+            leased_until,
+        }
+    }
+
+    /// Returns whether the target gets no work but trial requests.
+    pub(crate) fn is_active(&self) -> bool {
+        self.state != HeldState::Lifted
+    }
+
+    /// Returns whether a trial request is due, and counts it as sent.
+    pub(crate) fn take_trial(&mut self, now: MonoTime) -> bool {
+        match &mut self.state {
+            HeldState::OnTrial { next_at, .. } if now >= *next_at => {
+                *next_at = now + Duration::from_millis(TRIAL_INTERVAL_MS);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Takes in the result of a trial request.
+    pub(crate) fn end_trial_request(&mut self, now: MonoTime, good: bool) -> TrialProgress {
+        let HeldState::OnTrial { good: streak, .. } = &mut self.state else {
+            return TrialProgress::Unchanged;
+        };
+        if !good {
+            self.flaps += 1;
+            self.state = HeldState::Ejected {
+                term_ends: now + ejection_term(self.flaps),
+            };
+            return TrialProgress::Failed;
+        }
+        *streak += 1;
+        if *streak >= trial_length(self.flaps) {
+            TrialProgress::Passed
+        } else {
+            TrialProgress::Unchanged
+        }
+    }
+
+    /// Starts the trial at the end of the term; returns whether the trial has lasted too long.
+    pub(crate) fn advance(&mut self, now: MonoTime) -> bool {
+        match self.state {
+            HeldState::Ejected { term_ends } if now >= term_ends => {
+                self.state = HeldState::OnTrial {
+                    good: 0,
+                    next_at: now,
+                    lapses_at: now + Duration::from_millis(TRIAL_PATIENCE_MS),
+                };
+                false
+            }
+            HeldState::OnTrial { lapses_at, .. } => now >= lapses_at,
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/yardstick.rs
@@ -0,0 +1,133 @@
+//! What one node expects of a service's answers, by customer and by route.
+//!
+//! An outcome is tested against the higher of two rates: that of the customer and that of the
+//! route. A customer whose own requests fail, and a route that fails on every target, thus raise
+//! their own yardstick.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::evidence::{AttemptOutcome, AttemptScope};
+use crate::ids::{CustomerId, RouteId};
+use crate::population::{LatencyPopulation, RateEstimate};
+use crate::sequential_test::{Departure, ScorePair, log_likelihood_ratio};
+
+const ASSUMED_FAILURE_RATE: f32 = 0.005;
+const ASSUMED_REJECTION_RATE: f32 = 0.02;
+const ASSUMED_SLOW_RATE: f32 = 0.02;
+const MAX_CUSTOMERS: usize = 512;
+const MAX_ROUTES: usize = 256;
+
+#[derive(Debug)]
+struct RouteYardstick {
+    failures: RateEstimate,
+    rejections: RateEstimate,
+    slowness: RateEstimate,
+    latencies: LatencyPopulation,
+}
+
+impl Default for RouteYardstick {
+    fn default() -> Self {
+        Self {
+            failures: RateEstimate::new(ASSUMED_FAILURE_RATE),
+            rejections: RateEstimate::new(ASSUMED_REJECTION_RATE),
+            slowness: RateEstimate::new(ASSUMED_SLOW_RATE),
+            latencies: LatencyPopulation::default(),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct CustomerYardstick {
+    failures: RateEstimate,
+    rejections: RateEstimate,
+}
+
+impl Default for CustomerYardstick {
+    fn default() -> Self {
+        Self {
+            failures: RateEstimate::new(ASSUMED_FAILURE_RATE),
+            rejections: RateEstimate::new(ASSUMED_REJECTION_RATE),
+        }
+    }
+}
+
+/// The populations of one service as one node sees them.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceYardstick {
+    routes: IndexMap<RouteId, RouteYardstick>,
+    customers: IndexMap<CustomerId, CustomerYardstick>,
+}
+
+impl ServiceYardstick {
+    /// Returns the latency above which an answer of the route is slow, once that is known.
+    pub(crate) fn slow_threshold(&self, route: &RouteId) -> Option<Duration> {
+        self.routes.get(route)?.latencies.slow_threshold()
+    }
+
+    /// Tests for a failure and, given none, for a rejection; returns the scores of both.
+    pub(crate) fn test_failure(
+        &mut self,
+        scope: &AttemptScope,
+        outcome: AttemptOutcome,
+    ) -> (ScorePair, ScorePair) {
+        let customer = bounded_entry(&mut self.customers, &scope.customer, MAX_CUSTOMERS);
+        let route = bounded_entry(&mut self.routes, &scope.route, MAX_ROUTES);
+        let failed = outcome.is_failure();
+        let null_rate = customer.failures.rate().max(route.failures.rate());
+        let failure = ScorePair::of(null_rate, failed);
+        customer.failures.record(failed);
+        route.failures.record(failed);
+        if failed {
+            return (failure, ScorePair::default());
+        }
+        let rejected = outcome == AttemptOutcome::Rejected;
+        let null_rate = customer.rejections.rate().max(route.rejections.rate());
+        let rejection = ScorePair::of(null_rate, rejected);
+        customer.rejections.record(rejected);
+        route.rejections.record(rejected);
+        (failure, rejection)
+    }
+
+    /// Returns whether an answer is slow, and the score of that.
+    pub(crate) fn test_latency(&mut self, route: &RouteId, latency: Duration) -> (bool, f32) {
+        let yardstick = bounded_entry(&mut self.routes, route, MAX_ROUTES);
+        let threshold = yardstick.latencies.slow_threshold();
+        yardstick.latencies.record(latency);
+        let Some(threshold) = threshold else {
+            return (false, 0.0);
+        };
+        let slow = latency > threshold;
+        let score = slowness_score(yardstick.slowness.rate(), slow);
+        yardstick.slowness.record(slow);
+        (slow, score)
+    }
+
+    /// Returns the score of an attempt that is late and still pending.
+    ///
+    /// The population counts requests, so that a pending one counts once however long it takes.
+    pub(crate) fn test_overdue(&mut self, route: &RouteId, is_first: bool) -> f32 {
+        let yardstick = bounded_entry(&mut self.routes, route, MAX_ROUTES);
+        let score = slowness_score(yardstick.slowness.rate(), true);
+        if is_first {
+            yardstick.slowness.record(true);
+        }
+        score
+    }
+}
+
+fn slowness_score(null_rate: f64, slow: bool) -> f32 {
+    log_likelihood_ratio(Departure::Strong, null_rate, slow) as f32
+}
+
+fn bounded_entry<'a, K: Clone + Eq + std::hash::Hash, V: Default>(
+    map: &'a mut IndexMap<K, V>,
+    key: &K,
+    capacity: usize,
+) -> &'a mut V {
+    if !map.contains_key(key) && map.len() >= capacity {
+        map.shift_remove_index(0);
+    }
+    map.entry(key.clone()).or_default()
+}
