--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -418,8 +418,8 @@
     let mut world = World::new();
     world.run(3);
     // Stopped with probes on their way, whose answers are lost meanwhile.
+    world.initiated.fill(0);
     while world.initiated[0] == 0 {
-        world.initiated.fill(0);
         world.tick();
     }
     world.stopped[0] = true;
