--- a/gateway/tests/test_peer_link.rs
+++ b/gateway/tests/test_peer_link.rs
@@ -1,18 +1,21 @@
 //! The peer link: proofs, hostile bytes, versions, one-way cuts, replaced processes and full queues.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
-use damaskloom_gateway::peer_auth::SharedSecret;
-use damaskloom_gateway::peer_codec::{PeerTopic, read_envelope};
+use damaskloom_gateway::peer_auth::{ProofContext, ProofRole, SharedSecret};
+use damaskloom_gateway::peer_codec::{
+    EnvelopeHeader, PeerMessage, PeerTopic, read_envelope, write_envelope,
+};
 use damaskloom_gateway::peer_faults::PeerFault;
 use damaskloom_gateway::peer_link::{
     PeerDelivery, PeerError, PeerHandle, PeerInbox, PeerLink, PeerSettings, SendOutcome,
 };
-use damaskloom_lib::generated::peer_capnp::{envelope, peer_gate};
+use damaskloom_lib::generated::peer_capnp::{envelope, peer_gate, peer_session};
 use damaskloom_lib::ids::{Epoch, Incarnation, NodeId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -158,15 +161,15 @@
     assert_eq!(a.reaches(&mut b).await.from, a.id);
 }
 
-#[test]
-fn the_gate_gives_a_session_only_after_one_whole_exchange() {
-    let b = start(settings("vm-b"));
+/// Runs a test against a node with a client that speaks the bare protocol.
+fn with_bare_client<T: Future>(node: &Node, test: impl FnOnce(peer_gate::Client) -> T) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .unwrap();
     LocalSet::new().block_on(&runtime, async {
-        let stream = TcpStream::connect(b.handle.local_address()).await.unwrap();
+        let address = node.handle.local_address();
+        let stream = TcpStream::connect(address).await.unwrap();
         let (reader, writer) = stream.into_split();
         let network = twoparty::VatNetwork::new(
             reader.compat(),
@@ -175,30 +178,87 @@
             capnp::message::ReaderOptions::new(),
         );
         let mut system = RpcSystem::new(Box::new(network), None);
-        let gate: peer_gate::Client = system.bootstrap(Side::Server);
+        let gate = system.bootstrap(Side::Server);
         tokio::task::spawn_local(system);
-        let greet = |vm: &str, nonce: &[u8]| {
-            let mut request = gate.greet_request();
-            request.get().set_protocol_version(1);
-            request.get().set_vm(vm);
-            request.get().set_nonce(nonce);
-            request.send().promise
+        test(gate).await;
+    });
+}
+
+async fn greet(gate: &peer_gate::Client, vm: &str, nonce: &[u8]) -> Result<Vec<u8>, capnp::Error> {
+    let mut request = gate.greet_request();
+    request.get().set_protocol_version(1);
+    request.get().set_vm(vm);
+    request.get().set_incarnation(1);
+    request.get().set_nonce(nonce);
+    let response = request.send().promise.await?;
+    Ok(response.get()?.get_nonce()?.to_vec())
+}
+
+async fn prove(
+    gate: &peer_gate::Client,
+    proof: &[u8],
+) -> Result<peer_session::Client, capnp::Error> {
+    let mut request = gate.prove_request();
+    request.get().set_proof(proof);
+    request.send().promise.await?.get()?.get_session()
+}
+
+#[test]
+fn the_gate_gives_a_session_only_after_one_whole_exchange() {
+    let b = start(settings("vm-b"));
+    with_bare_client(&b, |gate| async move {
+        assert!(greet(&gate, "no/vm", &[1; 32]).await.is_err(), "a bad name");
+        assert!(
+            greet(&gate, "vm-a", &[1; 31]).await.is_err(),
+            "a short nonce"
+        );
+        assert!(greet(&gate, "vm-a", &[1; 32]).await.is_ok());
+        assert!(
+            greet(&gate, "vm-a", &[2; 32]).await.is_err(),
+            "a second greeting"
+        );
+        assert!(prove(&gate, &[7; 32]).await.is_err(), "a wrong proof");
+        let again = greet(&gate, "vm-a", &[1; 32]).await;
+        assert!(again.is_err(), "a greeting after a wrong proof");
+    });
+}
+
+#[test]
+fn a_proven_peer_speaks_for_itself_and_in_order() {
+    let mut b = start(settings("vm-b"));
+    let acceptor = b.id.clone();
+    with_bare_client(&b, |gate| async move {
+        let nonce = greet(&gate, "vm-a", &[1; 32]).await.unwrap();
+        let context = ProofContext {
+            dialler: node_id("vm-a", 1),
+            dialler_nonce: [1; 32],
+            acceptor,
+            acceptor_nonce: nonce.try_into().unwrap(),
         };
-        let prove = || {
-            let mut request = gate.prove_request();
-            request.get().set_proof(&[7; 32]);
+        let proof = context.prove(ProofRole::Dialler, &SharedSecret::new(*b"fleet secret"));
+        let session = prove(&gate, &proof).await.unwrap();
+        let deliver = |vm: &str, sequence, version| {
+            let mut request = session.deliver_request();
+            let header = EnvelopeHeader {
+                version,
+                sender: node_id(vm, 1),
+                epoch: Epoch(0),
+                sequence,
+            };
+            let body = Bytes::from(sequence.to_string());
+            let topic = PeerTopic::Epoch;
+            write_envelope(request.get(), &header, &[PeerMessage { topic, body }]);
             request.send().promise
         };
-        assert!(greet("no/vm", &[1; 32]).await.is_err(), "a bad name");
-        assert!(greet("vm-a", &[1; 31]).await.is_err(), "a short nonce");
-        assert!(greet("vm-a", &[1; 32]).await.is_ok());
-        assert!(greet("vm-a", &[2; 32]).await.is_err(), "a second greeting");
-        assert!(prove().await.is_err(), "a wrong proof");
-        assert!(
-            greet("vm-a", &[1; 32]).await.is_err(),
-            "a greeting after a wrong proof"
-        );
+        assert!(deliver("vm-c", 1, 1).await.is_err(), "another sender");
+        assert!(deliver("vm-a", 1, 3).await.is_err(), "a version two away");
+        assert!(deliver("vm-a", 2, 1).await.is_ok());
+        assert!(deliver("vm-a", 2, 1).await.is_err(), "a repeated envelope");
+        assert!(deliver("vm-a", 3, 2).await.is_ok());
     });
+    let bodies = std::iter::from_fn(|| b.inbox.deliveries.try_recv().ok());
+    let bodies: Vec<_> = bodies.map(|delivery| delivery.body).collect();
+    assert_eq!(bodies, ["2", "3"]);
 }
 
 #[tokio::test]
@@ -322,3 +382,16 @@
         "{called:?}"
     );
 }
+
+#[test]
+fn proofs_are_hmac_sha256() {
+    let hex = |digest: [u8; 32]| digest.map(|byte| format!("{byte:02x}")).concat();
+    // The second and the sixth case of RFC 4231.
+    let short = SharedSecret::new(*b"Jefe").authenticate("what do ya want for nothing?");
+    let expected = "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843";
+    assert_eq!(hex(short), expected);
+    let message = "Test Using Larger Than Block-Size Key - Hash Key First";
+    let long = SharedSecret::new([0xaa; 131]).authenticate(message);
+    let expected = "60e431591ee0b67f0d8a26aacbf5b77f8e0bc6213728c5140546040f0ee37f54";
+    assert_eq!(hex(long), expected);
+}
