--- a/lib/benches/shares/cost.rs
+++ b/lib/benches/shares/cost.rs
@@ -38,6 +38,7 @@
             ..EpochView::default()
         },
         terms: BudgetTerms::from_rate(Revision(1), rate, BurstSize(1_000_000)),
+        ..BudgetView::default()
     }
 }
 
--- a/lib/src/budget.rs
+++ b/lib/src/budget.rs
@@ -257,17 +257,45 @@
 pub struct BudgetView {
     /// The assignment.
     pub epoch: EpochView,
-    /// The terms.
+    /// The newest terms.
     pub terms: BudgetTerms,
+    /// Earlier terms that some member may still act on.
+    #[serde(default)]
+    pub unsettled_terms: Vec<BudgetTerms>,
+}
+
+impl BudgetView {
+    /// Returns the share that `node` may act on, whichever of the epochs and terms others act on.
+    ///
+    /// Terms with an equal number of homes never add up, so they are in force at once.
+    pub fn share_of(&self, node: &NodeId, mode: SplitMode) -> BudgetShare {
+        let holders = self.epoch.holders.len();
+        let homes = home_count(&self.terms, holders);
+        self.unsettled_terms
+            .iter()
+            .filter(|terms| home_count(terms, holders) != homes)
+            .map(|terms| self.epoch.share_of(node, terms, mode))
+            .fold(self.epoch.share_of(node, &self.terms, mode), |a, b| {
+                a.smaller(b)
+            })
+    }
 }
 
 /// Returns the number of homes of a budget with these terms and so many holders.
 ///
-/// A home without a whole unit could admit nothing by itself, so a budget of few units has few
-/// homes.
+/// More homes freeze less when one of them is lost, but a budget of few units over many homes is
+/// refilled where it is full while it is empty elsewhere. The steps are few, since a change of the
+/// number takes effect only once it is settled.
 pub fn home_count(terms: &BudgetTerms, holders: usize) -> usize {
-    let units = usize::try_from(terms.capacity.whole_units()).unwrap_or(usize::MAX);
-    holders.min(MAX_HOMES).min(units.max(1))
+    let is_occupied = terms.refill.is_zero();
+    let homes = match terms.capacity.whole_units() {
+        0..3 if !is_occupied => 1,
+        units @ 0..3 => units.max(1) as usize,
+        3..12 => 3,
+        12..48 => 6,
+        _ => MAX_HOMES,
+    };
+    holders.min(homes)
 }
 
 /// Returns the share of `node`; the shares of all holders add up to the budget at most.
--- a/lib/src/escrow.rs
+++ b/lib/src/escrow.rs
@@ -36,7 +36,7 @@
 impl EscrowHand {
     /// Makes the hand of `node` with no loans.
     pub fn new(budget: BudgetId, node: NodeId, view: BudgetView, mode: SplitMode) -> Self {
-        let own = view.epoch.share_of(&node, &view.terms, mode);
+        let own = view.share_of(&node, mode);
         Self {
             budget,
             node,
--- a/lib/src/rate_entry.rs
+++ b/lib/src/rate_entry.rs
@@ -16,9 +16,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(10);
 const RECALL_SPACING: Duration = Duration::from_millis(20);
 const RATE_ASK_SPACING: Duration = Duration::from_millis(50);
-/// Below this demand a node asks for single tokens, unless it has this part of all the demand.
+/// Below this demand a node asks for single tokens in place of a part of the refill.
 const LEASED_RATE_MIN: RefillRate = RefillRate::from_units(4);
-const LEASED_PART_MIN: u64 = 3;
 const LEASED_BURST_MAX: MicroUnits = MicroUnits::from_units(16);
 /// A node with little of the demand borrows less than it needs, so that its share rarely overflows
 /// while others run dry; a node with much of it borrows all that it needs.
@@ -258,8 +257,7 @@
         let share = self.hand.escrow().share();
         let has_enough = self.hand.level().0 > share.capacity.0 / 2;
         let total = self.hand.escrow().view().terms.refill;
-        let is_small = demand < LEASED_RATE_MIN && demand.0 < total.0 / LEASED_PART_MIN;
-        if is_small || now < self.rate_ask_at || has_enough {
+        if demand < LEASED_RATE_MIN || now < self.rate_ask_at || has_enough {
             return RefillRate::ZERO;
         }
         let part_percent = demand.0.saturating_mul(100) / total.0.max(1);
--- a/lib/tests/share_fleet.rs
+++ b/lib/tests/share_fleet.rs
@@ -98,6 +98,7 @@
                 held_since: node.held_since.get(customer).copied().unwrap_or_default(),
             },
             terms: self.terms[customer],
+            ..BudgetView::default()
         }
     }
 
--- a/lib/tests/slot_fleet.rs
+++ b/lib/tests/slot_fleet.rs
@@ -68,7 +68,14 @@
                     ..EpochView::default()
                 };
                 let terms = BudgetTerms::from_units(Revision(1), slots);
-                (budget, BudgetView { epoch, terms })
+                (
+                    budget,
+                    BudgetView {
+                        epoch,
+                        terms,
+                        ..BudgetView::default()
+                    },
+                )
             })
             .collect();
         Self {
--- a/lib/tests/test_loans.rs
+++ b/lib/tests/test_loans.rs
@@ -23,7 +23,11 @@
         holders: holders.to_vec(),
         ..EpochView::default()
     };
-    BudgetView { epoch, terms }
+    BudgetView {
+        epoch,
+        terms,
+        ..BudgetView::default()
+    }
 }
 
 fn rate_hand(now: MonoTime, node: &NodeId, holders: &[NodeId]) -> BucketHand {
