--- a/lib/src/bucket_hand.rs
+++ b/lib/src/bucket_hand.rs
@@ -146,9 +146,12 @@
         } else {
             want.capacity
         };
+        // Refill that stays here needs room for a token, or it is lost.
+        let is_refill_left = !refill.is_zero() && refill < free.refill;
+        let room_for_one = MicroUnits::from_units(u64::from(is_refill_left));
         let spare_capacity = total
             .capacity
-            .saturating_sub(keep.capacity)
+            .saturating_sub(keep.capacity.max(room_for_one))
             .min(free.capacity);
         let capacity = wanted_capacity.min(spare_capacity).max(asked_level);
         let room = total.capacity.saturating_sub(level);
--- a/lib/src/escrow.rs
+++ b/lib/src/escrow.rs
@@ -251,6 +251,7 @@
                 share: amount.share(),
                 accepted_at: now,
                 ends_at,
+                is_lasting: !amount.refill.is_zero() || self.view.terms.refill.is_zero(),
                 recalled: false,
                 closing: false,
             });
@@ -270,13 +271,14 @@
         Some(self.asks.swap_remove(index).sent_at)
     }
 
-    /// Asks to extend the loans that are in the second half of their term.
+    /// Asks to extend the lasting loans that are in the second half of their term.
     pub fn renew(&mut self, now: MonoTime, sequence: &mut TransferSequence) -> Vec<Outgoing> {
         let term = self.budget.loan_term();
         let due: Vec<_> = self
             .borrowed
             .iter()
-            .filter(|loan| !loan.closing && loan.ends_at.since(now) < term / 2)
+            .filter(|loan| !loan.closing && loan.is_lasting)
+            .filter(|loan| loan.ends_at.since(now) < term / 2)
             .map(|loan| (loan.lender.clone(), loan.grant))
             .collect();
         let mut messages = Vec::new();
--- a/lib/src/loan.rs
+++ b/lib/src/loan.rs
@@ -174,6 +174,8 @@
     pub share: BudgetShare,
     pub accepted_at: MonoTime,
     pub ends_at: MonoTime,
+    /// Whether the loan is of use beyond the tokens that came with it.
+    pub is_lasting: bool,
     pub recalled: bool,
     /// The loan must end because its lender's share became smaller.
     pub closing: bool,
--- a/lib/src/rate_entry.rs
+++ b/lib/src/rate_entry.rs
@@ -8,7 +8,7 @@
 use crate::demand_meter::{DemandMeter, headroom, scale};
 use crate::escrow::Outgoing;
 use crate::ids::NodeId;
-use crate::loan::{EscrowMessage, LoanAmount, TransferSequence};
+use crate::loan::{EscrowMessage, LoanAmount, TransferId, TransferSequence};
 use crate::rate_limiter::{LimiterAction, MAX_TRANSFER_WAIT, WaitTicket};
 use crate::time::MonoTime;
 
@@ -29,6 +29,8 @@
 const KEPT_HEADROOM_MS: u64 = 250;
 const DRY_SWEEPS_BEFORE_REFUSAL: u32 = 3;
 const LONGEST_DRY_SHIFT: u32 = 5;
+const FEW_HOMES: usize = 6;
+const FEW_HOMES_DRY_SHIFT: u32 = 1;
 
 #[derive(Clone, Copy, Debug)]
 struct Waiter {
@@ -287,7 +289,11 @@
         if tokens.is_zero() || is_answer_due {
             return;
         }
-        let pause = ASK_TIMEOUT * (1 << self.dry_sweeps.min(LONGEST_DRY_SHIFT));
+        let longest = match self.lenders.len() {
+            0..=FEW_HOMES => FEW_HOMES_DRY_SHIFT,
+            _ => LONGEST_DRY_SHIFT,
+        };
+        let pause = ASK_TIMEOUT * (1 << self.dry_sweeps.min(longest));
         self.dry_sweeps += 1;
         self.dry_until = now + pause;
         for lender in &mut self.lenders {
@@ -362,33 +368,40 @@
         }
     }
 
-    /// Returns token loans at once when nobody waits, and recalled ones that are not needed.
+    /// Returns loans of spent tokens at once, and recalled loans that are not needed.
+    ///
+    /// A home cannot refill the capacity that it lent, so capacity that holds no token goes back
+    /// even while requests wait.
     pub fn settle_loans(&mut self, now: MonoTime, actions: &mut Vec<LimiterAction>) {
-        if !self.waiters.is_empty() {
-            return;
+        for grant in self.ending_loans(now) {
+            send_all(self.hand.give_back(grant), actions);
+        }
+    }
+
+    fn ending_loans(&self, now: MonoTime) -> Vec<TransferId> {
+        let escrow = self.hand.escrow();
+        if escrow.borrowed().is_empty() {
+            return Vec::new();
         }
         let needed = match self.meter.yields_to_peers(now) {
             true => BudgetShare::default(),
             false => self.needed(now, KEPT_PERCENT),
         };
         let surplus = self.hand.surplus_loans(needed);
-        let ending: Vec<_> = self
-            .hand
-            .escrow()
-            .borrowed()
-            .iter()
-            .filter(|loan| {
-                let is_surplus = loan.recalled && surplus.contains(&loan.grant);
-                loan.share.refill.is_zero() || is_surplus
-            })
-            .map(|loan| loan.grant)
-            .collect();
-        send_all(
-            ending
-                .into_iter()
-                .filter_map(|grant| self.hand.give_back(grant)),
-            actions,
-        );
+        let mut capacity = escrow.share().capacity;
+        let level = self.hand.level();
+        let mut ending = Vec::new();
+        for loan in escrow.borrowed() {
+            let rest = capacity.saturating_sub(loan.share.capacity);
+            let is_spent = loan.share.refill.is_zero() && rest >= level;
+            let is_idle = self.waiters.is_empty()
+                && (loan.share.refill.is_zero() || loan.recalled && surplus.contains(&loan.grant));
+            if is_spent || is_idle {
+                capacity = rest;
+                ending.push(loan.grant);
+            }
+        }
+        ending
     }
 
     /// Renews the loans while requests arrive and returns them once none do.
--- a/lib/src/rate_limiter.rs
+++ b/lib/src/rate_limiter.rs
@@ -19,7 +19,7 @@
 use crate::time::MonoTime;
 
 /// The longest time that a request waits for a transfer.
-pub const MAX_TRANSFER_WAIT: Duration = Duration::from_millis(250);
+pub const MAX_TRANSFER_WAIT: Duration = Duration::from_millis(500);
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How the fleet keeps to a customer's rate.
