--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod ids;
 pub mod key;
 pub mod key_table;
+mod lender_board;
 pub mod loan;
 pub mod membership;
 pub mod outcome;
--- a/lib/src/rate_entry.rs
+++ b/lib/src/rate_entry.rs
@@ -8,12 +8,12 @@
 use crate::demand_meter::{DemandMeter, headroom, scale};
 use crate::escrow::Outgoing;
 use crate::ids::NodeId;
+use crate::lender_board::LenderBoard;
 use crate::loan::{EscrowMessage, LoanAmount, TransferId, TransferSequence};
 use crate::rate_limiter::{LimiterAction, MAX_TRANSFER_WAIT, WaitTicket};
 use crate::time::MonoTime;
 
 const ONE_REQUEST: MicroUnits = MicroUnits(MICROS_PER_UNIT);
-const ASK_TIMEOUT: Duration = Duration::from_millis(10);
 const RECALL_SPACING: Duration = Duration::from_millis(20);
 const RATE_ASK_SPACING: Duration = Duration::from_millis(50);
 /// Below this demand a node asks for single tokens in place of a part of the refill.
@@ -27,10 +27,6 @@
 const KEPT_PERCENT: u64 = 110;
 const BORROWED_HEADROOM_MS: u64 = 500;
 const KEPT_HEADROOM_MS: u64 = 250;
-const DRY_SWEEPS_BEFORE_REFUSAL: u32 = 3;
-const LONGEST_DRY_SHIFT: u32 = 5;
-const FEW_HOMES: usize = 6;
-const FEW_HOMES_DRY_SHIFT: u32 = 1;
 
 #[derive(Clone, Copy, Debug)]
 struct Waiter {
@@ -38,26 +34,14 @@
     until: MonoTime,
 }
 
-/// What the node knows of one home that it may borrow from.
-#[derive(Clone, Copy, Debug, Default)]
-struct LenderState {
-    /// When the home may be asked again.
-    open_at: MonoTime,
-    /// Whether an ask has no answer so far.
-    is_asked: bool,
-}
-
 /// The hand, the demand and the waiting requests of one customer.
 #[derive(Debug)]
 pub(crate) struct RateEntry {
     hand: BucketHand,
     meter: DemandMeter,
     waiters: VecDeque<Waiter>,
-    lenders: Vec<LenderState>,
-    cursor: usize,
+    board: LenderBoard,
     rate_ask_at: MonoTime,
-    dry_until: MonoTime,
-    dry_sweeps: u32,
 }
 
 impl RateEntry {
@@ -67,11 +51,8 @@
             hand,
             meter: DemandMeter::default(),
             waiters: VecDeque::new(),
-            lenders: Vec::new(),
-            cursor,
+            board: LenderBoard::new(cursor),
             rate_ask_at: MonoTime::ZERO,
-            dry_until: MonoTime::ZERO,
-            dry_sweeps: 0,
         }
     }
 
@@ -101,8 +82,7 @@
     pub fn may_wait(&self, now: MonoTime) -> bool {
         let escrow = self.hand.escrow();
         let terms = escrow.view().terms;
-        let is_dry = self.dry_sweeps >= DRY_SWEEPS_BEFORE_REFUSAL && now < self.dry_until;
-        let expected = match is_dry {
+        let expected = match self.board.is_dry(now) {
             true => terms.refill.over(MAX_TRANSFER_WAIT).min(terms.capacity),
             false => terms.capacity,
         };
@@ -165,7 +145,7 @@
             self.waiters.pop_front();
         }
         if is_served {
-            self.dry_sweeps /= 2;
+            self.board.note_served();
         }
     }
 
@@ -178,7 +158,7 @@
     ) {
         let tokens = self.shortfall();
         let refill = self.missing_refill(now);
-        if (tokens.is_zero() && refill.is_zero()) || now < self.dry_until {
+        if (tokens.is_zero() && refill.is_zero()) || self.board.is_paused(now) {
             return;
         }
         if !tokens.is_zero() {
@@ -186,10 +166,12 @@
             send_all(recalls, actions);
         }
         let homes = self.hand.escrow().homes().to_vec();
-        self.lenders.resize(homes.len(), LenderState::default());
-        let open = self.open_lenders(now, &homes);
+        let node = self.node().clone();
+        let open = self.board.open(now, &homes, &node);
         if open.is_empty() {
-            self.note_dry(now, tokens);
+            if !tokens.is_zero() {
+                self.board.note_exhausted(now);
+            }
             return;
         }
         let terms = self.hand.escrow().view().terms;
@@ -198,7 +180,7 @@
             usize::try_from(missing.div_ceil(home_part)).unwrap_or(usize::MAX)
         };
         // A first sweep asks ever more homes for whole tokens, a second one collects parts.
-        let partial = self.dry_sweeps > 0;
+        let partial = self.board.collects_parts();
         let tried = homes.len() - open.len();
         let token_fanout = match (tokens.is_zero(), partial) {
             (true, _) => 0,
@@ -211,11 +193,7 @@
             self.rate_ask_at = now + RATE_ASK_SPACING;
         }
         for &index in open.iter().take(token_fanout.max(refill_fanout)) {
-            self.lenders[index] = LenderState {
-                open_at: now + ASK_TIMEOUT,
-                is_asked: true,
-            };
-            self.cursor = index + 1;
+            self.board.note_ask(now, index);
             let lender = homes[index].clone();
             let message = self.hand.ask(now, lender, want, partial, sequence);
             send_all([message], actions);
@@ -272,38 +250,6 @@
         missing
     }
 
-    fn open_lenders(&self, now: MonoTime, homes: &[NodeId]) -> Vec<usize> {
-        (0..homes.len())
-            .map(|offset| (self.cursor + offset) % homes.len())
-            .filter(|&index| &homes[index] != self.node())
-            .filter(|&index| self.lenders[index].open_at <= now)
-            .collect()
-    }
-
-    /// Pauses the asks once every home was asked and requests still wait.
-    fn note_dry(&mut self, now: MonoTime, tokens: MicroUnits) {
-        let is_answer_due = self
-            .lenders
-            .iter()
-            .any(|lender| lender.is_asked && lender.open_at > now);
-        if tokens.is_zero() || is_answer_due {
-            return;
-        }
-        let longest = match self.lenders.len() {
-            0..=FEW_HOMES => FEW_HOMES_DRY_SHIFT,
-            _ => LONGEST_DRY_SHIFT,
-        };
-        let pause = ASK_TIMEOUT * (1 << self.dry_sweeps.min(longest));
-        self.dry_sweeps += 1;
-        self.dry_until = now + pause;
-        for lender in &mut self.lenders {
-            *lender = LenderState {
-                open_at: self.dry_until,
-                is_asked: false,
-            };
-        }
-    }
-
     /// Takes a grant and notes whether its home has more to lend.
     pub fn take_grant(&mut self, now: MonoTime, lender: &NodeId, message: &EscrowMessage) {
         let EscrowMessage::Grant {
@@ -319,10 +265,8 @@
         let accepted = self.hand.accept(now, lender, *ask, *grant, *epoch, *amount);
         let homes = self.hand.escrow().homes();
         let index = homes.iter().position(|home| home == lender);
-        let state = index.and_then(|index| self.lenders.get_mut(index));
-        if let (Some(state), Some(_)) = (state, accepted) {
-            state.is_asked = false;
-            state.open_at = now + ASK_TIMEOUT;
+        if let (Some(index), Some(_)) = (index, accepted) {
+            self.board.note_answer(now, index);
         }
     }
 
@@ -426,9 +370,7 @@
     /// Acts on a newer assignment or newer terms.
     pub fn adopt(&mut self, now: MonoTime, view: BudgetView, actions: &mut Vec<LimiterAction>) {
         send_all(self.hand.adopt(now, view), actions);
-        self.lenders.clear();
-        self.dry_until = MonoTime::ZERO;
-        self.dry_sweeps = 0;
+        self.board.reset();
     }
 
     pub const fn hand_mut(&mut self) -> &mut BucketHand {
