--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod ids;
 pub mod key;
 pub mod key_table;
+mod lender_board;
 pub mod loan;
 mod member_entry;
 pub mod membership;
