--- a/gateway/src/fleet_epoch.rs
+++ b/gateway/src/fleet_epoch.rs
@@ -138,6 +138,7 @@
                 held_since: state.held_since,
             },
             terms,
+            unsettled_terms: Vec::new(),
         }
     }
 }
--- a/gateway/src/rate_gate.rs
+++ b/gateway/src/rate_gate.rs
@@ -12,6 +12,7 @@
     LimitPolicy, LimiterAction, RateDecision, RateLimiter, WaitTicket,
 };
 use damaskloom_lib::rendezvous::StableHash;
+use damaskloom_lib::time::MonoTime;
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 
@@ -30,8 +31,20 @@
 struct RateShard {
     limiter: RateLimiter,
     waiters: IndexMap<WaitTicket, oneshot::Sender<WaitAnswer>>,
+    /// Terms that were replaced lately, on which other nodes may still act.
+    replaced: IndexMap<CustomerId, ReplacedTerms>,
 }
 
+#[derive(Debug)]
+struct ReplacedTerms {
+    terms: Vec<BudgetTerms>,
+    until: MonoTime,
+}
+
+/// The time after which no node that serves acts on replaced terms: a change is in force in 7 s,
+/// and a node that does not hear of it stops serving within its freshness term.
+const TERMS_SETTLE_MS: u64 = 20_000;
+
 /// Admits requests by the shares of their customers that this node holds.
 #[derive(Debug)]
 pub struct RateGate {
@@ -55,6 +68,7 @@
             Mutex::new(RateShard {
                 limiter: RateLimiter::new(node.clone(), LimitPolicy::Escrow),
                 waiters: IndexMap::new(),
+                replaced: IndexMap::new(),
             })
         };
         let shards = (0..SHARDS).map(|_| shard()).collect();
@@ -142,7 +156,12 @@
         for shard in &self.shards {
             let mut shard = shard.lock().expect("no holder of a shard panics");
             let mut actions = Vec::new();
-            shard.limiter.tick(self.clock.now(), &mut actions);
+            let now = self.clock.now();
+            shard.limiter.tick(now, &mut actions);
+            for customer in shard.settled_customers(now) {
+                shard.replaced.swap_remove(&customer);
+                self.adopt(&mut shard, &customer, &mut actions);
+            }
             self.perform(&mut shard, actions);
         }
     }
@@ -154,20 +173,8 @@
             let customers: Vec<CustomerId> = shard.limiter.customers().cloned().collect();
             let mut actions = Vec::new();
             for customer in customers {
-                let view = match self.config.customer(&customer) {
-                    Some(limits) => self.view(&limits),
-                    // A removed customer has no rate left to lend or to spend.
-                    None => self.epoch.view(
-                        &BudgetId::CustomerRate(customer.clone()),
-                        BudgetTerms {
-                            revision: self.config.revision(),
-                            ..BudgetTerms::default()
-                        },
-                    ),
-                };
-                shard
-                    .limiter
-                    .adopt(self.clock.now(), &customer, view, &mut actions);
+                self.note_replaced(&mut shard, &customer);
+                self.adopt(&mut shard, &customer, &mut actions);
             }
             self.perform(&mut shard, actions);
         }
@@ -184,6 +191,56 @@
         })
     }
 
+    /// Remembers the terms that a customer's hand acted on, if the configuration changed them.
+    fn note_replaced(&self, shard: &mut RateShard, customer: &CustomerId) {
+        let Some(hand) = shard.limiter.hand(customer) else {
+            return;
+        };
+        let old = hand.escrow().view().terms;
+        let new = self.terms(customer);
+        if (old.refill, old.capacity) == (new.refill, new.capacity) {
+            return;
+        }
+        let until = self.clock.now() + Duration::from_millis(TERMS_SETTLE_MS);
+        let replaced = shard
+            .replaced
+            .entry(customer.clone())
+            .or_insert(ReplacedTerms {
+                terms: Vec::new(),
+                until,
+            });
+        replaced.terms.push(old);
+        replaced.until = until;
+    }
+
+    fn adopt(
+        &self,
+        shard: &mut RateShard,
+        customer: &CustomerId,
+        actions: &mut Vec<LimiterAction>,
+    ) {
+        let budget = BudgetId::CustomerRate(customer.clone());
+        let mut view = self.epoch.view(&budget, self.terms(customer));
+        if let Some(replaced) = shard.replaced.get(customer) {
+            view.unsettled_terms.clone_from(&replaced.terms);
+        }
+        shard
+            .limiter
+            .adopt(self.clock.now(), customer, view, actions);
+    }
+
+    /// Returns a customer's terms; a removed customer has no rate left to lend or to spend.
+    fn terms(&self, customer: &CustomerId) -> BudgetTerms {
+        let revision = self.config.revision();
+        match self.config.customer(customer) {
+            Some(limits) => BudgetTerms::from_rate(revision, limits.rate, limits.burst),
+            None => BudgetTerms {
+                revision,
+                ..BudgetTerms::default()
+            },
+        }
+    }
+
     fn view(&self, limits: &Customer) -> BudgetView {
         let terms = BudgetTerms::from_rate(self.config.revision(), limits.rate, limits.burst);
         self.epoch
@@ -216,6 +273,14 @@
 }
 
 impl RateShard {
+    fn settled_customers(&self, now: MonoTime) -> Vec<CustomerId> {
+        let settled = self
+            .replaced
+            .iter()
+            .filter(|(_, replaced)| now >= replaced.until);
+        settled.map(|(customer, _)| customer.clone()).collect()
+    }
+
     fn answer(&mut self, ticket: WaitTicket, answer: WaitAnswer) {
         if let Some(waiter) = self.waiters.swap_remove(&ticket) {
             // The caller may have gone away; its token was spent all the same.
