epochs: match outcomes of the table to their calls

A commit that was given up could be answered after the next one had been sent, and its outcome was then taken for the next one's: a node could enter an epoch that was never committed. Calls are numbered now, and an outcome of another call only makes the keeper read back.

A directed test fails when outcomes are not matched. The property test now delays some outcomes beyond the timeout.

--- a/lib/examples/epochs.rs
+++ b/lib/examples/epochs.rs
@@ -46,7 +46,7 @@
             let node = records[index].node.clone();
             let (target, more) = match action {
                 EpochAction::ReadRow => (index, keepers[index].on_row(Ok(table.clone()))),
-                EpochAction::Commit(transaction) => {
+                EpochAction::Commit { call, transaction } => {
                     // Nobody else writes here, so that the conditions always hold.
                     let version = RowVersion(table.map_or(1, |row| row.version.0 + 1));
                     let key = RowKey::from(EPOCH_ROW);
@@ -60,7 +60,7 @@
                     });
                     (
                         index,
-                        keepers[index].on_commit(Ok(CommitOutcome::Committed)),
+                        keepers[index].on_commit(call, Ok(CommitOutcome::Committed)),
                     )
                 }
                 EpochAction::Send { to, message } => {
--- a/lib/src/epoch.rs
+++ b/lib/src/epoch.rs
@@ -11,11 +11,12 @@
 use indexmap::IndexSet;
 
 use crate::entry_tally::EntryTally;
-pub use crate::epoch_types::{EPOCH_ROW, EpochAction, EpochMessage, EpochRow, EpochSettings};
-use crate::ids::{Epoch, NodeId};
-use crate::platform::{
-    CommitOutcome, Condition, Mutation, PlatformError, RowKey, RowVersion, TableRow, Transaction,
+use crate::epoch_store::StoreCaller;
+pub use crate::epoch_types::{
+    EPOCH_ROW, EpochAction, EpochMessage, EpochRow, EpochSettings, StoreCallId,
 };
+use crate::ids::{Epoch, NodeId};
+use crate::platform::{CommitOutcome, Mutation, PlatformError, RowKey, TableRow, Transaction};
 use crate::registration::MemberRecord;
 use crate::rendezvous::{StableHash, top_members};
 use crate::share_basis::ShareBasis;
@@ -23,22 +24,6 @@
 
 const PROPOSER_RANKS: usize = 8;
 
-/// What the keeper waits for from the store.
-#[derive(Clone, Debug)]
-enum StoreCall {
-    Idle,
-    Reading { since: MonoTime },
-    Committing { since: MonoTime, row: Box<EpochRow> },
-}
-
-/// What the keeper knows of the row in the table.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum RowState {
-    Unknown,
-    Absent,
-    At(RowVersion),
-}
-
 /// Keeps the node in the newest epoch and proposes the next one when the members change.
 #[derive(Clone, Debug)]
 pub struct EpochKeeper {
@@ -47,11 +32,7 @@
     seed: StableHash,
     current: Option<EpochRow>,
     nodes: Vec<NodeId>,
-    row_state: RowState,
-    call: StoreCall,
-    /// Whether a proposal may have taken effect without an answer.
-    unsure: bool,
-    next_read: MonoTime,
+    store: StoreCaller,
     tally: EntryTally,
     settled: bool,
     candidates: Vec<MemberRecord>,
@@ -69,10 +50,7 @@
             seed: StableHash(seed),
             current: None,
             nodes: Vec::new(),
-            row_state: RowState::Unknown,
-            call: StoreCall::Idle,
-            unsure: false,
-            next_read: MonoTime::ZERO,
+            store: StoreCaller::default(),
             tally: EntryTally::default(),
             settled: false,
             candidates: Vec::new(),
@@ -132,19 +110,17 @@
     ///
     /// A row of an earlier epoch than the entered one is an answer from the past and is ignored.
     pub fn on_row(&mut self, answer: Result<Option<TableRow>, PlatformError>) -> Vec<EpochAction> {
-        if matches!(self.call, StoreCall::Reading { .. }) {
-            self.call = StoreCall::Idle;
-        }
+        self.store.end_read();
         match answer {
             Ok(None) if self.current.is_none() => {
-                self.unsure = false;
-                self.row_state = RowState::Absent;
+                self.store.see_absent();
                 Vec::new()
             }
             Ok(Some(row)) => match serde_json::from_value::<EpochRow>(row.value) {
                 Ok(read) if read.epoch >= self.epoch() => {
-                    self.unsure = false;
-                    self.take_row(read, RowState::At(row.version))
+                    let actions = self.take_row(read);
+                    self.store.see_version(row.version);
+                    actions
                 }
                 Ok(_) | Err(_) => Vec::new(),
             },
@@ -152,22 +128,14 @@
         }
     }
 
-    /// Takes the outcome of a transaction.
-    pub fn on_commit(&mut self, outcome: Result<CommitOutcome, PlatformError>) -> Vec<EpochAction> {
-        let call = std::mem::replace(&mut self.call, StoreCall::Idle);
-        // Whatever the outcome, the version that the proposal was based on is not the newest now,
-        // or may not be: the next proposal starts with a read.
-        self.row_state = RowState::Unknown;
-        match (call, outcome) {
-            (StoreCall::Committing { row, .. }, Ok(CommitOutcome::Committed)) => {
-                self.take_row(*row, RowState::Unknown)
-            }
-            (StoreCall::Committing { .. }, Err(PlatformError::Unavailable { .. })) => Vec::new(),
-            _ => {
-                self.unsure = true;
-                Vec::new()
-            }
-        }
+    /// Takes the outcome of the transaction of a call.
+    pub fn on_commit(
+        &mut self,
+        call: StoreCallId,
+        outcome: Result<CommitOutcome, PlatformError>,
+    ) -> Vec<EpochAction> {
+        let committed = self.store.end_commit(call, outcome);
+        committed.map_or_else(Vec::new, |row| self.take_row(row))
     }
 
     /// Handles a message of a peer.
@@ -180,14 +148,15 @@
             } => self.handle_digest(from, epoch, &entered, settled),
             EpochMessage::Query { epoch } if epoch < self.epoch() => self.send_row(from),
             EpochMessage::Query { .. } => Vec::new(),
-            EpochMessage::Row { row } => self.take_row(row, RowState::Unknown),
+            EpochMessage::Row { row } => self.take_row(row),
         }
     }
 
     /// Settles the epoch, proposes the next one and tells peers, each when it is due.
     pub fn tick(&mut self, now: MonoTime) -> Vec<EpochAction> {
         let mut actions = Vec::new();
-        self.give_up_call(now);
+        let timeout = Duration::from_millis(self.settings.store_timeout_ms);
+        self.store.give_up(now, timeout);
         actions.extend(self.settle(now));
         actions.extend(self.propose(now));
         actions.extend(self.gossip(now));
@@ -250,17 +219,11 @@
     }
 
     /// Enters the row's epoch if it is later than the entered one.
-    fn take_row(&mut self, row: EpochRow, state: RowState) -> Vec<EpochAction> {
-        let mine = self.epoch();
-        if row.epoch >= mine && state != RowState::Unknown {
-            self.row_state = state;
-        }
-        if row.epoch <= mine {
+    fn take_row(&mut self, row: EpochRow) -> Vec<EpochAction> {
+        if row.epoch <= self.epoch() {
             return Vec::new();
         }
-        if state == RowState::Unknown {
-            self.row_state = RowState::Unknown;
-        }
+        self.store.forget_version();
         self.nodes = row.nodes();
         self.tally.restart();
         if row.previous.contains(&self.node) {
@@ -311,31 +274,17 @@
         Vec::new()
     }
 
-    fn give_up_call(&mut self, now: MonoTime) {
-        let timeout = Duration::from_millis(self.settings.store_timeout_ms);
-        let since = match &self.call {
-            StoreCall::Idle => return,
-            StoreCall::Reading { since } | StoreCall::Committing { since, .. } => *since,
-        };
-        if now.since(since) >= timeout {
-            self.call = StoreCall::Idle;
-            self.row_state = RowState::Unknown;
-            self.unsure = true;
-        }
-    }
-
-    /// Reads the row, unless a call is under way or the last read was a moment ago.
     fn read(&mut self, now: MonoTime) -> Vec<EpochAction> {
-        if now < self.next_read || !matches!(self.call, StoreCall::Idle) {
-            return Vec::new();
-        }
-        self.next_read = now + Duration::from_millis(self.settings.read_retry_ms);
-        self.call = StoreCall::Reading { since: now };
-        vec![EpochAction::ReadRow]
+        let retry = Duration::from_millis(self.settings.read_retry_ms);
+        let started = self.store.start_read(now, retry);
+        started
+            .then_some(EpochAction::ReadRow)
+            .into_iter()
+            .collect()
     }
 
     fn propose(&mut self, now: MonoTime) -> Vec<EpochAction> {
-        if self.unsure {
+        if self.store.is_unsure() {
             return self.read(now);
         }
         let may_propose = self.settled || self.current.is_none();
@@ -349,13 +298,11 @@
             return Vec::new();
         }
         let since = *self.differs_since.get_or_insert(now);
-        if now.since(since) < self.propose_delay() || !matches!(self.call, StoreCall::Idle) {
+        if now.since(since) < self.propose_delay() || !self.store.is_idle() {
             return Vec::new();
         }
-        let condition = match self.row_state {
-            RowState::Unknown => return self.read(now),
-            RowState::Absent => Condition::Absent(RowKey::from(EPOCH_ROW)),
-            RowState::At(version) => Condition::VersionIs(RowKey::from(EPOCH_ROW), version),
+        let Some(condition) = self.store.condition() else {
+            return self.read(now);
         };
         let row = EpochRow {
             epoch: self.epoch().next(),
@@ -363,14 +310,12 @@
             previous: self.nodes.clone(),
         };
         let value = serde_json::to_value(&row).expect("rows are plain data");
-        self.call = StoreCall::Committing {
-            since: now,
-            row: Box::new(row),
-        };
-        vec![EpochAction::Commit(Transaction {
+        let transaction = Transaction {
             conditions: vec![condition],
             mutations: vec![Mutation::Put(RowKey::from(EPOCH_ROW), value)],
-        })]
+        };
+        let call = self.store.start_commit(now, row);
+        vec![EpochAction::Commit { call, transaction }]
     }
 
     /// Returns whether more than half of the members that have not stopped stay members.
--- /dev/null
+++ b/lib/src/epoch_store.rs
@@ -0,0 +1,132 @@
+//! The keeper's calls to the table, one at a time.
+
+use std::time::Duration;
+
+use crate::epoch_types::{EPOCH_ROW, EpochRow, StoreCallId};
+use crate::platform::{CommitOutcome, Condition, PlatformError, RowKey, RowVersion};
+use crate::time::MonoTime;
+
+/// What is known of the row in the table.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum RowState {
+    #[default]
+    Unknown,
+    Absent,
+    At(RowVersion),
+}
+
+/// A call whose answer is awaited.
+#[derive(Clone, Debug)]
+struct StoreCall {
+    id: StoreCallId,
+    since: MonoTime,
+    /// The proposed row; none if the call is a read.
+    proposal: Option<Box<EpochRow>>,
+}
+
+/// Makes calls and says what their answers mean.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StoreCaller {
+    state: RowState,
+    call: Option<StoreCall>,
+    last_id: StoreCallId,
+    /// Whether a proposal may have taken effect without an answer.
+    unsure: bool,
+    next_read: MonoTime,
+}
+
+impl StoreCaller {
+    pub(crate) const fn is_idle(&self) -> bool {
+        self.call.is_none()
+    }
+
+    pub(crate) const fn is_unsure(&self) -> bool {
+        self.unsure
+    }
+
+    /// Returns the condition under which the next row may be written, if the row was read.
+    pub(crate) fn condition(&self) -> Option<Condition> {
+        let key = RowKey::from(EPOCH_ROW);
+        match self.state {
+            RowState::Unknown => None,
+            RowState::Absent => Some(Condition::Absent(key)),
+            RowState::At(version) => Some(Condition::VersionIs(key, version)),
+        }
+    }
+
+    /// Starts a read, unless a call is under way or the last read was a moment ago.
+    pub(crate) fn start_read(&mut self, now: MonoTime, retry: Duration) -> bool {
+        if now < self.next_read || self.call.is_some() {
+            return false;
+        }
+        self.next_read = now + retry;
+        self.start(now, None);
+        true
+    }
+
+    pub(crate) fn start_commit(&mut self, now: MonoTime, row: EpochRow) -> StoreCallId {
+        self.start(now, Some(Box::new(row)))
+    }
+
+    /// Gives up a call that has no answer; what it did is not known.
+    pub(crate) fn give_up(&mut self, now: MonoTime, timeout: Duration) {
+        let late = |call: &StoreCall| now.since(call.since) >= timeout;
+        if self.call.as_ref().is_some_and(late) {
+            self.call = None;
+            self.state = RowState::Unknown;
+            self.unsure = true;
+        }
+    }
+
+    /// Takes note that a read has been answered, whatever the answer.
+    pub(crate) fn end_read(&mut self) {
+        self.call.take_if(|call| call.proposal.is_none());
+    }
+
+    pub(crate) fn see_absent(&mut self) {
+        self.unsure = false;
+        self.state = RowState::Absent;
+    }
+
+    pub(crate) fn see_version(&mut self, version: RowVersion) {
+        self.unsure = false;
+        self.state = RowState::At(version);
+    }
+
+    /// Takes note that the row's version is not known any more.
+    pub(crate) fn forget_version(&mut self) {
+        self.state = RowState::Unknown;
+    }
+
+    /// Takes the outcome of a proposal, and returns the row if it was committed.
+    ///
+    /// An outcome that belongs to an earlier call says nothing about the one under way.
+    pub(crate) fn end_commit(
+        &mut self,
+        id: StoreCallId,
+        outcome: Result<CommitOutcome, PlatformError>,
+    ) -> Option<EpochRow> {
+        // Whatever the outcome, the version that the proposal was based on may be an old one now.
+        self.state = RowState::Unknown;
+        let ended = self.call.take_if(|call| call.id == id);
+        let proposal = ended.and_then(|call| call.proposal);
+        match (outcome, proposal) {
+            (Ok(CommitOutcome::Committed), Some(row)) => Some(*row),
+            (Err(PlatformError::Unavailable { .. }), _) => None,
+            _ => {
+                self.unsure = true;
+                None
+            }
+        }
+    }
+
+    fn start(&mut self, now: MonoTime, proposal: Option<Box<EpochRow>>) -> StoreCallId {
+        self.last_id = self.last_id.next();
+        self.call = Some(StoreCall {
+            id: self.last_id,
+            since: now,
+            proposal,
+        });
+        self.last_id
+    }
+}
--- a/lib/src/epoch_types.rs
+++ b/lib/src/epoch_types.rs
@@ -100,6 +100,17 @@
     },
 }
 
+/// Numbers the keeper's calls to the table, so that a late outcome is not taken for another's.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StoreCallId(pub u64);
+
+impl StoreCallId {
+    /// Returns the number that follows this one.
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 /// What the keeper wants done, in order: act on what was entered before sending what follows.
 #[derive(Clone, Debug, PartialEq)]
 pub enum EpochAction {
@@ -111,8 +122,14 @@
     Superseded(NodeId),
     /// Reads the row [`EPOCH_ROW`] and gives it to [`on_row`](crate::epoch::EpochKeeper::on_row).
     ReadRow,
-    /// Commits the transaction and gives the outcome to [`on_commit`](crate::epoch::EpochKeeper::on_commit).
-    Commit(Transaction),
+    /// Commits the transaction and gives the outcome to
+    /// [`on_commit`](crate::epoch::EpochKeeper::on_commit).
+    Commit {
+        /// Comes back with the outcome.
+        call: StoreCallId,
+        /// The transaction.
+        transaction: Transaction,
+    },
     /// Sends a message to a peer.
     Send {
         /// The peer.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod ejector;
 mod entry_tally;
 pub mod epoch;
+mod epoch_store;
 pub mod epoch_types;
 pub mod escrow;
 pub mod evidence;
--- a/lib/tests/test_epochs.rs
+++ b/lib/tests/test_epochs.rs
@@ -1,7 +1,7 @@
 //! Epochs: no share in two hands, numbers only go up, and least movement of shares.
 
 use damaskloom_lib::epoch::{
-    EPOCH_ROW, EpochAction, EpochKeeper, EpochMessage, EpochRow, EpochSettings,
+    EPOCH_ROW, EpochAction, EpochKeeper, EpochMessage, EpochRow, EpochSettings, StoreCallId,
 };
 use damaskloom_lib::freshness::{
     FreshnessAction, FreshnessGuard, FreshnessMessage, FreshnessSettings,
@@ -12,6 +12,7 @@
 };
 use damaskloom_lib::registration::MemberRecord;
 use damaskloom_lib::share_basis::{holders, split_budget};
+use damaskloom_lib::time::MonoTime;
 use proptest::collection::{btree_set, vec};
 use proptest::prelude::*;
 use proptest::test_runner::TestCaseError;
@@ -23,6 +24,7 @@
 const TERM_MS: u64 = 600;
 const TICK_MS: u64 = 50;
 const POLL_MS: u64 = 100;
+const STORE_TIMEOUT_MS: u64 = 150;
 const TOTAL: u64 = 1_001;
 const KEYS: [&[u8]; 3] = [b"customer/a", b"customer/b", b"service/c"];
 
@@ -37,7 +39,7 @@
 #[derive(Clone, Debug)]
 enum Answer {
     Row(u64, Answered<Option<TableRow>>),
-    Commit(Answered<CommitOutcome>),
+    Commit(StoreCallId, Answered<CommitOutcome>),
 }
 
 /// The table's one row, with outages, lost answers and writes that take effect late.
@@ -157,7 +159,7 @@
             propose_delay_ms: TICK_MS,
             gossip_interval_ms: TICK_MS - 1,
             calm_gossip_interval_ms: 2 * TICK_MS,
-            store_timeout_ms: 300,
+            store_timeout_ms: STORE_TIMEOUT_MS,
             read_retry_ms: 100,
             safe_term_ms: freshness.safe_term().as_millis() as u64 + 1,
             ..EpochSettings::default()
@@ -218,12 +220,14 @@
                     let due = self.now + self.queue.draw() % 80;
                     self.answers.push((due, node.clone(), answer));
                 }
-                EpochAction::Commit(transaction) => {
+                EpochAction::Commit { call, transaction } => {
                     let coin = self.queue.draw();
                     let outcome = self.store.commit(self.now, coin, transaction);
-                    let due = self.now + coin % 80;
-                    self.answers
-                        .push((due, node.clone(), Answer::Commit(outcome)));
+                    // Some outcomes come long after the keeper has given them up.
+                    let late = coin.is_multiple_of(7).then_some(2 * STORE_TIMEOUT_MS);
+                    let due = self.now + coin % 80 + late.unwrap_or(0);
+                    let answer = Answer::Commit(call, outcome);
+                    self.answers.push((due, node.clone(), answer));
                 }
                 EpochAction::Send { to, message } => {
                     let index = index_of(&to);
@@ -300,7 +304,7 @@
                     }
                     process.keeper.on_row(read)
                 }
-                Answer::Commit(outcome) => process.keeper.on_commit(outcome),
+                Answer::Commit(call, outcome) => process.keeper.on_commit(call, outcome),
             };
             self.act(slot, actions);
         }
@@ -587,3 +591,25 @@
     assert_eq!(process.keeper.on_row(Ok(None)), []);
     assert_eq!(process.keeper.epoch(), epoch);
 }
+
+#[test]
+fn a_late_outcome_is_not_taken_for_that_of_the_next_proposal() {
+    let node = node_id(0);
+    let mut keeper = EpochKeeper::new(EpochSettings::default(), node.clone(), 0);
+    keeper.set_candidates([record(node)]);
+    let mut calls = Vec::new();
+    for seconds in 0..30 {
+        for action in keeper.tick(MonoTime::from_millis(seconds * 1_000)) {
+            match action {
+                EpochAction::ReadRow => assert_eq!(keeper.on_row(Ok(None)), []),
+                EpochAction::Commit { call, .. } => calls.push(call),
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    let (first, last) = (calls[0], calls[calls.len() - 1]);
+    assert_ne!(first, last);
+    assert_eq!(keeper.on_commit(first, Ok(CommitOutcome::Committed)), []);
+    let entered = keeper.on_commit(last, Ok(CommitOutcome::Committed));
+    assert_eq!(entered[0], EpochAction::Entered(Epoch(1)));
+}
