membership: keep the rounds of probes in a module of their own

What is probed when, and the rounds under way, are now in probe_schedule.rs; behaviour and tests are unchanged.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -34,6 +34,7 @@
 mod peer_probe;
 pub mod plan;
 pub mod platform;
+mod probe_schedule;
 pub mod rate_limiter;
 pub mod registration;
 pub mod rendezvous;
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -18,14 +18,12 @@
     ServingStatus,
 };
 use crate::news_queue::NewsQueue;
-use crate::peer_probe::ProbeRound;
 use crate::platform::VmEntry;
+use crate::probe_schedule::ProbeSchedule;
 use crate::registration::MemberRecord;
 use crate::rendezvous::{StableHash, top_members};
 use crate::time::MonoTime;
 
-/// Answers to rounds that are over still count for so many intervals.
-const ROUND_MEMORY: u32 = 3;
 /// With more than so many intervals between two ticks, this node was paused.
 const PAUSE_INTERVALS: u32 = 2;
 
@@ -37,10 +35,7 @@
     seed: StableHash,
     status: ServingStatus,
     members: IndexMap<VmId, MemberEntry>,
-    rounds: IndexMap<u64, (VmId, ProbeRound)>,
-    next_seq: u64,
-    cursor: usize,
-    soon: IndexSet<VmId>,
+    schedule: ProbeSchedule,
     news: NewsQueue,
     next_round: MonoTime,
     last_tick: Option<MonoTime>,
@@ -55,10 +50,7 @@
             seed: StableHash(seed),
             status: ServingStatus::Serving,
             members: IndexMap::new(),
-            rounds: IndexMap::new(),
-            next_seq: 0,
-            cursor: 0,
-            soon: IndexSet::new(),
+            schedule: ProbeSchedule::default(),
             news: NewsQueue::default(),
             next_round: MonoTime::ZERO,
             last_tick: None,
@@ -175,7 +167,7 @@
         };
         member.probe.last_heard = Some(now);
         if member.probe.state() != PeerState::Alive {
-            self.soon.insert(from.vm.clone());
+            self.schedule.hurry(from.vm.clone());
         }
         let mut actions = match message {
             MembershipMessage::Ping { seq, status, news } => {
@@ -200,7 +192,7 @@
                 self.answer_indirect(now, from, seq, origin)
             }
             MembershipMessage::IndirectHello { seq } => {
-                if let Some((_, round)) = self.round(from, seq) {
+                if let Some(round) = self.schedule.round_mut(&from.vm, seq) {
                     round.hello = true;
                 }
                 Vec::new()
@@ -224,7 +216,7 @@
                 heard_ago_ms,
             } => {
                 let heard_ago = heard_ago_ms.map(Duration::from_millis);
-                if let Some((_, round)) = self.round(&target, seq) {
+                if let Some(round) = self.schedule.round_mut(&target.vm, seq) {
                     round.add_report(now, heard_ago);
                 }
                 Vec::new()
@@ -240,7 +232,7 @@
         let paused = |last| now.since(last) > interval * PAUSE_INTERVALS;
         if self.last_tick.is_some_and(paused) {
             // Answers may wait unread: what looks like silence of the peers was this node's.
-            self.rounds.clear();
+            self.schedule.clear();
         }
         self.last_tick = Some(now);
         let mut actions = self.ask_helpers(now);
@@ -291,16 +283,10 @@
         vec![hello, send(helper, ack)]
     }
 
-    fn round(&mut self, target: &NodeId, seq: u64) -> Option<&mut (VmId, ProbeRound)> {
-        let round = self.rounds.get_mut(&seq);
-        round.filter(|(vm, _)| *vm == target.vm)
-    }
-
     fn take_ack(&mut self, now: MonoTime, from: &NodeId, seq: u64) {
-        if self.round(from, seq).is_none() {
+        if !self.schedule.finish(&from.vm, seq) {
             return;
         }
-        self.rounds.swap_remove(&seq);
         if let Some(member) = self.members.get_mut(&from.vm) {
             member.probe.succeed(now);
         }
@@ -326,7 +312,7 @@
                     let interval = Duration::from_millis(self.settings.probe_interval_ms);
                     let recent = |ack| now.since(ack) < interval;
                     if !member.probe.last_ack.is_some_and(recent) {
-                        self.soon.insert(node.vm.clone());
+                        self.schedule.hurry(node.vm.clone());
                     }
                 }
                 MemberNews::Leaving(_) => {
@@ -363,13 +349,7 @@
 
     fn ask_helpers(&mut self, now: MonoTime) -> Vec<MembershipAction> {
         let timeout = Duration::from_millis(self.settings.probe_timeout_ms);
-        let mut late = Vec::new();
-        for (seq, (vm, round)) in &mut self.rounds {
-            if !round.asked_helpers && now.since(round.started) >= timeout {
-                round.asked_helpers = true;
-                late.push((*seq, vm.clone()));
-            }
-        }
+        let late = self.schedule.take_late(now, timeout);
         late.into_iter()
             .flat_map(|(seq, vm)| self.ask_about(seq, &vm))
             .collect()
@@ -401,14 +381,7 @@
     }
 
     fn conclude_rounds(&mut self, now: MonoTime, interval: Duration) {
-        let mut failed = Vec::new();
-        for (vm, round) in self.rounds.values_mut() {
-            if !round.concluded && now.since(round.started) >= interval {
-                round.concluded = true;
-                failed.push((vm.clone(), round.clone()));
-            }
-        }
-        for (vm, round) in failed {
+        for (vm, round) in self.schedule.take_failed(now, interval) {
             let Some(member) = self.members.get_mut(&vm) else {
                 continue;
             };
@@ -416,33 +389,27 @@
             member.probe.fail(now, &round);
             let node = member.record.node.clone();
             if !was_unreachable {
-                self.soon.insert(vm);
+                self.schedule.hurry(vm);
                 self.news
                     .push(MemberNews::Suspect(node), self.members.len());
             }
         }
-        let memory = interval * ROUND_MEMORY;
-        self.rounds
-            .retain(|_, (_, round)| now.since(round.started) < memory);
     }
 
     fn start_rounds(&mut self, now: MonoTime) -> Vec<MembershipAction> {
-        let mut targets: IndexSet<VmId> = IndexSet::new();
-        for _ in 0..self.settings.extra_probes {
-            targets.extend(self.soon.shift_remove_index(0));
-        }
-        for _ in 0..self.settings.probes.min(self.members.len()) {
-            self.cursor = (self.cursor + 1) % self.members.len();
-            let next = self.members.get_index(self.cursor);
-            targets.extend(next.map(|(vm, _)| vm.clone()));
-        }
+        let MembershipSettings {
+            probes,
+            extra_probes,
+            ..
+        } = self.settings;
+        let targets = self
+            .schedule
+            .take_targets(&self.members, extra_probes, probes);
         let mut actions = Vec::new();
         for vm in targets {
             let known = self.members.get(&vm).filter(|member| !member.gone);
             if let Some(to) = known.map(|member| member.record.node.clone()) {
-                self.next_seq += 1;
-                let seq = self.next_seq;
-                self.rounds.insert(seq, (vm, ProbeRound::new(now)));
+                let seq = self.schedule.start(now, vm);
                 actions.push(self.ping(to, seq));
             }
         }
