--- /dev/null
+++ b/gateway/src/gateway.rs
@@ -0,0 +1,265 @@
+//! The state that all requests of a gateway share.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use damaskloom_lib::config::Target;
+use damaskloom_lib::evidence::AttemptOutcome;
+use damaskloom_lib::freshness::{FreshnessGuard, FreshnessSettings};
+use damaskloom_lib::ids::NodeId;
+use damaskloom_lib::outcome::Refusal;
+use damaskloom_lib::rendezvous::StableHash;
+use damaskloom_lib::retry_budget::RetryBudget;
+use damaskloom_lib::time::MonoTime;
+
+use crate::burn_board::BurnBoard;
+use crate::clock::MonoClock;
+use crate::config_view::ConfigView;
+use crate::crash_desk::CrashDesk;
+use crate::exchange::RequestScope;
+use crate::fleet_directory::FleetDirectory;
+use crate::fleet_epoch::{FleetAssignment, FleetEpoch};
+use crate::forward::{AttemptError, LOAD_HEADER, TargetAnswer};
+use crate::health_board::HealthBoard;
+use crate::meters::{GatewayMeters, MeterError};
+use crate::peer_outbox::PeerOutbox;
+use crate::rate_gate::RateGate;
+use crate::serving_guard::ServingGuard;
+use crate::settings::GatewaySettings;
+use crate::slot_desk::SlotDesk;
+use crate::target_set::TargetSet;
+use crate::waiting_calls::WaitingCalls;
+
+/// Everything that the request path of one gateway reads and writes.
+#[derive(Debug)]
+pub struct GatewayState {
+    /// The checked settings.
+    pub settings: GatewaySettings,
+    /// This start of this gateway.
+    pub node: NodeId,
+    /// The process's clock.
+    pub clock: MonoClock,
+    /// The configuration in force.
+    pub config: Arc<ConfigView>,
+    /// The assignment in force.
+    pub epoch: Arc<FleetEpoch>,
+    /// The way to other gateways.
+    pub outbox: Arc<PeerOutbox>,
+    /// The customers' limits.
+    pub rates: RateGate,
+    /// The connections to targets.
+    pub targets: TargetSet,
+    /// The judgement of targets.
+    pub health: Arc<HealthBoard>,
+    /// The slots of targets.
+    pub slots: Arc<SlotDesk>,
+    /// The requests that wait for slots.
+    pub waiting: WaitingCalls,
+    /// The requests that take targets down.
+    pub crashes: CrashDesk,
+    /// The bound on retries.
+    pub retries: Mutex<RetryBudget>,
+    /// The service-level burn.
+    pub burn: BurnBoard,
+    /// Where callers are sent.
+    pub directory: FleetDirectory,
+    /// The metrics.
+    pub meters: GatewayMeters,
+    /// Whether requests with keys may be served.
+    pub guard: ServingGuard,
+    served_keyed: AtomicBool,
+    leaving: AtomicBool,
+}
+
+impl GatewayState {
+    /// Makes the state of a gateway that has served nothing yet.
+    ///
+    /// A gateway without a platform is a fleet of its own and holds all budgets.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics cannot be set up.
+    pub fn new(
+        settings: GatewaySettings,
+        node: NodeId,
+        clock: MonoClock,
+    ) -> Result<Arc<Self>, MeterError> {
+        let config = Arc::new(ConfigView::default());
+        let epoch = Arc::new(FleetEpoch::default());
+        let outbox = Arc::new(PeerOutbox::default());
+        let alone = settings.platform.is_none();
+        if let Some(own) = settings.config.as_ref().filter(|_| alone) {
+            config.replace(own.clone());
+            epoch.enter(FleetAssignment {
+                members: vec![node.clone()],
+                ..FleetAssignment::default()
+            });
+        }
+        let guard = if alone {
+            ServingGuard::alone()
+        } else {
+            let seed = StableHash::of(node.to_string()).0;
+            let settings = FreshnessSettings::default();
+            ServingGuard::member(FreshnessGuard::new(settings, node.clone(), seed))
+        };
+        let shared = || {
+            (
+                clock,
+                Arc::clone(&config),
+                Arc::clone(&epoch),
+                Arc::clone(&outbox),
+            )
+        };
+        let rates = {
+            let (clock, config, epoch, outbox) = shared();
+            RateGate::new(&node, clock, config, epoch, outbox)
+        };
+        let health = {
+            let (clock, config, epoch, outbox) = shared();
+            let centre = &settings.data_centre;
+            Arc::new(HealthBoard::new(
+                &node, centre, clock, config, epoch, outbox,
+            ))
+        };
+        let slots = {
+            let (clock, config, epoch, outbox) = shared();
+            Arc::new(SlotDesk::new(&node, clock, config, epoch, outbox))
+        };
+        let (board, desk) = (Arc::clone(&health), Arc::clone(&slots));
+        let waiting = WaitingCalls::new(clock, Arc::clone(&config), board, desk);
+        let crashes = {
+            let (clock, config, _, outbox) = shared();
+            CrashDesk::new(clock, config, Arc::clone(&health), outbox)
+        };
+        Ok(Arc::new(Self {
+            clock,
+            config,
+            epoch,
+            outbox,
+            rates,
+            targets: TargetSet::default(),
+            health,
+            slots,
+            waiting,
+            crashes,
+            retries: Mutex::default(),
+            burn: BurnBoard::new(clock.now()),
+            directory: FleetDirectory::new(settings.directory_lifetime_ms),
+            meters: GatewayMeters::new()?,
+            guard,
+            served_keyed: AtomicBool::new(alone),
+            leaving: AtomicBool::new(false),
+            node,
+            settings,
+        }))
+    }
+
+    /// Says whether the node may serve requests with keys, at the time of the call.
+    pub fn may_serve_keyed(&self) -> bool {
+        self.guard.allows_work(self.clock.now())
+    }
+
+    /// Notes whether requests with keys are served now; returns it if it has changed.
+    pub fn note_freshness(&self, now: MonoTime) -> Option<bool> {
+        let allowed = self.guard.allows_work(now);
+        let changed = self.served_keyed.swap(allowed, Ordering::Relaxed) != allowed;
+        if changed {
+            tracing::info!(vm = %self.settings.vm, allowed, "serving of keyed requests changed");
+        }
+        changed.then_some(allowed)
+    }
+
+    /// Notes that a planned stop has begun.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Says whether a planned stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Says whether all shares conform to the newest assignment, so that it may be acknowledged.
+    pub fn conforms(&self) -> bool {
+        self.rates.conforms() && self.slots.conforms() && self.health.conforms()
+    }
+
+    /// Takes over the configuration and the assignment in force.
+    pub fn refresh(&self) {
+        self.rates.refresh();
+        self.slots.refresh();
+        self.health.refresh();
+        let others = self
+            .epoch
+            .members()
+            .into_iter()
+            .filter(|member| *member != self.node);
+        self.crashes.set_peers(others);
+        let unsettled = self.epoch.unsettled_members();
+        let sharers = unsettled
+            .iter()
+            .map(Vec::len)
+            .chain([self.epoch.members().len()])
+            .max();
+        self.targets.set_sharers(sharers.unwrap_or(1), |id| {
+            self.config.target(id).map(|target| target.connections)
+        });
+        self.directory.set_customers(&self.config.customers());
+    }
+
+    /// Counts a request that a target answered.
+    pub fn record_answer(
+        &self,
+        scope: &RequestScope,
+        target: &Target,
+        status: u16,
+        arrival: Instant,
+    ) {
+        let service = &scope.route.service;
+        self.meters
+            .answered(service.as_str(), status, arrival.elapsed());
+        let Some(service) = self.config.service(service) else {
+            return;
+        };
+        let (now, customer) = (self.clock.now(), scope.customer.as_ref());
+        if status >= 500 {
+            self.burn.failed(now, &service, customer, target, status);
+        } else {
+            self.burn.good(now, &service, customer);
+        }
+    }
+
+    /// Counts a request that was refused.
+    pub fn record_refusal(&self, scope: &RequestScope, refusal: &Refusal) {
+        self.meters.refused(refusal);
+        if let Some(service) = self.config.service(&scope.route.service) {
+            self.burn
+                .refused(self.clock.now(), &service, scope.customer.as_ref(), refusal);
+        }
+    }
+}
+
+/// Says what the end of an attempt means for the judgement of its target.
+pub fn attempt_outcome(result: &Result<TargetAnswer, AttemptError>) -> AttemptOutcome {
+    match result {
+        Ok(answer) => match answer.status() {
+            500.. => AttemptOutcome::Failed,
+            400..=499 => AttemptOutcome::Rejected,
+            _ => AttemptOutcome::Good,
+        },
+        Err(AttemptError::Shed) => AttemptOutcome::Shed,
+        Err(AttemptError::Unreachable) => AttemptOutcome::ConnectFailed,
+        Err(AttemptError::Broken) => AttemptOutcome::Broken,
+        Err(AttemptError::Timeout) => AttemptOutcome::TimedOut,
+        Err(AttemptError::Busy | AttemptError::StaleConnection | AttemptError::CallerBody) => {
+            AttemptOutcome::Cancelled
+        }
+    }
+}
+
+/// Reads the load that a target reports as `in-flight/slots`, in requests.
+pub fn reported_load(result: &Result<TargetAnswer, AttemptError>) -> Option<f32> {
+    let header = result.as_ref().ok()?.headers().get(LOAD_HEADER)?;
+    header.to_str().ok()?.split('/').next()?.trim().parse().ok()
+}
--- /dev/null
+++ b/gateway/src/service_call.rs
@@ -0,0 +1,235 @@
+//! The attempts that are made to serve one request: choice of target, waiting, retries.
+
+use std::sync::{Arc, LazyLock, MutexGuard};
+use std::time::Instant;
+
+use bytes::Bytes;
+use damaskloom_lib::config::Target;
+use damaskloom_lib::crash_guard::RequestFingerprint;
+use damaskloom_lib::evidence::{AttemptOutcome, AttemptScope};
+use damaskloom_lib::ids::{CustomerId, TargetId};
+use damaskloom_lib::outcome::Refusal;
+use damaskloom_lib::retry_budget::{RetryBudget, RetryDecision};
+use http::request::Parts;
+
+use crate::bodies::RequestBody;
+use crate::crash_desk::CrashDesk;
+use crate::exchange::{RequestScope, attempt_refusal};
+use crate::forward::{AttemptError, OutgoingHead, TargetAnswer, attempt};
+use crate::gateway::{GatewayState, attempt_outcome, reported_load};
+use crate::slot_lease::SlotLease;
+use crate::waiting_calls::{PickedSlot, SlotRequest};
+
+/// The most attempts that are made for one request.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// The name under which requests without a key are judged and queued.
+static OPEN_CUSTOMER: LazyLock<CustomerId> =
+    LazyLock::new(|| "open".parse().expect("the name is a valid identifier"));
+
+/// A request body, as far as it can be sent more than once.
+#[derive(Debug)]
+pub enum CallBody {
+    /// The whole body.
+    Whole(Bytes),
+    /// A body that can be sent once.
+    Stream(RequestBody),
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub enum CallOutcome {
+    /// This target answered.
+    Answer(TargetAnswer, Target),
+    /// No target's answer can be given.
+    Refused(Refusal),
+}
+
+/// One request on its way to a service.
+pub struct ServiceCall<'a> {
+    /// The node's state.
+    pub state: &'a Arc<GatewayState>,
+    /// Who asks for what.
+    pub scope: &'a RequestScope,
+    /// The caller's head, whose key was removed.
+    pub parts: &'a Parts,
+    /// The head that every attempt sends.
+    pub head: &'a OutgoingHead,
+    /// When the caller must have its answer.
+    pub deadline: Instant,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+}
+
+impl ServiceCall<'_> {
+    /// Makes attempts until one succeeds or none may follow.
+    pub async fn run(&self, body: CallBody) -> CallOutcome {
+        let fingerprint = self.fingerprint(&body);
+        if let Some(Err(refusal)) = fingerprint
+            .as_ref()
+            .map(|fingerprint| self.state.crashes.check(fingerprint))
+        {
+            return CallOutcome::Refused(refusal);
+        }
+        self.retries()
+            .record_request(&self.scope.route.service, self.customer());
+        let mut body = body;
+        let mut tried: Vec<TargetId> = Vec::new();
+        loop {
+            let picked = match self
+                .state
+                .waiting
+                .take_slot(&self.slot_request(&tried))
+                .await
+            {
+                Ok(picked) => picked,
+                Err(refusal) => return CallOutcome::Refused(refusal),
+            };
+            let target = picked.target.clone();
+            let (sent, kept) = split_body(body);
+            let result = self.attempt_at(picked, sent, fingerprint.as_ref()).await;
+            let error = match result {
+                Ok(answer) => return CallOutcome::Answer(answer, target),
+                Err(error) => error,
+            };
+            tried.push(target.id);
+            body = match kept {
+                Some(kept) if self.may_retry(error, tried.len()) => kept,
+                _ => return CallOutcome::Refused(attempt_refusal(error)),
+            };
+        }
+    }
+
+    /// Makes one attempt and tells the judgement of targets how it went.
+    async fn attempt_at(
+        &self,
+        picked: PickedSlot,
+        body: RequestBody,
+        fingerprint: Option<&RequestFingerprint>,
+    ) -> Result<TargetAnswer, AttemptError> {
+        let (service, target) = (&self.scope.route.service, picked.target);
+        let scope = AttemptScope {
+            target: target.id.clone(),
+            route: self.scope.route.id.clone(),
+            customer: self.customer().clone(),
+        };
+        let attempt_id = self.state.health.begin(service, scope, picked.trial);
+        let started = Instant::now();
+        let slot = SlotLease::new(self.state, &target, picked.ticket);
+        let pool = self.state.targets.pool(&target);
+        let result = attempt(&pool, &target, self.head, body, self.deadline, slot).await;
+        self.state
+            .waiting
+            .note_finished(&self.slot_request(&[]), started.elapsed());
+        let outcome = attempt_outcome(&result);
+        self.state
+            .meters
+            .attempted(service.as_str(), outcome_label(outcome));
+        if let Some(id) = attempt_id {
+            let load = reported_load(&result);
+            self.state
+                .health
+                .finish(service, id, &target.id, outcome, load);
+        }
+        if let Some(fingerprint) = fingerprint {
+            self.note_crash_evidence(fingerprint, &target.id, outcome);
+        }
+        result
+    }
+
+    fn note_crash_evidence(
+        &self,
+        fingerprint: &RequestFingerprint,
+        target: &TargetId,
+        outcome: AttemptOutcome,
+    ) {
+        match outcome {
+            AttemptOutcome::Broken => self.state.crashes.lost(fingerprint, target),
+            AttemptOutcome::ConnectFailed => self.state.crashes.unreachable(target),
+            AttemptOutcome::Good => self.state.crashes.completed(fingerprint),
+            AttemptOutcome::Rejected
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Shed
+            | AttemptOutcome::TimedOut
+            | AttemptOutcome::Cancelled => {}
+        }
+    }
+
+    /// Says whether the request may be sent again after this error.
+    fn may_retry(&self, error: AttemptError, attempts: usize) -> bool {
+        if !(error.is_not_run() || self.idempotent) || Instant::now() >= self.deadline {
+            return false;
+        }
+        match error {
+            // Nothing reached the service, so that a retry adds no load to it.
+            AttemptError::Busy | AttemptError::StaleConnection => true,
+            AttemptError::CallerBody => false,
+            _ if attempts as u32 >= MAX_ATTEMPTS => false,
+            _ => {
+                let service = &self.scope.route.service;
+                let load = self.state.waiting.load(service);
+                let decision = self.retries().try_retry(service, self.customer(), load);
+                decision == RetryDecision::Allow
+            }
+        }
+    }
+
+    fn fingerprint(&self, body: &CallBody) -> Option<RequestFingerprint> {
+        let CallBody::Whole(bytes) = body else {
+            return None;
+        };
+        let route = &self.scope.route.id;
+        Some(CrashDesk::fingerprint(
+            self.customer(),
+            route,
+            self.parts,
+            bytes,
+        ))
+    }
+
+    fn slot_request<'a>(&'a self, tried: &'a [TargetId]) -> SlotRequest<'a> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        SlotRequest {
+            service: &self.scope.route.service,
+            route: &self.scope.route.id,
+            customer: self.customer(),
+            idempotence: self.scope.route.idempotence,
+            deadline: self.state.clock.now() + left,
+            tried,
+        }
+    }
+
+    fn customer(&self) -> &CustomerId {
+        self.scope.customer.as_ref().unwrap_or(&OPEN_CUSTOMER)
+    }
+
+    fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.state
+            .retries
+            .lock()
+            .expect("no holder of the retry lock panics")
+    }
+}
+
+const fn outcome_label(outcome: AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Good => "good",
+        AttemptOutcome::Rejected => "rejected",
+        AttemptOutcome::Failed => "failed",
+        AttemptOutcome::Shed => "shed",
+        AttemptOutcome::TimedOut => "timed-out",
+        AttemptOutcome::ConnectFailed => "connect-failed",
+        AttemptOutcome::Broken => "broken",
+        AttemptOutcome::Cancelled => "cancelled",
+    }
+}
+
+fn split_body(body: CallBody) -> (RequestBody, Option<CallBody>) {
+    match body {
+        CallBody::Whole(bytes) => (
+            RequestBody::whole(bytes.clone()),
+            Some(CallBody::Whole(bytes)),
+        ),
+        CallBody::Stream(stream) => (stream, None),
+    }
+}
--- /dev/null
+++ b/gateway/src/target_set.rs
@@ -0,0 +1,76 @@
+//! The targets of the services that this node has sent requests to.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use damaskloom_lib::config::Target;
+use damaskloom_lib::ids::TargetId;
+use indexmap::IndexMap;
+
+use crate::target_pool::TargetPool;
+
+const SHARDS: usize = 16;
+
+/// The connection pools of all targets, made when a target is first used.
+#[derive(Debug, Default)]
+pub struct TargetSet {
+    shards: [Mutex<IndexMap<TargetId, Arc<TargetPool>>>; SHARDS],
+    sharers: AtomicUsize,
+}
+
+impl TargetSet {
+    /// Returns the pool of a target; a target that moved to another address gets a new one.
+    pub fn pool(&self, target: &Target) -> Arc<TargetPool> {
+        let mut shard = self
+            .shard(&target.id)
+            .lock()
+            .expect("no holder of a shard panics");
+        match shard.get(&target.id) {
+            Some(pool) if pool.address() == target.address => Arc::clone(pool),
+            _ => {
+                let pool =
+                    TargetPool::new(target.address, self.connection_share(target.connections));
+                let pool = Arc::new(pool);
+                shard.insert(target.id.clone(), Arc::clone(&pool));
+                pool
+            }
+        }
+    }
+
+    /// Divides the connections of each target evenly over so many nodes.
+    ///
+    /// A share is rounded down, so that all nodes together keep to what a target accepts.
+    pub fn set_sharers(&self, nodes: usize, connections_of: impl Fn(&TargetId) -> Option<u32>) {
+        self.sharers.store(nodes.max(1), Ordering::Relaxed);
+        for shard in &self.shards {
+            let shard = shard.lock().expect("no holder of a shard panics");
+            for (id, pool) in shard.iter() {
+                let connections = connections_of(id).unwrap_or(0);
+                pool.set_connections(self.connection_share(connections));
+            }
+        }
+    }
+
+    fn connection_share(&self, connections: u32) -> u32 {
+        let sharers = self.sharers.load(Ordering::Relaxed).max(1);
+        connections / u32::try_from(sharers).unwrap_or(u32::MAX)
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn close_idle(&self) {
+        for shard in &self.shards {
+            let pools: Vec<Arc<TargetPool>> = {
+                let shard = shard.lock().expect("no holder of a shard panics");
+                shard.values().cloned().collect()
+            };
+            pools.iter().for_each(|pool| pool.close_idle());
+        }
+    }
+
+    fn shard(&self, id: &TargetId) -> &Mutex<IndexMap<TargetId, Arc<TargetPool>>> {
+        let hash = id.as_bytes().iter().fold(0_usize, |hash, byte| {
+            hash.wrapping_mul(31).wrapping_add(usize::from(*byte))
+        });
+        &self.shards[hash % SHARDS]
+    }
+}
--- a/lib/src/evidence.rs
+++ b/lib/src/evidence.rs
@@ -1,1 +1,383 @@
-//! Placeholder.
+//! Evidence on targets that one node gathers and sends to the service's judges.
+//!
+//! Each outcome is scored where it happens, against the node's own populations: the customer's and
+//! the route's rate of failures, and the route's latencies. A customer whose own requests fail thus
+//! raises its own yardstick and not the suspicion of the targets that it happens to reach. The
+//! scores are summed per target and route and sent in small digests to a few judges, the nodes that
+//! pool the evidence of the service. See
+//! [docs/design/detection.md](../../docs/design/detection.md).
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::evidence_digest::{CountClass, EntryDraft};
+pub use crate::evidence_digest::{EvidenceDigest, EvidenceEntry, EvidenceMessage};
+use crate::ids::{CustomerId, NodeId, RouteId, ServiceId, TargetId};
+use crate::mixer::hash_bytes;
+use crate::pending::{AttemptId, PendingAttempt, PendingTable};
+use crate::time::MonoTime;
+use crate::yardstick::ServiceYardstick;
+
+/// The time between two digests.
+pub const DIGEST_INTERVAL_MS: u64 = 200;
+/// The most entries in one digest; the others wait for the next.
+pub const MAX_DIGEST_ENTRIES: usize = 24;
+/// The number of nodes that pool the evidence of one service.
+pub const JUDGE_COUNT: usize = 3;
+
+/// How an attempt on a target ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AttemptOutcome {
+    /// The target answered and did what was asked.
+    Good,
+    /// The target answered that the request is at fault, as with the HTTP statuses from 400 to 499.
+    Rejected,
+    /// The target answered with an error.
+    Failed,
+    /// The target said that it did not run the request for want of capacity.
+    Shed,
+    /// The target accepted the request and did not answer in time.
+    TimedOut,
+    /// No connection to the target could be made.
+    ConnectFailed,
+    /// The connection was lost before the answer was complete.
+    Broken,
+    /// The attempt was given up for a reason that says nothing about the target.
+    Cancelled,
+}
+
+impl AttemptOutcome {
+    /// Returns whether the outcome is a failure of the target or of the path to it.
+    pub const fn is_failure(self) -> bool {
+        matches!(
+            self,
+            Self::Failed | Self::TimedOut | Self::ConnectFailed | Self::Broken
+        )
+    }
+
+    /// Returns whether no answer arrived, so that the path may be at fault.
+    pub const fn is_silent(self) -> bool {
+        matches!(self, Self::TimedOut | Self::ConnectFailed | Self::Broken)
+    }
+}
+
+/// What an attempt was for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AttemptScope {
+    /// The target that was called.
+    pub target: TargetId,
+    /// The route of the request.
+    pub route: RouteId,
+    /// The customer that the request ran for; open routes use one name for all callers.
+    pub customer: CustomerId,
+}
+
+/// What one outcome says about a target, for decisions on this node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetObservation {
+    /// The target.
+    pub target: TargetId,
+    /// The outcome, or `None` for an attempt that is still pending but late.
+    pub outcome: Option<AttemptOutcome>,
+    /// Whether the answer was slow against its population.
+    pub slow: bool,
+    /// The evidence against the target, in nats.
+    pub score: f32,
+}
+
+impl TargetObservation {
+    /// Returns whether the observation speaks against the target.
+    pub fn is_bad(&self) -> bool {
+        self.slow || self.outcome.is_some_and(AttemptOutcome::is_failure)
+    }
+
+    /// Returns whether no answer arrived in time.
+    pub fn is_silent(&self) -> bool {
+        self.outcome.is_none_or(AttemptOutcome::is_silent)
+    }
+}
+
+/// What the shell is to do for an [`EvidenceLog`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum EvidenceAction {
+    /// Send the message to a judge.
+    Send {
+        /// The judge.
+        to: NodeId,
+        /// The message.
+        message: EvidenceMessage,
+    },
+    /// Hand the digest to this node's own detector, since this node is a judge.
+    Pool(EvidenceDigest),
+}
+
+/// Returns the judges of a service, the first in rank first.
+///
+/// Every node that knows the same peers names the same judges, so that no election is needed.
+pub fn choose_judges(service: &ServiceId, peers: impl IntoIterator<Item = NodeId>) -> Vec<NodeId> {
+    let seed = hash_bytes(service.as_bytes(), 0);
+    let mut ranked: Vec<(u64, NodeId)> = peers
+        .into_iter()
+        .map(|node| {
+            (
+                hash_bytes(node.vm.as_bytes(), seed ^ node.incarnation.0),
+                node,
+            )
+        })
+        .collect();
+    ranked.sort_unstable();
+    ranked.dedup();
+    ranked.truncate(JUDGE_COUNT);
+    ranked.into_iter().map(|(_, node)| node).collect()
+}
+
+/// Whether the latency of an answer is still to be tested.
+#[derive(Clone, Copy, Debug)]
+enum AnswerTiming {
+    /// The latency was not tested yet.
+    Untested(Duration),
+    /// The attempt counted as late while it was pending.
+    KnownLate,
+}
+
+/// The evidence of one node on the targets of one service.
+#[derive(Debug)]
+pub struct EvidenceLog {
+    node: NodeId,
+    service: ServiceId,
+    judges: Vec<NodeId>,
+    sequence: u64,
+    next_digest_at: MonoTime,
+    drafts: IndexMap<(TargetId, RouteId), EntryDraft>,
+    yardstick: ServiceYardstick,
+    excused: IndexMap<TargetId, MonoTime>,
+    pending: PendingTable,
+}
+
+impl EvidenceLog {
+    /// Makes an empty log of `node` for `service`, with no judge but the node itself.
+    pub fn new(node: NodeId, service: ServiceId) -> Self {
+        Self {
+            judges: vec![node.clone()],
+            node,
+            service,
+            sequence: 0,
+            next_digest_at: MonoTime::ZERO,
+            drafts: IndexMap::new(),
+            yardstick: ServiceYardstick::default(),
+            excused: IndexMap::new(),
+            pending: PendingTable::default(),
+        }
+    }
+
+    /// Sets the live nodes that serve the service, this one included; the judges follow from them.
+    pub fn set_peers(&mut self, peers: impl IntoIterator<Item = NodeId>) {
+        self.judges = choose_judges(&self.service, peers);
+    }
+
+    /// Returns this node's rank among the judges, or `None` if it is not a judge.
+    pub fn judge_rank(&self) -> Option<usize> {
+        self.judges.iter().position(|judge| *judge == self.node)
+    }
+
+    /// Returns the judges of the service, the first in rank first.
+    pub fn judges(&self) -> &[NodeId] {
+        &self.judges
+    }
+
+    /// Notes that an attempt starts.
+    pub fn begin(&mut self, now: MonoTime, scope: AttemptScope) -> AttemptId {
+        self.pending.insert(now, scope)
+    }
+
+    /// Notes how an attempt ended.
+    ///
+    /// Returns `None` if the attempt is not pending or its end is no evidence.
+    pub fn finish(
+        &mut self,
+        now: MonoTime,
+        id: AttemptId,
+        outcome: AttemptOutcome,
+    ) -> Option<TargetObservation> {
+        let attempt = self.pending.remove(id)?;
+        let latency = now.since(attempt.started);
+        let timing = match attempt.overdue_count {
+            0 => AnswerTiming::Untested(latency),
+            _ => AnswerTiming::KnownLate,
+        };
+        self.score_outcome(now, &attempt.scope, outcome, timing)
+    }
+
+    /// Records a whole attempt with the time from its start to its end.
+    ///
+    /// Returns `None` if the outcome is no evidence for or against the target.
+    pub fn record(
+        &mut self,
+        now: MonoTime,
+        scope: &AttemptScope,
+        outcome: AttemptOutcome,
+        latency: Duration,
+    ) -> Option<TargetObservation> {
+        self.score_outcome(now, scope, outcome, AnswerTiming::Untested(latency))
+    }
+
+    /// Records a health probe; only a failed one has weight, since passing ones mislead.
+    pub fn record_probe(&mut self, target: &TargetId, route: &RouteId, passed: bool) {
+        if !passed {
+            self.draft(target, route).count(CountClass::ProbeFailed);
+        }
+    }
+
+    /// Disregards missing answers of `target` for `period`, as a request is known to crash it.
+    pub fn excuse(&mut self, now: MonoTime, target: &TargetId, period: Duration) {
+        self.excused.retain(|_, until| *until > now);
+        self.excused.insert(target.clone(), now + period);
+    }
+
+    /// Forgets targets that left the configuration.
+    pub fn retain_targets(&mut self, is_kept: impl Fn(&TargetId) -> bool) {
+        self.drafts.retain(|(target, _), _| is_kept(target));
+        self.excused.retain(|target, _| is_kept(target));
+    }
+
+    /// Counts attempts that are late by now, and returns what they say.
+    pub fn check_overdue(&mut self, now: MonoTime) -> Vec<TargetObservation> {
+        let yardstick = &self.yardstick;
+        let overdue = self
+            .pending
+            .take_overdue(now, |route| yardstick.slow_threshold(route));
+        overdue
+            .into_iter()
+            .filter_map(|attempt| self.score_overdue(now, &attempt))
+            .collect()
+    }
+
+    /// Sends the evidence to the judges when it is time to.
+    pub fn tick(&mut self, now: MonoTime) -> Vec<EvidenceAction> {
+        if now < self.next_digest_at {
+            return Vec::new();
+        }
+        self.next_digest_at = self.digest_after(now);
+        if self.drafts.is_empty() {
+            return Vec::new();
+        }
+        let digest = self.take_digest();
+        self.judges
+            .iter()
+            .map(|judge| {
+                if *judge == self.node {
+                    return EvidenceAction::Pool(digest.clone());
+                }
+                EvidenceAction::Send {
+                    to: judge.clone(),
+                    message: EvidenceMessage::Digest(digest.clone()),
+                }
+            })
+            .collect()
+    }
+
+    /// Spreads the digests of nodes that started together, so that a judge hears some at any time.
+    fn digest_after(&self, now: MonoTime) -> MonoTime {
+        let interval = DIGEST_INTERVAL_MS * 1_000;
+        let phase = hash_bytes(self.node.vm.as_bytes(), 0) % interval;
+        let started = (now.as_micros() + interval - phase) / interval;
+        MonoTime::from_micros(started * interval + phase)
+    }
+
+    fn take_digest(&mut self) -> EvidenceDigest {
+        self.sequence += 1;
+        // The oldest drafts go first: choosing the worst ones would bias the pooled test.
+        let count = self.drafts.len().min(MAX_DIGEST_ENTRIES);
+        let entries = self
+            .drafts
+            .drain(..count)
+            .map(|((target, route), draft)| draft.into_entry(target, route))
+            .collect();
+        EvidenceDigest {
+            sequence: self.sequence,
+            entries,
+        }
+    }
+
+    fn draft(&mut self, target: &TargetId, route: &RouteId) -> &mut EntryDraft {
+        self.drafts
+            .entry((target.clone(), route.clone()))
+            .or_default()
+    }
+
+    fn score_outcome(
+        &mut self,
+        now: MonoTime,
+        scope: &AttemptScope,
+        outcome: AttemptOutcome,
+        timing: AnswerTiming,
+    ) -> Option<TargetObservation> {
+        match outcome {
+            AttemptOutcome::Cancelled => return None,
+            AttemptOutcome::Shed => {
+                self.draft(&scope.target, &scope.route)
+                    .count(CountClass::Shed);
+                return None;
+            }
+            _ if outcome.is_silent() && self.is_excused(now, &scope.target) => return None,
+            _ => {}
+        }
+        let (failure, rejection) = self.yardstick.test_failure(scope, outcome);
+        let (slow, slowness) = match timing {
+            AnswerTiming::KnownLate => (true, 0.0),
+            AnswerTiming::Untested(latency) if outcome == AttemptOutcome::Good => {
+                self.yardstick.test_latency(&scope.route, latency)
+            }
+            AnswerTiming::Untested(_) => (false, 0.0),
+        };
+        let draft = self.draft(&scope.target, &scope.route);
+        draft.failure.add(failure);
+        draft.rejection.add(rejection);
+        draft.slowness += slowness;
+        let class = match outcome {
+            _ if outcome.is_silent() => CountClass::Silent,
+            AttemptOutcome::Failed => CountClass::Failed,
+            AttemptOutcome::Rejected => CountClass::Rejected,
+            _ if slow => CountClass::Slow,
+            _ => CountClass::Good,
+        };
+        draft.count(class);
+        Some(TargetObservation {
+            target: scope.target.clone(),
+            outcome: Some(outcome),
+            slow,
+            score: failure.strong + rejection.strong + slowness,
+        })
+    }
+
+    fn is_excused(&self, now: MonoTime, target: &TargetId) -> bool {
+        self.excused.get(target).is_some_and(|until| now < *until)
+    }
+
+    fn score_overdue(
+        &mut self,
+        now: MonoTime,
+        attempt: &PendingAttempt,
+    ) -> Option<TargetObservation> {
+        let scope = &attempt.scope;
+        if self.is_excused(now, &scope.target) {
+            return None;
+        }
+        let is_first = attempt.overdue_count == 1;
+        let score = self.yardstick.test_overdue(&scope.route, is_first);
+        let draft = self.draft(&scope.target, &scope.route);
+        draft.slowness += score;
+        if is_first {
+            draft.count(CountClass::Silent);
+        }
+        Some(TargetObservation {
+            target: scope.target.clone(),
+            outcome: None,
+            slow: true,
+            score,
+        })
+    }
+}
--- a/lib/src/key_table.rs
+++ b/lib/src/key_table.rs
@@ -1,1 +1,188 @@
-//! Placeholder.
+//! The lookup from a caller's key to its customer, on every request.
+//!
+//! Keys are found by their digest, so that the time of a lookup says nothing about the bytes of a
+//! granted key. The table is the part of the configuration that holds the keys, rather than an
+//! index beside it: at full size the keys are a third of a node's configuration, and a second copy
+//! would not fit. See [docs/design/configuration.md](../../docs/design/configuration.md).
+
+use std::hash::{BuildHasherDefault, Hasher};
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use snafu::{Snafu, ensure};
+
+use crate::config::{ConfigChange, ConfigDelta, KeyGrant, KeyState};
+use crate::ids::CustomerId;
+use crate::key::KeyDigest;
+
+/// What a key stands for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum KeyStanding {
+    /// The key belongs to this customer and works.
+    Granted(CustomerId),
+    /// The key was withdrawn.
+    Withdrawn,
+    /// The key was never granted, or removed for good.
+    Unknown,
+}
+
+/// Hashes a digest by taking its first bytes, which are uniform already.
+///
+/// Only operators put digests into the table, so callers cannot make them collide.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DigestHasher(u64);
+
+impl Hasher for DigestHasher {
+    fn write(&mut self, bytes: &[u8]) {
+        let head = bytes.first_chunk::<8>();
+        self.0 ^= head.map_or(0, |head| u64::from_le_bytes(*head));
+    }
+
+    // The length of the array that follows is the same for all digests.
+    fn write_usize(&mut self, _length: usize) {}
+
+    fn finish(&self) -> u64 {
+        self.0
+    }
+}
+
+/// A key's customer and whether the key works.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeyEntry {
+    /// The customer that the key belongs to.
+    pub customer: CustomerId,
+    /// Whether the key works.
+    pub state: KeyState,
+}
+
+/// Says why a list of keys makes no table.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("key {digest} stands twice"))]
+pub struct DuplicateKey {
+    digest: KeyDigest,
+}
+
+/// All keys, granted and withdrawn.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(try_from = "Vec<KeyGrant>", into = "Vec<KeyGrant>")]
+pub struct KeyTable {
+    entries: IndexMap<KeyDigest, KeyEntry, BuildHasherDefault<DigestHasher>>,
+}
+
+impl KeyTable {
+    /// Looks a key up.
+    pub fn lookup(&self, digest: &KeyDigest) -> KeyStanding {
+        match self.entries.get(digest) {
+            None => KeyStanding::Unknown,
+            Some(entry) => match entry.state {
+                KeyState::Withdrawn => KeyStanding::Withdrawn,
+                KeyState::Granted => KeyStanding::Granted(entry.customer.clone()),
+            },
+        }
+    }
+
+    /// Returns a key's entry.
+    pub fn get(&self, digest: &KeyDigest) -> Option<&KeyEntry> {
+        self.entries.get(digest)
+    }
+
+    /// Returns the key at a position, which changes when keys are removed.
+    pub(crate) fn grant_at(&self, index: usize) -> Option<KeyGrant> {
+        self.entries.get_index(index).map(to_grant)
+    }
+
+    /// Returns all keys.
+    pub fn iter(&self) -> impl Iterator<Item = KeyGrant> {
+        self.entries.iter().map(to_grant)
+    }
+
+    /// Adds or replaces a key.
+    pub fn put(&mut self, digest: KeyDigest, entry: KeyEntry) {
+        self.entries.insert(digest, entry);
+    }
+
+    /// Removes a key.
+    pub fn remove(&mut self, digest: &KeyDigest) {
+        self.entries.swap_remove(digest);
+    }
+
+    /// Returns the number of keys, granted and withdrawn.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether there is no key.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the keys that work now and will not after a delta, or not for the same customer.
+    ///
+    /// A connection that used one of them is closed, even if it is idle or streams an answer.
+    pub fn stopped_by_delta(&self, delta: &ConfigDelta) -> Vec<KeyDigest> {
+        let changed = delta.changes.iter().filter_map(|change| match change {
+            ConfigChange::PutKey(grant) => Some((grant.digest, Some(grant))),
+            ConfigChange::RemoveKey(digest) => Some((*digest, None)),
+            _ => None,
+        });
+        changed
+            .filter(|(digest, after)| {
+                let after = after.map(|grant| (&grant.customer, grant.state));
+                self.stops(digest, after)
+            })
+            .map(|(digest, _)| digest)
+            .collect()
+    }
+
+    /// Returns the keys that work now and do not in `newer`, or not for the same customer.
+    pub fn stopped_by_replacement(&self, newer: &Self) -> Vec<KeyDigest> {
+        let digests = self.entries.keys().copied();
+        digests
+            .filter(|digest| {
+                let after = newer.get(digest);
+                self.stops(digest, after.map(|entry| (&entry.customer, entry.state)))
+            })
+            .collect()
+    }
+
+    fn stops(&self, digest: &KeyDigest, after: Option<(&CustomerId, KeyState)>) -> bool {
+        let before = self.entries.get(digest);
+        before.is_some_and(|before| {
+            before.state == KeyState::Granted
+                && after != Some((&before.customer, KeyState::Granted))
+        })
+    }
+}
+
+fn to_grant((digest, entry): (&KeyDigest, &KeyEntry)) -> KeyGrant {
+    KeyGrant {
+        digest: *digest,
+        customer: entry.customer.clone(),
+        state: entry.state,
+    }
+}
+
+impl TryFrom<Vec<KeyGrant>> for KeyTable {
+    type Error = DuplicateKey;
+
+    fn try_from(grants: Vec<KeyGrant>) -> Result<Self, DuplicateKey> {
+        let mut table = Self::default();
+        table.entries.reserve(grants.len());
+        for grant in grants {
+            let KeyGrant {
+                digest,
+                customer,
+                state,
+            } = grant;
+            let old = table.entries.insert(digest, KeyEntry { customer, state });
+            ensure!(old.is_none(), DuplicateKeySnafu { digest });
+        }
+        Ok(table)
+    }
+}
+
+impl From<KeyTable> for Vec<KeyGrant> {
+    fn from(table: KeyTable) -> Self {
+        table.iter().collect()
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,7 +1,16 @@
 //! All tests of the crate, one module a subject.
 
+mod claim_fleet;
+mod fake_net;
 mod fake_network;
+mod fake_table;
 mod seeded_run;
+mod share_fleet;
+#[allow(dead_code)]
+mod slot_fleet;
+#[allow(dead_code)]
+#[path = "../benches/support/mod.rs"]
+mod support;
 mod test_claims;
 mod test_configuration;
 mod test_crash_guard;
@@ -13,6 +22,7 @@
 mod test_fair_queue;
 mod test_freshness;
 mod test_keys;
+mod test_loans;
 mod test_membership;
 mod test_picker;
 mod test_rate_limits;
