--- a/gateway/src/control_plane.rs
+++ b/gateway/src/control_plane.rs
@@ -9,7 +9,9 @@
 use damaskloom_lib::config::{ConfigDelta, FleetConfig};
 use damaskloom_lib::distribution::{ConfigReplica, ReplicaAction, ReplicaPeer, ReplicaSettings};
 use damaskloom_lib::epoch::EpochKeeper;
-use damaskloom_lib::epoch_types::{EpochAction, EpochMessage, EpochRow, EpochSettings};
+use damaskloom_lib::epoch_types::{
+    EpochAction, EpochMessage, EpochRow, EpochSettings, StoreCallId,
+};
 use damaskloom_lib::freshness::FreshnessAction;
 use damaskloom_lib::ids::{Epoch, NodeId, Revision};
 use damaskloom_lib::membership::{MemberList, MembershipAction, MembershipSettings, ServingStatus};
@@ -48,7 +50,7 @@
     Deltas(Result<Vec<ConfigDelta>, PlatformError>),
     Snapshot(Result<Option<FleetConfig>, PlatformError>),
     EpochRow(Result<Option<TableRow>, PlatformError>),
-    Committed(Result<CommitOutcome, PlatformError>),
+    Committed(StoreCallId, Result<CommitOutcome, PlatformError>),
 }
 
 /// The state machines that keep one node in step with the fleet.
@@ -232,8 +234,8 @@
                 let actions = self.keeper.on_row(answer);
                 self.perform_epoch(actions);
             }
-            PlatformEvent::Committed(outcome) => {
-                let actions = self.keeper.on_commit(outcome);
+            PlatformEvent::Committed(call, outcome) => {
+                let actions = self.keeper.on_commit(call, outcome);
                 self.perform_epoch(actions);
             }
         }
@@ -276,7 +278,7 @@
                         PlatformEvent::EpochRow(client.get(&RowKey::from(EPOCH_ROW_KEY)).await)
                     });
                 }
-                EpochAction::Commit(transaction) => self.commit(transaction),
+                EpochAction::Commit { call, transaction } => self.commit(call, transaction),
                 EpochAction::Send { to, message } => self.send_epoch(&to, &message),
             }
         }
@@ -402,9 +404,9 @@
         self.call(async move { PlatformEvent::Deltas(read_deltas(&*client, after).await) });
     }
 
-    fn commit(&self, transaction: Transaction) {
+    fn commit(&self, call: StoreCallId, transaction: Transaction) {
         let client = Arc::clone(&self.client);
-        self.call(async move { PlatformEvent::Committed(client.commit(&transaction).await) });
+        self.call(async move { PlatformEvent::Committed(call, client.commit(&transaction).await) });
     }
 
     fn read_members_when_due(&mut self, now: MonoTime) {
