--- a/lib/src/adaptive_policy.rs
+++ b/lib/src/adaptive_policy.rs
@@ -134,13 +134,19 @@
     pub fn standing(&self, now: MonoTime, target: &TargetId) -> TargetStanding {
         if self.ejector.is_ejected(now, target) {
             TargetStanding::Ejected
-        } else if self.guard.is_avoided(now, target) {
+        } else if self.guard.is_avoided(now, target) && self.may_avoid(now) {
             TargetStanding::Avoided
         } else {
             TargetStanding::Serving
         }
     }
 
+    /// Ejections may have come after the avoidances; then the floor goes first.
+    fn may_avoid(&self, now: MonoTime) -> bool {
+        let out = self.guard.avoided_count(now) + self.ejector.ejected_count(now);
+        self.target_count >= self.floor + out
+    }
+
     /// Notes that an attempt starts on a picked target.
     pub fn begin(&mut self, now: MonoTime, scope: AttemptScope, trial: bool) -> AttemptId {
         let target = scope.target.clone();
@@ -270,14 +276,9 @@
     }
 
     fn note_standings(&mut self, now: MonoTime) {
-        let standings: Vec<(TargetId, bool)> = self
-            .picker
-            .targets()
-            .map(|target| (target.clone(), self.ejector.is_ejected(now, target)))
-            .collect();
-        for (target, ejected) in standings {
-            self.picker.set_ejected(now, &target, ejected);
-        }
+        let ejector = &self.ejector;
+        self.picker
+            .set_ejected_by(now, |target| ejector.is_ejected(now, target));
     }
 
     /// Disregards missing answers of a target for a while, since a request crashed it.
--- a/lib/src/ejection_lease.rs
+++ b/lib/src/ejection_lease.rs
@@ -139,6 +139,11 @@
         true
     }
 
+    /// Returns whether no other node's ejections are known.
+    pub fn is_empty(&self) -> bool {
+        self.holders.is_empty()
+    }
+
     /// Returns the holder and lease under which a target is ejected, if it is.
     pub fn find(&self, now: MonoTime, target: &TargetId) -> Option<(&NodeId, &EjectionLease)> {
         self.holders.iter().find_map(|(holder, view)| {
--- a/lib/src/ejector.rs
+++ b/lib/src/ejector.rs
@@ -130,6 +130,9 @@
 
     /// Returns whether the target gets no work but trial requests.
     pub fn is_ejected(&self, now: MonoTime, target: &TargetId) -> bool {
+        if self.held.is_empty() && self.leases.is_empty() {
+            return false;
+        }
         self.is_held(target) || self.leases.find(now, target).is_some()
     }
 
--- a/lib/src/target_picker.rs
+++ b/lib/src/target_picker.rs
@@ -152,9 +152,10 @@
         }
     }
 
-    /// Notes whether a target is ejected; it starts slowly when it no longer is.
-    pub fn set_ejected(&mut self, now: MonoTime, target: &TargetId, ejected: bool) {
-        if let Some(state) = self.targets.get_mut(target) {
+    /// Notes which targets are ejected; those that no longer are start slowly.
+    pub fn set_ejected_by(&mut self, now: MonoTime, is_ejected: impl Fn(&TargetId) -> bool) {
+        for (target, state) in &mut self.targets {
+            let ejected = is_ejected(target);
             if state.ejected && !ejected {
                 state.ramp_from = Some(now);
             }
