escrow: tell loans of different lenders apart

Cause: lenders may number their grants alike, and the borrower looked its loans up by that number alone. A renewal could extend a loan of another lender beyond its end (a conservation fault), and loans with equal numbers were not renewed at all. Change: the borrower knows a loan by its own ask. The new test was seen failing before.

--- a/lib/src/bucket_hand.rs
+++ b/lib/src/bucket_hand.rs
@@ -82,11 +82,11 @@
             .borrowed()
             .iter()
             .filter(|loan| loan.closing)
-            .map(|loan| loan.grant)
+            .map(|loan| loan.ask)
             .collect();
         let messages = closing
             .into_iter()
-            .filter_map(|grant| self.give_back(grant))
+            .filter_map(|ask| self.give_back(ask))
             .collect();
         self.bucket.bound(self.hand.share());
         messages
@@ -179,20 +179,18 @@
         Some(amount)
     }
 
-    /// Gives a loan back with the tokens that the rest of the hand can't hold.
-    pub fn give_back(&mut self, grant: TransferId) -> Option<Outgoing> {
-        let (lender, share) = self.hand.give_back(grant)?;
+    /// Gives the loan back that answered `ask`, with the tokens that the rest of the hand can't hold.
+    pub fn give_back(&mut self, ask: TransferId) -> Option<Outgoing> {
+        let loan = self.hand.give_back(ask)?;
         let rest = self.hand.share();
         let surplus = self.bucket.level().saturating_sub(rest.capacity);
-        let level = surplus.min(share.capacity);
-        self.bucket.bound(rest);
-        let budget = self.hand.budget().clone();
         let message = EscrowMessage::Return {
-            budget,
-            grant,
-            level,
+            budget: self.hand.budget().clone(),
+            grant: loan.grant,
+            level: surplus.min(loan.share.capacity),
         };
-        Some((lender, message))
+        self.bucket.bound(rest);
+        Some((loan.lender, message))
     }
 
     /// Takes a loan back that a borrower returned.
@@ -215,7 +213,7 @@
         &mut self.hand
     }
 
-    /// Returns the refill that the node holds beyond `needed`, loan by loan.
+    /// Returns the asks of loans without which the hand still covers `needed`.
     pub(crate) fn surplus_loans(&self, needed: BudgetShare) -> Vec<TransferId> {
         let mut share = self.hand.share();
         let mut surplus = Vec::new();
@@ -223,7 +221,7 @@
             let rest = share.minus(loan.share);
             if rest.covers(needed) {
                 share = rest;
-                surplus.push(loan.grant);
+                surplus.push(loan.ask);
             }
         }
         surplus
--- a/lib/src/escrow.rs
+++ b/lib/src/escrow.rs
@@ -103,6 +103,11 @@
             .fold(BudgetShare::default(), |sum, loan| sum.plus(loan.share))
     }
 
+    /// Returns the lender of each loan that the node may act on.
+    pub fn lenders(&self) -> impl Iterator<Item = &NodeId> {
+        self.borrowed.iter().map(|loan| &loan.lender)
+    }
+
     pub(crate) fn borrowed(&self) -> &[BorrowedLoan] {
         &self.borrowed
     }
@@ -239,13 +244,14 @@
         epoch: Epoch,
         amount: LoanAmount,
     ) -> Option<LoanAmount> {
-        let sent_at = self.take_ask(lender, ask, None)?;
-        let ends_at = sent_at + self.budget.loan_term();
-        if ends_at <= now || epoch < self.epoch() {
+        let pending = self.take_ask(lender, ask)?;
+        let ends_at = pending.sent_at + self.budget.loan_term();
+        if pending.renews.is_some() || ends_at <= now || epoch < self.epoch() {
             return None;
         }
         if !amount.is_zero() {
             self.borrowed.push(BorrowedLoan {
+                ask,
                 grant,
                 lender: lender.clone(),
                 share: amount.share(),
@@ -259,16 +265,12 @@
         Some(amount)
     }
 
-    fn take_ask(
-        &mut self,
-        lender: &NodeId,
-        ask: TransferId,
-        renews: Option<TransferId>,
-    ) -> Option<MonoTime> {
-        let index = self.asks.iter().position(|pending| {
-            pending.ask == ask && &pending.lender == lender && pending.renews == renews
-        })?;
-        Some(self.asks.swap_remove(index).sent_at)
+    fn take_ask(&mut self, lender: &NodeId, ask: TransferId) -> Option<PendingAsk> {
+        let index = self
+            .asks
+            .iter()
+            .position(|pending| pending.ask == ask && &pending.lender == lender)?;
+        Some(self.asks.swap_remove(index))
     }
 
     /// Asks to extend the lasting loans that are in the second half of their term.
@@ -279,17 +281,17 @@
             .iter()
             .filter(|loan| !loan.closing && loan.is_lasting)
             .filter(|loan| loan.ends_at.since(now) < term / 2)
-            .map(|loan| (loan.lender.clone(), loan.grant))
+            .map(|loan| (loan.lender.clone(), loan.ask, loan.grant))
             .collect();
         let mut messages = Vec::new();
-        for (lender, grant) in due {
+        for (lender, loan, grant) in due {
             let is_asked = self.asks.iter().any(|pending| {
-                pending.renews == Some(grant) && now.since(pending.sent_at) < term / 8
+                pending.renews == Some(loan) && now.since(pending.sent_at) < term / 8
             });
             if is_asked {
                 continue;
             }
-            let ask = self.expect_answer(now, lender.clone(), Some(grant), sequence);
+            let ask = self.expect_answer(now, lender.clone(), Some(loan), sequence);
             let budget = self.budget.clone();
             messages.push((lender, EscrowMessage::Renew { budget, ask, grant }));
         }
@@ -320,24 +322,24 @@
 
     /// Notes that the lender extended a loan, counted from when the renewal was sent.
     pub fn extended(&mut self, now: MonoTime, lender: &NodeId, ask: TransferId, grant: TransferId) {
-        let Some(sent_at) = self.take_ask(lender, ask, Some(grant)) else {
+        let Some(pending) = self.take_ask(lender, ask) else {
             return;
         };
-        let ends_at = sent_at + self.budget.loan_term();
+        let ends_at = pending.sent_at + self.budget.loan_term();
         let loan = self
             .borrowed
             .iter_mut()
-            .find(|loan| loan.grant == grant && loan.ends_at > now);
+            .filter(|loan| loan.grant == grant && &loan.lender == lender)
+            .find(|loan| Some(loan.ask) == pending.renews && loan.ends_at > now);
         if let Some(loan) = loan {
             loan.ends_at = loan.ends_at.max(ends_at);
         }
     }
 
-    /// Stops acting on a borrowed loan and returns the share that it carried.
-    pub fn give_back(&mut self, grant: TransferId) -> Option<(NodeId, BudgetShare)> {
-        let index = self.borrowed.iter().position(|loan| loan.grant == grant)?;
-        let loan = self.borrowed.swap_remove(index);
-        Some((loan.lender, loan.share))
+    /// Stops acting on the loan that answered `ask`.
+    pub(crate) fn give_back(&mut self, ask: TransferId) -> Option<BorrowedLoan> {
+        let index = self.borrowed.iter().position(|loan| loan.ask == ask)?;
+        Some(self.borrowed.swap_remove(index))
     }
 
     /// Ends a loan that came back and returns its share; a repeated return ends nothing.
--- a/lib/src/loan.rs
+++ b/lib/src/loan.rs
@@ -169,6 +169,8 @@
 /// A part of another node's share that this node may act on until the loan ends.
 #[derive(Clone, Debug)]
 pub(crate) struct BorrowedLoan {
+    /// The borrower's number of the loan; lenders may number their grants alike.
+    pub ask: TransferId,
     pub grant: TransferId,
     pub lender: NodeId,
     pub share: BudgetShare,
@@ -187,6 +189,7 @@
     pub ask: TransferId,
     pub lender: NodeId,
     pub sent_at: MonoTime,
+    /// The ask of the loan that is to be extended.
     pub renews: Option<TransferId>,
 }
 
--- a/lib/src/rate_entry.rs
+++ b/lib/src/rate_entry.rs
@@ -317,8 +317,8 @@
     /// A home cannot refill the capacity that it lent, so capacity that holds no token goes back
     /// even while requests wait.
     pub fn settle_loans(&mut self, now: MonoTime, actions: &mut Vec<LimiterAction>) {
-        for grant in self.ending_loans(now) {
-            send_all(self.hand.give_back(grant), actions);
+        for ask in self.ending_loans(now) {
+            send_all(self.hand.give_back(ask), actions);
         }
     }
 
@@ -339,10 +339,10 @@
             let rest = capacity.saturating_sub(loan.share.capacity);
             let is_spent = loan.share.refill.is_zero() && rest >= level;
             let is_idle = self.waiters.is_empty()
-                && (loan.share.refill.is_zero() || loan.recalled && surplus.contains(&loan.grant));
+                && (loan.share.refill.is_zero() || loan.recalled && surplus.contains(&loan.ask));
             if is_spent || is_idle {
                 capacity = rest;
-                ending.push(loan.grant);
+                ending.push(loan.ask);
             }
         }
         ending
@@ -359,8 +359,8 @@
             return;
         }
         if self.meter.rate(now).is_zero() && !self.is_waiting() {
-            for grant in self.hand.surplus_loans(BudgetShare::default()) {
-                send_all(self.hand.give_back(grant), actions);
+            for ask in self.hand.surplus_loans(BudgetShare::default()) {
+                send_all(self.hand.give_back(ask), actions);
             }
         }
         let escrow = self.hand.escrow_mut();
--- a/lib/src/slot_hand.rs
+++ b/lib/src/slot_hand.rs
@@ -270,20 +270,16 @@
                 let is_recalled = loan.recalled && (!is_wanted || is_held_long);
                 loan.closing || is_recalled || (is_idle && !is_wanted)
             })
-            .map(|loan| loan.grant)
+            .map(|loan| loan.ask)
             .collect();
         ending
             .into_iter()
-            .filter_map(|grant| self.give_back_free(grant))
+            .filter_map(|ask| self.give_back_free(ask))
             .collect()
     }
 
-    fn give_back_free(&mut self, grant: TransferId) -> Option<Outgoing> {
-        let loan = self
-            .escrow
-            .borrowed()
-            .iter()
-            .find(|loan| loan.grant == grant)?;
+    fn give_back_free(&mut self, ask: TransferId) -> Option<Outgoing> {
+        let loan = self.escrow.borrowed().iter().find(|loan| loan.ask == ask)?;
         let units = loan.share.capacity.whole_units();
         let is_counted = !loan.closing && loan.ends_at >= self.busy_until;
         let held = self.escrow.share_until(self.busy_until).capacity;
@@ -291,13 +287,13 @@
         if rest < self.in_use {
             return None;
         }
-        let (lender, share) = self.escrow.give_back(grant)?;
+        let loan = self.escrow.give_back(ask)?;
         let message = EscrowMessage::Return {
             budget: self.escrow.budget().clone(),
-            grant,
-            level: share.capacity,
+            grant: loan.grant,
+            level: loan.share.capacity,
         };
-        Some((lender, message))
+        Some((loan.lender, message))
     }
 
     /// Renews the loans while their units are in use or wanted.
--- a/lib/tests/test_loans.rs
+++ b/lib/tests/test_loans.rs
@@ -174,6 +174,55 @@
     assert!(peer.share_until(beyond).capacity < two);
 }
 
+#[test]
+fn a_renewal_extends_no_loan_of_another_lender_with_the_same_number() {
+    let nodes = [node_id(0, 1), node_id(1, 1), node_id(2, 1)];
+    let start = MonoTime::from_millis(100_000);
+    let slots = view(1, &nodes, BudgetTerms::from_units(Revision(1), 3));
+    let budget = budget(0);
+    let hand = |node: &NodeId| {
+        EscrowHand::new(
+            budget.clone(),
+            node.clone(),
+            slots.clone(),
+            SplitMode::Homes,
+        )
+    };
+    let mut peer = hand(&nodes[2]);
+    let sequence = &mut TransferSequence::new(Incarnation(1));
+    let want = LoanAmount {
+        capacity: MicroUnits::from_units(1),
+        level: MicroUnits::from_units(1),
+        ..LoanAmount::default()
+    };
+    // Both homes number their first grant alike.
+    for home in &nodes[..2] {
+        let (_, ask) = peer.ask(start, home.clone(), want, false, sequence);
+        let EscrowMessage::Ask { ask, .. } = ask else {
+            panic!("an ask was made");
+        };
+        let grants = &mut TransferSequence::new(Incarnation(1));
+        let (_, grant) = hand(home).grant(start, nodes[2].clone(), ask, want, grants);
+        let EscrowMessage::Grant { grant, epoch, .. } = grant else {
+            panic!("a grant was made");
+        };
+        assert!(peer.accept(start, home, ask, grant, epoch, want).is_some());
+    }
+    let asked = start + LOAN_TERM * 2 / 3;
+    let renewals = peer.renew(asked, sequence);
+    assert_eq!(renewals.len(), 2, "both loans are renewed");
+    let (lender, EscrowMessage::Renew { ask, grant, .. }) = &renewals[1] else {
+        panic!("the loan is renewed: {renewals:?}");
+    };
+    peer.extended(asked, lender, *ask, *grant);
+    let beyond = start + LOAN_TERM + Duration::from_secs(1);
+    assert_eq!(peer.share_until(beyond).capacity, MicroUnits::from_units(2));
+    peer.end_borrowed(beyond);
+    assert_eq!(peer.share().capacity, MicroUnits::from_units(2));
+    let kept = renewals[1].0.clone();
+    assert_eq!(peer.lenders().collect::<Vec<_>>(), [&kept]);
+}
+
 #[test]
 fn a_cut_off_borrower_stops_before_its_home_takes_the_slot_back() {
     // The borrower's clock is as slow, and the home's as fast, as the drift allows.
