--- a/lib/tests/share_fleet.rs
+++ b/lib/tests/share_fleet.rs
@@ -108,11 +108,13 @@
         if is_down {
             return None;
         }
-        let view = self.view(index, customer);
+        let is_known = self.nodes[index].limiter.hand(customer).is_some();
+        let view = (!is_known).then(|| self.view(index, customer));
+        let view = || view.expect("the customer has no state yet");
         let mut actions = Vec::new();
         let node = &mut self.nodes[index];
         let now = node.local(self.now);
-        let decision = node.limiter.admit(now, customer, || view, &mut actions);
+        let decision = node.limiter.admit(now, customer, view, &mut actions);
         let verdict = match decision {
             RateDecision::Admit => {
                 self.note_admission(customer.clone());
@@ -203,12 +205,13 @@
         let BudgetId::CustomerRate(customer) = message.budget() else {
             return;
         };
-        let view = self.view(index, customer);
+        let is_known = self.nodes[index].limiter.hand(customer).is_some();
+        let view = (!is_known).then(|| self.view(index, customer));
         let mut actions = Vec::new();
         let node = &mut self.nodes[index];
         let now = node.local(self.now);
         node.limiter
-            .handle(now, &from, &message, || Some(view), &mut actions);
+            .handle(now, &from, &message, || view, &mut actions);
         self.perform(index, actions);
     }
 
