--- a/cli/src/ctl_client.rs
+++ b/cli/src/ctl_client.rs
@@ -134,10 +134,15 @@
             let result = serde_json::from_slice(&body).ok();
             return result.context(BadAnswerSnafu { status });
         }
-        match serde_json::from_slice::<ErrorBody>(&body) {
-            Ok(body) => RefusedSnafu { status, body }.fail(),
-            Err(_) => BadAnswerSnafu { status }.fail(),
+        let refusal = serde_json::from_slice(&body).unwrap_or_else(|_| ErrorBody {
+            code: status.as_str().to_owned(),
+            message: String::from_utf8_lossy(&body).into_owned(),
+        });
+        RefusedSnafu {
+            status,
+            body: refusal,
         }
+        .fail()
     }
 
     async fn exchange(
--- a/cli/src/ctl_run.rs
+++ b/cli/src/ctl_run.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
+use damaskloom_gateway::settings::GatewaySettings;
 use damaskloom_lib::confirm::PlanOutcome;
 use damaskloom_lib::ids::PlanId;
 use damaskloom_lib::key::{KeyDigest, RawKey};
@@ -51,6 +52,12 @@
         /// Why.
         source: PlanError,
     },
+    /// A file does not hold gateway settings.
+    #[snafu(display("{source}"), context(false))]
+    Gateway {
+        /// Why.
+        source: damaskloom_gateway::settings::SettingsError,
+    },
     /// An option that the command needs is missing.
     #[snafu(display("{option} is required"))]
     OptionMissing {
@@ -83,6 +90,7 @@
         match self {
             Self::Call { source } => source.exit_status(),
             Self::Intent { .. }
+            | Self::Gateway { .. }
             | Self::OptionMissing { .. }
             | Self::ReadFile { .. }
             | Self::ParseFile { .. } => ExitStatus::Usage,
@@ -279,9 +287,13 @@
 
     fn check(&self, path: &Path) -> RunResult {
         let document: Value = read_document(path, "a JSON document")?;
-        let checked = if document.get("changes").is_some() {
+        let has = |field: &str| document.get(field).is_some();
+        let checked = if has("changes") {
             PlanBuilder::new(read_intent(path)?)?;
             "changes"
+        } else if has("caller_listen") {
+            GatewaySettings::load(path)?;
+            "gateway settings"
         } else {
             let _: OperatorSettings = read_document(path, "operator settings")?;
             "operator settings"
--- a/cli/tests/test_ctl.rs
+++ b/cli/tests/test_ctl.rs
@@ -139,6 +139,13 @@
         let options = parse_args(words(&line)).unwrap();
         run_command(&options).await
     };
+    let gateway = r#"{"vm": "vm-1", "caller_listen": "no address"}"#;
+    std::fs::write(files.join("gateway.json"), gateway).unwrap();
+    let check = format!("check {}", files.join("gateway.json").display());
+    assert_eq!(
+        run(&check).await.unwrap_err().exit_status(),
+        ExitStatus::Usage
+    );
     let plan = format!("plan -f {}", files.join("changes.json").display());
     assert_eq!(run(&plan).await.unwrap(), ExitStatus::Done);
     assert_eq!(
