--- a/cli/src/local_platform.rs
+++ b/cli/src/local_platform.rs
@@ -5,9 +5,11 @@
 use damaskloom_lib::config::{ConfigChange, ConfigDelta, FleetConfig};
 use damaskloom_lib::ids::Revision;
 use damaskloom_lib::platform::{
-    CommitOutcome, Condition, Mutation, PlatformError, TableStore, Transaction,
+    CommitOutcome, Condition, Mutation, ObjectStore, PlatformError, TableStore, Transaction,
+};
+use damaskloom_lib::table_layout::{
+    HeadRow, SnapshotPart, SnapshotRow, delta_key, head_key, snapshot_key,
 };
-use damaskloom_lib::table_layout::{HeadRow, delta_key, head_key};
 use damaskloom_platform::client::{ClientSettings, PlatformClient};
 use damaskloom_testutils::platform_faults::PlatformFaults;
 use damaskloom_testutils::platform_server::{PlatformServer, ServerError};
@@ -42,7 +44,7 @@
 }
 
 impl LocalPlatform {
-    /// Starts the stand-in and stores a configuration as its first revision.
+    /// Starts the stand-in and stores a configuration as its snapshot.
     ///
     /// # Errors
     ///
@@ -51,12 +53,40 @@
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = PlatformServer::start(loopback).await.context(StartSnafu)?;
         let client = PlatformClient::new(server.address(), ClientSettings::default());
-        let mut platform = Self {
+        let part = SnapshotPart {
+            revision: config.revision,
+            changes: config.changes().collect(),
+        };
+        let body = serde_json::to_vec(&part).expect("a snapshot is always valid JSON");
+        let snapshot = SnapshotRow {
+            revision: config.revision,
+            name: format!("snapshot/{}", config.revision),
+            parts: 1,
+        };
+        client
+            .put_object(&snapshot.part_name(0), body.into())
+            .await
+            .context(CallSnafu)?;
+        let platform = Self {
             server,
             client,
-            revision: Revision::default(),
+            revision: config.revision,
         };
-        platform.accept(config.changes().collect()).await?;
+        let mutations = vec![
+            put(snapshot_key(), &snapshot),
+            put(
+                head_key(),
+                &HeadRow {
+                    revision: config.revision,
+                },
+            ),
+        ];
+        platform
+            .commit(Transaction {
+                conditions: Vec::new(),
+                mutations,
+            })
+            .await?;
         Ok(platform)
     }
 
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -340,6 +340,16 @@
         }
     }
 
+    /// Puts a key that shares its customer's name with the customer, which halves what a key costs.
+    fn put_key(&mut self, grant: &KeyGrant) {
+        let held = self.customers.get_key_value(&grant.customer);
+        let entry = KeyEntry {
+            customer: held.map_or(&grant.customer, |(id, _)| id).clone(),
+            state: grant.state,
+        };
+        self.keys.put(grant.digest, entry);
+    }
+
     /// Returns the changes that build this configuration from an empty one.
     pub fn changes(&self) -> impl Iterator<Item = ConfigChange> {
         let services = self
@@ -362,16 +372,6 @@
             .chain(keys)
     }
 
-    /// Puts a key that shares its customer's name with the customer, which halves what a key costs.
-    fn put_key(&mut self, grant: &KeyGrant) {
-        let held = self.customers.get_key_value(&grant.customer);
-        let entry = KeyEntry {
-            customer: held.map_or(&grant.customer, |(id, _)| id).clone(),
-            state: grant.state,
-        };
-        self.keys.put(grant.digest, entry);
-    }
-
     /// Returns the targets of a service, in configuration order.
     pub fn targets_of(&self, service: &ServiceId) -> impl Iterator<Item = &Target> {
         self.targets
