claims: delete the row of an expired claim only if it is that claim's row

A claim that was handed over expires at its old home and at its new one, and both delete the row. The second deletion can come after another claim has written a new row under the same id, and the condition on the version that was just read does not help: the late deletion reads the new row first.

ForgetRow now names the row's ticket, and the row is left alone if it has another. The test's fake store does the same. Seen by reading, not by a failing history: the histories seldom reach the end of the retention twice.

--- a/lib/src/claim_action.rs
+++ b/lib/src/claim_action.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::claim_message::{ClaimKey, ClaimMessage, ClaimRow};
+use crate::claim_message::{ClaimKey, ClaimMessage, ClaimRow, ClaimTicket};
 use crate::ids::NodeId;
 
 /// The bounds of a claim log.
@@ -60,11 +60,13 @@
         /// What is claimed.
         key: ClaimKey,
     },
-    /// Read the row of an expired claim and delete it on condition of the version that was read,
-    /// so that a delayed delete cannot hit a later claim.
+    /// Read the row of an expired claim and, if it still has the claim's ticket, delete it on
+    /// condition of the version that was read, so that a delayed delete cannot hit a later claim.
     ForgetRow {
         /// What was claimed.
         key: ClaimKey,
+        /// The ticket of the row.
+        ticket: ClaimTicket,
     },
     /// Make a handover with [`ClaimLog::handover`](crate::claim_log::ClaimLog::handover) and send it.
     HandOver {
--- a/lib/src/claim_log.rs
+++ b/lib/src/claim_log.rs
@@ -316,7 +316,10 @@
             if !lives {
                 freed += entry.drop_answer();
                 if entry.in_store {
-                    actions.push(ClaimAction::ForgetRow { key: key.clone() });
+                    actions.push(ClaimAction::ForgetRow {
+                        key: key.clone(),
+                        ticket: entry.row.ticket.clone(),
+                    });
                 }
             }
             lives
--- a/lib/tests/claim_fleet.rs
+++ b/lib/tests/claim_fleet.rs
@@ -62,7 +62,7 @@
 enum StoreCall {
     Write(NodeId, ClaimKey, ClaimRow),
     Read(NodeId, ClaimKey),
-    Forget(ClaimKey),
+    Forget(ClaimKey, ClaimTicket),
     /// A write whose answer was reported lost before it takes effect.
     Late(ClaimKey, ClaimRow),
 }
@@ -261,7 +261,9 @@
                     self.calls.push(StoreCall::Write(id, key, row));
                 }
                 ClaimAction::ReadBack { key } => self.calls.push(StoreCall::Read(id, key)),
-                ClaimAction::ForgetRow { key } => self.calls.push(StoreCall::Forget(key)),
+                ClaimAction::ForgetRow { key, ticket } => {
+                    self.calls.push(StoreCall::Forget(key, ticket));
+                }
                 ClaimAction::HandOver { to } => {
                     let members = &self.epochs[node.epoch];
                     let epoch = node.epoch;
@@ -320,10 +322,12 @@
                     self.log_actions(vm, actions);
                 }
             }
-            StoreCall::Forget(key) if self.store_up => {
-                self.store.remove(&key);
+            StoreCall::Forget(key, ticket) if self.store_up => {
+                if self.store.get(&key).is_some_and(|row| row.ticket == ticket) {
+                    self.store.remove(&key);
+                }
             }
-            StoreCall::Forget(_) => {}
+            StoreCall::Forget(..) => {}
             StoreCall::Late(key, row) => {
                 self.store.entry(key).or_insert(row);
             }
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -289,7 +289,8 @@
     let first = messages(log.handle(NOW, &gateway, claim(3, 0)));
     assert_eq!(first, duplicate(3, FirstClaim::Busy));
     let expired = log.tick(later(600_000));
-    assert_eq!(expired, [ClaimAction::ForgetRow { key: key(0) }]);
+    let (key, ticket) = (key(0), ticket(1));
+    assert_eq!(expired, [ClaimAction::ForgetRow { key, ticket }]);
     assert!(log.is_empty());
 }
 
