claims: a home does not count itself as gone

After a change of the epoch, members hand over to each other. A sender that has not heard from the receiver yet names it among the members that may be lost, and the receiver took that for its own loss: with one node of another data centre really gone it could conclude nothing for the whole retention, and refused all bookings.

The receiver leaves itself out. The new test failed before (Uncertain in place of KnownWithStore). Found by the gateway's test that crashes a home.

--- a/lib/src/claim_client.rs
+++ b/lib/src/claim_client.rs
@@ -199,6 +199,14 @@
         })
     }
 
+    /// Returns the number of requests that were granted and have not ended.
+    pub fn granted_count(&self) -> usize {
+        let states = self.tickets.values().map(|entry| &entry.state);
+        states
+            .filter(|state| matches!(state, TicketState::Granted))
+            .count()
+    }
+
     /// Reports how the run that a claim allowed has ended, and whether it ran at all.
     pub fn complete(
         &mut self,
--- a/lib/src/claim_log.rs
+++ b/lib/src/claim_log.rs
@@ -164,7 +164,10 @@
                 uninformed_ms,
             } if epoch == self.epoch => {
                 claims.into_iter().for_each(|claim| self.merge(now, claim));
-                self.takeover.handed_over(now, from, gone, uninformed_ms);
+                // A sender that has not heard from this node yet counts it among the gone.
+                let others = gone.into_iter().filter(|other| other.node != self.node);
+                let others = others.collect();
+                self.takeover.handed_over(now, from, others, uninformed_ms);
                 Vec::new()
             }
             ClaimMessage::HandoverRequest { .. }
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -235,6 +235,24 @@
     assert_eq!(told, unavailable(1, Execution::Unknown));
 }
 
+#[test]
+fn a_home_is_not_told_that_it_is_gone_itself() {
+    let mut logs = [0, 2].map(|vm| {
+        let mut log = ClaimLog::new(node(vm, 0), ClaimLimits::default());
+        log.enter_epoch(NOW, Epoch(1), []);
+        log
+    });
+    // Both lost the same third node, and neither has heard from the other yet.
+    for (log, other) in logs.iter_mut().zip([2, 0]) {
+        let sources = [other, 1].map(|vm| (node(vm, 0), data_centre(vm)));
+        log.enter_epoch(NOW, Epoch(2), sources);
+        log.source_gone(NOW, &node(1, 0));
+    }
+    let handover = logs[1].handover(NOW, |_| true);
+    logs[0].handle(NOW, &node(2, 0), handover);
+    assert_eq!(logs[0].certainty(), ClaimCertainty::KnownWithStore);
+}
+
 #[test]
 fn a_home_that_may_have_forgotten_says_unknown() {
     let mut log = ClaimLog::new(node(0, 1), ClaimLimits::default());
