gateway: run requests with a request id at most once

A non-idempotent route names the header of its request id. Such a request is now claimed at the id's home before anything else may refuse it; the claim is a row of the platform's table, or a second copy in another data centre while that is out.

- ClaimDesk holds the client and the log of a gateway under one lock and performs their actions; ClaimStore maps rows; ClaimFleet finds home and copy holder, with the epoch and its members read together; ClaimGuard ends each claim.
- ClaimedCall takes the body whole (1 MiB at most), asks the home, takes the rate, and runs the request in a task of its own, so that a caller that leaves finds the answer with its resend.
Nothing sent: the claim is released.
- The claim is asked again directly before the first byte (AttemptError::ClaimExpired).
- A stale node refuses such requests with unknown, since it has not asked the home.

--- /dev/null
+++ b/gateway/src/claim_desk.rs
@@ -0,0 +1,388 @@
+//! The claims of one gateway: those that it asks for, and those that it holds for the fleet.
+//!
+//! One lock guards both state machines; only non-idempotent requests with a request id pass here.
+//! See [docs/design/at-most-once.md](../../docs/design/at-most-once.md).
+
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use damaskloom_lib::claim_action::{ClaimAction, ClaimLimits, RowRead, RowWrite};
+use damaskloom_lib::claim_client::{ClaimClient, ClaimClientAction, ClaimDecision, ClaimTimes};
+use damaskloom_lib::claim_log::ClaimLog;
+use damaskloom_lib::claim_message::{
+    BodyFingerprint, ClaimKey, ClaimMessage, ClaimResult, ClaimTicket, KeptAnswer,
+};
+use damaskloom_lib::ids::NodeId;
+use damaskloom_lib::outcome::{Reason, Refusal};
+use damaskloom_lib::time::MonoTime;
+use indexmap::IndexMap;
+use tokio::sync::oneshot;
+
+use crate::claim_fleet::{ClaimFleet, ClaimMember, limit_handover};
+use crate::claim_guard::ClaimGuard;
+use crate::claim_store::ClaimStore;
+use crate::clock::MonoClock;
+use crate::peer_codec::PeerTopic;
+use crate::peer_outbox::PeerOutbox;
+
+/// The interval at which a store that is out is tried, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 1_000;
+/// The claims that a tick writes to a store that has come back.
+const FLUSH_BATCH: usize = 4;
+/// The time after which a caller may ask again for a claim that could not be had now, in
+/// milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Where claims are made durable.
+#[derive(Clone, Debug)]
+enum ClaimBacking {
+    /// Nowhere, so that only copies can be made.
+    Closed,
+    /// In this process only, for a gateway that is a fleet of its own.
+    Memory,
+    /// In the platform's table.
+    Table(ClaimStore),
+}
+
+#[derive(Debug)]
+struct DeskState {
+    client: ClaimClient,
+    log: ClaimLog,
+    fleet: ClaimFleet,
+    backing: ClaimBacking,
+    waiters: IndexMap<ClaimTicket, oneshot::Sender<ClaimDecision>>,
+    store_out: bool,
+    next_probe: MonoTime,
+}
+
+/// What a claim allows.
+#[derive(Debug)]
+pub enum ClaimVerdict {
+    /// The request may run, under this guard.
+    Run(Arc<ClaimGuard>),
+    /// The request ran before with this answer.
+    Answer(KeptAnswer),
+}
+
+enum DeskStep {
+    Client(ClaimClientAction),
+    Log(ClaimAction),
+}
+
+/// Holds the claims of one gateway and performs what their state machines want done.
+#[derive(Debug)]
+pub struct ClaimDesk {
+    node: NodeId,
+    clock: MonoClock,
+    clock_jump: AtomicU64,
+    outbox: Arc<PeerOutbox>,
+    state: Mutex<DeskState>,
+}
+
+impl ClaimDesk {
+    /// Makes the desk of a gateway that belongs to no fleet yet, and refuses claims until then.
+    pub fn new(node: &NodeId, clock: MonoClock, outbox: Arc<PeerOutbox>) -> Arc<Self> {
+        let limits = ClaimLimits {
+            flush_batch: FLUSH_BATCH,
+            ..ClaimLimits::default()
+        };
+        Arc::new(Self {
+            node: node.clone(),
+            clock,
+            clock_jump: AtomicU64::new(0),
+            outbox,
+            state: Mutex::new(DeskState {
+                client: ClaimClient::new(node.clone(), ClaimTimes::default()),
+                log: ClaimLog::new(node.clone(), limits),
+                fleet: ClaimFleet::default(),
+                backing: ClaimBacking::Closed,
+                waiters: IndexMap::new(),
+                store_out: false,
+                next_probe: MonoTime::ZERO,
+            }),
+        })
+    }
+
+    /// Makes the gateway a fleet of its own, whose claims last as long as its process.
+    pub fn serve_alone(&self, member: ClaimMember) {
+        let mut desk = self.lock();
+        desk.backing = ClaimBacking::Memory;
+        desk.fleet = ClaimFleet::new(desk.fleet.epoch(), [member]);
+    }
+
+    /// Sets the platform's table as the place where claims are made durable.
+    pub fn open_store(&self, store: ClaimStore) {
+        let mut desk = self.lock();
+        desk.backing = ClaimBacking::Table(store);
+        desk.note_store(true);
+    }
+
+    /// Enters an epoch; an older one is ignored.
+    ///
+    /// `sources` are the members of all epochs since the one that this node was in, without this
+    /// node; a new start of a VM has the earlier one among them. Call it before the node
+    /// acknowledges the epoch.
+    pub fn enter_epoch(
+        self: &Arc<Self>,
+        fleet: ClaimFleet,
+        sources: impl IntoIterator<Item = ClaimMember>,
+    ) {
+        let mut desk = self.lock();
+        if fleet.epoch() <= desk.fleet.epoch() {
+            return;
+        }
+        let sources = sources
+            .into_iter()
+            .map(|member| (member.node, member.data_centre));
+        let actions = desk.log.enter_epoch(self.now(), fleet.epoch(), sources);
+        desk.fleet = fleet;
+        self.settle(&mut desk, actions.into_iter().map(DeskStep::Log));
+    }
+
+    /// Notes that a member of an earlier epoch is proven to run no longer.
+    pub fn source_gone(&self, node: &NodeId) {
+        let now = self.now();
+        self.lock().log.source_gone(now, node);
+    }
+
+    /// Notes that the platform's table has answered.
+    pub fn store_recovered(&self) {
+        self.lock().note_store(true);
+    }
+
+    /// Takes a message of a peer.
+    pub fn handle(self: &Arc<Self>, from: &NodeId, message: ClaimMessage) {
+        let mut desk = self.lock();
+        let steps = desk.take(self.now(), from, message);
+        self.settle(&mut desk, steps);
+    }
+
+    /// Advances time bounds; called every few milliseconds.
+    pub fn tick(self: &Arc<Self>) {
+        let now = self.now();
+        let mut desk = self.lock();
+        let asked = desk.client.tick(now);
+        let held = desk.log.tick(now);
+        let steps = asked.into_iter().map(DeskStep::Client);
+        self.settle(&mut desk, steps.chain(held.into_iter().map(DeskStep::Log)));
+        if desk.store_out && now >= desk.next_probe {
+            desk.next_probe = now + Duration::from_millis(PROBE_INTERVAL_MS);
+            self.probe_store(&desk);
+        }
+    }
+
+    /// Asks the request id's home for leave to run a request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses if another sending was first and its answer is not kept, or if the claim could not
+    /// be made durable in time.
+    pub async fn claim(
+        self: &Arc<Self>,
+        key: ClaimKey,
+        fingerprint: BodyFingerprint,
+        deadline: Instant,
+    ) -> Result<ClaimVerdict, Refusal> {
+        let (guard, decision) = self.ask(key, fingerprint)?;
+        match tokio::time::timeout_at(deadline.into(), decision).await {
+            Ok(Ok(ClaimDecision::Run)) => Ok(ClaimVerdict::Run(Arc::new(guard))),
+            Ok(Ok(ClaimDecision::Answer(answer))) => Ok(ClaimVerdict::Answer(answer)),
+            Ok(Ok(ClaimDecision::Refuse(refusal))) => Err(with_retry_after(refusal)),
+            // The guard reports that this sending did not run; an earlier one may have.
+            Ok(Err(_)) | Err(_) => Err(claim_unavailable()),
+        }
+    }
+
+    fn ask(
+        self: &Arc<Self>,
+        key: ClaimKey,
+        fingerprint: BodyFingerprint,
+    ) -> Result<(ClaimGuard, oneshot::Receiver<ClaimDecision>), Refusal> {
+        let mut desk = self.lock();
+        let place = desk.fleet.place(&key).ok_or_else(claim_unavailable)?;
+        let (ticket, actions) = desk.client.claim(self.now(), key, fingerprint, place);
+        let (sender, decision) = oneshot::channel();
+        desk.waiters.insert(ticket.clone(), sender);
+        self.settle(&mut desk, actions.into_iter().map(DeskStep::Client));
+        Ok((ClaimGuard::new(Arc::clone(self), ticket), decision))
+    }
+
+    /// Says whether a granted request may still begin to run, by a fresh reading of the clock.
+    pub(crate) fn may_run(&self, ticket: &ClaimTicket) -> bool {
+        let desk = self.lock();
+        desk.client.may_run(self.now(), ticket)
+    }
+
+    /// Reports how a sending ended; one that was refused already is ignored.
+    pub(crate) fn complete(self: &Arc<Self>, ticket: &ClaimTicket, result: ClaimResult) {
+        let mut desk = self.lock();
+        desk.waiters.swap_remove(ticket);
+        let actions = desk.client.complete(self.now(), ticket, result);
+        self.settle(&mut desk, actions.into_iter().map(DeskStep::Client));
+    }
+
+    /// Returns the number of claims that this gateway holds for the fleet.
+    pub fn held_claims(&self) -> usize {
+        self.lock().log.len()
+    }
+
+    /// Returns the number of this gateway's own requests that may run or are running.
+    pub fn granted(&self) -> usize {
+        self.lock().client.granted_count()
+    }
+
+    /// Makes the desk's clock jump forward, as the clock does that a paused process reads next.
+    pub fn jump_clock(&self, pause: Duration) {
+        let micros = u64::try_from(pause.as_micros()).unwrap_or(u64::MAX);
+        self.clock_jump.fetch_add(micros, Ordering::SeqCst);
+    }
+
+    fn now(&self) -> MonoTime {
+        self.clock.now() + Duration::from_micros(self.clock_jump.load(Ordering::SeqCst))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DeskState> {
+        self.state.lock().expect("no holder of the desk panics")
+    }
+
+    /// Performs actions, and those that follow when messages to this node are handed back in.
+    fn settle(self: &Arc<Self>, desk: &mut DeskState, steps: impl IntoIterator<Item = DeskStep>) {
+        let mut steps: VecDeque<DeskStep> = steps.into_iter().collect();
+        while let Some(step) = steps.pop_front() {
+            match step {
+                DeskStep::Client(ClaimClientAction::Decide { ticket, decision }) => {
+                    if let Some(waiter) = desk.waiters.swap_remove(&ticket) {
+                        // The guard of a request that no longer waits reports its end.
+                        let _ = waiter.send(decision);
+                    }
+                }
+                DeskStep::Client(ClaimClientAction::Send { to, message })
+                | DeskStep::Log(ClaimAction::Send { to, message }) => {
+                    steps.extend(self.send(desk, &to, message));
+                }
+                DeskStep::Log(ClaimAction::HandOver { to }) => {
+                    let handover = desk.log.handover(self.now(), |key| {
+                        desk.fleet.place(key).is_some_and(|place| place.home == to)
+                    });
+                    steps.extend(self.send(desk, &to, limit_handover(handover)));
+                }
+                DeskStep::Log(action) => steps.extend(self.store(desk, action)),
+            }
+        }
+    }
+
+    fn send(&self, desk: &mut DeskState, to: &NodeId, message: ClaimMessage) -> Vec<DeskStep> {
+        if *to == self.node {
+            return desk.take(self.now(), to, message);
+        }
+        self.outbox.send(to, PeerTopic::Claims, &message);
+        Vec::new()
+    }
+
+    /// Performs an action on rows; the outcome comes back later, but for claims in memory.
+    fn store(self: &Arc<Self>, desk: &mut DeskState, action: ClaimAction) -> Vec<DeskStep> {
+        let now = self.now();
+        match (desk.backing.clone(), action) {
+            (ClaimBacking::Table(store), action) => {
+                tokio::spawn(Arc::clone(self).call_store(store, action));
+                Vec::new()
+            }
+            (ClaimBacking::Memory, ClaimAction::WriteRow { key, .. }) => {
+                log_steps(desk.log.row_written(now, &key, RowWrite::Committed))
+            }
+            (ClaimBacking::Closed, ClaimAction::WriteRow { key, .. }) => {
+                log_steps(desk.log.row_written(now, &key, RowWrite::Unavailable))
+            }
+            (ClaimBacking::Closed, ClaimAction::ReadBack { key }) => {
+                log_steps(desk.log.row_read(now, &key, RowRead::Failed))
+            }
+            (ClaimBacking::Memory | ClaimBacking::Closed, _) => Vec::new(),
+        }
+    }
+
+    async fn call_store(self: Arc<Self>, store: ClaimStore, action: ClaimAction) {
+        match action {
+            ClaimAction::WriteRow { key, row } => {
+                let outcome = store.write(&key, &row).await;
+                let answered = matches!(outcome, RowWrite::Committed | RowWrite::Conflict);
+                self.after_store(answered, |desk, now| {
+                    desk.log.row_written(now, &key, outcome)
+                });
+            }
+            ClaimAction::ReadBack { key } => {
+                let outcome = store.read(&key).await;
+                let answered = !matches!(outcome, RowRead::Failed);
+                self.after_store(answered, |desk, now| desk.log.row_read(now, &key, outcome));
+            }
+            ClaimAction::ForgetRow { key, ticket } => {
+                let pause = Duration::from_millis(PROBE_INTERVAL_MS);
+                while store.forget(&key, &ticket).await.is_err() {
+                    tokio::time::sleep(pause).await;
+                }
+            }
+            ClaimAction::Send { .. } | ClaimAction::HandOver { .. } => {}
+        }
+    }
+
+    fn after_store(
+        self: &Arc<Self>,
+        answered: bool,
+        act: impl FnOnce(&mut DeskState, MonoTime) -> Vec<ClaimAction>,
+    ) {
+        let mut desk = self.lock();
+        let actions = act(&mut desk, self.now());
+        desk.note_store(answered);
+        self.settle(&mut desk, log_steps(actions));
+    }
+
+    fn probe_store(self: &Arc<Self>, desk: &DeskState) {
+        if let ClaimBacking::Table(store) = &desk.backing {
+            let (desk, store) = (Arc::clone(self), store.clone());
+            tokio::spawn(async move {
+                if store.probe().await {
+                    desk.store_recovered();
+                }
+            });
+        }
+    }
+}
+
+impl DeskState {
+    /// Gives a message to both state machines, which pick what is theirs.
+    fn take(&mut self, now: MonoTime, from: &NodeId, message: ClaimMessage) -> Vec<DeskStep> {
+        let asked = self.client.handle(now, message.clone());
+        let held = self.log.handle(now, from, message);
+        let steps = asked.into_iter().map(DeskStep::Client);
+        steps.chain(held.into_iter().map(DeskStep::Log)).collect()
+    }
+
+    fn note_store(&mut self, answered: bool) {
+        if self.store_out == answered {
+            tracing::info!(answered, "the store of claims changed");
+        }
+        self.store_out = !answered;
+        if answered {
+            self.log.store_recovered();
+        }
+    }
+}
+
+fn log_steps(actions: Vec<ClaimAction>) -> Vec<DeskStep> {
+    actions.into_iter().map(DeskStep::Log).collect()
+}
+
+/// The refusal of a sending whose home was not heard: an earlier sending may have run.
+pub(crate) fn claim_unavailable() -> Refusal {
+    with_retry_after(Refusal::unknown(Reason::ClaimUnavailable))
+}
+
+fn with_retry_after(refusal: Refusal) -> Refusal {
+    match refusal.reason {
+        Reason::ClaimUnavailable | Reason::RequestIdBusy => {
+            refusal.with_retry_after(Duration::from_millis(RETRY_AFTER_MS))
+        }
+        _ => refusal,
+    }
+}
--- /dev/null
+++ b/gateway/src/claim_fleet.rs
@@ -0,0 +1,94 @@
+//! Which nodes hold the claim of a request id, by the members of one epoch.
+
+use damaskloom_lib::claim_client::ClaimHome;
+use damaskloom_lib::claim_message::{ClaimKey, ClaimMessage};
+use damaskloom_lib::ids::{DataCentreId, Epoch, NodeId};
+use damaskloom_lib::rendezvous::{StableHash, top_members};
+
+/// The bytes of kept answers that a handover carries, well below the largest frame between peers.
+const HANDOVER_ANSWER_BYTES: usize = 128 << 10;
+
+/// A member of an epoch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClaimMember {
+    /// The node.
+    pub node: NodeId,
+    /// The node's data centre.
+    pub data_centre: DataCentreId,
+}
+
+/// The members of one epoch.
+///
+/// The epoch and its members are kept together: a home that was found by the members of one epoch
+/// and asked under the number of another would be a second home.
+#[derive(Clone, Debug, Default)]
+pub struct ClaimFleet {
+    epoch: Epoch,
+    members: Vec<ClaimMember>,
+    hashes: Vec<StableHash>,
+}
+
+impl ClaimFleet {
+    /// Takes the members of an epoch.
+    pub fn new(epoch: Epoch, members: impl IntoIterator<Item = ClaimMember>) -> Self {
+        let members: Vec<ClaimMember> = members.into_iter().collect();
+        let hashes = members.iter().map(|member| member_hash(&member.node));
+        Self {
+            epoch,
+            hashes: hashes.collect(),
+            members,
+        }
+    }
+
+    /// Returns the epoch.
+    pub const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Returns the members.
+    pub fn members(&self) -> &[ClaimMember] {
+        &self.members
+    }
+
+    /// Returns the home of a request id and the best node of another data centre; `None` if the
+    /// fleet has no members.
+    pub fn place(&self, key: &ClaimKey) -> Option<ClaimHome> {
+        let hash = StableHash::of(key.customer.as_bytes())
+            .with(StableHash::of(key.request_id.to_string()));
+        let home = &self.members[*top_members(hash, &self.hashes, 1).first()?];
+        Some(ClaimHome {
+            epoch: self.epoch,
+            home: home.node.clone(),
+            copy: self.best_elsewhere(hash, &home.data_centre),
+        })
+    }
+
+    fn best_elsewhere(&self, key: StableHash, home: &DataCentreId) -> Option<NodeId> {
+        let members = self.members.iter().zip(&self.hashes);
+        let others = members.filter(|(member, _)| member.data_centre != *home);
+        let (others, hashes): (Vec<&ClaimMember>, Vec<StableHash>) = others.unzip();
+        let best = *top_members(key, &hashes, 1).first()?;
+        Some(others[best].node.clone())
+    }
+}
+
+fn member_hash(node: &NodeId) -> StableHash {
+    StableHash::of(node.to_string())
+}
+
+/// Leaves answers out of a handover that would not fit into a frame; their ids are spent then.
+pub(crate) fn limit_handover(message: ClaimMessage) -> ClaimMessage {
+    let mut message = message;
+    if let ClaimMessage::Handover { claims, .. } = &mut message {
+        let mut bytes = 0;
+        for claim in claims {
+            let size = claim.answer.as_ref().map_or(0, |answer| answer.size());
+            bytes += size;
+            if bytes > HANDOVER_ANSWER_BYTES {
+                bytes -= size;
+                claim.answer = None;
+            }
+        }
+    }
+    message
+}
--- /dev/null
+++ b/gateway/src/claimed_call.rs
@@ -0,0 +1,230 @@
+//! The path of a non-idempotent request with a request id: claim, limit, target, kept answer.
+//!
+//! The home of the id is asked before anything else may refuse the request, so that the resend of a
+//! request that ran is never told that it did not. The run is a task of its own: a caller that
+//! loses its connection finds the answer with its resend. See
+//! [docs/design/at-most-once.md](../../docs/design/at-most-once.md).
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use damaskloom_lib::claim_message::{
+    BodyFingerprint, ClaimKey, ClaimResult, KeptAnswer, KeptHeader, RequestId,
+};
+use damaskloom_lib::config::{Idempotence, Route};
+use damaskloom_lib::ids::CustomerId;
+use damaskloom_lib::outcome::{Execution, Reason, Refusal};
+use damaskloom_lib::units::ByteSize;
+use http::header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, LOCATION};
+use http::request::Parts;
+use http::{Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::bodies::{AnswerBody, BodyError, collect_body};
+use crate::claim_desk::{ClaimVerdict, claim_unavailable};
+use crate::claim_guard::ClaimGuard;
+use crate::exchange::{RequestScope, pass_on};
+use crate::forward::{OutgoingHead, TargetAnswer};
+use crate::gateway::GatewayState;
+use crate::service_call::{CallBody, CallOutcome, ServiceCall};
+
+/// The largest body of a claimed request, which is held whole since its digest is claimed with it.
+const MAX_BODY_BYTES: u64 = 1 << 20;
+/// The time that a caller may let pass between two parts of its request body, in milliseconds.
+const BODY_STALL_TIMEOUT_MS: u64 = 5_000;
+/// The largest answer that is kept, in bytes.
+const MAX_KEPT_BYTES: usize = 16 << 10;
+/// The headers that a caller needs to read a kept answer.
+const KEPT_HEADERS: [HeaderName; 3] = [CONTENT_TYPE, CONTENT_ENCODING, LOCATION];
+/// The name under which requests without a key are claimed.
+const OPEN_CUSTOMER: &str = "open";
+
+/// A request whose id has to be claimed before it runs.
+#[derive(Debug)]
+pub struct ClaimedCall {
+    state: Arc<GatewayState>,
+    scope: RequestScope,
+    key: ClaimKey,
+    fingerprint: BodyFingerprint,
+    head: OutgoingHead,
+    body: Bytes,
+    deadline: Instant,
+}
+
+/// Returns the request id that has to be claimed; none if the request may run more than once, or
+/// if its caller cannot tell a resend from a new request.
+///
+/// # Errors
+///
+/// Refuses ids that are malformed, or given twice and different; no request can have run with one.
+pub fn claimed_id(route: &Route, headers: &HeaderMap) -> Result<Option<RequestId>, Refusal> {
+    if route.idempotence == Idempotence::Idempotent {
+        return Ok(None);
+    }
+    let Some(name) = &route.request_id_header else {
+        return Ok(None);
+    };
+    let mut values = headers.get_all(name.as_str()).iter();
+    let Some(first) = values.next() else {
+        return Ok(None);
+    };
+    if values.any(|value| value != first) {
+        return Err(Refusal::not_run(Reason::BadRequest));
+    }
+    let text = first.to_str().unwrap_or_default().to_owned();
+    let id = RequestId::try_from(text).map_err(|_| Refusal::not_run(Reason::BadRequest))?;
+    Ok(Some(id))
+}
+
+/// Makes the refusal of a request whose home was not asked: an earlier sending may have run.
+pub fn unasked_refusal(route: &Route, headers: &HeaderMap, reason: Reason) -> Refusal {
+    match claimed_id(route, headers) {
+        Ok(Some(_)) => Refusal::unknown(reason),
+        Ok(None) | Err(_) => Refusal::not_run(reason),
+    }
+}
+
+impl ClaimedCall {
+    /// Takes the request whole.
+    ///
+    /// # Errors
+    ///
+    /// Refuses bodies that are too large or do not arrive.
+    pub async fn receive(
+        state: &Arc<GatewayState>,
+        scope: &RequestScope,
+        id: RequestId,
+        parts: &Parts,
+        body: Incoming,
+        deadline: Instant,
+    ) -> Result<Self, Refusal> {
+        let limit = ByteSize(scope.route.max_body.0.min(MAX_BODY_BYTES));
+        let body = take_body(body, limit, deadline).await?;
+        let customer = scope.customer.clone();
+        let uri = parts.uri.path_and_query();
+        let fingerprint = BodyFingerprint::of([
+            scope.route.id.as_bytes(),
+            parts.method.as_str().as_bytes(),
+            uri.map_or("/", |uri| uri.as_str()).as_bytes(),
+            &body,
+        ]);
+        Ok(Self {
+            state: Arc::clone(state),
+            scope: scope.clone(),
+            key: ClaimKey {
+                customer: customer.unwrap_or_else(open_customer),
+                request_id: id,
+            },
+            fingerprint,
+            head: OutgoingHead::new(parts, &scope.route, scope.customer.as_ref()),
+            body,
+            deadline,
+        })
+    }
+
+    /// Runs the request at most once over all its sendings.
+    ///
+    /// # Errors
+    ///
+    /// The refusal says `unknown` unless no sending of this id can have run.
+    pub async fn run(self) -> Result<Response<AnswerBody>, Refusal> {
+        let run = tokio::spawn(self.claim_and_run());
+        run.await.unwrap_or_else(|_| Err(claim_unavailable()))
+    }
+
+    async fn claim_and_run(self) -> Result<Response<AnswerBody>, Refusal> {
+        let claims = &self.state.claims;
+        let claim = claims.claim(self.key.clone(), self.fingerprint, self.deadline);
+        let guard = match claim.await? {
+            ClaimVerdict::Run(guard) => guard,
+            ClaimVerdict::Answer(answer) => return Ok(kept_response(answer)),
+        };
+        // An error drops the guard, which releases the claim: nothing was sent.
+        if let Some(customer) = &self.scope.customer {
+            self.state.rates.admit(customer, self.deadline).await?;
+        }
+        self.call_service(guard).await
+    }
+
+    async fn call_service(self, guard: Arc<ClaimGuard>) -> Result<Response<AnswerBody>, Refusal> {
+        let head = self.head.with_claim(Arc::clone(&guard));
+        let call = ServiceCall {
+            state: &self.state,
+            scope: &self.scope,
+            head: &head,
+            deadline: self.deadline,
+            idempotent: false,
+        };
+        match call.run(CallBody::Whole(self.body)).await {
+            CallOutcome::Answer(answer) => {
+                guard.end(kept_result(&answer));
+                Ok(pass_on(answer))
+            }
+            CallOutcome::Refused(refusal) => {
+                guard.end(match refusal.execution {
+                    Execution::NotRun => ClaimResult::NotRun,
+                    Execution::Ran | Execution::Unknown => ClaimResult::Unknown,
+                });
+                Err(refusal)
+            }
+        }
+    }
+}
+
+async fn take_body(body: Incoming, limit: ByteSize, deadline: Instant) -> Result<Bytes, Refusal> {
+    let stall = Duration::from_millis(BODY_STALL_TIMEOUT_MS);
+    let collect = collect_body(body, limit, stall);
+    match tokio::time::timeout_at(deadline.into(), collect).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        // No sending with this content can have passed here.
+        Ok(Err(BodyError::TooLarge { .. })) => Err(Refusal::not_run(Reason::TooLarge)),
+        // This may be the resend of a request that ran.
+        Ok(Err(BodyError::Cut | BodyError::Stalled)) | Err(_) => {
+            Err(Refusal::unknown(Reason::BadRequest))
+        }
+    }
+}
+
+fn open_customer() -> CustomerId {
+    OPEN_CUSTOMER
+        .parse()
+        .expect("the name is a valid identifier")
+}
+
+/// Makes the answer that resends get; one that is large or still coming is not kept.
+fn kept_result(answer: &TargetAnswer) -> ClaimResult {
+    let TargetAnswer::Whole(response) = answer else {
+        return ClaimResult::Unknown;
+    };
+    let headers = KEPT_HEADERS.iter().filter_map(|name| {
+        let value = response.headers().get(name)?;
+        Some(KeptHeader {
+            name: name.as_str().to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+    });
+    let kept = KeptAnswer {
+        status: response.status().as_u16(),
+        headers: headers.collect(),
+        body: response.body().clone(),
+    };
+    match kept.size() <= MAX_KEPT_BYTES {
+        true => ClaimResult::Answered(kept),
+        false => ClaimResult::Unknown,
+    }
+}
+
+fn kept_response(answer: KeptAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(answer.body));
+    // Only statuses and headers that came from a target are kept; a peer cannot make us panic.
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    for header in answer.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_maybe_shared(header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
--- a/gateway/src/control_loop.rs
+++ b/gateway/src/control_loop.rs
@@ -15,6 +15,8 @@
 
 /// The interval at which waits for transfers end.
 const RATE_TICK_MS: u64 = 5;
+/// The interval at which claims are asked for again and given up.
+const CLAIM_TICK_MS: u64 = 20;
 /// The interval at which evidence travels and targets are judged.
 const HEALTH_TICK_MS: u64 = 50;
 /// The interval at which idle connections to targets are closed.
@@ -25,6 +27,11 @@
     every(RATE_TICK_MS, || state.rates.tick()).await;
 }
 
+/// Ends waits for claims in time, until the task is ended.
+pub async fn run_claim_ticks(state: Arc<GatewayState>) {
+    every(CLAIM_TICK_MS, || state.claims.tick()).await;
+}
+
 /// Judges targets, until the task is ended.
 pub async fn run_health_ticks(state: Arc<GatewayState>) {
     every(HEALTH_TICK_MS, || state.health.tick()).await;
@@ -70,12 +77,14 @@
                 state.health.handle(from, message);
             });
         }
+        PeerTopic::Claims => with_message(delivery, |from, message| {
+            state.claims.handle(from, message);
+        }),
         PeerTopic::Membership
         | PeerTopic::Freshness
         | PeerTopic::Distribution
         | PeerTopic::Epoch
-        | PeerTopic::Crash
-        | PeerTopic::Claims => {}
+        | PeerTopic::Crash => {}
     }
 }
 
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -17,6 +17,7 @@
     AnswerBody, AnswerStream, BodyError, RequestBody, WHOLE_BODY_BYTES, collect_body,
 };
 use crate::caller_connection::{CallerConnection, FramingVerdict};
+use crate::claimed_call::{ClaimedCall, claimed_id, unasked_refusal};
 use crate::config_view::KeyStanding;
 use crate::directory_answer::{DIRECTORY_PATH, answer_directory};
 use crate::forward::{AttemptError, LOAD_HEADER, OutgoingHead, TargetAnswer};
@@ -105,7 +106,7 @@
         connection.note_key(digest);
     }
     if route.access == RouteAccess::Keyed && !state.may_serve_keyed() {
-        return Err(Refusal::not_run(Reason::NodeStale));
+        return Err(unasked_refusal(&route, &parts.headers, Reason::NodeStale));
     }
     Ok(RequestScope { route, customer })
 }
@@ -137,6 +138,10 @@
     if body_kind.is_some_and(|length| length > scope.route.max_body.0) {
         return Err(Refusal::not_run(Reason::TooLarge));
     }
+    if let Some(id) = claimed_id(&scope.route, &parts.headers)? {
+        let call = ClaimedCall::receive(state, scope, id, parts, body, deadline);
+        return call.await?.run().await;
+    }
     if let Some(customer) = &scope.customer {
         state.rates.admit(customer, deadline).await?;
     }
@@ -189,7 +194,8 @@
     }
 }
 
-fn pass_on(answer: TargetAnswer) -> Response<AnswerBody> {
+/// Makes the response for a target's answer.
+pub(crate) fn pass_on(answer: TargetAnswer) -> Response<AnswerBody> {
     match answer {
         TargetAnswer::Whole(response) => {
             let (mut parts, bytes) = response.into_parts();
@@ -211,6 +217,8 @@
         AttemptError::Unreachable | AttemptError::StaleConnection => {
             Refusal::not_run(Reason::TargetUnreachable)
         }
+        // This sending did not run; the home may have forgotten by now that an earlier one did.
+        AttemptError::ClaimExpired => Refusal::unknown(Reason::ClaimUnavailable),
         AttemptError::Shed => Refusal::not_run(Reason::TargetShed),
         AttemptError::Broken => Refusal::unknown(Reason::TargetBroken),
         AttemptError::Timeout => Refusal::unknown(Reason::TargetTimeout),
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -18,6 +18,7 @@
 use hyper::client::conn::TrySendError;
 
 use crate::bodies::{RequestBody, WHOLE_BODY_BYTES, collect_body};
+use crate::claim_guard::ClaimGuard;
 use crate::target_pool::{AcquireError, ConnectionLease, TargetPool};
 
 /// Names the customer to the target, in place of the key.
@@ -40,6 +41,8 @@
     Busy,
     /// The target accepted no connection; nothing was sent.
     Unreachable,
+    /// The claim was granted too long ago; nothing was sent.
+    ClaimExpired,
     /// A kept connection was closed before anything was sent on it.
     StaleConnection,
     /// The target said that it did not run the request.
@@ -56,7 +59,11 @@
     /// Says whether it is certain that the target did not run the request.
     pub const fn is_not_run(self) -> bool {
         match self {
-            Self::Busy | Self::Unreachable | Self::StaleConnection | Self::Shed => true,
+            Self::Busy
+            | Self::Unreachable
+            | Self::ClaimExpired
+            | Self::StaleConnection
+            | Self::Shed => true,
             Self::Broken | Self::Timeout | Self::CallerBody => false,
         }
     }
@@ -96,6 +103,7 @@
     uri: Uri,
     headers: HeaderMap,
     request_id: Option<(HeaderName, HeaderValue)>,
+    claim: Option<Arc<ClaimGuard>>,
 }
 
 impl OutgoingHead {
@@ -125,9 +133,16 @@
             uri,
             headers,
             request_id,
+            claim: None,
         }
     }
 
+    /// Makes every attempt ask the claim of the request before it sends anything.
+    pub fn with_claim(mut self, claim: Arc<ClaimGuard>) -> Self {
+        self.claim = Some(claim);
+        self
+    }
+
     /// Returns the caller's request id, if the route names a header for it and it was sent.
     pub fn request_id(&self) -> Option<&HeaderValue> {
         self.request_id.as_ref().map(|(_, value)| value)
@@ -197,6 +212,9 @@
         AcquireError::Unreachable => AttemptError::Unreachable,
     })?;
     let request = head.request(target, deadline, body);
+    if head.claim.as_ref().is_some_and(|claim| !claim.begin_send()) {
+        return Err(AttemptError::ClaimExpired);
+    }
     let response = match lease.sender().try_send_request(request).await {
         Ok(response) => response,
         Err(error) => return Err(send_error(error)),
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -10,6 +10,8 @@
 use http::Response;
 
 use crate::bodies::AnswerBody;
+use crate::claim_desk::ClaimDesk;
+use crate::claim_fleet::ClaimMember;
 use crate::clock::MonoClock;
 use crate::config_view::ConfigView;
 use crate::exchange::RequestScope;
@@ -47,6 +49,8 @@
     pub health: HealthBoard,
     /// The bound on retries.
     pub retries: RetryGate,
+    /// The claims of request ids.
+    pub claims: Arc<ClaimDesk>,
     /// Where callers are sent.
     pub directory: FleetDirectory,
     /// The metrics.
@@ -83,6 +87,13 @@
                 Arc::clone(&outbox),
             )
         };
+        let claims = ClaimDesk::new(&node, clock, Arc::clone(&outbox));
+        if alone {
+            claims.serve_alone(ClaimMember {
+                node: node.clone(),
+                data_centre: settings.data_centre.clone(),
+            });
+        }
         let rates = {
             let (clock, config, epoch, outbox) = shared();
             RateGate::new(&node, clock, config, epoch, outbox)
@@ -100,6 +111,7 @@
             targets: TargetSet::default(),
             health,
             retries: RetryGate::default(),
+            claims,
             directory: FleetDirectory::new(settings.directory_lifetime_ms),
             meters: GatewayMeters::new()?,
             fresh: AtomicBool::new(alone),
@@ -157,9 +169,12 @@
         Err(AttemptError::Unreachable) => AttemptOutcome::ConnectFailed,
         Err(AttemptError::Broken) => AttemptOutcome::Broken,
         Err(AttemptError::Timeout) => AttemptOutcome::TimedOut,
-        Err(AttemptError::Busy | AttemptError::StaleConnection | AttemptError::CallerBody) => {
-            AttemptOutcome::Cancelled
-        }
+        Err(
+            AttemptError::Busy
+            | AttemptError::ClaimExpired
+            | AttemptError::StaleConnection
+            | AttemptError::CallerBody,
+        ) => AttemptOutcome::Cancelled,
     }
 }
 
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -13,7 +13,9 @@
 
 use crate::admin_server::run_admin_server;
 use crate::caller_server::run_caller_server;
-use crate::control_loop::{run_config_changes, run_health_ticks, run_idle_ticks, run_rate_ticks};
+use crate::control_loop::{
+    run_claim_ticks, run_config_changes, run_health_ticks, run_idle_ticks, run_rate_ticks,
+};
 use crate::gateway::GatewayState;
 use crate::meters::MeterError;
 use crate::settings::GatewaySettings;
@@ -78,6 +80,7 @@
             tokio::spawn(run_admin_server(Arc::clone(&state), admin_listener)),
             tokio::spawn(run_idle_ticks(Arc::clone(&state))),
             tokio::spawn(run_rate_ticks(Arc::clone(&state))),
+            tokio::spawn(run_claim_ticks(Arc::clone(&state))),
             tokio::spawn(run_health_ticks(Arc::clone(&state))),
             tokio::spawn(run_config_changes(Arc::clone(&state))),
         ];
--- a/gateway/src/service_call.rs
+++ b/gateway/src/service_call.rs
@@ -88,7 +88,7 @@
         match error {
             // Nothing reached the service, so that a retry adds no load to it.
             AttemptError::Busy | AttemptError::StaleConnection => true,
-            AttemptError::CallerBody => false,
+            AttemptError::CallerBody | AttemptError::ClaimExpired => false,
             _ => attempts < MAX_ATTEMPTS && self.state.retries.take(&self.scope.route.service),
         }
     }
--- a/gateway/tests/fixture.rs
+++ b/gateway/tests/fixture.rs
@@ -50,18 +50,27 @@
 
 /// Starts a gateway before the given addresses.
 pub async fn start_gateway(addresses: &[SocketAddr], edit: ConfigEdit) -> GatewayProcess {
+    GatewayProcess::start(settings("vm-1", "khatgal", addresses, edit))
+        .await
+        .expect("loopback is free")
+}
+
+/// Returns the settings of a gateway before the given addresses.
+pub fn settings(
+    vm: &str,
+    data_centre: &str,
+    addresses: &[SocketAddr],
+    edit: ConfigEdit,
+) -> GatewaySettings {
     let mut document = config_document(addresses);
     edit(&mut document);
     let config: FleetConfig = serde_json::from_value(document).expect("the fixture is valid");
     let settings = json!({
-        "vm": "vm-1", "data_centre": "khatgal",
+        "vm": vm, "data_centre": data_centre,
         "caller_listen": "127.0.0.1:0", "admin_listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0",
         "directory_lifetime_ms": 500, "max_head_bytes": 16384, "config": config,
     });
-    let settings = GatewaySettings::parse(settings.to_string(), "test").expect("valid settings");
-    GatewayProcess::start(settings)
-        .await
-        .expect("loopback is free")
+    GatewaySettings::parse(settings.to_string(), "test").expect("valid settings")
 }
 
 fn config_document(addresses: &[SocketAddr]) -> Value {
--- a/gateway/tests/runner.rs
+++ b/gateway/tests/runner.rs
@@ -1,5 +1,6 @@
 //! All tests of the crate, one module a subject.
 
+mod claim_fixture;
 mod fixture;
 mod test_at_most_once;
 mod test_directory_answers;
