--- a/gateway/src/claim_desk.rs
+++ b/gateway/src/claim_desk.rs
@@ -14,13 +14,13 @@
 use damaskloom_lib::claim_message::{
     BodyFingerprint, ClaimKey, ClaimMessage, ClaimResult, ClaimTicket, KeptAnswer,
 };
-use damaskloom_lib::ids::NodeId;
+use damaskloom_lib::ids::{DataCentreId, NodeId};
 use damaskloom_lib::outcome::{Reason, Refusal};
 use damaskloom_lib::time::MonoTime;
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 
-use crate::claim_fleet::{ClaimFleet, ClaimMember, limit_handover};
+use crate::claim_fleet::{ClaimFleet, ClaimMember, limit_handover, unknown_data_centre};
 use crate::claim_guard::ClaimGuard;
 use crate::claim_store::ClaimStore;
 use crate::clock::MonoClock;
@@ -121,22 +121,28 @@
 
     /// Enters an epoch; an older one is ignored.
     ///
-    /// `sources` are the members of all epochs since the one that this node was in, without this
-    /// node; a new start of a VM has the earlier one among them. Call it before the node
-    /// acknowledges the epoch.
+    /// `sources` are the members of the settled epoch before, among them the earlier start of a VM
+    /// that was replaced. Call it before the node acknowledges the epoch.
     pub fn enter_epoch(
         self: &Arc<Self>,
         fleet: ClaimFleet,
-        sources: impl IntoIterator<Item = ClaimMember>,
+        sources: impl IntoIterator<Item = NodeId>,
     ) {
         let mut desk = self.lock();
         if fleet.epoch() <= desk.fleet.epoch() {
             return;
         }
-        let sources = sources
-            .into_iter()
-            .map(|member| (member.node, member.data_centre));
-        let actions = desk.log.enter_epoch(self.now(), fleet.epoch(), sources);
+        let others = sources.into_iter().filter(|source| *source != self.node);
+        let others = others.map(|source| {
+            let known = fleet.data_centre(&source.vm);
+            let known = known.or_else(|| desk.fleet.data_centre(&source.vm));
+            let data_centre = known
+                .cloned()
+                .unwrap_or_else(|| unknown_data_centre(&source));
+            (source, data_centre)
+        });
+        let others: Vec<(NodeId, DataCentreId)> = others.collect();
+        let actions = desk.log.enter_epoch(self.now(), fleet.epoch(), others);
         desk.fleet = fleet;
         self.settle(&mut desk, actions.into_iter().map(DeskStep::Log));
     }
--- a/gateway/src/claim_fleet.rs
+++ b/gateway/src/claim_fleet.rs
@@ -2,7 +2,7 @@
 
 use damaskloom_lib::claim_client::ClaimHome;
 use damaskloom_lib::claim_message::{ClaimKey, ClaimMessage};
-use damaskloom_lib::ids::{DataCentreId, Epoch, NodeId};
+use damaskloom_lib::ids::{DataCentreId, Epoch, NodeId, VmId};
 use damaskloom_lib::rendezvous::{StableHash, top_members};
 
 /// The bytes of kept answers that a handover carries, well below the largest frame between peers.
@@ -50,6 +50,13 @@
         &self.members
     }
 
+    /// Returns the data centre of a VM, if the VM is a member.
+    pub fn data_centre(&self, vm: &VmId) -> Option<&DataCentreId> {
+        let mut members = self.members.iter();
+        let member = members.find(|member| member.node.vm == *vm)?;
+        Some(&member.data_centre)
+    }
+
     /// Returns the home of a request id and the best node of another data centre; `None` if the
     /// fleet has no members.
     pub fn place(&self, key: &ClaimKey) -> Option<ClaimHome> {
@@ -72,6 +79,14 @@
     }
 }
 
+/// Returns a data centre of its own for a node whose data centre is not known, so that its loss is
+/// never taken for one within the data centre of another.
+pub(crate) fn unknown_data_centre(node: &NodeId) -> DataCentreId {
+    let name = format!("of-{}", node.vm);
+    let id = name.parse().or_else(|_| node.vm.as_str().parse());
+    id.expect("names of VMs are valid identifiers")
+}
+
 fn member_hash(node: &NodeId) -> StableHash {
     StableHash::of(node.to_string())
 }
--- a/gateway/src/claimed_call.rs
+++ b/gateway/src/claimed_call.rs
@@ -47,8 +47,9 @@
     scope: RequestScope,
     key: ClaimKey,
     fingerprint: BodyFingerprint,
-    head: OutgoingHead,
+    parts: Parts,
     body: Bytes,
+    arrival: Instant,
     deadline: Instant,
 }
 
@@ -97,8 +98,9 @@
         id: RequestId,
         parts: &Parts,
         body: Incoming,
-        deadline: Instant,
+        arrival: Instant,
     ) -> Result<Self, Refusal> {
+        let deadline = arrival + Duration::from_millis(scope.route.deadline_ms);
         let limit = ByteSize(scope.route.max_body.0.min(MAX_BODY_BYTES));
         let body = take_body(body, limit, deadline).await?;
         let customer = scope.customer.clone();
@@ -117,8 +119,9 @@
                 request_id: id,
             },
             fingerprint,
-            head: OutgoingHead::new(parts, &scope.route, scope.customer.as_ref()),
+            parts: parts.clone(),
             body,
+            arrival,
             deadline,
         })
     }
@@ -138,7 +141,7 @@
         let claim = claims.claim(self.key.clone(), self.fingerprint, self.deadline);
         let guard = match claim.await? {
             ClaimVerdict::Run(guard) => guard,
-            ClaimVerdict::Answer(answer) => return Ok(kept_response(answer)),
+            ClaimVerdict::Answer(answer) => return Ok(self.resend_answer(answer)),
         };
         // An error drops the guard, which releases the claim: nothing was sent.
         if let Some(customer) = &self.scope.customer {
@@ -147,18 +150,31 @@
         self.call_service(guard).await
     }
 
+    /// Counts a kept answer as given, but not as a good or bad one of the service: it was before.
+    fn resend_answer(&self, answer: KeptAnswer) -> Response<AnswerBody> {
+        let service = self.scope.route.service.as_str();
+        let meters = &self.state.meters;
+        meters.answered(service, answer.status, self.arrival.elapsed());
+        kept_response(answer)
+    }
+
     async fn call_service(self, guard: Arc<ClaimGuard>) -> Result<Response<AnswerBody>, Refusal> {
-        let head = self.head.with_claim(Arc::clone(&guard));
+        let head = OutgoingHead::new(&self.parts, &self.scope.route, self.scope.customer.as_ref());
+        let head = head.with_claim(Arc::clone(&guard));
         let call = ServiceCall {
             state: &self.state,
             scope: &self.scope,
+            parts: &self.parts,
             head: &head,
             deadline: self.deadline,
             idempotent: false,
         };
         match call.run(CallBody::Whole(self.body)).await {
-            CallOutcome::Answer(answer) => {
+            CallOutcome::Answer(answer, target) => {
                 guard.end(kept_result(&answer));
+                let status = answer.status();
+                self.state
+                    .record_answer(&self.scope, &target, status, self.arrival);
                 Ok(pass_on(answer))
             }
             CallOutcome::Refused(refusal) => {
--- a/gateway/src/config_view.rs
+++ b/gateway/src/config_view.rs
@@ -3,25 +3,15 @@
 use std::sync::{Arc, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
 use damaskloom_lib::config::{
-    ApplyError, ConfigChange, ConfigDelta, Customer, FleetConfig, KeyState, Route, Service, Target,
+    ApplyError, ConfigChange, ConfigDelta, Customer, FleetConfig, Route, Service, Target,
 };
 use damaskloom_lib::ids::{CustomerId, Revision, ServiceId, TargetId};
 use damaskloom_lib::key::KeyDigest;
+use damaskloom_lib::key_table::KeyStanding;
 use damaskloom_lib::route_table::RouteTable;
 use indexmap::IndexMap;
 use tokio::sync::watch;
 
-/// What a key stands for.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum KeyStanding {
-    /// The key belongs to this customer and works.
-    Granted(CustomerId),
-    /// The key was withdrawn.
-    Withdrawn,
-    /// The key was never granted.
-    Unknown,
-}
-
 #[derive(Debug, Default)]
 struct ViewState {
     config: FleetConfig,
@@ -114,13 +104,12 @@
     /// Looks a key up by its digest.
     pub fn key_standing(&self, digest: &KeyDigest) -> KeyStanding {
         let state = self.read();
-        match state.config.keys.get(digest) {
-            Some(grant) if grant.state == KeyState::Withdrawn => KeyStanding::Withdrawn,
-            Some(grant) if state.config.customers.contains_key(&grant.customer) => {
-                KeyStanding::Granted(grant.customer.clone())
+        match state.config.keys.lookup(digest) {
+            // The keys of a removed customer stop working with it.
+            KeyStanding::Granted(customer) if !state.config.customers.contains_key(&customer) => {
+                KeyStanding::Withdrawn
             }
-            Some(_) => KeyStanding::Withdrawn,
-            None => KeyStanding::Unknown,
+            standing => standing,
         }
     }
 
@@ -163,6 +152,11 @@
         self.read().config.targets.get(id).cloned()
     }
 
+    /// Reads the whole configuration in place; `read` must be short, since changes wait for it.
+    pub fn with<R>(&self, read: impl FnOnce(&FleetConfig) -> R) -> R {
+        read(&self.read().config)
+    }
+
     /// Returns a copy of the whole configuration.
     pub fn snapshot(&self) -> FleetConfig {
         self.read().config.clone()
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -7,6 +7,7 @@
 use damaskloom_lib::config::{Idempotence, Route, RouteAccess};
 use damaskloom_lib::ids::CustomerId;
 use damaskloom_lib::key::KeyDigest;
+use damaskloom_lib::key_table::KeyStanding;
 use damaskloom_lib::outcome::{Reason, Refusal};
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use http::request::Parts;
@@ -18,7 +19,6 @@
 };
 use crate::caller_connection::{CallerConnection, FramingVerdict};
 use crate::claimed_call::{ClaimedCall, claimed_id, unasked_refusal};
-use crate::config_view::KeyStanding;
 use crate::directory_answer::{DIRECTORY_PATH, answer_directory};
 use crate::forward::{AttemptError, LOAD_HEADER, OutgoingHead, TargetAnswer};
 use crate::gateway::GatewayState;
@@ -79,9 +79,13 @@
     if parts.uri.path() == DIRECTORY_PATH {
         return answer_directory(state, &scope, connection.peer());
     }
-    let result = run(state, &scope, &parts, body, arrival).await;
-    state.record_result(&scope, &result, arrival);
-    result.unwrap_or_else(refusal_answer)
+    match run(state, &scope, &parts, body, arrival).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            state.record_refusal(&scope, &refusal);
+            refusal_answer(refusal)
+        }
+    }
 }
 
 /// Checks the head, takes the key off and finds out who asks for what.
@@ -139,7 +143,7 @@
         return Err(Refusal::not_run(Reason::TooLarge));
     }
     if let Some(id) = claimed_id(&scope.route, &parts.headers)? {
-        let call = ClaimedCall::receive(state, scope, id, parts, body, deadline);
+        let call = ClaimedCall::receive(state, scope, id, parts, body, arrival);
         return call.await?.run().await;
     }
     if let Some(customer) = &scope.customer {
@@ -150,12 +154,16 @@
     let call = ServiceCall {
         state,
         scope,
+        parts,
         head: &head,
         deadline,
         idempotent: scope.route.idempotence == Idempotence::Idempotent,
     };
     match call.run(body).await {
-        CallOutcome::Answer(answer) => Ok(pass_on(answer)),
+        CallOutcome::Answer(answer, target) => {
+            state.record_answer(scope, &target, answer.status(), arrival);
+            Ok(pass_on(answer))
+        }
         CallOutcome::Refused(refusal) => Err(refusal),
     }
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -1,19 +1,24 @@
 //! The state that all requests of a gateway share.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+use damaskloom_lib::config::Target;
 use damaskloom_lib::evidence::AttemptOutcome;
+use damaskloom_lib::freshness::{FreshnessGuard, FreshnessSettings};
 use damaskloom_lib::ids::NodeId;
 use damaskloom_lib::outcome::Refusal;
-use http::Response;
+use damaskloom_lib::rendezvous::StableHash;
+use damaskloom_lib::retry_budget::RetryBudget;
+use damaskloom_lib::time::MonoTime;
 
-use crate::bodies::AnswerBody;
+use crate::burn_board::BurnBoard;
 use crate::claim_desk::ClaimDesk;
 use crate::claim_fleet::ClaimMember;
 use crate::clock::MonoClock;
 use crate::config_view::ConfigView;
+use crate::crash_desk::CrashDesk;
 use crate::exchange::RequestScope;
 use crate::fleet_directory::FleetDirectory;
 use crate::fleet_epoch::{FleetAssignment, FleetEpoch};
@@ -22,9 +27,11 @@
 use crate::meters::{GatewayMeters, MeterError};
 use crate::peer_outbox::PeerOutbox;
 use crate::rate_gate::RateGate;
-use crate::retry_gate::RetryGate;
+use crate::serving_guard::ServingGuard;
 use crate::settings::GatewaySettings;
+use crate::slot_desk::SlotDesk;
 use crate::target_set::TargetSet;
+use crate::waiting_calls::WaitingCalls;
 
 /// Everything that the request path of one gateway reads and writes.
 #[derive(Debug)]
@@ -46,16 +53,27 @@
     /// The connections to targets.
     pub targets: TargetSet,
     /// The judgement of targets.
-    pub health: HealthBoard,
+    pub health: Arc<HealthBoard>,
+    /// The slots of targets.
+    pub slots: Arc<SlotDesk>,
+    /// The requests that wait for slots.
+    pub waiting: WaitingCalls,
+    /// The requests that take targets down.
+    pub crashes: CrashDesk,
     /// The bound on retries.
-    pub retries: RetryGate,
+    pub retries: Mutex<RetryBudget>,
     /// The claims of request ids.
     pub claims: Arc<ClaimDesk>,
+    /// The service-level burn.
+    pub burn: BurnBoard,
     /// Where callers are sent.
     pub directory: FleetDirectory,
     /// The metrics.
     pub meters: GatewayMeters,
-    fresh: AtomicBool,
+    /// Whether requests with keys may be served.
+    pub guard: ServingGuard,
+    served_keyed: AtomicBool,
+    leaving: AtomicBool,
 }
 
 impl GatewayState {
@@ -66,8 +84,11 @@
     /// # Errors
     ///
     /// Fails if the metrics cannot be set up.
-    pub fn new(settings: GatewaySettings, node: NodeId) -> Result<Arc<Self>, MeterError> {
-        let clock = MonoClock::start();
+    pub fn new(
+        settings: GatewaySettings,
+        node: NodeId,
+        clock: MonoClock,
+    ) -> Result<Arc<Self>, MeterError> {
         let config = Arc::new(ConfigView::default());
         let epoch = Arc::new(FleetEpoch::default());
         let outbox = Arc::new(PeerOutbox::default());
@@ -79,6 +100,13 @@
                 ..FleetAssignment::default()
             });
         }
+        let guard = if alone {
+            ServingGuard::alone()
+        } else {
+            let seed = StableHash::of(node.to_string()).0;
+            let settings = FreshnessSettings::default();
+            ServingGuard::member(FreshnessGuard::new(settings, node.clone(), seed))
+        };
         let shared = || {
             (
                 clock,
@@ -100,7 +128,20 @@
         };
         let health = {
             let (clock, config, epoch, outbox) = shared();
-            HealthBoard::new(&node, &settings.data_centre, clock, config, epoch, outbox)
+            let centre = &settings.data_centre;
+            Arc::new(HealthBoard::new(
+                &node, centre, clock, config, epoch, outbox,
+            ))
+        };
+        let slots = {
+            let (clock, config, epoch, outbox) = shared();
+            Arc::new(SlotDesk::new(&node, clock, config, epoch, outbox))
+        };
+        let (board, desk) = (Arc::clone(&health), Arc::clone(&slots));
+        let waiting = WaitingCalls::new(clock, Arc::clone(&config), board, desk);
+        let crashes = {
+            let (clock, config, _, outbox) = shared();
+            CrashDesk::new(clock, config, Arc::clone(&health), outbox)
         };
         Ok(Arc::new(Self {
             clock,
@@ -110,49 +151,103 @@
             rates,
             targets: TargetSet::default(),
             health,
-            retries: RetryGate::default(),
+            slots,
+            waiting,
+            crashes,
+            retries: Mutex::default(),
             claims,
+            burn: BurnBoard::new(clock.now()),
             directory: FleetDirectory::new(settings.directory_lifetime_ms),
             meters: GatewayMeters::new()?,
-            fresh: AtomicBool::new(alone),
+            guard,
+            served_keyed: AtomicBool::new(alone),
+            leaving: AtomicBool::new(false),
             node,
             settings,
         }))
     }
 
-    /// Says whether the node knows the configuration well enough for requests with keys.
+    /// Says whether the node may serve requests with keys, at the time of the call.
     pub fn may_serve_keyed(&self) -> bool {
-        self.fresh.load(Ordering::Relaxed)
+        self.guard.allows_work(self.clock.now())
     }
 
-    /// Sets whether the node may serve requests with keys.
-    pub fn set_fresh(&self, fresh: bool) {
-        if self.fresh.swap(fresh, Ordering::Relaxed) != fresh {
-            tracing::info!(vm = %self.settings.vm, fresh, "freshness changed");
+    /// Notes whether requests with keys are served now; returns it if it has changed.
+    pub fn note_freshness(&self, now: MonoTime) -> Option<bool> {
+        let allowed = self.guard.allows_work(now);
+        let changed = self.served_keyed.swap(allowed, Ordering::Relaxed) != allowed;
+        if changed {
+            tracing::info!(vm = %self.settings.vm, allowed, "serving of keyed requests changed");
         }
+        changed.then_some(allowed)
+    }
+
+    /// Notes that a planned stop has begun.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Says whether a planned stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Says whether all shares conform to the newest assignment, so that it may be acknowledged.
+    pub fn conforms(&self) -> bool {
+        self.rates.conforms() && self.slots.conforms() && self.health.conforms()
     }
 
     /// Takes over the configuration and the assignment in force.
     pub fn refresh(&self) {
         self.rates.refresh();
+        self.slots.refresh();
         self.health.refresh();
+        let others = self
+            .epoch
+            .members()
+            .into_iter()
+            .filter(|member| *member != self.node);
+        self.crashes.set_peers(others);
+        let unsettled = self.epoch.unsettled_members();
+        let sharers = unsettled
+            .iter()
+            .map(Vec::len)
+            .chain([self.epoch.members().len()])
+            .max();
+        self.targets.set_sharers(sharers.unwrap_or(1), |id| {
+            self.config.target(id).map(|target| target.connections)
+        });
         self.directory.set_customers(&self.config.customers());
     }
 
-    /// Counts how a request ended.
-    pub fn record_result(
+    /// Counts a request that a target answered.
+    pub fn record_answer(
         &self,
         scope: &RequestScope,
-        result: &Result<Response<AnswerBody>, Refusal>,
+        target: &Target,
+        status: u16,
         arrival: Instant,
     ) {
-        match result {
-            Ok(response) => self.meters.answered(
-                scope.route.service.as_str(),
-                response.status().as_u16(),
-                arrival.elapsed(),
-            ),
-            Err(refusal) => self.meters.refused(refusal),
+        let service = &scope.route.service;
+        self.meters
+            .answered(service.as_str(), status, arrival.elapsed());
+        let Some(service) = self.config.service(service) else {
+            return;
+        };
+        let (now, customer) = (self.clock.now(), scope.customer.as_ref());
+        if status >= 500 {
+            self.burn.failed(now, &service, customer, target, status);
+        } else {
+            self.burn.good(now, &service, customer);
+        }
+    }
+
+    /// Counts a request that was refused.
+    pub fn record_refusal(&self, scope: &RequestScope, refusal: &Refusal) {
+        self.meters.refused(refusal);
+        if let Some(service) = self.config.service(&scope.route.service) {
+            self.burn
+                .refused(self.clock.now(), &service, scope.customer.as_ref(), refusal);
         }
     }
 }
--- a/gateway/tests/claim_fixture.rs
+++ b/gateway/tests/claim_fixture.rs
@@ -124,11 +124,11 @@
         let members = self.gateways.iter().flatten();
         self.fleet = ClaimFleet::new(Epoch(epoch), members.map(|gateway| gateway.member.clone()));
         for gateway in self.gateways.iter().flatten() {
-            let others = sources.iter().filter(|source| **source != gateway.member);
+            let others = sources.iter().map(|source| source.node.clone());
             // Actions on rows are tasks of the gateway's own runtime.
             let _runtime = gateway.runtime.as_ref().map(Runtime::enter);
             let claims = &gateway.state().claims;
-            claims.enter_epoch(self.fleet.clone(), others.cloned());
+            claims.enter_epoch(self.fleet.clone(), others);
             gone.iter().for_each(|node| claims.source_gone(node));
         }
     }
--- a/gateway/tests/test_at_most_once.rs
+++ b/gateway/tests/test_at_most_once.rs
@@ -215,6 +215,7 @@
         .wait_until("the grant arrives", |_| holder.granted() == 1)
         .await;
     holder.jump_clock(Duration::from_secs(31));
+    fixture.target.set_mode(TargetMode::Healthy);
     blocker.abort();
     let paused = paused.await.expect("no panic");
     assert_eq!(paused.outcome(), "503 unknown claim-unavailable");
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -12,6 +12,7 @@
 
 use crate::ids::{CustomerId, DataCentreId, Revision, RouteId, ServiceId, TargetId};
 use crate::key::KeyDigest;
+use crate::key_table::{KeyEntry, KeyTable};
 use crate::object_list;
 use crate::units::{BurstSize, ByteSize, RequestRate};
 
@@ -263,8 +264,8 @@
     #[serde(with = "object_list::customers", default)]
     pub customers: IndexMap<CustomerId, Customer>,
     /// All keys, granted and withdrawn.
-    #[serde(with = "object_list::keys", default)]
-    pub keys: IndexMap<KeyDigest, KeyGrant>,
+    #[serde(default)]
+    pub keys: KeyTable,
     /// All routes.
     #[serde(with = "object_list::routes", default)]
     pub routes: IndexMap<RouteId, Route>,
@@ -290,10 +291,7 @@
                 offered: delta.revision
             }
         );
-        delta
-            .changes
-            .iter()
-            .for_each(|change| self.apply_change(change));
+        delta.changes.iter().for_each(|change| self.put(change));
         self.revision = delta.revision;
         Ok(())
     }
@@ -303,10 +301,11 @@
     /// The result is consistent only once all parts are there, so this is no way to change a
     /// configuration in force.
     pub(crate) fn put_objects(&mut self, changes: &[ConfigChange]) {
-        changes.iter().for_each(|change| self.apply_change(change));
+        changes.iter().for_each(|change| self.put(change));
     }
 
-    fn apply_change(&mut self, change: &ConfigChange) {
+    /// Puts one object in place without changing the revision, to build a configuration from parts.
+    pub fn put(&mut self, change: &ConfigChange) {
         match change {
             ConfigChange::PutCustomer(customer) => {
                 self.customers.insert(customer.id.clone(), customer.clone());
@@ -315,10 +314,10 @@
                 self.customers.swap_remove(id);
             }
             ConfigChange::PutKey(grant) => {
-                self.keys.insert(grant.digest, grant.clone());
+                self.put_key(grant);
             }
             ConfigChange::RemoveKey(digest) => {
-                self.keys.swap_remove(digest);
+                self.keys.remove(digest);
             }
             ConfigChange::PutRoute(route) => {
                 self.routes.insert(route.id.clone(), route.clone());
@@ -341,6 +340,38 @@
         }
     }
 
+    /// Returns the changes that build this configuration from an empty one.
+    pub fn changes(&self) -> impl Iterator<Item = ConfigChange> {
+        let services = self
+            .services
+            .values()
+            .cloned()
+            .map(ConfigChange::PutService);
+        let targets = self.targets.values().cloned().map(ConfigChange::PutTarget);
+        let routes = self.routes.values().cloned().map(ConfigChange::PutRoute);
+        let customers = self
+            .customers
+            .values()
+            .cloned()
+            .map(ConfigChange::PutCustomer);
+        let keys = self.keys.iter().map(ConfigChange::PutKey);
+        services
+            .chain(targets)
+            .chain(routes)
+            .chain(customers)
+            .chain(keys)
+    }
+
+    /// Puts a key that shares its customer's name with the customer, which halves what a key costs.
+    fn put_key(&mut self, grant: &KeyGrant) {
+        let held = self.customers.get_key_value(&grant.customer);
+        let entry = KeyEntry {
+            customer: held.map_or(&grant.customer, |(id, _)| id).clone(),
+            state: grant.state,
+        };
+        self.keys.put(grant.digest, entry);
+    }
+
     /// Returns the targets of a service, in configuration order.
     pub fn targets_of(&self, service: &ServiceId) -> impl Iterator<Item = &Target> {
         self.targets
