--- a/gateway/src/control_plane.rs
+++ b/gateway/src/control_plane.rs
@@ -26,6 +26,7 @@
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
+use crate::claim_fleet::{ClaimFleet, ClaimMember};
 use crate::control_loop::{dispatch, with_message};
 use crate::fleet_epoch::FleetAssignment;
 use crate::gateway::GatewayState;
@@ -299,6 +300,7 @@
             handle.set_epoch(epoch);
         }
         self.know_members();
+        self.enter_claims(epoch);
         self.put_assignment_in_force();
         self.state
             .guard
@@ -316,9 +318,33 @@
             unsettled,
             held_since: self.held_since,
         });
+        if self.keeper.is_settled() {
+            self.give_up_claim_sources();
+        }
         self.state.refresh();
     }
 
+    /// Moves the claims of request ids to their homes of the epoch.
+    fn enter_claims(&self, epoch: Epoch) {
+        let members = self.keeper.members().iter().map(|record| ClaimMember {
+            node: record.node.clone(),
+            data_centre: record.data_centre.clone(),
+        });
+        let fleet = ClaimFleet::new(epoch, members);
+        let sources = self.keeper.previous().iter().cloned();
+        self.state.claims.enter_epoch(fleet, sources);
+    }
+
+    /// Waits no longer for claims of nodes that are no members any more: in a settled epoch each of
+    /// them has moved on or has stopped, and grants nothing by an earlier one.
+    fn give_up_claim_sources(&self) {
+        for node in self.keeper.previous() {
+            if !self.keeper.nodes().contains(node) {
+                self.state.claims.source_gone(node);
+            }
+        }
+    }
+
     /// Tells all parts of the members that are known from the table and from the epoch.
     fn know_members(&mut self) {
         let mut known: Vec<MemberRecord> = self.keeper.members().to_vec();
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -14,6 +14,8 @@
 use damaskloom_lib::time::MonoTime;
 
 use crate::burn_board::BurnBoard;
+use crate::claim_desk::ClaimDesk;
+use crate::claim_fleet::ClaimMember;
 use crate::clock::MonoClock;
 use crate::config_view::ConfigView;
 use crate::crash_desk::CrashDesk;
@@ -60,6 +62,8 @@
     pub crashes: CrashDesk,
     /// The bound on retries.
     pub retries: Mutex<RetryBudget>,
+    /// The claims of request ids.
+    pub claims: Arc<ClaimDesk>,
     /// The service-level burn.
     pub burn: BurnBoard,
     /// Where callers are sent.
@@ -111,6 +115,13 @@
                 Arc::clone(&outbox),
             )
         };
+        let claims = ClaimDesk::new(&node, clock, Arc::clone(&outbox));
+        if alone {
+            claims.serve_alone(ClaimMember {
+                node: node.clone(),
+                data_centre: settings.data_centre.clone(),
+            });
+        }
         let rates = {
             let (clock, config, epoch, outbox) = shared();
             RateGate::new(&node, clock, config, epoch, outbox)
@@ -144,6 +155,7 @@
             waiting,
             crashes,
             retries: Mutex::default(),
+            claims,
             burn: BurnBoard::new(clock.now()),
             directory: FleetDirectory::new(settings.directory_lifetime_ms),
             meters: GatewayMeters::new()?,
@@ -252,9 +264,12 @@
         Err(AttemptError::Unreachable) => AttemptOutcome::ConnectFailed,
         Err(AttemptError::Broken) => AttemptOutcome::Broken,
         Err(AttemptError::Timeout) => AttemptOutcome::TimedOut,
-        Err(AttemptError::Busy | AttemptError::StaleConnection | AttemptError::CallerBody) => {
-            AttemptOutcome::Cancelled
-        }
+        Err(
+            AttemptError::Busy
+            | AttemptError::ClaimExpired
+            | AttemptError::StaleConnection
+            | AttemptError::CallerBody,
+        ) => AttemptOutcome::Cancelled,
     }
 }
 
--- a/gateway/src/service_call.rs
+++ b/gateway/src/service_call.rs
@@ -8,7 +8,7 @@
 use damaskloom_lib::crash_guard::RequestFingerprint;
 use damaskloom_lib::evidence::{AttemptOutcome, AttemptScope};
 use damaskloom_lib::ids::{CustomerId, TargetId};
-use damaskloom_lib::outcome::Refusal;
+use damaskloom_lib::outcome::{Execution, Refusal};
 use damaskloom_lib::retry_budget::{RetryBudget, RetryDecision};
 use http::request::Parts;
 
@@ -75,6 +75,7 @@
             .record_request(&self.scope.route.service, self.customer());
         let mut body = body;
         let mut tried: Vec<TargetId> = Vec::new();
+        let mut may_have_run = false;
         loop {
             let picked = match self
                 .state
@@ -83,7 +84,7 @@
                 .await
             {
                 Ok(picked) => picked,
-                Err(refusal) => return CallOutcome::Refused(refusal),
+                Err(refusal) => return refused(refusal, may_have_run),
             };
             let target = picked.target.clone();
             let (sent, kept) = split_body(body);
@@ -93,9 +94,10 @@
                 Err(error) => error,
             };
             tried.push(target.id);
+            may_have_run |= !error.is_not_run();
             body = match kept {
                 Some(kept) if self.may_retry(error, tried.len()) => kept,
-                _ => return CallOutcome::Refused(attempt_refusal(error)),
+                _ => return refused(attempt_refusal(error), may_have_run),
             };
         }
     }
@@ -163,7 +165,7 @@
         match error {
             // Nothing reached the service, so that a retry adds no load to it.
             AttemptError::Busy | AttemptError::StaleConnection => true,
-            AttemptError::CallerBody => false,
+            AttemptError::CallerBody | AttemptError::ClaimExpired => false,
             _ if attempts as u32 >= MAX_ATTEMPTS => false,
             _ => {
                 let service = &self.scope.route.service;
@@ -211,6 +213,14 @@
     }
 }
 
+/// Refuses a request; a retry that did not run says nothing of the attempts before it.
+fn refused(mut refusal: Refusal, may_have_run: bool) -> CallOutcome {
+    if may_have_run && refusal.execution == Execution::NotRun {
+        refusal.execution = Execution::Unknown;
+    }
+    CallOutcome::Refused(refusal)
+}
+
 const fn outcome_label(outcome: AttemptOutcome) -> &'static str {
     match outcome {
         AttemptOutcome::Good => "good",
--- a/lib/src/epoch.rs
+++ b/lib/src/epoch.rs
@@ -75,6 +75,11 @@
         &self.nodes
     }
 
+    /// Returns the nodes of the epoch before the entered one.
+    pub fn previous(&self) -> &[NodeId] {
+        self.current.as_ref().map_or(&[], |row| &row.previous)
+    }
+
     /// Returns whether every member of the epoch before has entered this one or is gone.
     pub const fn is_settled(&self) -> bool {
         self.settled
