--- /dev/null
+++ b/cli/src/bench_fleet.rs
@@ -0,0 +1,194 @@
+//! The measures of the brief for a whole deployment under load, ours beside the baseline.
+
+use std::time::Duration;
+
+use damaskloom_lib::config::PolicyMode;
+use damaskloom_lib::ids::ServiceId;
+use damaskloom_lib::target_picker::TargetStanding;
+use damaskloom_testutils::load_plan::{LoadPlan, RateSurge};
+use damaskloom_testutils::load_report::LoadReport;
+use damaskloom_testutils::load_runner::LoadRunner;
+use damaskloom_testutils::target_mode::TargetMode;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::deployment::Deployment;
+use crate::local_fleet::{FleetError, LocalFleet};
+
+/// The part of the capacity of the first service that is offered.
+const LOAD_PART: f64 = 0.6;
+const CALM_MS: u64 = 8_000;
+const FAULTS_MS: u64 = 14_000;
+const FAULTS_AFTER_MS: u64 = 3_000;
+const SURGE_FACTOR: f64 = 8.0;
+const POLL_MS: u64 = 10;
+/// One target in so many is gray.
+const GRAY_DIVISOR: usize = 10;
+
+/// How the load fared in one phase.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PhaseResult {
+    /// The requests that were sent.
+    pub requests: u64,
+    /// The customer with the smallest share of good answers, of those that kept to their rate.
+    pub worst_customer: String,
+    /// Its share of good answers.
+    pub worst_good_share: f64,
+    /// Its 99th percentile, in milliseconds.
+    pub worst_p99_ms: f64,
+    /// The requests within their customer's rate that were refused for it.
+    pub wrong_refusals: u64,
+    /// The broken promises, by name.
+    pub breaches: Vec<String>,
+}
+
+/// The result of one deployment under one policy.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct FleetResult {
+    /// The deployment.
+    pub deployment: String,
+    /// The gateways.
+    pub gateways: usize,
+    /// The policy.
+    pub policy: PolicyMode,
+    /// Without faults.
+    pub calm: PhaseResult,
+    /// With a tenth of the targets gray and one customer at eight times its rate.
+    pub faults: PhaseResult,
+    /// The time from each fault to the ejection on every gateway, in milliseconds; none if that did
+    /// not happen before the end.
+    pub detection_ms: Vec<Option<u64>>,
+    /// The healthy targets that any gateway took as ejected.
+    pub wrongly_ejected: usize,
+}
+
+/// Runs a deployment calm and with faults.
+///
+/// # Errors
+///
+/// Fails if a part cannot start.
+pub async fn measure_fleet(
+    deployment: Deployment,
+    policy: PolicyMode,
+) -> Result<FleetResult, FleetError> {
+    let fleet = LocalFleet::start(deployment, policy).await?;
+    let part = LOAD_PART * capacity_part(&fleet.deployment);
+    let plan = fleet.deployment.load(fleet.bootstrap(), part, CALM_MS);
+    let mut report = LoadRunner::run(&plan).await;
+    report.check(&plan, fleet.executions());
+    let calm = phase(&plan, &report, None);
+
+    let mut plan = fleet.deployment.load(fleet.bootstrap(), part, FAULTS_MS);
+    let surging = plan.customers[0].id.clone();
+    // The surge is of what the customer may send, whatever part of it is offered otherwise.
+    let factor = SURGE_FACTOR / part.min(1.0);
+    plan.customers[0].surges = vec![RateSurge {
+        from_ms: FAULTS_AFTER_MS,
+        to_ms: FAULTS_MS,
+        factor,
+    }];
+    let load = {
+        let plan = plan.clone();
+        tokio::spawn(async move { LoadRunner::run(&plan).await })
+    };
+    tokio::time::sleep(Duration::from_millis(FAULTS_AFTER_MS)).await;
+    let before = fleet.executions().len();
+    let (detection_ms, wrongly_ejected) = watch_faults(&fleet).await;
+    let mut report = load.await.expect("the load tool does not panic");
+    let executions = fleet.executions();
+    debug_assert!(before <= executions.len());
+    report.check(&plan, executions);
+    Ok(FleetResult {
+        deployment: fleet.deployment.name.clone(),
+        gateways: fleet.gateways().len(),
+        policy,
+        calm,
+        faults: phase(&plan, &report, Some(&surging)),
+        detection_ms,
+        wrongly_ejected,
+    })
+}
+
+/// Returns the part of all customers' rates that the first service can carry.
+fn capacity_part(deployment: &Deployment) -> f64 {
+    let service = &deployment.services[0];
+    let capacity = f64::from(service.targets * service.slots) * 1_000.0 / service.service_time_ms;
+    let total: f64 = deployment
+        .customers
+        .iter()
+        .map(|customer| customer.rate.millis_per_second() as f64 / 1_000.0)
+        .sum();
+    (capacity / total).min(1.0 / LOAD_PART)
+}
+
+fn phase(plan: &LoadPlan, report: &LoadReport, surging: Option<&str>) -> PhaseResult {
+    let within = report
+        .customers
+        .iter()
+        .filter(|(id, _)| Some(id.as_str()) != surging);
+    let worst = within.min_by(|(_, a), (_, b)| a.good_share().total_cmp(&b.good_share()));
+    let verdict = report.verdict.clone().unwrap_or_default();
+    debug_assert!(!plan.customers.is_empty());
+    PhaseResult {
+        requests: report.total.requests,
+        worst_customer: worst.map(|(id, _)| id.clone()).unwrap_or_default(),
+        worst_good_share: worst.map_or(0.0, |(_, customer)| customer.good_share()),
+        worst_p99_ms: worst.map_or(0.0, |(_, customer)| {
+            customer.latency.p99_micros as f64 / 1_000.0
+        }),
+        wrong_refusals: verdict.wrong_refusals.values().sum(),
+        breaches: verdict
+            .breaches
+            .iter()
+            .map(|breach| breach.to_string())
+            .take(5)
+            .collect(),
+    }
+}
+
+/// Makes a tenth of the first service's targets gray and watches until the end of the load.
+async fn watch_faults(fleet: &LocalFleet) -> (Vec<Option<u64>>, usize) {
+    let service = fleet.deployment.services[0].id.clone();
+    let count = fleet.deployment.services[0].targets as usize;
+    let gray = count.div_ceil(GRAY_DIVISOR);
+    let modes = [
+        TargetMode::ErrorShare(0.5),
+        TargetMode::Slow(10.0),
+        TargetMode::Hang,
+    ];
+    for (target, mode) in fleet.targets[..gray].iter().zip(modes.iter().cycle()) {
+        target.set_mode(mode.clone());
+    }
+    let begin = Instant::now();
+    let mut detected: Vec<Option<u64>> = vec![None; gray];
+    let mut wrong = vec![false; count];
+    while begin.elapsed() < Duration::from_millis(FAULTS_MS - FAULTS_AFTER_MS) {
+        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+        for index in 0..count {
+            let name = fleet.targets[index].name();
+            let ejecting = ejecting_gateways(fleet, &service, name);
+            if index >= gray {
+                wrong[index] |= ejecting > 0;
+            } else if detected[index].is_none() && ejecting == fleet.gateways().len() {
+                detected[index] = u64::try_from(begin.elapsed().as_millis()).ok();
+            }
+        }
+    }
+    fleet.targets[..gray]
+        .iter()
+        .for_each(|target| target.set_mode(TargetMode::Healthy));
+    (detected, wrong.into_iter().filter(|wrong| *wrong).count())
+}
+
+fn ejecting_gateways(fleet: &LocalFleet, service: &ServiceId, target: &str) -> usize {
+    let Ok(id) = target.parse() else { return 0 };
+    let standings = fleet
+        .gateways()
+        .iter()
+        .map(|gateway| gateway.state.health.standing(service, &id));
+    standings
+        .filter(|standing| *standing == TargetStanding::Ejected)
+        .count()
+}
--- /dev/null
+++ b/cli/src/bin/damaskloom-bench.rs
@@ -0,0 +1,84 @@
+//! Measures the fleet: latency, both deployments under load, and the cost of control.
+
+use std::error::Error;
+use std::process::ExitCode;
+
+use damaskloom_cli::bench_control::measure_control;
+use damaskloom_cli::bench_fleet::measure_fleet;
+use damaskloom_cli::bench_latency::measure_latency;
+use damaskloom_cli::deployment::{Deployment, KHOVSGOL, MTKVARI};
+use damaskloom_lib::config::PolicyMode;
+use pico_args::Arguments;
+use serde::Serialize;
+
+const HELP: &str = "\
+Measures the fleet on loopback; prints one JSON document a line.
+
+Usage: damaskloom-bench latency
+       damaskloom-bench fleet [--gateways N]
+       damaskloom-bench control [--gateways N]
+
+  latency   one gateway against direct calls, by turns
+  fleet     both deployments, calm and with faults, ours and the baseline
+  control   N gateway processes: cost of control, and changes in force
+
+Exit codes: 0 measured, 1 failed, 2 wrong arguments.
+";
+
+const DEFAULT_PROCESSES: u32 = 48;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains("--help") {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    let gateways: Option<u32> = match arguments.opt_value_from_str("--gateways") {
+        Ok(gateways) => gateways,
+        Err(error) => return wrong(&error.to_string()),
+    };
+    let command = arguments.subcommand().ok().flatten();
+    let result = match command.as_deref() {
+        Some("latency") => latency().await,
+        Some("fleet") => fleet(gateways).await,
+        Some("control") => control(gateways.unwrap_or(DEFAULT_PROCESSES)).await,
+        _ => return wrong("expected latency, fleet or control"),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("damaskloom-bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn wrong(message: &str) -> ExitCode {
+    eprintln!("damaskloom-bench: {message}; see --help");
+    ExitCode::from(2)
+}
+
+async fn latency() -> Result<(), Box<dyn Error>> {
+    print(&measure_latency().await?)
+}
+
+async fn fleet(gateways: Option<u32>) -> Result<(), Box<dyn Error>> {
+    for text in [KHOVSGOL, MTKVARI] {
+        for policy in [PolicyMode::Adaptive, PolicyMode::Baseline] {
+            let mut deployment = Deployment::parse(text)?;
+            deployment.gateways = gateways.unwrap_or(deployment.gateways);
+            print(&measure_fleet(deployment, policy).await?)?;
+        }
+    }
+    Ok(())
+}
+
+async fn control(gateways: u32) -> Result<(), Box<dyn Error>> {
+    print(&measure_control(gateways).await?)
+}
+
+fn print(result: &impl Serialize) -> Result<(), Box<dyn Error>> {
+    println!("{}", serde_json::to_string(result)?);
+    Ok(())
+}
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -1,5 +1,8 @@
 //! The command line tools: operators' control, the burn report and the demo.
 
+pub mod bench_control;
+pub mod bench_fleet;
+pub mod bench_latency;
 pub mod ctl_args;
 pub mod ctl_client;
 pub mod ctl_command;
--- a/cli/src/local_fleet.rs
+++ b/cli/src/local_fleet.rs
@@ -20,6 +20,7 @@
 
 /// Says why a local fleet could not be started or changed.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum FleetError {
     /// The deployment is wrong.
     #[snafu(transparent)]
--- a/gateway/src/admin_server.rs
+++ b/gateway/src/admin_server.rs
@@ -25,6 +25,8 @@
     revision: Revision,
     epoch: Epoch,
     serves_keyed: bool,
+    /// Bytes sent to peers since the start.
+    peer_bytes_out: u64,
 }
 
 #[derive(Serialize)]
@@ -85,6 +87,10 @@
         revision: state.config.revision(),
         epoch: state.epoch.epoch(),
         serves_keyed: state.may_serve_keyed(),
+        peer_bytes_out: state
+            .outbox
+            .handle()
+            .map_or(0, |handle| handle.counters().bytes_out),
     }
 }
 
