--- a/cli/src/bench_control.rs
+++ b/cli/src/bench_control.rs
@@ -155,8 +155,8 @@
         cpu_ticks: ids.clone().map(cpu_ticks).collect::<Result<_, _>>()?,
         memory_bytes: ids.map(memory_bytes).collect::<Result<_, _>>()?,
         peer_bytes,
-        reads: counters.reads,
-        writes: counters.writes,
+        reads: counters.reads(),
+        writes: counters.writes(),
     })
 }
 
