--- a/gateway/src/control_loop.rs
+++ b/gateway/src/control_loop.rs
@@ -15,6 +15,8 @@
 
 /// The interval at which waits for transfers end.
 const RATE_TICK_MS: u64 = 5;
+/// The interval at which claims are asked for again and given up.
+const CLAIM_TICK_MS: u64 = 20;
 /// The interval at which evidence travels and targets are judged.
 const HEALTH_TICK_MS: u64 = 50;
 /// The interval at which idle connections to targets are closed.
@@ -22,7 +24,17 @@
 
 /// Ends waits for transfers in time, until the task is ended.
 pub async fn run_rate_ticks(state: Arc<GatewayState>) {
-    every(RATE_TICK_MS, || state.rates.tick()).await;
+    every(RATE_TICK_MS, || {
+        state.rates.tick();
+        state.slots.tick();
+        state.waiting.tick();
+    })
+    .await;
+}
+
+/// Ends waits for claims in time, until the task is ended.
+pub async fn run_claim_ticks(state: Arc<GatewayState>) {
+    every(CLAIM_TICK_MS, || state.claims.tick()).await;
 }
 
 /// Judges targets, until the task is ended.
@@ -32,7 +44,11 @@
 
 /// Closes idle connections to targets, until the task is ended.
 pub async fn run_idle_ticks(state: Arc<GatewayState>) {
-    every(IDLE_TICK_MS, || state.targets.close_idle()).await;
+    every(IDLE_TICK_MS, || {
+        state.targets.close_idle();
+        state.crashes.tick();
+    })
+    .await;
 }
 
 /// Takes each new configuration over into all parts, until the task is ended.
@@ -62,7 +78,7 @@
     match delivery.topic {
         PeerTopic::Shares => {
             with_message(delivery, |from, message: EscrowMessage| {
-                state.rates.handle(from, &message)
+                take_shares(state, from, &message)
             });
         }
         PeerTopic::Evidence | PeerTopic::Ejection => {
@@ -70,12 +86,22 @@
                 state.health.handle(from, message);
             });
         }
+        PeerTopic::Claims => with_message(delivery, |from, message| {
+            state.claims.handle(from, message);
+        }),
+        PeerTopic::Crash => with_message(delivery, |_, message| state.crashes.handle(message)),
         PeerTopic::Membership
         | PeerTopic::Freshness
         | PeerTopic::Distribution
-        | PeerTopic::Epoch
-        | PeerTopic::Crash
-        | PeerTopic::Claims => {}
+        | PeerTopic::Epoch => {}
+    }
+}
+
+fn take_shares(state: &GatewayState, from: &NodeId, message: &EscrowMessage) {
+    state.rates.handle(from, message);
+    let available = state.slots.handle(from, message);
+    if let Some(target) = available.and_then(|id| state.config.target(&id)) {
+        state.waiting.serve_queue(&target.service);
     }
 }
 
--- a/gateway/src/control_plane.rs
+++ b/gateway/src/control_plane.rs
@@ -9,7 +9,9 @@
 use damaskloom_lib::config::{ConfigDelta, FleetConfig};
 use damaskloom_lib::distribution::{ConfigReplica, ReplicaAction, ReplicaPeer, ReplicaSettings};
 use damaskloom_lib::epoch::EpochKeeper;
-use damaskloom_lib::epoch_types::{EpochAction, EpochMessage, EpochRow, EpochSettings};
+use damaskloom_lib::epoch_types::{
+    EpochAction, EpochMessage, EpochRow, EpochSettings, StoreCallId,
+};
 use damaskloom_lib::freshness::FreshnessAction;
 use damaskloom_lib::ids::{Epoch, NodeId, Revision};
 use damaskloom_lib::membership::{MemberList, MembershipAction, MembershipSettings, ServingStatus};
@@ -20,17 +22,17 @@
 use damaskloom_lib::rendezvous::{StableHash, rank_members};
 use damaskloom_lib::share_basis::ShareBasis;
 use damaskloom_lib::time::MonoTime;
+use damaskloom_platform::config_reader::{read_deltas, read_snapshot};
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
+use crate::claim_fleet::{ClaimFleet, ClaimMember};
 use crate::control_loop::{dispatch, with_message};
 use crate::fleet_epoch::FleetAssignment;
 use crate::gateway::GatewayState;
 use crate::peer_codec::PeerTopic;
 use crate::peer_link::{PeerDelivery, PeerInbox};
-use crate::platform_reads::{
-    HeadReading, SharedClient, read_deltas, read_head, read_members, read_snapshot,
-};
+use crate::platform_reads::{HeadReading, SharedClient, read_head, read_members};
 
 const TICK_MS: u64 = 25;
 /// The interval at which the first few members read all registrations.
@@ -49,7 +51,7 @@
     Deltas(Result<Vec<ConfigDelta>, PlatformError>),
     Snapshot(Result<Option<FleetConfig>, PlatformError>),
     EpochRow(Result<Option<TableRow>, PlatformError>),
-    Committed(Result<CommitOutcome, PlatformError>),
+    Committed(StoreCallId, Result<CommitOutcome, PlatformError>),
 }
 
 /// The state machines that keep one node in step with the fleet.
@@ -233,8 +235,8 @@
                 let actions = self.keeper.on_row(answer);
                 self.perform_epoch(actions);
             }
-            PlatformEvent::Committed(outcome) => {
-                let actions = self.keeper.on_commit(outcome);
+            PlatformEvent::Committed(call, outcome) => {
+                let actions = self.keeper.on_commit(call, outcome);
                 self.perform_epoch(actions);
             }
         }
@@ -277,7 +279,7 @@
                         PlatformEvent::EpochRow(client.get(&RowKey::from(EPOCH_ROW_KEY)).await)
                     });
                 }
-                EpochAction::Commit(transaction) => self.commit(transaction),
+                EpochAction::Commit { call, transaction } => self.commit(call, transaction),
                 EpochAction::Send { to, message } => self.send_epoch(&to, &message),
             }
         }
@@ -298,6 +300,7 @@
             handle.set_epoch(epoch);
         }
         self.know_members();
+        self.enter_claims(epoch);
         self.put_assignment_in_force();
         self.state
             .guard
@@ -315,9 +318,33 @@
             unsettled,
             held_since: self.held_since,
         });
+        if self.keeper.is_settled() {
+            self.give_up_claim_sources();
+        }
         self.state.refresh();
     }
 
+    /// Moves the claims of request ids to their homes of the epoch.
+    fn enter_claims(&self, epoch: Epoch) {
+        let members = self.keeper.members().iter().map(|record| ClaimMember {
+            node: record.node.clone(),
+            data_centre: record.data_centre.clone(),
+        });
+        let fleet = ClaimFleet::new(epoch, members);
+        let sources = self.keeper.previous().iter().cloned();
+        self.state.claims.enter_epoch(fleet, sources);
+    }
+
+    /// Waits no longer for claims of nodes that are no members any more: in a settled epoch each of
+    /// them has moved on or has stopped, and grants nothing by an earlier one.
+    fn give_up_claim_sources(&self) {
+        for node in self.keeper.previous() {
+            if !self.keeper.nodes().contains(node) {
+                self.state.claims.source_gone(node);
+            }
+        }
+    }
+
     /// Tells all parts of the members that are known from the table and from the epoch.
     fn know_members(&mut self) {
         let mut known: Vec<MemberRecord> = self.keeper.members().to_vec();
@@ -372,7 +399,7 @@
                 ReplicaAction::ReadSnapshot { newer_than } => {
                     let client = Arc::clone(&self.client);
                     self.call(async move {
-                        PlatformEvent::Snapshot(read_snapshot(&client, newer_than).await)
+                        PlatformEvent::Snapshot(read_snapshot(&*client, newer_than).await)
                     });
                 }
                 ReplicaAction::OfferSnapshot {
@@ -400,12 +427,12 @@
 
     fn read_deltas(&self, after: Revision) {
         let client = Arc::clone(&self.client);
-        self.call(async move { PlatformEvent::Deltas(read_deltas(&client, after).await) });
+        self.call(async move { PlatformEvent::Deltas(read_deltas(&*client, after).await) });
     }
 
-    fn commit(&self, transaction: Transaction) {
+    fn commit(&self, call: StoreCallId, transaction: Transaction) {
         let client = Arc::clone(&self.client);
-        self.call(async move { PlatformEvent::Committed(client.commit(&transaction).await) });
+        self.call(async move { PlatformEvent::Committed(call, client.commit(&transaction).await) });
     }
 
     fn read_members_when_due(&mut self, now: MonoTime) {
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -7,6 +7,7 @@
 use damaskloom_lib::config::{Idempotence, Route, RouteAccess};
 use damaskloom_lib::ids::CustomerId;
 use damaskloom_lib::key::KeyDigest;
+use damaskloom_lib::key_table::KeyStanding;
 use damaskloom_lib::outcome::{Reason, Refusal};
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use http::request::Parts;
@@ -17,7 +18,7 @@
     AnswerBody, AnswerStream, BodyError, RequestBody, WHOLE_BODY_BYTES, collect_body,
 };
 use crate::caller_connection::{CallerConnection, FramingVerdict};
-use crate::config_view::KeyStanding;
+use crate::claimed_call::{ClaimedCall, claimed_id, unasked_refusal};
 use crate::directory_answer::{DIRECTORY_PATH, answer_directory};
 use crate::forward::{AttemptError, LOAD_HEADER, OutgoingHead, TargetAnswer};
 use crate::gateway::GatewayState;
@@ -78,9 +79,13 @@
     if parts.uri.path() == DIRECTORY_PATH {
         return answer_directory(state, &scope, connection.peer());
     }
-    let result = run(state, &scope, &parts, body, arrival).await;
-    state.record_result(&scope, &result, arrival);
-    result.unwrap_or_else(refusal_answer)
+    match run(state, &scope, &parts, body, arrival).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            state.record_refusal(&scope, &refusal);
+            refusal_answer(refusal)
+        }
+    }
 }
 
 /// Checks the head, takes the key off and finds out who asks for what.
@@ -105,7 +110,7 @@
         connection.note_key(digest);
     }
     if route.access == RouteAccess::Keyed && !state.may_serve_keyed() {
-        return Err(Refusal::not_run(Reason::NodeStale));
+        return Err(unasked_refusal(&route, &parts.headers, Reason::NodeStale));
     }
     Ok(RequestScope { route, customer })
 }
@@ -137,6 +142,10 @@
     if body_kind.is_some_and(|length| length > scope.route.max_body.0) {
         return Err(Refusal::not_run(Reason::TooLarge));
     }
+    if let Some(id) = claimed_id(&scope.route, &parts.headers)? {
+        let call = ClaimedCall::receive(state, scope, id, parts, body, arrival);
+        return call.await?.run().await;
+    }
     if let Some(customer) = &scope.customer {
         state.rates.admit(customer, deadline).await?;
     }
@@ -145,12 +154,16 @@
     let call = ServiceCall {
         state,
         scope,
+        parts,
         head: &head,
         deadline,
         idempotent: scope.route.idempotence == Idempotence::Idempotent,
     };
     match call.run(body).await {
-        CallOutcome::Answer(answer) => Ok(pass_on(answer)),
+        CallOutcome::Answer(answer, target) => {
+            state.record_answer(scope, &target, answer.status(), arrival);
+            Ok(pass_on(answer))
+        }
         CallOutcome::Refused(refusal) => Err(refusal),
     }
 }
@@ -189,7 +202,8 @@
     }
 }
 
-fn pass_on(answer: TargetAnswer) -> Response<AnswerBody> {
+/// Makes the response for a target's answer.
+pub(crate) fn pass_on(answer: TargetAnswer) -> Response<AnswerBody> {
     match answer {
         TargetAnswer::Whole(response) => {
             let (mut parts, bytes) = response.into_parts();
@@ -211,6 +225,8 @@
         AttemptError::Unreachable | AttemptError::StaleConnection => {
             Refusal::not_run(Reason::TargetUnreachable)
         }
+        // This sending did not run; the home may have forgotten by now that an earlier one did.
+        AttemptError::ClaimExpired => Refusal::unknown(Reason::ClaimUnavailable),
         AttemptError::Shed => Refusal::not_run(Reason::TargetShed),
         AttemptError::Broken => Refusal::unknown(Reason::TargetBroken),
         AttemptError::Timeout => Refusal::unknown(Reason::TargetTimeout),
--- a/gateway/src/platform_reads.rs
+++ b/gateway/src/platform_reads.rs
@@ -2,12 +2,10 @@
 
 use std::sync::Arc;
 
-use damaskloom_lib::config::{ConfigDelta, FleetConfig};
 use damaskloom_lib::epoch_types::EPOCH_ROW;
 use damaskloom_lib::ids::Revision;
 use damaskloom_lib::platform::{PlatformError, RowKey, TableRow, TableStore};
 use damaskloom_lib::registration::{MEMBER_ROW_PREFIX, MemberRecord};
-use damaskloom_lib::table_layout::{HeadRow, head_key};
 use damaskloom_platform::client::PlatformClient;
 use damaskloom_platform::config_reader;
 use serde::de::DeserializeOwned;
@@ -36,39 +34,11 @@
 ///
 /// Fails if either cannot be read.
 pub async fn read_head(client: &PlatformClient) -> Result<HeadReading, PlatformError> {
-    let (head, epoch) = (head_key(), RowKey::from(EPOCH_ROW));
-    let (head, epoch) = tokio::try_join!(client.get(&head), client.get(&epoch))?;
-    let revision = match head {
-        Some(row) => parse::<HeadRow>(row)?.revision,
-        None => Revision::default(),
-    };
+    let epoch = RowKey::from(EPOCH_ROW);
+    let (revision, epoch) = tokio::try_join!(config_reader::read_head(client), client.get(&epoch))?;
     Ok(HeadReading { revision, epoch })
 }
 
-/// Reads the deltas that follow a revision.
-///
-/// # Errors
-///
-/// Fails if they cannot be read or understood.
-pub async fn read_deltas(
-    client: &PlatformClient,
-    after: Revision,
-) -> Result<Vec<ConfigDelta>, PlatformError> {
-    config_reader::read_deltas(client, after).await
-}
-
-/// Loads the newest snapshot; an empty configuration if there is none, nothing if it is not newer.
-///
-/// # Errors
-///
-/// Fails if a part cannot be read or understood.
-pub async fn read_snapshot(
-    client: &PlatformClient,
-    newer_than: Option<Revision>,
-) -> Result<Option<FleetConfig>, PlatformError> {
-    config_reader::read_snapshot(client, newer_than).await
-}
-
 /// Reads all registered members.
 ///
 /// # Errors
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -16,8 +16,11 @@
 
 use crate::admin_server::run_admin_server;
 use crate::caller_server::run_caller_server;
+use crate::claim_store::{ClaimStore, claim_client_settings};
 use crate::clock::MonoClock;
-use crate::control_loop::{run_config_changes, run_health_ticks, run_idle_ticks, run_rate_ticks};
+use crate::control_loop::{
+    run_claim_ticks, run_config_changes, run_health_ticks, run_idle_ticks, run_rate_ticks,
+};
 use crate::control_plane::ControlPlane;
 use crate::fleet_registration::register;
 use crate::gateway::GatewayState;
@@ -70,6 +73,7 @@
 /// What a member of a fleet has beside its state.
 struct FleetLink {
     client: Arc<PlatformClient>,
+    claim_store: ClaimStore,
     record: MemberRecord,
     handle: PeerHandle,
     inbox: PeerInbox,
@@ -113,11 +117,13 @@
             tokio::spawn(run_admin_server(Arc::clone(&state), admin_listener)),
             tokio::spawn(run_idle_ticks(Arc::clone(&state))),
             tokio::spawn(run_rate_ticks(Arc::clone(&state))),
+            tokio::spawn(run_claim_ticks(Arc::clone(&state))),
             tokio::spawn(run_health_ticks(Arc::clone(&state))),
             tokio::spawn(run_config_changes(Arc::clone(&state))),
         ];
         if let Some(link) = link {
             state.outbox.open(link.handle);
+            state.claims.open_store(link.claim_store);
             let shared = Arc::clone(&state);
             let plane = ControlPlane::new(shared, link.client, link.record, status_changes);
             helpers.push(tokio::spawn(plane.run(link.inbox)));
@@ -198,12 +204,14 @@
     let listener = std::net::TcpListener::bind(address).context(ListenSnafu { address })?;
     let peer_address = listener.local_addr().context(ListenSnafu { address })?;
     let client = Arc::new(PlatformClient::new(platform, ClientSettings::default()));
+    let claim_client = PlatformClient::new(platform, claim_client_settings());
     let record = register(settings, &client, clock, caller_address, peer_address).await;
     let secret = SharedSecret::new(settings.peer_secret.as_bytes());
     let peer_settings = PeerSettings::new(record.node.clone(), peer_address, secret);
     let (handle, inbox) = PeerLink::start_on(listener, peer_settings).context(PeersSnafu)?;
     Ok(Some(FleetLink {
         client,
+        claim_store: ClaimStore::new(Arc::new(claim_client)),
         record,
         handle,
         inbox,
--- a/lib/src/rate_entry.rs
+++ b/lib/src/rate_entry.rs
@@ -8,17 +8,16 @@
 use crate::demand_meter::{DemandMeter, headroom, scale};
 use crate::escrow::Outgoing;
 use crate::ids::NodeId;
-use crate::loan::{EscrowMessage, LoanAmount, TransferSequence};
+use crate::lender_board::LenderBoard;
+use crate::loan::{EscrowMessage, LoanAmount, TransferId, TransferSequence};
 use crate::rate_limiter::{LimiterAction, MAX_TRANSFER_WAIT, WaitTicket};
 use crate::time::MonoTime;
 
 const ONE_REQUEST: MicroUnits = MicroUnits(MICROS_PER_UNIT);
-const ASK_TIMEOUT: Duration = Duration::from_millis(10);
 const RECALL_SPACING: Duration = Duration::from_millis(20);
 const RATE_ASK_SPACING: Duration = Duration::from_millis(50);
-/// Below this demand a node asks for single tokens, unless it has this part of all the demand.
+/// Below this demand a node asks for single tokens in place of a part of the refill.
 const LEASED_RATE_MIN: RefillRate = RefillRate::from_units(4);
-const LEASED_PART_MIN: u64 = 3;
 const LEASED_BURST_MAX: MicroUnits = MicroUnits::from_units(16);
 /// A node with little of the demand borrows less than it needs, so that its share rarely overflows
 /// while others run dry; a node with much of it borrows all that it needs.
@@ -28,8 +27,6 @@
 const KEPT_PERCENT: u64 = 110;
 const BORROWED_HEADROOM_MS: u64 = 500;
 const KEPT_HEADROOM_MS: u64 = 250;
-const DRY_SWEEPS_BEFORE_REFUSAL: u32 = 3;
-const LONGEST_DRY_SHIFT: u32 = 5;
 
 #[derive(Clone, Copy, Debug)]
 struct Waiter {
@@ -37,26 +34,14 @@
     until: MonoTime,
 }
 
-/// What the node knows of one home that it may borrow from.
-#[derive(Clone, Copy, Debug, Default)]
-struct LenderState {
-    /// When the home may be asked again.
-    open_at: MonoTime,
-    /// Whether an ask has no answer so far.
-    is_asked: bool,
-}
-
 /// The hand, the demand and the waiting requests of one customer.
 #[derive(Debug)]
 pub(crate) struct RateEntry {
     hand: BucketHand,
     meter: DemandMeter,
     waiters: VecDeque<Waiter>,
-    lenders: Vec<LenderState>,
-    cursor: usize,
+    board: LenderBoard,
     rate_ask_at: MonoTime,
-    dry_until: MonoTime,
-    dry_sweeps: u32,
 }
 
 impl RateEntry {
@@ -66,11 +51,8 @@
             hand,
             meter: DemandMeter::default(),
             waiters: VecDeque::new(),
-            lenders: Vec::new(),
-            cursor,
+            board: LenderBoard::new(cursor),
             rate_ask_at: MonoTime::ZERO,
-            dry_until: MonoTime::ZERO,
-            dry_sweeps: 0,
         }
     }
 
@@ -100,10 +82,9 @@
     pub fn may_wait(&self, now: MonoTime) -> bool {
         let escrow = self.hand.escrow();
         let terms = escrow.view().terms;
-        let is_dry = self.dry_sweeps >= DRY_SWEEPS_BEFORE_REFUSAL && now < self.dry_until;
         let has_lender = escrow.homes().iter().any(|home| home != escrow.node());
         let has_loans = !escrow.lent_share().capacity.is_zero();
-        let expected = match !is_dry && (has_lender || has_loans) {
+        let expected = match !self.board.is_dry(now) && (has_lender || has_loans) {
             true => terms.capacity,
             false => terms.refill.over(MAX_TRANSFER_WAIT).min(terms.capacity),
         };
@@ -164,7 +145,7 @@
             self.waiters.pop_front();
         }
         if is_served {
-            self.dry_sweeps /= 2;
+            self.board.note_served();
         }
     }
 
@@ -177,7 +158,7 @@
     ) {
         let tokens = self.shortfall();
         let refill = self.missing_refill(now);
-        if (tokens.is_zero() && refill.is_zero()) || now < self.dry_until {
+        if (tokens.is_zero() && refill.is_zero()) || self.board.is_paused(now) {
             return;
         }
         if !tokens.is_zero() {
@@ -185,10 +166,12 @@
             send_all(recalls, actions);
         }
         let homes = self.hand.escrow().homes().to_vec();
-        self.lenders.resize(homes.len(), LenderState::default());
-        let open = self.open_lenders(now, &homes);
+        let node = self.node().clone();
+        let open = self.board.open(now, &homes, &node);
         if open.is_empty() {
-            self.note_dry(now, tokens);
+            if !tokens.is_zero() {
+                self.board.note_exhausted(now);
+            }
             return;
         }
         let terms = self.hand.escrow().view().terms;
@@ -197,7 +180,7 @@
             usize::try_from(missing.div_ceil(home_part)).unwrap_or(usize::MAX)
         };
         // A first sweep asks ever more homes for whole tokens, a second one collects parts.
-        let partial = self.dry_sweeps > 0;
+        let partial = self.board.collects_parts();
         let tried = homes.len() - open.len();
         let token_fanout = match (tokens.is_zero(), partial) {
             (true, _) => 0,
@@ -210,11 +193,7 @@
             self.rate_ask_at = now + RATE_ASK_SPACING;
         }
         for &index in open.iter().take(token_fanout.max(refill_fanout)) {
-            self.lenders[index] = LenderState {
-                open_at: now + ASK_TIMEOUT,
-                is_asked: true,
-            };
-            self.cursor = index + 1;
+            self.board.note_ask(now, index);
             let lender = homes[index].clone();
             let message = self.hand.ask(now, lender, want, partial, sequence);
             send_all([message], actions);
@@ -258,8 +237,7 @@
         let share = self.hand.escrow().share();
         let has_enough = self.hand.level().0 > share.capacity.0 / 2;
         let total = self.hand.escrow().view().terms.refill;
-        let is_small = demand < LEASED_RATE_MIN && demand.0 < total.0 / LEASED_PART_MIN;
-        if is_small || now < self.rate_ask_at || has_enough {
+        if demand < LEASED_RATE_MIN || now < self.rate_ask_at || has_enough {
             return RefillRate::ZERO;
         }
         let part_percent = demand.0.saturating_mul(100) / total.0.max(1);
@@ -272,34 +250,6 @@
         missing
     }
 
-    fn open_lenders(&self, now: MonoTime, homes: &[NodeId]) -> Vec<usize> {
-        (0..homes.len())
-            .map(|offset| (self.cursor + offset) % homes.len())
-            .filter(|&index| &homes[index] != self.node())
-            .filter(|&index| self.lenders[index].open_at <= now)
-            .collect()
-    }
-
-    /// Pauses the asks once every home was asked and requests still wait.
-    fn note_dry(&mut self, now: MonoTime, tokens: MicroUnits) {
-        let is_answer_due = self
-            .lenders
-            .iter()
-            .any(|lender| lender.is_asked && lender.open_at > now);
-        if tokens.is_zero() || is_answer_due {
-            return;
-        }
-        let pause = ASK_TIMEOUT * (1 << self.dry_sweeps.min(LONGEST_DRY_SHIFT));
-        self.dry_sweeps += 1;
-        self.dry_until = now + pause;
-        for lender in &mut self.lenders {
-            *lender = LenderState {
-                open_at: self.dry_until,
-                is_asked: false,
-            };
-        }
-    }
-
     /// Takes a grant and notes whether its home has more to lend.
     pub fn take_grant(&mut self, now: MonoTime, lender: &NodeId, message: &EscrowMessage) {
         let EscrowMessage::Grant {
@@ -315,10 +265,8 @@
         let accepted = self.hand.accept(now, lender, *ask, *grant, *epoch, *amount);
         let homes = self.hand.escrow().homes();
         let index = homes.iter().position(|home| home == lender);
-        let state = index.and_then(|index| self.lenders.get_mut(index));
-        if let (Some(state), Some(_)) = (state, accepted) {
-            state.is_asked = false;
-            state.open_at = now + ASK_TIMEOUT;
+        if let (Some(index), Some(_)) = (index, accepted) {
+            self.board.note_answer(now, index);
         }
     }
 
@@ -364,33 +312,40 @@
         }
     }
 
-    /// Returns token loans at once when nobody waits, and recalled ones that are not needed.
+    /// Returns loans of spent tokens at once, and recalled loans that are not needed.
+    ///
+    /// A home cannot refill the capacity that it lent, so capacity that holds no token goes back
+    /// even while requests wait.
     pub fn settle_loans(&mut self, now: MonoTime, actions: &mut Vec<LimiterAction>) {
-        if !self.waiters.is_empty() {
-            return;
+        for ask in self.ending_loans(now) {
+            send_all(self.hand.give_back(ask), actions);
+        }
+    }
+
+    fn ending_loans(&self, now: MonoTime) -> Vec<TransferId> {
+        let escrow = self.hand.escrow();
+        if escrow.borrowed().is_empty() {
+            return Vec::new();
         }
         let needed = match self.meter.yields_to_peers(now) {
             true => BudgetShare::default(),
             false => self.needed(now, KEPT_PERCENT),
         };
         let surplus = self.hand.surplus_loans(needed);
-        let ending: Vec<_> = self
-            .hand
-            .escrow()
-            .borrowed()
-            .iter()
-            .filter(|loan| {
-                let is_surplus = loan.recalled && surplus.contains(&loan.grant);
-                loan.share.refill.is_zero() || is_surplus
-            })
-            .map(|loan| loan.grant)
-            .collect();
-        send_all(
-            ending
-                .into_iter()
-                .filter_map(|grant| self.hand.give_back(grant)),
-            actions,
-        );
+        let mut capacity = escrow.share().capacity;
+        let level = self.hand.level();
+        let mut ending = Vec::new();
+        for loan in escrow.borrowed() {
+            let rest = capacity.saturating_sub(loan.share.capacity);
+            let is_spent = loan.share.refill.is_zero() && rest >= level;
+            let is_idle = self.waiters.is_empty()
+                && (loan.share.refill.is_zero() || loan.recalled && surplus.contains(&loan.ask));
+            if is_spent || is_idle {
+                capacity = rest;
+                ending.push(loan.ask);
+            }
+        }
+        ending
     }
 
     /// Renews the loans while requests arrive and returns them once none do.
@@ -404,8 +359,8 @@
             return;
         }
         if self.meter.rate(now).is_zero() && !self.is_waiting() {
-            for grant in self.hand.surplus_loans(BudgetShare::default()) {
-                send_all(self.hand.give_back(grant), actions);
+            for ask in self.hand.surplus_loans(BudgetShare::default()) {
+                send_all(self.hand.give_back(ask), actions);
             }
         }
         let escrow = self.hand.escrow_mut();
@@ -415,9 +370,7 @@
     /// Acts on a newer assignment or newer terms.
     pub fn adopt(&mut self, now: MonoTime, view: BudgetView, actions: &mut Vec<LimiterAction>) {
         send_all(self.hand.adopt(now, view), actions);
-        self.lenders.clear();
-        self.dry_until = MonoTime::ZERO;
-        self.dry_sweeps = 0;
+        self.board.reset();
     }
 
     pub const fn hand_mut(&mut self) -> &mut BucketHand {
--- a/lib/src/target_picker.rs
+++ b/lib/src/target_picker.rs
@@ -154,9 +154,10 @@
         }
     }
 
-    /// Notes whether a target is ejected; it starts slowly when it no longer is.
-    pub fn set_ejected(&mut self, now: MonoTime, target: &TargetId, ejected: bool) {
-        if let Some(state) = self.targets.get_mut(target) {
+    /// Notes which targets are ejected; those that no longer are start slowly.
+    pub fn set_ejected_by(&mut self, now: MonoTime, is_ejected: impl Fn(&TargetId) -> bool) {
+        for (target, state) in &mut self.targets {
+            let ejected = is_ejected(target);
             if state.ejected && !ejected {
                 state.ramp_from = Some(now);
             }
@@ -177,10 +178,11 @@
             return;
         };
         state.load.finish();
-        if outcome.is_failure() {
+        let shed = outcome == AttemptOutcome::Shed;
+        if outcome.is_failure() || shed {
             state.load.add_failure(now, state.slots);
         }
-        if outcome == AttemptOutcome::Shed {
+        if shed {
             state.shed_until = state.shed_until.max(now + pause_of(None));
         }
     }
