--- a/lib/tests/test_detection.rs
+++ b/lib/tests/test_detection.rs
@@ -177,6 +177,24 @@
     }
 }
 
+#[test]
+fn a_customer_whose_own_requests_fail_hides_no_bad_target() {
+    for seed in 0..3 {
+        let mut fleet = fleet(seed);
+        fleet.poisoned_customer = Some(0);
+        fleet.faults.push(TargetFault {
+            target: BAD,
+            mode: FaultMode::Errors(0.5),
+            from: at(FAULT_AT_MS),
+            until: at(1_000_000),
+        });
+        fleet.run_until(at(FAULT_AT_MS));
+        let out_at = fleet.run_until_out(BAD, at(FAULT_AT_MS + 5_000));
+        assert!(out_at.is_some(), "seed {seed}");
+        assert_eq!(fleet.tally.wrong_ejections, 0);
+    }
+}
+
 #[test]
 fn a_target_that_recovers_serves_again_and_is_not_ejected_once_more() {
     let mut fleet = fleet(9);
@@ -257,6 +275,29 @@
     assert_eq!(score(&detector), both);
 }
 
+#[test]
+fn a_failure_weighs_by_how_often_its_customer_fails_elsewhere() {
+    let score_after = |failures_elsewhere: usize| {
+        let mut log = EvidenceLog::new(node(0), "desk".parse().unwrap());
+        let mut detector = detector();
+        let mut fail = |target: &str| {
+            let scope = scope(target, "acme");
+            log.record(
+                at(1),
+                &scope,
+                AttemptOutcome::Failed,
+                Duration::from_millis(20),
+            );
+        };
+        (0..failures_elsewhere).for_each(|_| fail("target-1"));
+        (0..10).for_each(|_| fail("target-0"));
+        detector.pool(at(1), &node(0), &digest(&mut log, at(1)));
+        score(&detector)
+    };
+    assert!(score_after(0) > 6.0, "{}", score_after(0));
+    assert!(score_after(200) < 2.0, "{}", score_after(200));
+}
+
 #[test]
 fn probes_alone_raise_no_suspicion() {
     let mut log = EvidenceLog::new(node(0), "desk".parse().unwrap());
