--- a/lib/src/ejector.rs
+++ b/lib/src/ejector.rs
@@ -16,25 +16,15 @@
 use crate::flap_history::FlapHistory;
 use crate::held_ejection::{HeldEjection, HeldState, TrialProgress};
 use crate::ids::{NodeId, TargetId};
+use crate::proposal_queue::ProposalQueue;
 use crate::time::MonoTime;
 use crate::verdict::{EjectionExplanation, SuspicionCause};
 
-/// The time by which each further judge waits for those before it.
-const RANK_STAGGER_MS: u64 = 300;
-/// The time after which a proposal that is not repeated is dropped.
-const PROPOSAL_MEMORY_MS: u64 = 1_000;
 const CLAIM_RETRY_MS: u64 = 500;
 const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
 /// The time for which a free unit is kept before it goes back to the escrow.
 const IDLE_UNIT_MS: u64 = 10_000;
 
-#[derive(Debug)]
-struct EjectionProposal {
-    cause: SuspicionCause,
-    due: MonoTime,
-    repeated_at: MonoTime,
-}
-
 /// The ejections of one service as one node holds and honours them.
 #[derive(Debug)]
 pub struct TargetEjector {
@@ -45,7 +35,7 @@
     next_claim_at: MonoTime,
     units_idle_since: Option<MonoTime>,
     held: IndexMap<TargetId, HeldEjection>,
-    proposals: IndexMap<TargetId, EjectionProposal>,
+    proposals: ProposalQueue,
     unaware_peers: IndexMap<NodeId, MonoTime>,
     leases: LeaseTable,
     history: FlapHistory,
@@ -62,7 +52,7 @@
             next_claim_at: MonoTime::ZERO,
             units_idle_since: None,
             held: IndexMap::new(),
-            proposals: IndexMap::new(),
+            proposals: ProposalQueue::default(),
             unaware_peers: IndexMap::new(),
             leases: LeaseTable::default(),
             history: FlapHistory::default(),
@@ -115,17 +105,7 @@
         cause: SuspicionCause,
         rank: usize,
     ) {
-        let stagger = Duration::from_millis(RANK_STAGGER_MS) * rank as u32;
-        let proposal = self
-            .proposals
-            .entry(target.clone())
-            .or_insert(EjectionProposal {
-                cause,
-                due: now + stagger,
-                repeated_at: now,
-            });
-        proposal.cause = cause;
-        proposal.repeated_at = now;
+        self.proposals.propose(now, target, cause, rank);
     }
 
     /// Returns whether the target gets no work but trial requests.
@@ -319,21 +299,12 @@
     }
 
     fn decide_proposals(&mut self, now: MonoTime, actions: &mut Vec<EjectionAction>) {
-        let memory = Duration::from_millis(PROPOSAL_MEMORY_MS);
-        self.proposals
-            .retain(|_, proposal| now.since(proposal.repeated_at) <= memory);
-        let due: Vec<(TargetId, SuspicionCause)> = self
-            .proposals
-            .iter()
-            .filter(|(_, proposal)| now >= proposal.due)
-            .map(|(target, proposal)| (target.clone(), proposal.cause))
-            .collect();
         let mut missing = 0;
-        for (target, cause) in due {
+        for (target, cause) in self.proposals.due(now) {
             if self.is_ejected(now, &target) {
-                self.proposals.swap_remove(&target);
+                self.proposals.remove(&target);
             } else if self.can_bind_unit(&target) {
-                self.proposals.swap_remove(&target);
+                self.proposals.remove(&target);
                 self.eject(now, target, cause, actions);
             } else {
                 missing += 1;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod plan;
 pub mod platform;
 pub mod population;
+mod proposal_queue;
 pub mod rate_limiter;
 pub mod rendezvous;
 pub mod retry_budget;
