--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod platform_wire;
 pub mod population;
 mod probe_schedule;
+mod proposal_queue;
 mod rate_entry;
 pub mod rate_limiter;
 pub mod registration;
