--- a/lib/benches/shares/cost.rs
+++ b/lib/benches/shares/cost.rs
@@ -2,9 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use damaskloom_lib::budget::{BudgetTerms, BudgetView, EpochView};
+use damaskloom_lib::budget::{
+    BudgetId, BudgetTerms, BudgetView, EpochView, MicroUnits, RefillRate,
+};
 use damaskloom_lib::fair_queue::{FairQueue, QueueLimits, QueuePolicy, WaitingRequest};
 use damaskloom_lib::ids::{CustomerId, Epoch, Revision};
+use damaskloom_lib::loan::{EscrowMessage, LoanAmount, TransferId};
 use damaskloom_lib::rate_limiter::{LimitPolicy, RateLimiter};
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::units::{BurstSize, RequestRate};
@@ -94,8 +97,42 @@
     timer.elapsed().as_nanos() as f64 / DECISIONS as f64
 }
 
+/// Returns the bytes of the messages of a loan: ask, grant and return.
+fn message_bytes() -> usize {
+    let budget = BudgetId::CustomerRate("customer-1".parse().expect("an id"));
+    let id = TransferId(1 << 40);
+    let amount = LoanAmount {
+        refill: RefillRate::from_units(10),
+        capacity: MicroUnits::from_units(2),
+        level: MicroUnits::from_units(1),
+    };
+    let messages = [
+        EscrowMessage::Ask {
+            budget: budget.clone(),
+            ask: id,
+            want: amount,
+            partial: false,
+        },
+        EscrowMessage::Grant {
+            budget: budget.clone(),
+            ask: id,
+            grant: id,
+            epoch: Epoch(1_000),
+            amount,
+        },
+        EscrowMessage::Return {
+            budget,
+            grant: id,
+            level: amount.level,
+        },
+    ];
+    let json = |message| serde_json::to_vec(message).map_or(0, |bytes| bytes.len());
+    messages.iter().map(json).sum()
+}
+
 /// Prints one line for each size.
 pub fn run() {
+    println!("bytes of ask, grant and return: {}", message_bytes());
     println!("cost with so many customers active on one node, 12 homes each");
     println!(
         "{:>9} {:>10} {:>10} {:>14} {:>14}",
--- a/lib/src/lender_board.rs
+++ b/lib/src/lender_board.rs
@@ -8,8 +8,9 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(10);
 const SWEEPS_BEFORE_REFUSAL: u32 = 3;
 const LONGEST_PAUSE_SHIFT: u32 = 5;
+const LONGEST_PAUSE: Duration = Duration::from_millis(320);
 const FEW_HOMES: usize = 6;
-const FEW_HOMES_PAUSE_SHIFT: u32 = 1;
+const FEW_HOMES_PAUSE: Duration = Duration::from_millis(40);
 
 /// What the node knows of one home that it may borrow from.
 #[derive(Clone, Copy, Debug, Default)]
@@ -92,7 +93,9 @@
     }
 
     /// Pauses if every home was asked and no answer is due.
-    pub fn note_exhausted(&mut self, now: MonoTime) {
+    ///
+    /// `token_time` is the time in which the whole customer gains a token.
+    pub fn note_exhausted(&mut self, now: MonoTime, token_time: Duration) {
         let is_answer_due = self
             .lenders
             .iter()
@@ -100,11 +103,13 @@
         if is_answer_due {
             return;
         }
+        let pause = ASK_TIMEOUT * (1 << self.sweeps.min(LONGEST_PAUSE_SHIFT));
+        // With few homes a waiting request finds the next token by asking often.
         let longest = match self.lenders.len() {
-            0..=FEW_HOMES => FEW_HOMES_PAUSE_SHIFT,
-            _ => LONGEST_PAUSE_SHIFT,
+            0..=FEW_HOMES => (token_time / 4).max(FEW_HOMES_PAUSE),
+            _ => LONGEST_PAUSE,
         };
-        self.paused_until = now + ASK_TIMEOUT * (1 << self.sweeps.min(longest));
+        self.paused_until = now + pause.min(longest);
         self.sweeps += 1;
         for lender in &mut self.lenders {
             *lender = LenderState {
--- a/lib/src/rate_entry.rs
+++ b/lib/src/rate_entry.rs
@@ -170,7 +170,9 @@
         let open = self.board.open(now, &homes, &node);
         if open.is_empty() {
             if !tokens.is_zero() {
-                self.board.note_exhausted(now);
+                let terms = self.hand.escrow().view().terms;
+                let token_time = terms.refill.time_for(ONE_REQUEST);
+                self.board.note_exhausted(now, token_time);
             }
             return;
         }
