--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -22,3 +22,4 @@
 mod test_scenarios;
 mod test_service_burn;
 mod test_shares;
+mod test_slots;
