--- a/lib/tests/test_loans.rs
+++ b/lib/tests/test_loans.rs
@@ -225,6 +225,12 @@
 
 #[test]
 fn a_cut_off_borrower_stops_before_its_home_takes_the_slot_back() {
+    // Short requests probe the drift margin, long ones the check against the deadline.
+    probe_end_of_loan(50_000);
+    probe_end_of_loan(300_000);
+}
+
+fn probe_end_of_loan(span: u64) {
     // The borrower's clock is as slow, and the home's as fast, as the drift allows.
     let mut fleet = SlotFleet::new(2, 1, 2, 1);
     fleet.nodes[0].clock_ppm = 1_001_000;
@@ -240,10 +246,34 @@
 
     let (mut from_home, mut from_peer) = (0, 0);
     for _ in 0..1_500 {
-        from_peer += u32::from(fleet.acquire(1, &budget(0), 50_000));
-        from_home += u32::from(fleet.acquire(0, &budget(0), 50_000));
+        from_peer += u32::from(fleet.acquire(1, &budget(0), span));
+        from_home += u32::from(fleet.acquire(0, &budget(0), span));
         assert!(fleet.occupied(&budget(0)) <= 2);
         fleet.advance(1_000);
     }
     assert!(from_peer >= 4 && from_home >= 1, "{from_peer} {from_home}");
 }
+
+#[test]
+fn a_restarted_process_never_draws_a_number_of_the_one_before() {
+    let mut before = TransferSequence::new(Incarnation(1));
+    let mut after = TransferSequence::new(Incarnation(2));
+    let last = (0..10_000).map(|_| before.next_id()).max();
+    assert!(last < Some(after.next_id()));
+}
+
+#[test]
+fn a_changed_number_of_homes_waits_until_the_old_terms_are_settled() {
+    let nodes: Vec<NodeId> = (0..12).map(|index| node_id(index, 1)).collect();
+    let (old, new) = (terms(12, 4), terms(12, 60));
+    let mut changed = view(1, &nodes, new);
+    changed.unsettled_terms = vec![old];
+    for mix in 0..1_u32 << 12 {
+        let share = |(index, node): (usize, &NodeId)| match mix >> index & 1 {
+            0 => view(1, &nodes, old).share_of(node, SplitMode::Homes),
+            _ => changed.share_of(node, SplitMode::Homes),
+        };
+        let refill: u64 = nodes.iter().enumerate().map(|n| share(n).refill.0).sum();
+        assert!(refill <= new.refill.0);
+    }
+}
