--- a/gateway/tests/test_outcomes.rs
+++ b/gateway/tests/test_outcomes.rs
@@ -2,6 +2,9 @@
 
 use std::fmt::Write;
 
+use damaskloom_gateway::claim_fleet::ClaimFleet;
+use damaskloom_lib::ids::Epoch;
+use damaskloom_lib::outcome::Reason;
 use damaskloom_testutils::target_mode::TargetMode;
 use serde_json::Value;
 
@@ -110,6 +113,108 @@
     }
 }
 
+/// Books with a request id on a gateway that is a fleet of its own.
+async fn book_as(fixture: &Fixture, id: &str, length: usize) -> RawAnswer {
+    let address = fixture.gateway.caller_address();
+    let body = "b".repeat(length);
+    let key = authorization();
+    let head = format!(
+        "POST /book HTTP/1.1\r\nhost: g\r\nconnection: close\r\n{key}\r\nx-request-id: {id}\r\n\
+         content-length: {length}\r\n\r\n{body}"
+    );
+    send_raw(address, head).await
+}
+
+async fn claim_rows(table: &mut String) {
+    let fixture = start(1, |_| {}).await;
+    let id = ["x-request-id: a", "x-request-id: b", "content-length: 0"];
+    let mut rows = vec![
+        ("two request ids", book(&fixture, &id).await),
+        (
+            "request id too long",
+            book_as(&fixture, &"i".repeat(129), 0).await,
+        ),
+        ("first sending", book_as(&fixture, "r-1", 1).await),
+        ("resend, answer kept", book_as(&fixture, "r-1", 1).await),
+        ("other content", book_as(&fixture, "r-1", 2).await),
+    ];
+    fixture.targets[0].set_mode(TargetMode::AnswersLost);
+    let (first, busy) = tokio::join!(book_as(&fixture, "r-2", 1), async {
+        while fixture.targets[0].in_flight() == 0 {
+            tokio::task::yield_now().await;
+        }
+        book_as(&fixture, "r-2", 1).await
+    });
+    rows.push(("resend while it runs", busy));
+    rows.push(("first sending, answer lost", first));
+    rows.push(("resend after that", book_as(&fixture, "r-2", 1).await));
+    let claims = &fixture.gateway.state.claims;
+    claims.enter_epoch(ClaimFleet::new(Epoch(1), []), []);
+    rows.push(("no home", book_as(&fixture, "r-3", 1).await));
+    for (name, answer) in rows {
+        let retry_after = answer.header("retry-after").unwrap_or("-");
+        writeln!(table, "{name}: {} {retry_after}", answer.outcome())
+            .expect("a string takes all text");
+    }
+}
+
+#[tokio::test]
+async fn test_outcomes_of_claims() {
+    let mut table = String::new();
+    claim_rows(&mut table).await;
+    insta::assert_snapshot!(table, @r"
+    two request ids: 400 not-run bad-request -
+    request id too long: 400 not-run bad-request -
+    first sending: 200 - - -
+    resend, answer kept: 200 - - -
+    other content: 422 not-run request-id-reused -
+    resend while it runs: 409 unknown request-id-busy 1
+    first sending, answer lost: 504 unknown target-timeout -
+    resend after that: 409 unknown request-id-spent -
+    no home: 503 unknown claim-unavailable 1
+    ");
+}
+
+/// The first target runs a read and loses its answer; the second one sheds the retry.
+#[tokio::test]
+async fn a_shed_retry_does_not_hide_an_attempt_that_may_have_run() {
+    let fixture = start(2, |_| {}).await;
+    let key = authorization();
+    let headers = [&key[..]];
+    // The budget of retries grows with requests.
+    for _ in 0..30 {
+        assert_eq!(get(&fixture, "/slots", &headers).await.status, 200);
+    }
+    for target in &fixture.targets {
+        target.set_mode(TargetMode::CloseMidBody);
+    }
+    let executions = || -> usize {
+        let targets = fixture.targets.iter();
+        targets.map(|target| target.executions().len()).sum()
+    };
+    let read = get(&fixture, "/slots", &headers);
+    let shed_next = async {
+        while executions() == 30 {
+            tokio::task::yield_now().await;
+        }
+        for target in &fixture.targets {
+            target.set_draining(true);
+        }
+    };
+    let (answer, ()) = tokio::join!(read, shed_next);
+    assert_eq!(answer.header("damaskloom-execution"), Some("unknown"));
+}
+
+/// Each reason has its row in the page, with its status.
+#[test]
+fn every_reason_is_in_the_page() {
+    let page = include_str!("../../docs/outcomes.md");
+    for reason in Reason::ALL {
+        let row = format!("| `{reason}` | {} |", reason.status());
+        assert!(page.contains(&row), "no row `{row}`");
+    }
+}
+
 #[tokio::test]
 async fn test_outcomes_table() {
     let mut table = String::new();
