--- a/gateway/tests/claim_fixture.rs
+++ b/gateway/tests/claim_fixture.rs
@@ -270,7 +270,7 @@
     }
 }
 
-fn booking(id: &str, body: &str) -> String {
+pub fn booking(id: &str, body: &str) -> String {
     format!(
         "POST /book HTTP/1.1\r\nhost: gate\r\nconnection: close\r\n{}\r\nx-request-id: {id}\r\n\
          content-type: text/plain\r\ncontent-length: {}\r\n\r\n{body}",
--- a/gateway/tests/runner.rs
+++ b/gateway/tests/runner.rs
@@ -3,6 +3,7 @@
 mod claim_fixture;
 mod fixture;
 mod test_at_most_once;
+mod test_claims_in_fleet;
 mod test_directory_answers;
 mod test_key_removal;
 mod test_outcomes;
