--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -53,7 +53,9 @@
         }
     }
 
-    /// Remembers that a request with this key came in.
+    /// Remembers a key that works, so that its withdrawal closes the connection.
+    ///
+    /// Keys that do not work are not remembered: a caller could fill the memory with them.
     pub fn note_key(&self, digest: KeyDigest) {
         let mut keys = self.keys.lock().expect("no holder of the key list panics");
         if !keys.contains(&digest) {
@@ -62,9 +64,10 @@
     }
 
     /// Says whether a key that was used on the connection works no more.
+    ///
+    /// That is so too when its customer was removed, or the key itself for good.
     pub fn has_withdrawn_key(&self, config: &ConfigView) -> bool {
         let keys = self.keys.lock().expect("no holder of the key list panics");
-        keys.iter()
-            .any(|digest| config.key_standing(digest) == KeyStanding::Withdrawn)
+        keys.iter().any(|digest| !matches!(config.key_standing(digest), KeyStanding::Granted(_)))
     }
 }
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -105,16 +105,43 @@
     };
     let route = route.ok_or(Refusal::not_run(Reason::RouteUnknown))?;
     let digest = key.map(|key| key.digest());
-    let customer = check_key(state, route.access, digest.as_ref()).map_err(Refusal::not_run)?;
-    if let Some(digest) = digest {
-        connection.note_key(digest);
-    }
+    let customer = admit_key(state, connection, &route, digest.as_ref())
+        .map_err(|reason| key_refusal(&route, parts, reason))?;
     if route.access == RouteAccess::Keyed && !state.may_serve_keyed() {
         return Err(unasked_refusal(&route, &parts.headers, Reason::NodeStale));
     }
     Ok(RequestScope { route, customer })
 }
 
+/// Finds the customer of a key and ties the connection to the key.
+fn admit_key(
+    state: &GatewayState,
+    connection: &CallerConnection,
+    route: &Route,
+    digest: Option<&KeyDigest>,
+) -> Result<Option<CustomerId>, Reason> {
+    let customer = check_key(state, route.access, digest)?;
+    let (Some(_), Some(digest)) = (&customer, digest) else {
+        return Ok(customer);
+    };
+    connection.note_key(*digest);
+    // The key may have been withdrawn before it was noted, when nobody looked for it here.
+    check_key(state, route.access, Some(digest))
+}
+
+/// Refuses a request for its key.
+///
+/// A request that was sent before with a key that worked then may have run, so that nothing is
+/// said of it; without a key it was never let in.
+fn key_refusal(route: &Route, parts: &Parts, reason: Reason) -> Refusal {
+    match reason {
+        Reason::KeyWithdrawn | Reason::KeyUnknown => {
+            unasked_refusal(route, &parts.headers, reason)
+        }
+        _ => Refusal::not_run(reason),
+    }
+}
+
 fn check_key(
     state: &GatewayState,
     access: RouteAccess,
--- a/gateway/tests/test_request_path.rs
+++ b/gateway/tests/test_request_path.rs
@@ -147,3 +147,38 @@
     );
     assert_eq!(executions(&fixture), 1);
 }
+
+#[tokio::test]
+async fn test_a_resend_whose_key_was_withdrawn_is_not_called_not_run() {
+    let fixture = start(1, |_| {}).await;
+    let key = format!("x-api-key: {}", crate::fixture::WITHDRAWN_KEY);
+    let headers = [&key[..], "x-request-id: sent-before", "content-length: 0"];
+    let answer = send(fixture.gateway.caller_address(), "POST", "/book", &headers).await;
+    assert_eq!(answer.outcome(), "401 unknown key-withdrawn");
+}
+
+#[tokio::test]
+async fn test_removing_a_customer_closes_its_idle_connections() {
+    use damaskloom_lib::config::{ConfigChange, ConfigDelta};
+    use damaskloom_lib::ids::Revision;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    let fixture = start(1, |_| {}).await;
+    let address = fixture.gateway.caller_address();
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let request = format!("GET /slots HTTP/1.1\r\nhost: g\r\n{}\r\n\r\n", authorization());
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut buffer = [0; 4096];
+    let length = stream.read(&mut buffer).await.unwrap();
+    assert!(buffer[..length].starts_with(b"HTTP/1.1 200"));
+    let changes = vec![
+        ConfigChange::RemoveKey(damaskloom_lib::key::RawKey::new(crate::fixture::KEY).digest()),
+        ConfigChange::RemoveCustomer("border-post".parse().unwrap()),
+    ];
+    let delta = ConfigDelta { revision: Revision(2), changes };
+    fixture.gateway.state.config.apply(&delta).unwrap();
+    // The read ends only when the gateway closes the connection.
+    let mut rest = Vec::new();
+    let _ = stream.read_to_end(&mut rest).await;
+    assert_eq!(slots(&fixture, "gone").await.status, 401);
+}
