--- a/cli/src/bench_latency.rs
+++ b/cli/src/bench_latency.rs
@@ -22,6 +22,7 @@
 const ROUND_MS: u64 = 4_000;
 const ROUNDS: u32 = 3;
 const SERVICE_MS: f64 = 25.0;
+const AMPLE_SLOTS: u32 = 64;
 
 /// The latencies of one way, in microseconds.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -86,10 +87,6 @@
     let gateway = GatewayProcess::start(settings)
         .await
         .context(GatewaySnafu)?;
-    let capacity = f64::from(deployment.services[0].targets * deployment.services[0].slots)
-        * 1_000.0
-        / SERVICE_MS;
-    let rate = capacity * LOAD_PART;
     let mut direct = Vec::new();
     let mut through = Vec::new();
     for _ in 0..ROUNDS {
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -68,6 +68,7 @@
     /// That is so too when its customer was removed, or the key itself for good.
     pub fn has_withdrawn_key(&self, config: &ConfigView) -> bool {
         let keys = self.keys.lock().expect("no holder of the key list panics");
-        keys.iter().any(|digest| !matches!(config.key_standing(digest), KeyStanding::Granted(_)))
+        keys.iter()
+            .any(|digest| !matches!(config.key_standing(digest), KeyStanding::Granted(_)))
     }
 }
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -135,9 +135,7 @@
 /// said of it; without a key it was never let in.
 fn key_refusal(route: &Route, parts: &Parts, reason: Reason) -> Refusal {
     match reason {
-        Reason::KeyWithdrawn | Reason::KeyUnknown => {
-            unasked_refusal(route, &parts.headers, reason)
-        }
+        Reason::KeyWithdrawn | Reason::KeyUnknown => unasked_refusal(route, &parts.headers, reason),
         _ => Refusal::not_run(reason),
     }
 }
--- a/gateway/tests/test_request_path.rs
+++ b/gateway/tests/test_request_path.rs
@@ -166,7 +166,10 @@
     let fixture = start(1, |_| {}).await;
     let address = fixture.gateway.caller_address();
     let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
-    let request = format!("GET /slots HTTP/1.1\r\nhost: g\r\n{}\r\n\r\n", authorization());
+    let request = format!(
+        "GET /slots HTTP/1.1\r\nhost: g\r\n{}\r\n\r\n",
+        authorization()
+    );
     stream.write_all(request.as_bytes()).await.unwrap();
     let mut buffer = [0; 4096];
     let length = stream.read(&mut buffer).await.unwrap();
@@ -175,7 +178,10 @@
         ConfigChange::RemoveKey(damaskloom_lib::key::RawKey::new(crate::fixture::KEY).digest()),
         ConfigChange::RemoveCustomer("border-post".parse().unwrap()),
     ];
-    let delta = ConfigDelta { revision: Revision(2), changes };
+    let delta = ConfigDelta {
+        revision: Revision(2),
+        changes,
+    };
     fixture.gateway.state.config.apply(&delta).unwrap();
     // The read ends only when the gateway closes the connection.
     let mut rest = Vec::new();
