--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,6 +4,12 @@
 mod fake_net;
 mod fake_network;
 mod fake_table;
+mod scenario_configuration;
+mod scenario_crash;
+mod scenario_ejection;
+mod scenario_freshness;
+mod scenario_limits;
+mod scenario_words;
 mod seeded_run;
 mod share_fleet;
 #[allow(dead_code)]
--- /dev/null
+++ b/lib/tests/scenario_crash.rs
@@ -0,0 +1,97 @@
+//! The scene of requests that crash targets: crash guards that tell each other at once.
+
+use std::error::Error;
+use std::time::Duration;
+
+use damaskloom_lib::crash_guard::{CrashAction, CrashGuard};
+use damaskloom_lib::time::MonoTime;
+use goldenscript::{Command, Context, Runner};
+
+use crate::scenario_words::{SceneResult, index, millis, unknown, word};
+use crate::test_crash_guard::{messages, node, request, target};
+
+pub struct CrashScene {
+    guards: Vec<CrashGuard>,
+    now: MonoTime,
+}
+
+impl Default for CrashScene {
+    fn default() -> Self {
+        Self {
+            guards: Vec::new(),
+            now: MonoTime::from_millis(1_000),
+        }
+    }
+}
+
+impl CrashScene {
+    /// Spreads what one guard says, and tells which targets it excuses.
+    fn spread(&mut self, from: usize, actions: &[CrashAction]) -> String {
+        let mut output = String::new();
+        for message in messages(actions) {
+            for to in (0..self.guards.len()).filter(|to| *to != from) {
+                let heard = self.guards[to].handle(self.now, message.clone());
+                for action in heard {
+                    if let CrashAction::Excuse { target, .. } = action {
+                        output += &format!("n{to}: {target} isn't blamed\n");
+                    }
+                }
+            }
+        }
+        output
+    }
+
+    /// A node loses the target while the request runs there, and can't reach it again.
+    fn crash(&mut self, command: &Command) -> SceneResult<String> {
+        let (from, lost) = (index(word(command, 0)?)?, target(index(word(command, 1)?)?));
+        for name in crate::scenario_words::words(command).into_iter().skip(2) {
+            let fingerprint = request(0, index(name)?);
+            self.guards[from].lost(self.now, &fingerprint, &lost);
+        }
+        let actions = self.guards[from].unreachable(self.now, &lost);
+        Ok(self.spread(from, &actions))
+    }
+
+    /// Tells on each node whether the request would be refused.
+    fn check(&self, command: &Command) -> SceneResult<String> {
+        let name = word(command, 0)?;
+        let fingerprint = request(0, index(name)?);
+        let say = |(node, guard): (usize, &CrashGuard)| match guard.check(self.now, &fingerprint) {
+            Some(_) => format!("n{node}: {name} is refused\n"),
+            None => format!("n{node}: {name} may run\n"),
+        };
+        Ok(self.guards.iter().enumerate().map(say).collect())
+    }
+}
+
+impl Runner for CrashScene {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _: &Context) -> Result<String, Box<dyn Error>> {
+        match command.name.as_str() {
+            "nodes" => {
+                let count: usize = word(command, 0)?.parse()?;
+                self.guards = (0..count).map(|_| CrashGuard::new()).collect();
+                for guard in &mut self.guards {
+                    guard.set_peers([node(9)]);
+                }
+            }
+            "crash" => return self.crash(command),
+            "check" => return self.check(command),
+            "answer" => {
+                let from = index(word(command, 0)?)?;
+                let fingerprint = request(0, index(word(command, 1)?)?);
+                let actions = self.guards[from].completed(self.now, &fingerprint);
+                return Ok(self.spread(from, &actions));
+            }
+            "run" => {
+                self.now = self.now + Duration::from_millis(millis(word(command, 0)?)?);
+                self.guards
+                    .iter_mut()
+                    .for_each(|guard| guard.tick(self.now));
+            }
+            _ => return unknown(command),
+        }
+        Ok(String::new())
+    }
+}
--- a/lib/tests/test_crash_guard.rs
+++ b/lib/tests/test_crash_guard.rs
@@ -13,11 +13,11 @@
     MonoTime::from_millis(millis)
 }
 
-fn target(index: usize) -> TargetId {
+pub fn target(index: usize) -> TargetId {
     format!("target-{index}").parse().unwrap()
 }
 
-fn request(customer: usize, body: usize) -> RequestFingerprint {
+pub fn request(customer: usize, body: usize) -> RequestFingerprint {
     RequestFingerprint {
         customer: format!("customer-{customer}").parse().unwrap(),
         route: "bookings".parse().unwrap(),
@@ -25,7 +25,7 @@
     }
 }
 
-fn node(index: usize) -> NodeId {
+pub fn node(index: usize) -> NodeId {
     NodeId {
         vm: format!("vm-{index}").parse().unwrap(),
         incarnation: Incarnation(1),
@@ -42,7 +42,7 @@
     guard.unreachable(now, &target(index))
 }
 
-fn messages(actions: &[CrashAction]) -> Vec<CrashMessage> {
+pub fn messages(actions: &[CrashAction]) -> Vec<CrashMessage> {
     let sent = actions.iter().filter_map(|action| match action {
         CrashAction::Send { message, .. } => Some(message.clone()),
         _ => None,
--- a/lib/tests/test_ejection.rs
+++ b/lib/tests/test_ejection.rs
@@ -22,11 +22,11 @@
     }
 }
 
-fn target(index: usize) -> TargetId {
+pub fn target(index: usize) -> TargetId {
     format!("target-{index}").parse().unwrap()
 }
 
-fn propose(ejector: &mut TargetEjector, now: MonoTime, index: usize) {
+pub fn propose(ejector: &mut TargetEjector, now: MonoTime, index: usize) {
     ejector.propose(now, &target(index), SuspicionCause::Failures, 0);
 }
 
--- a/lib/tests/test_freshness.rs
+++ b/lib/tests/test_freshness.rs
@@ -51,19 +51,19 @@
 }
 
 /// A handful of guards, with a store that nodes 0 and 1 read.
-struct World {
-    guards: Vec<FreshnessGuard>,
-    paused: Vec<bool>,
+pub struct World {
+    pub guards: Vec<FreshnessGuard>,
+    pub paused: Vec<bool>,
     off_store: Vec<bool>,
-    queue: FakeQueue<FreshnessMessage>,
-    store_up: bool,
+    pub queue: FakeQueue<FreshnessMessage>,
+    pub store_up: bool,
     now: u64,
     /// When any node last read the store.
     last_read: Option<u64>,
 }
 
 impl World {
-    fn new(nodes: usize) -> Self {
+    pub fn new(nodes: usize) -> Self {
         let settings = FreshnessSettings {
             term_ms: TERM_MS,
             ping_interval_ms: 2 * TICK_MS - 1,
@@ -118,27 +118,27 @@
         }
     }
 
-    fn run(&mut self, duration: u64) {
+    pub fn run(&mut self, duration: u64) {
         for _ in 0..duration / TICK_MS {
             self.tick();
         }
     }
 
-    fn cut_off(&mut self, node: usize) {
+    pub fn cut_off(&mut self, node: usize) {
         self.off_store[node] = true;
         for peer in 0..self.guards.len() {
             self.queue.cuts.extend([(node, peer), (peer, node)]);
         }
     }
 
-    fn heal(&mut self) {
+    pub fn heal(&mut self) {
         self.queue.cuts.clear();
         self.off_store.fill(false);
         self.paused.fill(false);
         self.queue.weather = Weather::default();
     }
 
-    fn check(&self, node: usize) -> Freshness {
+    pub fn check(&self, node: usize) -> Freshness {
         self.guards[node].check(clock_of(node, self.now))
     }
 
