--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,6 +4,7 @@
 mod fake_net;
 mod fake_network;
 mod fake_table;
+mod scenario_claims;
 mod scenario_configuration;
 mod scenario_crash;
 mod scenario_ejection;
--- a/lib/tests/scenario_crash.rs
+++ b/lib/tests/scenario_crash.rs
@@ -7,7 +7,7 @@
 use damaskloom_lib::time::MonoTime;
 use goldenscript::{Command, Context, Runner};
 
-use crate::scenario_words::{SceneResult, index, millis, unknown, word};
+use crate::scenario_words::{SceneResult, index, millis, unknown, word, words};
 use crate::test_crash_guard::{messages, node, request, target};
 
 pub struct CrashScene {
@@ -25,17 +25,13 @@
 }
 
 impl CrashScene {
-    /// Spreads what one guard says, and tells which targets it excuses.
+    /// Spreads what one guard says, and tells which targets the nodes excuse.
     fn spread(&mut self, from: usize, actions: &[CrashAction]) -> String {
-        let mut output = String::new();
+        let mut output = excuses(from, actions);
         for message in messages(actions) {
             for to in (0..self.guards.len()).filter(|to| *to != from) {
                 let heard = self.guards[to].handle(self.now, message.clone());
-                for action in heard {
-                    if let CrashAction::Excuse { target, .. } = action {
-                        output += &format!("n{to}: {target} isn't blamed\n");
-                    }
-                }
+                output += &excuses(to, &heard);
             }
         }
         output
@@ -44,7 +40,7 @@
     /// A node loses the target while the request runs there, and can't reach it again.
     fn crash(&mut self, command: &Command) -> SceneResult<String> {
         let (from, lost) = (index(word(command, 0)?)?, target(index(word(command, 1)?)?));
-        for name in crate::scenario_words::words(command).into_iter().skip(2) {
+        for name in words(command).into_iter().skip(2) {
             let fingerprint = request(0, index(name)?);
             self.guards[from].lost(self.now, &fingerprint, &lost);
         }
@@ -95,3 +91,12 @@
         Ok(String::new())
     }
 }
+
+/// Names the targets whose missing answers a node disregards.
+fn excuses(node: usize, actions: &[CrashAction]) -> String {
+    let excused = actions.iter().filter_map(|action| match action {
+        CrashAction::Excuse { target, .. } => Some(format!("n{node}: {target} isn't blamed\n")),
+        _ => None,
+    });
+    excused.collect()
+}
--- a/lib/tests/scenario_words.rs
+++ b/lib/tests/scenario_words.rs
@@ -19,7 +19,7 @@
 }
 
 /// Returns the word at a position, which must stand there.
-pub fn word<'a>(command: &'a Command, position: usize) -> SceneResult<&'a str> {
+pub fn word(command: &Command, position: usize) -> SceneResult<&str> {
     let found = words(command).get(position).copied();
     found.ok_or_else(|| format!("{} needs more arguments", command.name).into())
 }
--- a/lib/tests/test_scenarios.rs
+++ b/lib/tests/test_scenarios.rs
@@ -6,6 +6,7 @@
 
 use goldenscript::Runner;
 
+use crate::scenario_claims::ClaimScene;
 use crate::scenario_configuration::ConfigurationScene;
 use crate::scenario_crash::CrashScene;
 use crate::scenario_ejection::EjectionScene;
@@ -54,3 +55,8 @@
 fn ejection() {
     run_scripts::<EjectionScene>("ejection");
 }
+
+#[test]
+fn claims() {
+    run_scripts::<ClaimScene>("claims");
+}
