peer link: send transfers of shares at once

Cause: messages about shares waited 20 ms for others, so that a borrowed slot cost 40 ms and more while its target stood idle. Change: they are not batched.

--- a/gateway/src/control_loop.rs
+++ b/gateway/src/control_loop.rs
@@ -13,8 +13,6 @@
 use crate::peer_codec::PeerTopic;
 use crate::peer_link::PeerDelivery;
 
-/// The interval at which waits for transfers end.
-const RATE_TICK_MS: u64 = 5;
 /// The interval at which claims are asked for again and given up.
 const CLAIM_TICK_MS: u64 = 20;
 /// The interval at which evidence travels and targets are judged.
@@ -24,12 +22,12 @@
 
 /// Ends waits for transfers in time, until the task is ended.
 pub async fn run_rate_ticks(state: Arc<GatewayState>) {
-    every(RATE_TICK_MS, || {
+    loop {
+        state.pace.next_tick().await;
         state.rates.tick();
         state.slots.tick();
         state.waiting.tick();
-    })
-    .await;
+    }
 }
 
 /// Ends waits for claims in time, until the task is ended.
--- a/gateway/src/control_plane.rs
+++ b/gateway/src/control_plane.rs
@@ -34,7 +34,7 @@
 use crate::peer_link::{PeerDelivery, PeerInbox};
 use crate::platform_reads::{HeadReading, SharedClient, read_head, read_members};
 
-const TICK_MS: u64 = 25;
+const TICK_MS: u64 = 50;
 /// The interval at which the first few members read all registrations.
 const MEMBER_SCAN_MS: u64 = 2_000;
 /// The members that read all registrations; the others hear of new members with the next epoch.
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use crate::settings::GatewaySettings;
 use crate::slot_desk::SlotDesk;
 use crate::target_set::TargetSet;
+use crate::tick_pace::TickPace;
 use crate::waiting_calls::WaitingCalls;
 
 /// Everything that the request path of one gateway reads and writes.
@@ -60,6 +61,8 @@
     pub waiting: WaitingCalls,
     /// The requests that take targets down.
     pub crashes: CrashDesk,
+    /// The pace at which shares and queues are looked after.
+    pub pace: Arc<TickPace>,
     /// The bound on retries.
     pub retries: Mutex<RetryBudget>,
     /// The claims of request ids.
@@ -107,6 +110,7 @@
             let settings = FreshnessSettings::default();
             ServingGuard::member(FreshnessGuard::new(settings, node.clone(), seed))
         };
+        let pace = Arc::new(TickPace::default());
         let shared = || {
             (
                 clock,
@@ -124,7 +128,7 @@
         }
         let rates = {
             let (clock, config, epoch, outbox) = shared();
-            RateGate::new(&node, clock, config, epoch, outbox)
+            RateGate::new(&node, clock, config, epoch, outbox, Arc::clone(&pace))
         };
         let health = {
             let (clock, config, epoch, outbox) = shared();
@@ -138,7 +142,7 @@
             Arc::new(SlotDesk::new(&node, clock, config, epoch, outbox))
         };
         let (board, desk) = (Arc::clone(&health), Arc::clone(&slots));
-        let waiting = WaitingCalls::new(clock, Arc::clone(&config), board, desk);
+        let waiting = WaitingCalls::new(clock, Arc::clone(&config), board, desk, Arc::clone(&pace));
         let crashes = {
             let (clock, config, _, outbox) = shared();
             CrashDesk::new(clock, config, Arc::clone(&health), outbox)
@@ -154,6 +158,7 @@
             slots,
             waiting,
             crashes,
+            pace,
             retries: Mutex::default(),
             claims,
             burn: BurnBoard::new(clock.now()),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,7 +2,6 @@
 //!
 //! The modules here meet sockets, clocks and tasks; what they do is decided by the state machines
 //! of `damaskloom-lib`. See [docs/architecture.md](../../docs/architecture.md).
-//! The gateway process: callers in front, targets behind, peers beside.
 
 pub mod admin_server;
 pub mod bodies;
@@ -55,4 +54,5 @@
 pub mod slot_lease;
 pub mod target_pool;
 pub mod target_set;
+pub mod tick_pace;
 pub mod waiting_calls;
--- a/gateway/src/peer_codec.rs
+++ b/gateway/src/peer_codec.rs
@@ -48,10 +48,13 @@
     /// Returns whether messages wait a moment for others, to travel in one envelope.
     pub const fn is_batched(self) -> bool {
         match self {
-            Self::Freshness | Self::Evidence | Self::Ejection | Self::Shares => true,
-            Self::Membership | Self::Distribution | Self::Epoch | Self::Crash | Self::Claims => {
-                false
-            }
+            Self::Freshness | Self::Evidence | Self::Ejection => true,
+            Self::Membership
+            | Self::Distribution
+            | Self::Epoch
+            | Self::Shares
+            | Self::Crash
+            | Self::Claims => false,
         }
     }
 }
--- a/gateway/src/rate_gate.rs
+++ b/gateway/src/rate_gate.rs
@@ -21,6 +21,7 @@
 use crate::fleet_epoch::FleetEpoch;
 use crate::peer_codec::PeerTopic;
 use crate::peer_outbox::PeerOutbox;
+use crate::tick_pace::TickPace;
 
 const SHARDS: usize = 16;
 
@@ -52,6 +53,7 @@
     config: Arc<ConfigView>,
     epoch: Arc<FleetEpoch>,
     outbox: Arc<PeerOutbox>,
+    pace: Arc<TickPace>,
     shards: Vec<Mutex<RateShard>>,
 }
 
@@ -63,6 +65,7 @@
         config: Arc<ConfigView>,
         epoch: Arc<FleetEpoch>,
         outbox: Arc<PeerOutbox>,
+        pace: Arc<TickPace>,
     ) -> Self {
         let shard = || {
             Mutex::new(RateShard {
@@ -77,6 +80,7 @@
             config,
             epoch,
             outbox,
+            pace,
             shards,
         }
     }
@@ -100,7 +104,9 @@
                     customer,
                     ticket,
                 };
+                let mark = self.pace.wait_begins();
                 let answered = tokio::time::timeout_at(deadline.into(), answer).await;
+                drop(mark);
                 drop(guard);
                 match answered {
                     Ok(Ok(Ok(()))) => return Ok(()),
--- a/gateway/src/waiting_calls.rs
+++ b/gateway/src/waiting_calls.rs
@@ -20,6 +20,7 @@
 use crate::config_view::ConfigView;
 use crate::health_board::HealthBoard;
 use crate::slot_desk::SlotDesk;
+use crate::tick_pace::TickPace;
 
 /// The requests of one service that wait on one node.
 const QUEUE_TOTAL: usize = 512;
@@ -76,6 +77,7 @@
     config: Arc<ConfigView>,
     health: Arc<HealthBoard>,
     slots: Arc<SlotDesk>,
+    pace: Arc<TickPace>,
     queues: RwLock<IndexMap<ServiceId, Arc<ServiceQueue>>>,
     costs: RwLock<IndexMap<RouteId, Duration>>,
 }
@@ -87,12 +89,14 @@
         config: Arc<ConfigView>,
         health: Arc<HealthBoard>,
         slots: Arc<SlotDesk>,
+        pace: Arc<TickPace>,
     ) -> Self {
         Self {
             clock,
             config,
             health,
             slots,
+            pace,
             queues: RwLock::default(),
             costs: RwLock::default(),
         }
@@ -117,6 +121,7 @@
             }
             self.push(&mut queue, request)
         };
+        let _mark = self.pace.wait_begins();
         answer
             .await
             .unwrap_or(Err(Refusal::not_run(Reason::DeadlineUnmeetable)))
