--- a/cli/src/local_fleet.rs
+++ b/cli/src/local_fleet.rs
@@ -115,7 +115,9 @@
         let members = fleet.gateways.len();
         fleet
             .wait_until("every gateway serves", |state| {
-                state.may_serve_keyed() && state.epoch.members().len() == members
+                state.may_serve_keyed()
+                    && state.epoch.members().len() == members
+                    && state.epoch.unsettled_members().is_empty()
             })
             .await?;
         Ok(fleet)
