--- a/gateway/tests/test_request_path.rs
+++ b/gateway/tests/test_request_path.rs
@@ -3,6 +3,8 @@
 use damaskloom_testutils::target_answer::{AnswerCheck, body_digest, check_answer};
 use damaskloom_testutils::target_mode::TargetMode;
 use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::fixture::{Fixture, RawAnswer, authorization, send, start};
 
@@ -26,6 +28,21 @@
     send(fixture.gateway.caller_address(), "POST", "/book", &headers).await
 }
 
+/// Opens a connection on which one request was served, and keeps it open.
+async fn served_connection(fixture: &Fixture) -> TcpStream {
+    let address = fixture.gateway.caller_address();
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = format!(
+        "GET /slots HTTP/1.1\r\nhost: g\r\n{}\r\n\r\n",
+        authorization()
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut buffer = [0; 4096];
+    let length = stream.read(&mut buffer).await.unwrap();
+    assert!(buffer[..length].starts_with(b"HTTP/1.1 200"));
+    stream
+}
+
 fn executions(fixture: &Fixture) -> usize {
     fixture
         .targets
@@ -113,19 +130,9 @@
     use damaskloom_lib::config::{ConfigChange, ConfigDelta, KeyGrant, KeyState};
     use damaskloom_lib::ids::Revision;
     use damaskloom_lib::key::RawKey;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
     let fixture = start(1, |_| {}).await;
-    let address = fixture.gateway.caller_address();
-    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
-    let request = format!(
-        "GET /slots HTTP/1.1\r\nhost: g\r\n{}\r\n\r\n",
-        authorization()
-    );
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut buffer = [0; 4096];
-    let length = stream.read(&mut buffer).await.unwrap();
-    assert!(buffer[..length].starts_with(b"HTTP/1.1 200"));
+    let mut stream = served_connection(&fixture).await;
 
     let grant = KeyGrant {
         digest: RawKey::new(crate::fixture::KEY).digest(),
@@ -161,19 +168,9 @@
 async fn test_removing_a_customer_closes_its_idle_connections() {
     use damaskloom_lib::config::{ConfigChange, ConfigDelta};
     use damaskloom_lib::ids::Revision;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
     let fixture = start(1, |_| {}).await;
-    let address = fixture.gateway.caller_address();
-    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
-    let request = format!(
-        "GET /slots HTTP/1.1\r\nhost: g\r\n{}\r\n\r\n",
-        authorization()
-    );
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut buffer = [0; 4096];
-    let length = stream.read(&mut buffer).await.unwrap();
-    assert!(buffer[..length].starts_with(b"HTTP/1.1 200"));
+    let mut stream = served_connection(&fixture).await;
     let changes = vec![
         ConfigChange::RemoveKey(damaskloom_lib::key::RawKey::new(crate::fixture::KEY).digest()),
         ConfigChange::RemoveCustomer("border-post".parse().unwrap()),
