--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! All tests of the crate, one module a subject.
 
 mod claim_fleet;
+mod epoch_fleet;
 mod fake_net;
 mod fake_network;
 mod fake_table;
