--- a/gateway/src/bodies.rs
+++ b/gateway/src/bodies.rs
@@ -38,6 +38,15 @@
     Stalled,
 }
 
+/// Takes the one frame of a body that is complete.
+fn whole_frame(bytes: &mut Option<Bytes>) -> Option<Result<Frame<Bytes>, BodyError>> {
+    bytes.take().map(|bytes| Ok(Frame::data(bytes)))
+}
+
+fn whole_size(bytes: Option<&Bytes>) -> SizeHint {
+    SizeHint::with_exact(bytes.map_or(0, |bytes| bytes.len() as u64))
+}
+
 /// A request body on its way to a target.
 #[derive(Debug)]
 pub enum RequestBody {
@@ -79,7 +88,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
-            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Whole(bytes) => Poll::Ready(whole_frame(bytes)),
             Self::Stream {
                 body,
                 remaining,
@@ -112,9 +121,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            Self::Whole(bytes) => whole_size(bytes.as_ref()),
             Self::Stream { body, .. } => body.size_hint(),
         }
     }
@@ -146,7 +153,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
-            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Whole(bytes) => Poll::Ready(whole_frame(bytes)),
             Self::Stream(stream) => stream.poll_frame(cx),
         }
     }
@@ -160,9 +167,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            Self::Whole(bytes) => whole_size(bytes.as_ref()),
             Self::Stream(stream) => stream.size_hint,
         }
     }
