--- /dev/null
+++ b/entry/src/caller_listener.rs
@@ -0,0 +1,184 @@
+//! The listeners of a node: callers' requests, readiness and the directory.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use damaskloom_lib::ids::DataCentreId;
+use damaskloom_platform::entry_calls::{
+    DIRECTORY_PATH, READY_PATH, asked_data_centre, directory_answer,
+};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::entry_state::EntryState;
+use crate::request_path::serve;
+
+/// The time for which a directory or readiness connection may be idle.
+const HELPER_IDLE: Duration = Duration::from_secs(15);
+/// The pause after a failed accept, for instance when descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The read buffer of a caller's connection, in bytes: a head and a usual body.
+const CALLER_BUFFER_BYTES: usize = 32 << 10;
+
+/// Serves callers until `stopped` turns true; then connections end after their request.
+pub async fn run_callers(
+    state: Rc<EntryState>,
+    listener: TcpListener,
+    mut stopped: watch::Receiver<bool>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stopped| *stopped) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let state = Rc::clone(&state);
+                tokio::task::spawn_local(serve_caller(state, stream, stopped.clone()));
+            }
+            Err(error) => {
+                tracing::warn!(%error, "caller not accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(
+    state: Rc<EntryState>,
+    stream: TcpStream,
+    mut stopped: watch::Receiver<bool>,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "caller left before it was served");
+        return;
+    }
+    let idle = state
+        .routing
+        .borrow()
+        .as_ref()
+        .map_or(HELPER_IDLE, |table| table.document().limits.idle_timeout);
+    let service = service_fn(|request| {
+        let state = Rc::clone(&state);
+        async move {
+            let mut response = serve(Rc::clone(&state), request).await;
+            if state.is_leaving() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    // The library counts the wait for the next request as a part of the wait for its head.
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(CALLER_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = stopped.wait_for(|stopped| *stopped) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!(%error, "caller connection ended");
+    }
+}
+
+/// Answers the platform's question whether the node is ready.
+pub async fn run_ready(state: Rc<EntryState>, listener: TcpListener) {
+    run_helper(listener, move |request| {
+        let (status, text) = match (request.uri().path(), state.is_ready()) {
+            (READY_PATH, true) => (StatusCode::OK, "ready"),
+            (READY_PATH, false) => (StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+            _ => (StatusCode::NOT_FOUND, "unknown path"),
+        };
+        std::future::ready(text_answer(status, text))
+    })
+    .await;
+}
+
+/// Answers callers who ask where to connect.
+pub async fn run_directory(state: Rc<EntryState>, listener: TcpListener) {
+    run_helper(listener, move |request| {
+        std::future::ready(answer_directory(&state, &request))
+    })
+    .await;
+}
+
+fn answer_directory(state: &EntryState, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.uri().path() != DIRECTORY_PATH {
+        return text_answer(StatusCode::NOT_FOUND, "unknown path");
+    }
+    let own = state.settings().data_centre.clone();
+    let asked = request.uri().query().and_then(asked_data_centre);
+    let asked = asked.and_then(|name| name.parse::<DataCentreId>().ok());
+    let entries = state.entries_of(&asked.unwrap_or(own));
+    if entries.is_empty() {
+        return text_answer(StatusCode::SERVICE_UNAVAILABLE, "no node serves");
+    }
+    let addresses: Vec<_> = entries.iter().map(|node| node.address).collect();
+    let body = directory_answer(&addresses, state.directory_lifetime());
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+fn text_answer(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+/// Serves a listener whose answers are short.
+pub async fn run_helper<F, B>(
+    listener: TcpListener,
+    answer: impl Fn(Request<Incoming>) -> F + 'static,
+) where
+    F: Future<Output = Response<B>> + 'static,
+    B: Body + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let answer = Rc::new(answer);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "connection not accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let answer = Rc::clone(&answer);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| {
+                let answered = answer(request);
+                async move { Ok::<_, Infallible>(answered.await) }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HELPER_IDLE)
+                .max_buf_size(8 << 10)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                tracing::debug!(%error, "connection ended");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/entry/src/entry_state.rs
@@ -0,0 +1,376 @@
+//! The state that all tasks of an entry process share.
+//!
+//! The process has one thread, so that the state is in cells that are borrowed for one step and
+//! never across an await; see docs/design/platform-adapter.md.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use damaskloom_gateway::peer_auth::SharedSecret;
+use damaskloom_lib::crash_guard::{CrashGuard, CrashMessage};
+use damaskloom_lib::entry_members::{EntryMembers, EntryStanding, PresenceNote};
+use damaskloom_lib::entry_nodes::{EntryNode, EntryTerms, choose_entries};
+use damaskloom_lib::failure_filter::TargetSign;
+use damaskloom_lib::fleet_rate::{FleetLimit, FleetRates};
+use damaskloom_lib::ids::{
+    CustomerId, DataCentreId, Incarnation, NodeId, RouteId, ServiceId, TargetId,
+};
+use damaskloom_lib::repeat_budget::RepeatBudget;
+use damaskloom_lib::routing::{RoutingDocument, RoutingTable};
+use damaskloom_lib::table_mirror::{MirrorRow, TableMirror};
+use damaskloom_lib::target_board::{ServiceBoards, TargetBoard};
+use damaskloom_lib::target_catalog::{CatalogChange, TargetCatalog};
+use damaskloom_lib::time::MonoTime;
+use damaskloom_lib::weighted_split::WeightedSplit;
+use damaskloom_platform::routing_reader::read_routing;
+use damaskloom_platform::store_client::ROUTING_ROW;
+use damaskloom_platform::target_reader::read_announcement;
+use indexmap::IndexMap;
+
+use crate::clock::{MonoClock, unix_ms};
+use crate::entry_counters::EntryCounters;
+use crate::settings::EntrySettings;
+use crate::target_pool::TargetPools;
+
+/// The fewest nodes of a data centre that callers are sent to: the loss of one leaves others.
+const MIN_ENTRIES: usize = 2;
+/// The processor that a slot of a target keeps busy on entries, in thousandths of a core: some ten
+/// requests a second of about a millisecond each, at a third of the processor.
+const PROCESSOR_MILLI_PER_SLOT: u32 = 30;
+/// The time after its last request for which a node counts as carrying traffic, in milliseconds.
+const CARRYING_MS: u64 = 3_000;
+/// The time that callers keep a directory answer, in seconds, if the bound allows it: a new choice
+/// of nodes is then in force soon after one is lost.
+const DIRECTORY_LIFETIME_S: f64 = 4.0;
+
+/// Everything that the tasks of one entry process read and write.
+#[derive(Debug)]
+pub struct EntryState {
+    /// The settings in force.
+    pub settings: RefCell<Rc<EntrySettings>>,
+    /// The process's clock.
+    pub clock: MonoClock,
+    /// The time of this start, in Unix milliseconds; tells it from earlier ones.
+    pub started_at_ms: u64,
+    /// The routing in force; none until the first one was read.
+    pub routing: RefCell<Option<Rc<RoutingTable>>>,
+    /// The copy of the operators' table.
+    pub routing_mirror: RefCell<TableMirror>,
+    /// The copy of the targets' table.
+    pub target_mirror: RefCell<TableMirror>,
+    /// Whether the targets' table was read once.
+    pub targets_known: Cell<bool>,
+    /// The targets.
+    pub catalog: RefCell<TargetCatalog>,
+    /// What is believed of the targets that take work.
+    pub boards: RefCell<ServiceBoards>,
+    /// The connections to targets.
+    pub pools: TargetPools,
+    /// The customers' limits.
+    pub rates: RefCell<FleetRates>,
+    /// The budget of repeats.
+    pub repeats: RefCell<RepeatBudget>,
+    /// The requests that take targets down.
+    pub crashes: RefCell<CrashGuard>,
+    /// The turns of routes with several destinations.
+    pub splits: RefCell<IndexMap<RouteId, WeightedSplit>>,
+    /// The other nodes.
+    pub members: RefCell<EntryMembers>,
+    /// What the nodes prove themselves to each other with; none until it was agreed on.
+    pub secret: RefCell<Option<SharedSecret>>,
+    /// What others are to be told of targets.
+    pub signs: RefCell<Vec<(TargetId, TargetSign)>>,
+    /// What others are to be told of requests that take targets down.
+    pub crash_news: RefCell<Vec<CrashMessage>>,
+    /// The counters of the process.
+    pub counters: EntryCounters,
+    /// The requests in flight.
+    pub in_flight: Cell<usize>,
+    last_request: Cell<MonoTime>,
+    leaving: Cell<bool>,
+}
+
+impl EntryState {
+    /// Makes the state of a process that knows nothing yet.
+    pub fn new(settings: EntrySettings) -> Rc<Self> {
+        let repeats = RepeatBudget::new(settings.bounds.repeat_terms());
+        let mut crashes = CrashGuard::new();
+        // Its news goes to all nodes in one datagram, so that it needs one addressee only.
+        crashes.set_peers([NodeId {
+            vm: settings.vm.clone(),
+            incarnation: Incarnation(0),
+        }]);
+        Rc::new(Self {
+            settings: RefCell::new(Rc::new(settings)),
+            clock: MonoClock::start(),
+            started_at_ms: unix_ms(),
+            routing: RefCell::default(),
+            routing_mirror: RefCell::default(),
+            target_mirror: RefCell::default(),
+            targets_known: Cell::new(false),
+            catalog: RefCell::default(),
+            boards: RefCell::default(),
+            pools: TargetPools::default(),
+            rates: RefCell::default(),
+            repeats: RefCell::new(repeats),
+            crashes: RefCell::new(crashes),
+            splits: RefCell::default(),
+            members: RefCell::default(),
+            secret: RefCell::default(),
+            signs: RefCell::default(),
+            crash_news: RefCell::default(),
+            counters: EntryCounters::default(),
+            in_flight: Cell::new(0),
+            last_request: Cell::new(MonoTime::ZERO),
+            leaving: Cell::new(false),
+        })
+    }
+
+    /// Returns the settings in force.
+    pub fn settings(&self) -> Rc<EntrySettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Takes over settings that were changed while the process runs.
+    pub fn change_settings(&self, settings: EntrySettings) {
+        self.repeats
+            .borrow_mut()
+            .set_terms(settings.bounds.repeat_terms());
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
+    /// Notes that a planned stop has begun.
+    pub fn set_leaving(&self) {
+        self.leaving.set(true);
+    }
+
+    /// Says whether a planned stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// Says whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.routing.borrow().is_some() && self.targets_known.get()
+    }
+
+    /// Notes that a caller's request arrived.
+    pub fn note_request(&self) {
+        self.last_request.set(self.clock.now());
+    }
+
+    /// Says whether callers' requests arrived lately.
+    pub fn is_carrying(&self) -> bool {
+        let last = self.last_request.get();
+        last > MonoTime::ZERO && self.clock.now().since(last) < Duration::from_millis(CARRYING_MS)
+    }
+
+    /// Returns what others are told of this node.
+    pub fn presence(&self) -> PresenceNote {
+        let settings = self.settings();
+        let standing = if self.is_leaving() {
+            EntryStanding::Leaving
+        } else if self.is_ready() {
+            EntryStanding::Serving
+        } else {
+            EntryStanding::Starting
+        };
+        PresenceNote {
+            data_centre: settings.data_centre.clone(),
+            caller_address: settings.caller_listen,
+            standing,
+            carrying: self.is_carrying(),
+            processor_milli: settings.machine.processor_milli(),
+            routing_version: self.routing_mirror.borrow().version(),
+            targets_version: self.target_mirror.borrow().version(),
+        }
+    }
+
+    /// Takes in rows of the operators' table.
+    pub fn take_routing_rows(&self, news: &[MirrorRow]) {
+        let newest = news.iter().filter(|row| row.key == ROUTING_ROW);
+        let Some(value) = newest.filter_map(|row| row.value.as_ref()).next_back() else {
+            return;
+        };
+        match read_routing(value) {
+            Ok(document) => self.take_routing(document),
+            // The configuration in force stays; the next version may be readable.
+            Err(error) => tracing::error!(%error, "configuration not taken"),
+        }
+    }
+
+    fn take_routing(&self, document: RoutingDocument) {
+        let held = self.routing.borrow().clone();
+        if held.is_some_and(|held| held.document().version >= document.version) {
+            return;
+        }
+        let now = self.clock.now();
+        let limits = document.customers.iter().flatten().map(|customer| {
+            let limit = FleetLimit {
+                rate_per_s: customer.rate_per_s,
+                burst: customer.burst,
+            };
+            (customer.id.clone(), limit)
+        });
+        self.rates.borrow_mut().set_limits(now, limits);
+        self.splits
+            .borrow_mut()
+            .retain(|id, _| document.routes.iter().any(|route| route.id == *id));
+        tracing::info!(version = document.version.0, "configuration in force");
+        *self.routing.borrow_mut() = Some(Rc::new(RoutingTable::from(document)));
+    }
+
+    /// Takes in rows of the targets' table.
+    pub fn take_target_rows(&self, news: &[MirrorRow]) {
+        let now = self.clock.now();
+        for row in news {
+            let Ok(id) = row.key.parse::<TargetId>() else {
+                tracing::warn!(row = %row.key, "row names no target");
+                continue;
+            };
+            let read = row.value.as_ref().map(|value| read_announcement(value));
+            let change = match read {
+                Some(Ok(announcement)) => self.catalog.borrow_mut().announce(now, id, announcement),
+                Some(Err(error)) => {
+                    tracing::warn!(row = %row.key, %error, "row names no target");
+                    self.catalog.borrow_mut().vanish(now, &id)
+                }
+                None => self.catalog.borrow_mut().vanish(now, &id),
+            };
+            if let Some(change) = change {
+                self.take_catalog_change(now, &change);
+            }
+        }
+    }
+
+    /// Drops targets that did not come back after an outage of the store.
+    pub fn tick_catalog(&self) {
+        let now = self.clock.now();
+        let gone = self.catalog.borrow_mut().tick(now);
+        for change in gone {
+            self.take_catalog_change(now, &change);
+        }
+    }
+
+    fn take_catalog_change(&self, now: MonoTime, change: &CatalogChange) {
+        let (id, started) = match change {
+            CatalogChange::Started(id) => (id, true),
+            CatalogChange::Updated(id) => (id, false),
+            CatalogChange::Gone(id) => (id, false),
+        };
+        let catalog = self.catalog.borrow();
+        let mut boards = self.boards.borrow_mut();
+        let active = catalog
+            .get(id)
+            .filter(|target| !target.announcement.leaving);
+        let Some(target) = active else {
+            tracing::info!(target = %id, "target gets no more work");
+            boards.values_mut().for_each(|board| board.remove(id));
+            self.pools.remove(id);
+            return;
+        };
+        let said = &target.announcement;
+        if started {
+            boards.values_mut().for_each(|board| board.remove(id));
+            self.pools.remove(id);
+        }
+        let own = self.settings().data_centre.clone();
+        let board = boards
+            .entry(said.service.clone())
+            .or_insert_with(|| TargetBoard::new(own));
+        if !board.contains(id) {
+            tracing::info!(target = %id, service = %said.service, "target gets work");
+            let centre = said.data_centre.clone();
+            board.put(now, id.clone(), centre, said.slots, said.cold_for);
+        }
+    }
+
+    /// Runs a step on the board of a service.
+    pub fn with_board<R>(
+        &self,
+        service: &ServiceId,
+        step: impl FnOnce(&mut TargetBoard) -> R,
+    ) -> Option<R> {
+        self.boards.borrow_mut().get_mut(service).map(step)
+    }
+
+    /// Takes in what an attempt showed, and notes it for others if they should know.
+    pub fn observe(&self, service: &ServiceId, target: &TargetId, sign: TargetSign) {
+        let now = self.clock.now();
+        let is_news = self.with_board(service, |board| board.observe(now, target, sign));
+        if is_news == Some(true) {
+            self.signs.borrow_mut().push((target.clone(), sign));
+        }
+    }
+
+    /// Gives back what a refused request took of its customer's rate.
+    pub fn give_back_rate(&self, customer: Option<&CustomerId>) {
+        if let Some(customer) = customer {
+            self.rates.borrow_mut().give_back(customer);
+        }
+    }
+
+    /// Returns the time for which callers keep a directory answer.
+    pub fn directory_lifetime(&self) -> Duration {
+        let bound = self.settings().bounds.max_directory_lifetime_s;
+        Duration::from_secs_f64(bound.min(DIRECTORY_LIFETIME_S))
+    }
+
+    /// Returns all nodes that serve callers, this one included if it does.
+    pub fn serving_nodes(&self) -> Vec<EntryNode> {
+        let now = self.clock.now();
+        let mut nodes: Vec<EntryNode> = self.members.borrow().serving(now).collect();
+        if self.is_ready() {
+            let settings = self.settings();
+            nodes.push(EntryNode {
+                vm: settings.vm.clone(),
+                data_centre: settings.data_centre.clone(),
+                address: settings.caller_listen,
+                processor_milli: settings.machine.processor_milli(),
+            });
+        }
+        nodes
+    }
+
+    /// Returns how many nodes of a data centre carry its traffic.
+    pub fn entry_terms(&self) -> EntryTerms {
+        let slots: u32 = self
+            .catalog
+            .borrow()
+            .iter()
+            .map(|(_, target)| target.announcement.slots)
+            .sum();
+        let centres = u32::try_from(self.settings().data_centres.len().max(1)).unwrap_or(1);
+        EntryTerms {
+            min_nodes: MIN_ENTRIES,
+            min_processor_milli: slots * PROCESSOR_MILLI_PER_SLOT / centres,
+        }
+    }
+
+    /// Returns the nodes that callers of a data centre are sent to.
+    pub fn entries_of(&self, data_centre: &DataCentreId) -> Vec<EntryNode> {
+        let nodes = self.serving_nodes();
+        let terms = self.entry_terms();
+        let mut chosen: Vec<EntryNode> = choose_entries(&nodes, data_centre, terms)
+            .into_iter()
+            .cloned()
+            .collect();
+        if chosen.is_empty() {
+            // Nobody near serves: any other data centre is better than none.
+            let centres = self.settings().data_centres.clone();
+            for centre in centres.keys() {
+                chosen.extend(choose_entries(&nodes, centre, terms).into_iter().cloned());
+            }
+        }
+        chosen
+    }
+
+    /// Says whether this node is among those that callers of its data centre are sent to.
+    pub fn is_entry(&self) -> bool {
+        let settings = self.settings();
+        self.entries_of(&settings.data_centre)
+            .iter()
+            .any(|node| node.vm == settings.vm)
+    }
+}
--- /dev/null
+++ b/entry/src/lib.rs
@@ -0,0 +1,22 @@
+//! The entry process: what stands between callers and targets on a VM of a platform that keeps the
+//! routing, the targets and the registrations of nodes in its store.
+//!
+//! The modules here meet sockets, clocks and tasks; what they do is decided by the state machines
+//! of `damaskloom-lib`. See
+//! [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
+
+pub mod admission;
+pub mod caller_answer;
+pub mod caller_listener;
+pub mod clock;
+pub mod command;
+pub mod entry_counters;
+pub mod entry_state;
+pub mod peer_socket;
+pub mod peer_wire;
+pub mod process;
+pub mod request_path;
+pub mod settings;
+pub mod store_watch;
+pub mod target_call;
+pub mod target_pool;
--- /dev/null
+++ b/entry/src/main.rs
@@ -0,0 +1,7 @@
+//! The proxy process for fleets whose members stand in the platform's store.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    damaskloom_entry::command::run_command()
+}
--- /dev/null
+++ b/entry/src/peer_socket.rs
@@ -0,0 +1,299 @@
+//! Sends and receives the datagrams between nodes.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use damaskloom_lib::crash_guard::CrashAction;
+use damaskloom_lib::entry_members::PRESENCE_MS;
+use damaskloom_lib::failure_filter::TargetSign;
+use damaskloom_lib::fleet_rate::RateReport;
+use damaskloom_lib::ids::{CustomerId, TargetId};
+use indexmap::IndexMap;
+use tokio::net::UdpSocket;
+
+use crate::entry_state::EntryState;
+use crate::peer_wire::{CustomerCount, PeerEnvelope, PeerMessage, WireSign, decode, encode};
+
+/// The interval at which nodes that carry traffic tell each other their counts.
+const COUNTS: Duration = Duration::from_millis(100);
+/// The interval at which late answers are looked for and news of targets leaves.
+const SIGNS: Duration = Duration::from_millis(50);
+/// The pause of a node without traffic until it looks again whether it has any.
+const IDLE: Duration = Duration::from_millis(250);
+/// The largest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 64 << 10;
+
+/// The socket between nodes.
+#[derive(Debug)]
+pub struct PeerSocket {
+    socket: UdpSocket,
+    port: u16,
+    number: Cell<u64>,
+    told: RefCell<IndexMap<CustomerId, u64>>,
+}
+
+impl PeerSocket {
+    /// Wraps a bound socket; peers listen on the same port.
+    pub fn new(socket: UdpSocket, port: u16) -> Self {
+        Self {
+            socket,
+            port,
+            number: Cell::new(0),
+            told: RefCell::default(),
+        }
+    }
+
+    /// Tells others that the node is there, until the task is ended.
+    pub async fn run_presence(&self, state: &EntryState) {
+        loop {
+            self.send_presence(state);
+            let now = state.clock.now();
+            state.members.borrow_mut().tick(now);
+            state.crashes.borrow_mut().tick(now);
+            state.pools.close_idle();
+            state.tick_catalog();
+            let carrying = state.members.borrow().carrying(now).count();
+            state.repeats.borrow_mut().set_sharers(carrying + 1);
+            tokio::time::sleep(Duration::from_millis(PRESENCE_MS)).await;
+        }
+    }
+
+    /// Tells the node's own data centre, and if it carries traffic everybody, that it is there.
+    pub fn send_presence(&self, state: &EntryState) {
+        let note = state.presence();
+        let everybody = note.carrying || state.is_entry() || state.is_leaving();
+        let to: Vec<SocketAddr> = state
+            .members
+            .borrow()
+            .iter()
+            .filter(|(_, node)| {
+                let near = node
+                    .note
+                    .as_ref()
+                    .is_none_or(|other| other.data_centre == note.data_centre);
+                near || everybody
+            })
+            .map(|(_, node)| SocketAddr::new(node.ip, self.port))
+            .collect();
+        self.send(state, &to, PeerMessage::Presence(note));
+    }
+
+    /// Tells nodes that carry traffic what runs here and was admitted, until the task is ended.
+    pub async fn run_counts(&self, state: &EntryState) {
+        loop {
+            if state.is_carrying() {
+                self.send_counts(state);
+                tokio::time::sleep(COUNTS).await;
+            } else {
+                tokio::time::sleep(IDLE).await;
+            }
+        }
+    }
+
+    fn send_counts(&self, state: &EntryState) {
+        let now = state.clock.now();
+        let mut running = Vec::new();
+        for board in state.boards.borrow().values() {
+            running.extend(board.running().map(|(id, count)| (id.clone(), count)));
+        }
+        let mut customers = Vec::new();
+        let mut told = self.told.borrow_mut();
+        for (customer, report) in state.rates.borrow().reports(now) {
+            let demand_milli = (report.demand_per_s * 1_000.0) as u64;
+            let changed = told.insert(customer.clone(), report.admitted) != Some(report.admitted);
+            if changed || demand_milli > 100 {
+                customers.push(CustomerCount {
+                    customer: customer.clone(),
+                    admitted: report.admitted,
+                    demand_milli,
+                });
+            }
+        }
+        let message = PeerMessage::Counts { running, customers };
+        self.send(state, &self.carrying(state), message);
+    }
+
+    /// Looks for late answers and tells others news of targets, until the task is ended.
+    pub async fn run_signs(&self, state: &EntryState) {
+        loop {
+            if state.in_flight.get() > 0 {
+                note_late(state);
+            }
+            self.send_signs(state);
+            let carrying = state.is_carrying();
+            tokio::time::sleep(if carrying { SIGNS } else { IDLE }).await;
+        }
+    }
+
+    fn send_signs(&self, state: &EntryState) {
+        let signs = std::mem::take(&mut *state.signs.borrow_mut());
+        let crashes = std::mem::take(&mut *state.crash_news.borrow_mut());
+        if signs.is_empty() && crashes.is_empty() {
+            return;
+        }
+        let to = self.carrying(state);
+        if !signs.is_empty() {
+            let signs = signs
+                .into_iter()
+                .map(|(id, sign)| (id, wire_sign(sign)))
+                .collect();
+            self.send(state, &to, PeerMessage::Signs(signs));
+        }
+        for message in crashes {
+            self.send(state, &to, PeerMessage::Crash(message));
+        }
+    }
+
+    fn carrying(&self, state: &EntryState) -> Vec<SocketAddr> {
+        let members = state.members.borrow();
+        members
+            .carrying(state.clock.now())
+            .map(|(_, node)| SocketAddr::new(node.ip, self.port))
+            .collect()
+    }
+
+    fn send(&self, state: &EntryState, to: &[SocketAddr], message: PeerMessage) {
+        let secret = state.secret.borrow().clone();
+        let Some(secret) = secret.filter(|_| !to.is_empty()) else {
+            return;
+        };
+        self.number.set(self.number.get() + 1);
+        let envelope = PeerEnvelope {
+            from: state.settings().vm.clone(),
+            started_at_ms: state.started_at_ms,
+            number: self.number.get(),
+            message,
+        };
+        match encode(&secret, &envelope) {
+            Ok(datagram) => {
+                for address in to {
+                    // A datagram that cannot leave now is as good as a lost one.
+                    let _ = self.socket.try_send_to(&datagram, *address);
+                }
+            }
+            Err(error) => tracing::error!(%error, "peer message not written"),
+        }
+    }
+
+    /// Takes in datagrams until the task is ended.
+    pub async fn run_receive(&self, state: &EntryState) {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((length, from)) => self.take(state, &buffer[..length], from),
+                Err(error) => {
+                    tracing::warn!(%error, "peer socket");
+                    tokio::time::sleep(IDLE).await;
+                }
+            }
+        }
+    }
+
+    fn take(&self, state: &EntryState, datagram: &[u8], from: SocketAddr) {
+        let secret = state.secret.borrow().clone();
+        let Some(secret) = secret else {
+            return;
+        };
+        let envelope = match decode(&secret, datagram) {
+            Ok(envelope) => envelope,
+            Err(error) => {
+                tracing::debug!(%from, %error, "datagram dropped");
+                return;
+            }
+        };
+        let now = state.clock.now();
+        let (vm, started) = (&envelope.from, envelope.started_at_ms);
+        let accepted =
+            state
+                .members
+                .borrow_mut()
+                .accept(now, vm, started, envelope.number, from.ip());
+        if !accepted {
+            return;
+        }
+        self.take_message(state, envelope);
+    }
+
+    fn take_message(&self, state: &EntryState, envelope: PeerEnvelope) {
+        let now = state.clock.now();
+        let vm = envelope.from;
+        match envelope.message {
+            PeerMessage::Presence(note) => {
+                let is_new = state.members.borrow_mut().note(&vm, note);
+                if is_new {
+                    tracing::info!(node = %vm, "node heard of");
+                }
+            }
+            PeerMessage::Counts { running, customers } => {
+                for board in state.boards.borrow_mut().values_mut() {
+                    board.note_peer_counts(now, &vm, &running);
+                }
+                let mut rates = state.rates.borrow_mut();
+                for count in customers {
+                    let report = RateReport {
+                        admitted: count.admitted,
+                        demand_per_s: count.demand_milli as f64 / 1_000.0,
+                    };
+                    rates.note_report(now, &vm, &count.customer, report);
+                }
+            }
+            PeerMessage::Signs(signs) => {
+                for board in state.boards.borrow_mut().values_mut() {
+                    for (id, sign) in &signs {
+                        board.observe_peer(now, id, target_sign(*sign));
+                    }
+                }
+            }
+            PeerMessage::Crash(message) => {
+                let actions = state.crashes.borrow_mut().handle(now, message);
+                take_crash_actions(state, actions);
+            }
+        }
+    }
+}
+
+fn note_late(state: &EntryState) {
+    let now = state.clock.now();
+    let mut late: Vec<TargetId> = Vec::new();
+    for board in state.boards.borrow_mut().values_mut() {
+        late.extend(board.count_late(now));
+    }
+    let late = late.into_iter().map(|id| (id, TargetSign::Late));
+    state.signs.borrow_mut().extend(late);
+}
+
+/// Carries out what the guard against crashing requests asks for.
+pub fn take_crash_actions(state: &EntryState, actions: Vec<CrashAction>) {
+    for action in actions {
+        match action {
+            CrashAction::Send { message, .. } => state.crash_news.borrow_mut().push(message),
+            CrashAction::Blocked(fingerprint) => {
+                tracing::warn!(
+                    customer = %fingerprint.customer,
+                    route = %fingerprint.route,
+                    digest = %fingerprint.digest,
+                    "request takes targets down and is refused from now on"
+                );
+            }
+            // The time until the target is back is covered by its failing connections.
+            CrashAction::Excuse { .. } => {}
+        }
+    }
+}
+
+fn wire_sign(sign: TargetSign) -> WireSign {
+    match sign {
+        TargetSign::Good => WireSign::Good,
+        TargetSign::Failed => WireSign::Failed,
+        TargetSign::Late => WireSign::Late,
+    }
+}
+
+fn target_sign(sign: WireSign) -> TargetSign {
+    match sign {
+        WireSign::Good => TargetSign::Good,
+        WireSign::Failed => TargetSign::Failed,
+        WireSign::Late => TargetSign::Late,
+    }
+}
--- /dev/null
+++ b/entry/src/process.rs
@@ -0,0 +1,166 @@
+//! Starts an entry process and stops it in order.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::caller_listener::{run_callers, run_directory, run_ready};
+use crate::entry_state::EntryState;
+use crate::peer_socket::PeerSocket;
+use crate::settings::EntrySettings;
+use crate::store_watch::{join_fleet, watch_routing, watch_targets};
+
+/// The interval at which the settings file is looked at, since it may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+/// The part of the grace after which a stopping node takes no new connections.
+const LINGER_PART: f64 = 0.4;
+/// The time before the end of the grace at which the process ends, whatever still runs.
+const END_MARGIN: Duration = Duration::from_millis(300);
+/// The interval at which a stopping node looks whether requests are still in flight.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+
+/// Says why the process could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address from the settings.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// Signals cannot be received.
+    #[snafu(display("signals cannot be received: {source}"))]
+    Signals {
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// Runs an entry process until it was told to stop and has stopped; must run in a local task set.
+///
+/// # Errors
+///
+/// Fails if an address is taken or signals cannot be received.
+pub async fn run(path: PathBuf, settings: EntrySettings) -> Result<(), StartError> {
+    let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
+    let reload = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    let callers = listen(settings.caller_listen).await?;
+    let ready = listen(settings.ready_listen).await?;
+    let directory = listen(settings.directory_listen).await?;
+    let peer_address = SocketAddr::new(settings.ip, settings.peer_port);
+    let socket = UdpSocket::bind(peer_address).await;
+    let socket = socket.context(ListenSnafu {
+        address: peer_address,
+    })?;
+    let peers = Rc::new(PeerSocket::new(socket, settings.peer_port));
+    let state = EntryState::new(settings);
+    let (stop, stopped) = watch::channel(false);
+    let callers = tokio::task::spawn_local(run_callers(Rc::clone(&state), callers, stopped));
+    tokio::task::spawn_local(run_ready(Rc::clone(&state), ready));
+    tokio::task::spawn_local(run_directory(Rc::clone(&state), directory));
+    tokio::task::spawn_local(join_fleet(Rc::clone(&state)));
+    tokio::task::spawn_local(watch_routing(Rc::clone(&state)));
+    tokio::task::spawn_local(watch_targets(Rc::clone(&state)));
+    tokio::task::spawn_local(watch_settings(Rc::clone(&state), path, reload));
+    spawn_peers(&state, &peers);
+    tracing::info!(vm = %state.settings().vm, started_at_ms = state.started_at_ms, "started");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop_in_order(&state, &peers, &stop).await;
+    callers.abort();
+    Ok(())
+}
+
+fn spawn_peers(state: &Rc<EntryState>, peers: &Rc<PeerSocket>) {
+    let spawn = |role: PeerRole| {
+        let (state, peers) = (Rc::clone(state), Rc::clone(peers));
+        tokio::task::spawn_local(async move {
+            match role {
+                PeerRole::Presence => peers.run_presence(&state).await,
+                PeerRole::Counts => peers.run_counts(&state).await,
+                PeerRole::Signs => peers.run_signs(&state).await,
+                PeerRole::Receive => peers.run_receive(&state).await,
+            }
+        });
+    };
+    spawn(PeerRole::Presence);
+    spawn(PeerRole::Counts);
+    spawn(PeerRole::Signs);
+    spawn(PeerRole::Receive);
+}
+
+/// The tasks around the socket between nodes.
+#[derive(Clone, Copy, Debug)]
+enum PeerRole {
+    Presence,
+    Counts,
+    Signs,
+    Receive,
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
+
+/// Leaves the directory, serves on until callers have asked again, then ends after the last answer.
+async fn stop_in_order(state: &EntryState, peers: &PeerSocket, stop: &watch::Sender<bool>) {
+    let grace = Duration::from_secs_f64(state.settings().bounds.stop_grace_s);
+    let began = Instant::now();
+    let end = began + grace.saturating_sub(END_MARGIN);
+    state.set_leaving();
+    tracing::info!(in_flight = state.in_flight.get(), "planned stop begins");
+    peers.send_presence(state);
+    let linger = state.directory_lifetime().min(grace.mul_f64(LINGER_PART));
+    tokio::time::sleep(linger).await;
+    stop.send_replace(true);
+    while state.in_flight.get() > 0 && Instant::now() < end {
+        tokio::time::sleep(DRAIN_LOOK).await;
+    }
+    // The last answers leave the socket's buffers.
+    tokio::time::sleep(DRAIN_LOOK).await;
+    let took_ms = began.elapsed().as_millis() as u64;
+    tracing::info!(in_flight = state.in_flight.get(), took_ms, "stopped");
+}
+
+/// Takes over changed settings, after a signal or when the file has changed.
+async fn watch_settings(state: Rc<EntryState>, path: PathBuf, mut reload: Signal) {
+    let mut seen = modified(&path);
+    loop {
+        let signalled = tokio::select! {
+            _ = reload.recv() => true,
+            () = tokio::time::sleep(SETTINGS_LOOK) => false,
+        };
+        let now = modified(&path);
+        if !signalled && now == seen {
+            continue;
+        }
+        seen = now;
+        match EntrySettings::load(&path) {
+            Ok(settings) => {
+                if settings != *state.settings() {
+                    tracing::info!("settings changed");
+                    state.change_settings(settings);
+                }
+            }
+            // The settings in force stay.
+            Err(error) => tracing::error!(%error, "settings not taken"),
+        }
+    }
+}
+
+fn modified(path: &PathBuf) -> Option<SystemTime> {
+    std::fs::metadata(path).ok()?.modified().ok()
+}
--- /dev/null
+++ b/entry/src/settings.rs
@@ -0,0 +1,200 @@
+//! The settings of an entry process: JSON with comments.
+
+use std::fs;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use damaskloom_lib::ids::{DataCentreId, VmId};
+use damaskloom_lib::repeat_budget::RepeatTerms;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu, ensure};
+
+/// Says why settings were rejected, in terms of the file that the operator wrote.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[snafu(display("{}: cannot be read: {source}", path.display()))]
+    Unreadable {
+        /// The settings file.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The comments are malformed.
+    #[snafu(display("{}: comments are malformed: {source}", path.display()))]
+    BadComments {
+        /// The settings file.
+        path: PathBuf,
+        /// What was found.
+        source: std::io::Error,
+    },
+    /// The file is no valid settings document.
+    #[snafu(display("{}:{line}: field `{field}`: {expected}", path.display()))]
+    BadDocument {
+        /// The settings file.
+        path: PathBuf,
+        /// The line of the file.
+        line: usize,
+        /// The path of the field within the document.
+        field: String,
+        /// What was found and what was expected.
+        expected: String,
+    },
+    /// A field has a value that cannot be used.
+    #[snafu(display("{}: field `{field}`: expected {expected}", path.display()))]
+    BadField {
+        /// The settings file.
+        path: PathBuf,
+        /// The field's name.
+        field: &'static str,
+        /// What the field must hold.
+        expected: &'static str,
+    },
+}
+
+/// What the VM has.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct MachineSize {
+    /// The part of a core that the process may use.
+    pub cpu_share: f64,
+    /// The speed of the core, relative to a usual one.
+    pub cpu_cores: f64,
+    /// The memory, in megabytes.
+    pub memory_mb: u64,
+}
+
+impl MachineSize {
+    /// Returns the processor in thousandths of a core.
+    pub fn processor_milli(&self) -> u32 {
+        (self.cpu_share * self.cpu_cores * 1_000.0) as u32
+    }
+}
+
+/// The bounds that the fleet keeps.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct FleetBounds {
+    /// The time between SIGTERM and SIGKILL, in seconds.
+    pub stop_grace_s: f64,
+    /// The longest time for which callers keep a directory answer, in seconds.
+    pub max_directory_lifetime_s: f64,
+    /// The repeats that each request pays for, over the whole fleet.
+    pub repeat_ratio: f64,
+    /// The repeats beside that in a window, over the whole fleet.
+    pub repeat_slack: f64,
+    /// The window of the budget of repeats, in seconds.
+    pub repeat_window_s: f64,
+}
+
+impl FleetBounds {
+    /// Returns the bound on repeats.
+    pub fn repeat_terms(&self) -> RepeatTerms {
+        RepeatTerms {
+            ratio: self.repeat_ratio,
+            slack: self.repeat_slack,
+            window: Duration::from_secs_f64(self.repeat_window_s),
+        }
+    }
+}
+
+/// The checked settings of an entry process.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct EntrySettings {
+    /// The VM's name.
+    pub vm: VmId,
+    /// The VM's data centre.
+    pub data_centre: DataCentreId,
+    /// All data centres, each with its region.
+    pub data_centres: IndexMap<DataCentreId, String>,
+    /// The VM's address.
+    pub ip: IpAddr,
+    /// Where callers connect.
+    pub caller_listen: SocketAddr,
+    /// Where the platform asks whether the node is ready.
+    pub ready_listen: SocketAddr,
+    /// Where callers ask for addresses.
+    pub directory_listen: SocketAddr,
+    /// The port for other nodes, the same on all VMs, over TCP and UDP.
+    pub peer_port: u16,
+    /// The port of the metrics.
+    pub metrics_port: u16,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// What the VM has.
+    pub machine: MachineSize,
+    /// The bounds that the fleet keeps.
+    pub bounds: FleetBounds,
+}
+
+impl EntrySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The error names the file and, where it can, the line, the field and what was expected.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, SettingsError> {
+        let path = path.as_ref();
+        let text = fs::read_to_string(path).context(UnreadableSnafu { path })?;
+        Self::parse(text, path)
+    }
+
+    /// Checks the text of a settings file; `path` is used in errors only.
+    ///
+    /// # Errors
+    ///
+    /// See [`EntrySettings::load`].
+    pub fn parse(text: impl Into<String>, path: impl AsRef<Path>) -> Result<Self, SettingsError> {
+        let path = path.as_ref();
+        let mut text = text.into();
+        json_strip_comments::strip(&mut text).context(BadCommentsSnafu { path })?;
+        let mut reader = serde_json::Deserializer::from_str(&text);
+        let settings: Self = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+            SettingsError::BadDocument {
+                path: path.to_owned(),
+                line: error.inner().line(),
+                field: error.path().to_string(),
+                expected: error.inner().to_string(),
+            }
+        })?;
+        settings.check(path)?;
+        Ok(settings)
+    }
+
+    fn check(&self, path: &Path) -> Result<(), SettingsError> {
+        let bad = |field, expected| BadFieldSnafu {
+            path,
+            field,
+            expected,
+        };
+        ensure!(
+            self.data_centres.contains_key(&self.data_centre),
+            bad("data_centres", "the node's own data centre among them")
+        );
+        ensure!(
+            self.machine.processor_milli() > 0,
+            bad("machine", "a positive `cpu_share` and `cpu_cores`")
+        );
+        ensure!(
+            self.bounds.stop_grace_s >= 1.0,
+            bad("bounds.stop_grace_s", "at least 1 second")
+        );
+        ensure!(
+            self.bounds.max_directory_lifetime_s > 0.0,
+            bad("bounds.max_directory_lifetime_s", "a positive number")
+        );
+        ensure!(
+            self.bounds.repeat_window_s > 0.0
+                && self.bounds.repeat_ratio >= 0.0
+                && self.bounds.repeat_slack >= 0.0,
+            bad(
+                "bounds",
+                "a positive `repeat_window_s` and no negative figure"
+            )
+        );
+        Ok(())
+    }
+}
--- /dev/null
+++ b/entry/src/store_watch.rs
@@ -0,0 +1,291 @@
+//! Follows the store: the routing, the targets, and the registration of this node.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use damaskloom_gateway::peer_auth::SharedSecret;
+use damaskloom_lib::ids::VmId;
+use damaskloom_lib::platform::PlatformError;
+use damaskloom_lib::table_mirror::{MirrorRow, TableMirror};
+use damaskloom_platform::store_client::{
+    CreateOutcome, FeedOutcome, OPERATOR_TABLE, RowBatch, StoreClient, StoreRow, TARGET_TABLE,
+};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::entry_state::EntryState;
+
+/// The time that an answer of the store may take, beside a wait that was asked for.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The time for which a feed waits for a change: keep-alive probes find dead connections sooner.
+const FEED_WAIT: Duration = Duration::from_secs(20);
+/// The pause after changes of targets, which lets the changes of one event come together.
+const TARGET_FEED_PAUSE: Duration = Duration::from_millis(250);
+/// The first and the longest pause after a call that failed.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+/// The table of the fleet's own rows.
+const FLEET_TABLE: &str = "damaskloom";
+/// The row with what nodes prove themselves to each other with.
+const SECRET_ROW: &str = "secret";
+/// Precedes the name of a node in the key of its registration.
+const NODE_PREFIX: &str = "node:";
+/// The length of the secret, in bytes.
+const SECRET_BYTES: usize = 32;
+
+/// What a node registers of itself.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+struct NodeRow {
+    ip: std::net::IpAddr,
+    started_at_ms: u64,
+}
+
+/// A pause that grows while calls fail, by chance so that nodes do not call all at once.
+struct Backoff(Duration);
+
+impl Backoff {
+    fn new() -> Self {
+        Self(FIRST_PAUSE)
+    }
+
+    async fn pause(&mut self) {
+        let part = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(self.0.mul_f64(part)).await;
+        self.0 = (self.0 * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// Calls until the store answers; logs the first failure and the end of the trouble.
+async fn until_answered<T, F>(what: &'static str, mut call: impl FnMut() -> F) -> T
+where
+    F: Future<Output = Result<T, PlatformError>>,
+{
+    let mut backoff = Backoff::new();
+    let mut failures = 0_u32;
+    loop {
+        match call().await {
+            Ok(value) => {
+                if failures > 0 {
+                    tracing::info!(what, failures, "store answers again");
+                }
+                return value;
+            }
+            Err(error) => {
+                failures += 1;
+                if failures == 1 {
+                    tracing::warn!(what, %error, "store does not answer");
+                }
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+/// Registers the node and learns of the others; ends once both are done.
+pub async fn join_fleet(state: Rc<EntryState>) {
+    let settings = state.settings();
+    let client = Rc::new(tokio::sync::Mutex::new(StoreClient::new(settings.store)));
+    let row = NodeRow {
+        ip: settings.ip,
+        started_at_ms: state.started_at_ms,
+    };
+    let value = serde_json::to_vec(&row).expect("a registration can be written");
+    let key = format!("{NODE_PREFIX}{}", settings.vm);
+    until_answered("registration", || async {
+        let mut client = client.lock().await;
+        client
+            .write_row(FLEET_TABLE, &key, &value, CALL_TIMEOUT)
+            .await
+    })
+    .await;
+    let rows = until_answered("members", || async {
+        client
+            .lock()
+            .await
+            .read_table(FLEET_TABLE, CALL_TIMEOUT)
+            .await
+    })
+    .await;
+    take_registrations(&state, &rows);
+    let found = rows.rows.iter().find(|row| row.key == SECRET_ROW);
+    let secret = match found.and_then(|row| row.value.clone()) {
+        Some(secret) => secret.to_vec(),
+        None => agree_on_secret(&client).await,
+    };
+    *state.secret.borrow_mut() = Some(SharedSecret::new(secret));
+    tracing::info!(members = rows.rows.len(), "fleet joined");
+}
+
+fn take_registrations(state: &EntryState, batch: &RowBatch) {
+    let now = state.clock.now();
+    let own = state.settings().vm.clone();
+    for row in &batch.rows {
+        let Some(name) = row.key.strip_prefix(NODE_PREFIX) else {
+            continue;
+        };
+        let node = row
+            .value
+            .as_ref()
+            .and_then(|value| serde_json::from_slice::<NodeRow>(value).ok());
+        match (name.parse::<VmId>(), node) {
+            (Ok(vm), Some(_)) if vm == own => {}
+            (Ok(vm), Some(node)) => {
+                let mut members = state.members.borrow_mut();
+                members.register(now, vm, node.started_at_ms, node.ip);
+            }
+            _ => tracing::warn!(row = %row.key, "registration cannot be read"),
+        }
+    }
+}
+
+/// Writes a secret if there is none; the one that stands there counts.
+async fn agree_on_secret(client: &tokio::sync::Mutex<StoreClient>) -> Vec<u8> {
+    let mut proposed = [0_u8; SECRET_BYTES];
+    rand::rng().fill(&mut proposed);
+    let outcome = until_answered("secret", || async {
+        let mut client = client.lock().await;
+        client
+            .create_row(FLEET_TABLE, SECRET_ROW, &proposed, CALL_TIMEOUT)
+            .await
+    })
+    .await;
+    match outcome {
+        CreateOutcome::Created => proposed.to_vec(),
+        // Perhaps by this node, if the answer of an earlier try was lost.
+        CreateOutcome::Exists(secret) => secret.to_vec(),
+    }
+}
+
+/// Follows the operators' table until the task is ended.
+pub async fn watch_routing(state: Rc<EntryState>) {
+    let mut client = StoreClient::new(state.settings().store);
+    let mut backoff = Backoff::new();
+    let mut link = LinkLog::new("configuration");
+    loop {
+        let known = state.routing.borrow().is_some();
+        let version = state.routing_mirror.borrow().version();
+        let read = if known && version > 0 {
+            let feed = client
+                .read_feed(OPERATOR_TABLE, version, FEED_WAIT, CALL_TIMEOUT)
+                .await;
+            match feed {
+                Ok(FeedOutcome::Changes(batch)) => Ok(take_changes(&state.routing_mirror, batch)),
+                Ok(FeedOutcome::Forgotten) => {
+                    read_whole(&mut client, OPERATOR_TABLE, &state.routing_mirror).await
+                }
+                Err(error) => Err(error),
+            }
+        } else {
+            read_whole(&mut client, OPERATOR_TABLE, &state.routing_mirror).await
+        };
+        match read {
+            Ok(news) => {
+                link.up();
+                backoff = Backoff::new();
+                state.take_routing_rows(&news);
+                if state.routing.borrow().is_none() {
+                    // Nobody has published a configuration yet.
+                    tokio::time::sleep(FIRST_PAUSE).await;
+                }
+            }
+            Err(error) => {
+                link.down(&error);
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+/// Follows the targets' table until the task is ended.
+pub async fn watch_targets(state: Rc<EntryState>) {
+    let mut client = StoreClient::new(state.settings().store);
+    let mut backoff = Backoff::new();
+    let mut link = LinkLog::new("targets");
+    loop {
+        let version = state.target_mirror.borrow().version();
+        let read = if state.targets_known.get() {
+            let feed = client
+                .read_feed(TARGET_TABLE, version, FEED_WAIT, CALL_TIMEOUT)
+                .await;
+            match feed {
+                Ok(FeedOutcome::Changes(batch)) => Ok(take_changes(&state.target_mirror, batch)),
+                Ok(FeedOutcome::Forgotten) => {
+                    read_whole(&mut client, TARGET_TABLE, &state.target_mirror).await
+                }
+                Err(error) => Err(error),
+            }
+        } else {
+            read_whole(&mut client, TARGET_TABLE, &state.target_mirror).await
+        };
+        let now = state.clock.now();
+        match read {
+            Ok(news) => {
+                link.up();
+                backoff = Backoff::new();
+                state.catalog.borrow_mut().store_back(now);
+                state.targets_known.set(true);
+                state.take_target_rows(&news);
+                if !news.is_empty() {
+                    tokio::time::sleep(TARGET_FEED_PAUSE).await;
+                }
+            }
+            Err(error) => {
+                link.down(&error);
+                state.catalog.borrow_mut().store_away(now);
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+async fn read_whole(
+    client: &mut StoreClient,
+    table: &str,
+    mirror: &std::cell::RefCell<TableMirror>,
+) -> Result<Vec<MirrorRow>, PlatformError> {
+    let batch = client.read_table(table, CALL_TIMEOUT).await?;
+    let rows = batch.rows.into_iter().map(mirror_row).collect();
+    Ok(mirror.borrow_mut().replace(rows, batch.version))
+}
+
+fn take_changes(mirror: &std::cell::RefCell<TableMirror>, batch: RowBatch) -> Vec<MirrorRow> {
+    let rows = batch.rows.into_iter().map(mirror_row).collect();
+    mirror.borrow_mut().apply(rows, batch.version)
+}
+
+fn mirror_row(row: StoreRow) -> MirrorRow {
+    MirrorRow {
+        key: row.key,
+        value: row.value,
+        version: row.version,
+    }
+}
+
+/// Logs when a feed is lost and regained, once each.
+struct LinkLog {
+    what: &'static str,
+    is_down: bool,
+}
+
+impl LinkLog {
+    fn new(what: &'static str) -> Self {
+        Self {
+            what,
+            is_down: false,
+        }
+    }
+
+    fn up(&mut self) {
+        if std::mem::take(&mut self.is_down) {
+            tracing::info!(what = self.what, "store answers again");
+        }
+    }
+
+    fn down(&mut self, error: &PlatformError) {
+        if !std::mem::replace(&mut self.is_down, true) {
+            tracing::warn!(what = self.what, %error, "store does not answer");
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/target_call.rs
@@ -0,0 +1,281 @@
+//! One sending of a request to one target.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use damaskloom_gateway::bodies::RequestBody;
+use damaskloom_gateway::hop_headers::remove_hop_headers;
+use damaskloom_lib::ids::{CustomerId, TargetId};
+use damaskloom_platform::header_names::{
+    CUSTOMER, EXPECTED_TARGET, FLEET_FIELDS, NOT_RUN, RECEIPT, REQUEST_ID, TIME_LEFT_MS,
+    idle_seconds, reported_load,
+};
+use http::header::{
+    AUTHORIZATION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderValue,
+};
+use http::request::Parts;
+use http::{Method, Request, Response, StatusCode, Uri, Version};
+use http_body::Body;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use crate::target_pool::{ConnectError, ConnectionLease, TargetPool};
+
+/// Answers up to this size are taken whole before the caller gets them, so that one that is cut
+/// short is noticed in time; larger ones are passed on as they come.
+const WHOLE_ANSWER_BYTES: usize = 256 << 10;
+
+/// Says how far a request came that got no answer of its target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallError {
+    /// No connection could be had.
+    Connect(ConnectError),
+    /// A kept connection had ended before anything was sent.
+    Stale,
+    /// The target has no room.
+    Full,
+    /// Another target answers at the address.
+    WrongTarget,
+    /// The connection or the answer broke.
+    Broken,
+    /// The answer is not the target's whole answer to this request.
+    Spoilt,
+    /// No answer came before the deadline.
+    TimedOut,
+}
+
+impl CallError {
+    /// Says whether it is certain that the target did not run the request.
+    pub const fn is_not_run(self) -> bool {
+        match self {
+            Self::Connect(_) | Self::Stale | Self::Full | Self::WrongTarget => true,
+            Self::Broken | Self::Spoilt | Self::TimedOut => false,
+        }
+    }
+
+    /// Names the error in logs.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Connect(ConnectError::NoConnection) => "no-connection",
+            Self::Connect(ConnectError::Unreachable) => "unreachable",
+            Self::Stale => "stale-connection",
+            Self::Full => "target-full",
+            Self::WrongTarget => "wrong-target",
+            Self::Broken => "broken",
+            Self::Spoilt => "spoilt",
+            Self::TimedOut => "timed-out",
+        }
+    }
+}
+
+/// A target's answer: whole if it is small, else still coming.
+#[derive(Debug)]
+pub enum TargetAnswer {
+    /// The answer is complete.
+    Whole(Response<Bytes>),
+    /// The rest of the body is still coming over the connection.
+    Stream(Response<Incoming>, ConnectionLease),
+}
+
+impl TargetAnswer {
+    /// Returns the status.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::Whole(response) => response.status(),
+            Self::Stream(response, _) => response.status(),
+        }
+    }
+}
+
+/// What came back of a sending, and the load that the target reported with it.
+#[derive(Debug)]
+pub struct CallResult {
+    /// The answer.
+    pub answer: Result<TargetAnswer, CallError>,
+    /// The running and waiting requests that the target reported.
+    pub load: Option<u32>,
+    /// Whether a connection was opened for the sending.
+    pub connected: bool,
+}
+
+/// The parts of a caller's request that every sending has.
+#[derive(Debug)]
+pub struct OutgoingHead {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+}
+
+impl OutgoingHead {
+    /// Makes the head for targets: without the key and without what only the fleet may set.
+    pub fn new(parts: &Parts, customer: Option<&CustomerId>) -> Self {
+        let mut headers = parts.headers.clone();
+        remove_hop_headers(&mut headers);
+        for name in [AUTHORIZATION, CONTENT_LENGTH, EXPECT] {
+            headers.remove(name);
+        }
+        for name in FLEET_FIELDS {
+            headers.remove(name);
+        }
+        if let Some(customer) = customer {
+            let value = HeaderValue::from_bytes(customer.as_bytes());
+            headers.insert(CUSTOMER, value.expect("ids are valid header values"));
+        }
+        let uri = parts
+            .uri
+            .path_and_query()
+            .map_or_else(|| Uri::from_static("/"), |path| path.clone().into());
+        Self {
+            method: parts.method.clone(),
+            uri,
+            headers,
+        }
+    }
+
+    fn request(
+        &self,
+        target: &TargetId,
+        deadline: Instant,
+        body: RequestBody,
+    ) -> Request<RequestBody> {
+        let mut request = Request::new(body);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.version_mut() = Version::HTTP_11;
+        let headers = request.headers_mut();
+        *headers = self.headers.clone();
+        let left = deadline.saturating_duration_since(Instant::now());
+        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(TIME_LEFT_MS, left_ms.into());
+        let target = HeaderValue::from_bytes(target.as_bytes());
+        headers.insert(
+            EXPECTED_TARGET,
+            target.expect("ids are valid header values"),
+        );
+        request
+    }
+
+    /// Says whether an answer names this request.
+    fn is_echoed(&self, answer: &HeaderMap) -> bool {
+        self.headers.get(REQUEST_ID) == answer.get(REQUEST_ID)
+    }
+}
+
+/// Where a request is sent.
+#[derive(Debug)]
+pub struct CallTarget<'a> {
+    /// The target.
+    pub id: &'a TargetId,
+    /// The connections to it.
+    pub pool: Rc<TargetPool>,
+    /// The connections that this node may open to it.
+    pub connections: u32,
+}
+
+/// Returns the pool of a target's connections and its address in one value for a call.
+pub fn call_target<'a>(
+    pools: &crate::target_pool::TargetPools,
+    id: &'a TargetId,
+    address: SocketAddr,
+    connections: u32,
+) -> CallTarget<'a> {
+    CallTarget {
+        id,
+        pool: pools.pool(id, address),
+        connections,
+    }
+}
+
+/// Sends the request to a target and waits for its answer until the deadline.
+pub async fn call(
+    target: &CallTarget<'_>,
+    head: &OutgoingHead,
+    body: RequestBody,
+    deadline: Instant,
+) -> CallResult {
+    let mut result = CallResult {
+        answer: Err(CallError::TimedOut),
+        load: None,
+        connected: false,
+    };
+    let exchange = exchange(target, head, body, deadline, &mut result.connected);
+    if let Ok((answer, load)) = tokio::time::timeout_at(deadline.into(), exchange).await {
+        result.answer = answer;
+        result.load = load;
+    }
+    result
+}
+
+type Exchanged = (Result<TargetAnswer, CallError>, Option<u32>);
+
+async fn exchange(
+    target: &CallTarget<'_>,
+    head: &OutgoingHead,
+    body: RequestBody,
+    deadline: Instant,
+    connected: &mut bool,
+) -> Exchanged {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let mut lease = match target.pool.acquire(target.connections, left).await {
+        Ok(lease) => lease,
+        Err(error) => return (Err(CallError::Connect(error)), None),
+    };
+    *connected = lease.is_fresh();
+    let request = head.request(target.id, deadline, body);
+    let response = match lease.sender().try_send_request(request).await {
+        Ok(response) => response,
+        // The library returns the request only if no byte of it was written.
+        Err(mut error) => match error.take_message() {
+            Some(_) => return (Err(CallError::Stale), None),
+            None => return (Err(CallError::Broken), None),
+        },
+    };
+    let load = reported_load(response.headers());
+    (receive(head, response, lease).await, load)
+}
+
+async fn receive(
+    head: &OutgoingHead,
+    mut response: Response<Incoming>,
+    lease: ConnectionLease,
+) -> Result<TargetAnswer, CallError> {
+    let headers = response.headers();
+    if let Some(error) = refusal(response.status(), headers) {
+        // The rest of a refusal is short; the connection is good for the next request.
+        let idle = idle_time(headers);
+        if response.into_body().collect().await.is_ok() {
+            lease.give_back(idle);
+        }
+        return Err(error);
+    }
+    let spoilt = response.status().is_success()
+        && (!headers.contains_key(RECEIPT) || headers.contains_key(CONTENT_ENCODING));
+    if spoilt || !head.is_echoed(headers) {
+        return Err(CallError::Spoilt);
+    }
+    let idle = idle_time(headers);
+    remove_hop_headers(response.headers_mut());
+    let length = response.body().size_hint().exact();
+    if length.is_some_and(|length| length > WHOLE_ANSWER_BYTES as u64) {
+        return Ok(TargetAnswer::Stream(response, lease));
+    }
+    let (parts, body) = response.into_parts();
+    let whole = Limited::new(body, WHOLE_ANSWER_BYTES).collect().await;
+    let bytes = whole.map_err(|_| CallError::Broken)?.to_bytes();
+    lease.give_back(idle);
+    Ok(TargetAnswer::Whole(Response::from_parts(parts, bytes)))
+}
+
+fn refusal(status: StatusCode, headers: &HeaderMap) -> Option<CallError> {
+    match status {
+        StatusCode::MISDIRECTED_REQUEST => Some(CallError::WrongTarget),
+        _ if headers.contains_key(NOT_RUN) => Some(CallError::Full),
+        _ => None,
+    }
+}
+
+fn idle_time(headers: &HeaderMap) -> Option<Duration> {
+    idle_seconds(headers).map(Duration::from_secs)
+}
--- /dev/null
+++ b/entry/src/target_pool.rs
@@ -0,0 +1,228 @@
+//! The kept connections of this node to targets.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use damaskloom_gateway::bodies::RequestBody;
+use damaskloom_lib::ids::TargetId;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+/// The time in which a target must accept a connection: many times the way between data centres.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// The time for which sent bytes may stay unconfirmed before the path counts as cut.
+const UNCONFIRMED_TIMEOUT: Duration = Duration::from_millis(700);
+/// The time after which an idle connection is probed; the socket option takes whole seconds.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// The probes without an answer after which a connection is given up.
+const KEEPALIVE_RETRIES: u32 = 2;
+/// The time for which an idle connection is kept if the target announces none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// How much sooner than the target an idle connection is given up: a request that crosses the
+/// target's close may have run, so that it could not be sent again.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
+/// The largest head of a target's answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Says why no connection could be had; nothing was sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectError {
+    /// The node holds as many connections to the target as it may.
+    NoConnection,
+    /// The target did not accept a connection in time.
+    Unreachable,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<RequestBody>,
+    until: Instant,
+}
+
+/// The connections to one target.
+#[derive(Debug)]
+pub struct TargetPool {
+    address: SocketAddr,
+    idle: RefCell<Vec<IdleConnection>>,
+    open: Cell<u32>,
+}
+
+impl TargetPool {
+    /// Takes a kept connection, or opens one if no more than `limit` are open.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection is allowed or the target accepts none in time.
+    pub async fn acquire(
+        self: &Rc<Self>,
+        limit: u32,
+        timeout: Duration,
+    ) -> Result<ConnectionLease, ConnectError> {
+        while let Some(mut sender) = self.take_idle() {
+            let guard = OpenGuard {
+                pool: Rc::clone(self),
+                counted: true,
+            };
+            if sender.ready().await.is_ok() {
+                return Ok(ConnectionLease {
+                    sender,
+                    guard,
+                    fresh: false,
+                });
+            }
+        }
+        if self.open.get() >= limit.max(1) {
+            return Err(ConnectError::NoConnection);
+        }
+        self.open.set(self.open.get() + 1);
+        let guard = OpenGuard {
+            pool: Rc::clone(self),
+            counted: true,
+        };
+        let sender = self.connect(timeout).await;
+        let sender = sender.ok_or(ConnectError::Unreachable)?;
+        Ok(ConnectionLease {
+            sender,
+            guard,
+            fresh: true,
+        })
+    }
+
+    async fn connect(&self, timeout: Duration) -> Option<SendRequest<RequestBody>> {
+        let timeout = timeout.min(CONNECT_TIMEOUT);
+        let stream = tokio::time::timeout(timeout, TcpStream::connect(self.address)).await;
+        let stream = stream.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let socket = SockRef::from(&stream);
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE)
+            .with_interval(KEEPALIVE)
+            .with_retries(KEEPALIVE_RETRIES);
+        socket.set_tcp_keepalive(&keepalive).ok()?;
+        socket
+            .set_tcp_user_timeout(Some(UNCONFIRMED_TIMEOUT))
+            .ok()?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .ok()?;
+        tokio::task::spawn_local(connection);
+        Some(sender)
+    }
+
+    fn take_idle(&self) -> Option<SendRequest<RequestBody>> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        while let Some(entry) = idle.pop() {
+            if entry.until > now && !entry.sender.is_closed() {
+                return Some(entry.sender);
+            }
+            self.open.set(self.open.get().saturating_sub(1));
+        }
+        None
+    }
+
+    fn close_idle(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let before = idle.len();
+        idle.retain(|entry| entry.until > now && !entry.sender.is_closed());
+        let closed = u32::try_from(before - idle.len()).unwrap_or(0);
+        self.open.set(self.open.get().saturating_sub(closed));
+    }
+}
+
+#[derive(Debug)]
+struct OpenGuard {
+    pool: Rc<TargetPool>,
+    counted: bool,
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        if self.counted {
+            self.pool.open.set(self.pool.open.get().saturating_sub(1));
+        }
+    }
+}
+
+/// A connection in use by one exchange.
+///
+/// Dropping the lease closes the connection, so that a late answer reaches nobody else; only
+/// [`ConnectionLease::give_back`] after a complete answer lets it be used again.
+#[derive(Debug)]
+pub struct ConnectionLease {
+    sender: SendRequest<RequestBody>,
+    guard: OpenGuard,
+    fresh: bool,
+}
+
+impl ConnectionLease {
+    /// Returns the sending half of the connection.
+    pub fn sender(&mut self) -> &mut SendRequest<RequestBody> {
+        &mut self.sender
+    }
+
+    /// Says whether the connection was opened for this exchange.
+    pub fn is_fresh(&self) -> bool {
+        self.fresh
+    }
+
+    /// Returns the connection to its pool; `announced` is the time for which the target keeps it.
+    pub fn give_back(mut self, announced: Option<Duration>) {
+        let keep = announced.map_or(DEFAULT_IDLE, |idle| idle.saturating_sub(IDLE_MARGIN));
+        if self.sender.is_closed() || keep.is_zero() {
+            return;
+        }
+        self.guard.counted = false;
+        let entry = IdleConnection {
+            sender: self.sender,
+            until: Instant::now() + keep,
+        };
+        self.guard.pool.idle.borrow_mut().push(entry);
+    }
+}
+
+/// The connections to all targets.
+#[derive(Debug, Default)]
+pub struct TargetPools {
+    pools: RefCell<IndexMap<TargetId, Rc<TargetPool>>>,
+}
+
+impl TargetPools {
+    /// Returns the pool of a target at an address.
+    pub fn pool(&self, id: &TargetId, address: SocketAddr) -> Rc<TargetPool> {
+        let mut pools = self.pools.borrow_mut();
+        match pools.get(id) {
+            Some(pool) if pool.address == address => Rc::clone(pool),
+            _ => {
+                let pool = Rc::new(TargetPool {
+                    address,
+                    idle: RefCell::default(),
+                    open: Cell::new(0),
+                });
+                pools.insert(id.clone(), Rc::clone(&pool));
+                pool
+            }
+        }
+    }
+
+    /// Closes the kept connections of a target that gets no more work.
+    pub fn remove(&self, id: &TargetId) {
+        self.pools.borrow_mut().swap_remove(id);
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn close_idle(&self) {
+        self.pools
+            .borrow()
+            .values()
+            .for_each(|pool| pool.close_idle());
+    }
+}
--- /dev/null
+++ b/entry/tests/runner.rs
@@ -0,0 +1,1 @@
+//! Runs all tests of the crate in one program.
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -8,8 +8,7 @@
 use damaskloom_lib::ids::CustomerId;
 use damaskloom_lib::units::ByteSize;
 use http::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
-    PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
 };
 use http::request::Parts;
 use http::{Method, Request, Response, Uri, Version};
@@ -19,6 +18,7 @@
 
 use crate::bodies::{RequestBody, WHOLE_BODY_BYTES, collect_body};
 use crate::claim_guard::ClaimGuard;
+use crate::hop_headers::remove_hop_headers;
 use crate::slot_lease::SlotLease;
 use crate::target_pool::{AcquireError, ConnectionLease, TargetPool};
 
@@ -32,8 +32,6 @@
 pub const LOAD_HEADER: HeaderName = HeaderName::from_static("damaskloom-load");
 
 const PREFIX: &str = "damaskloom-";
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
 /// Says how an attempt failed, and thereby whether the request may have run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -272,31 +270,6 @@
     }
 }
 
-fn remove_hop_headers(headers: &mut HeaderMap) {
-    let nominated: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .flat_map(|value| value.as_bytes().split(|byte| *byte == b','))
-        .filter_map(|name| HeaderName::from_bytes(name.trim_ascii()).ok())
-        .collect();
-    nominated
-        .into_iter()
-        .for_each(|name| drop(headers.remove(name)));
-    for name in [
-        CONNECTION,
-        KEEP_ALIVE,
-        PROXY_AUTHENTICATE,
-        PROXY_AUTHORIZATION,
-        PROXY_CONNECTION,
-        TE,
-        TRAILER,
-        TRANSFER_ENCODING,
-        UPGRADE,
-    ] {
-        headers.remove(name);
-    }
-}
-
 /// Removes headers that only the fleet may set, so that nobody can pose as it.
 fn remove_own_headers(headers: &mut HeaderMap) {
     let own: Vec<HeaderName> = headers
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod gateway;
 pub mod head_inspector;
 pub mod health_board;
+pub mod hop_headers;
 pub mod key_removal;
 pub mod meters;
 pub mod peer_auth;
--- /dev/null
+++ b/lib/src/entry_members.rs
@@ -0,0 +1,155 @@
+//! The nodes that a node hears of, by the presence notes that they send each other.
+//!
+//! See [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::entry_nodes::EntryNode;
+use crate::ids::{DataCentreId, VmId};
+use crate::time::MonoTime;
+
+/// The interval of presence notes, in milliseconds.
+pub const PRESENCE_MS: u64 = 1_000;
+/// The time without a note after which a node gets no callers, in milliseconds: two lost notes.
+const SILENT_MS: u64 = 2_600;
+/// The time without a note after which a node counts as gone, in milliseconds.
+const GONE_MS: u64 = 30_000;
+
+/// What a node does with callers.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EntryStanding {
+    /// The node has no configuration yet.
+    Starting,
+    /// The node serves callers.
+    Serving,
+    /// The node stops as planned.
+    Leaving,
+}
+
+/// What a node tells others of itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PresenceNote {
+    /// The node's data centre.
+    pub data_centre: DataCentreId,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// What the node does with callers.
+    pub standing: EntryStanding,
+    /// Whether the node had requests lately.
+    pub carrying: bool,
+    /// The processor that the node has, in thousandths of a core.
+    pub processor_milli: u32,
+    /// The version of the node's copy of the routing.
+    pub routing_version: u64,
+    /// The version of the node's copy of the targets.
+    pub targets_version: u64,
+}
+
+/// A node as it was heard of.
+#[derive(Clone, Debug)]
+pub struct KnownNode {
+    /// When the node started, in its own Unix milliseconds; tells two starts apart.
+    pub started_at_ms: u64,
+    /// The node's address.
+    pub ip: IpAddr,
+    /// What it told of itself; none if only its registration is known.
+    pub note: Option<PresenceNote>,
+    heard_at: MonoTime,
+    last_number: u64,
+}
+
+/// All nodes that a node knows, itself excepted.
+#[derive(Debug, Default)]
+pub struct EntryMembers {
+    nodes: IndexMap<VmId, KnownNode>,
+}
+
+impl EntryMembers {
+    /// Takes in a node's registration.
+    pub fn register(&mut self, now: MonoTime, vm: VmId, started_at_ms: u64, ip: IpAddr) {
+        let known = KnownNode {
+            started_at_ms,
+            ip,
+            note: None,
+            heard_at: now,
+            last_number: 0,
+        };
+        match self.nodes.get(&vm) {
+            Some(held) if held.started_at_ms >= started_at_ms => {}
+            _ => {
+                self.nodes.insert(vm, known);
+            }
+        }
+    }
+
+    /// Says whether a message is news: of the newest start of its sender, and not a repeated one.
+    pub fn accept(
+        &mut self,
+        now: MonoTime,
+        vm: &VmId,
+        started_at_ms: u64,
+        number: u64,
+        ip: IpAddr,
+    ) -> bool {
+        self.register(now, vm.clone(), started_at_ms, ip);
+        let Some(node) = self.nodes.get_mut(vm) else {
+            return false;
+        };
+        if node.started_at_ms != started_at_ms || number <= node.last_number {
+            return false;
+        }
+        node.last_number = number;
+        node.heard_at = now;
+        true
+    }
+
+    /// Takes in a presence note; returns whether the node was not heard of before.
+    pub fn note(&mut self, vm: &VmId, note: PresenceNote) -> bool {
+        let Some(node) = self.nodes.get_mut(vm) else {
+            return false;
+        };
+        node.note.replace(note).is_none()
+    }
+
+    /// Forgets nodes that were silent for long.
+    pub fn tick(&mut self, now: MonoTime) {
+        let gone = Duration::from_millis(GONE_MS);
+        self.nodes.retain(|_, node| now.since(node.heard_at) < gone);
+    }
+
+    /// Returns all nodes that were heard of lately, or registered lately.
+    pub fn iter(&self) -> impl Iterator<Item = (&VmId, &KnownNode)> {
+        self.nodes.iter()
+    }
+
+    /// Returns the nodes that serve callers and were heard lately.
+    pub fn serving(&self, now: MonoTime) -> impl Iterator<Item = EntryNode> {
+        let silent = Duration::from_millis(SILENT_MS);
+        self.nodes.iter().filter_map(move |(vm, node)| {
+            let note = node.note.as_ref()?;
+            let serves =
+                note.standing == EntryStanding::Serving && now.since(node.heard_at) < silent;
+            serves.then(|| EntryNode {
+                vm: vm.clone(),
+                data_centre: note.data_centre.clone(),
+                address: note.caller_address,
+                processor_milli: note.processor_milli,
+            })
+        })
+    }
+
+    /// Returns the nodes that carry traffic, as far as was heard lately.
+    pub fn carrying(&self, now: MonoTime) -> impl Iterator<Item = (&VmId, &KnownNode)> {
+        let silent = Duration::from_millis(SILENT_MS);
+        self.nodes.iter().filter(move |(_, node)| {
+            let carries = node.note.as_ref().is_some_and(|note| note.carrying);
+            carries && now.since(node.heard_at) < silent
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/entry_nodes.rs
@@ -0,0 +1,64 @@
+//! Which nodes callers are sent to.
+//!
+//! Few nodes of each data centre carry its traffic, so that evidence, rates and connections meet in
+//! few places. They are chosen by rendezvous hashing over the nodes that are heard of, weighted by
+//! their size, so that all nodes name the same ones without a message. See
+//! [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
+
+use std::net::SocketAddr;
+
+use crate::ids::{DataCentreId, VmId};
+use crate::rendezvous::StableHash;
+
+/// A node that may carry traffic.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EntryNode {
+    /// The node's VM.
+    pub vm: VmId,
+    /// The node's data centre.
+    pub data_centre: DataCentreId,
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// The processor that the node has, in thousandths of a core.
+    pub processor_milli: u32,
+}
+
+/// How many nodes carry a data centre's traffic.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EntryTerms {
+    /// The fewest nodes, so that the loss of one leaves others.
+    pub min_nodes: usize,
+    /// The processor that they have together at least, in thousandths of a core.
+    pub min_processor_milli: u32,
+}
+
+/// Chooses the nodes of one data centre that carry its traffic.
+pub fn choose_entries<'a>(
+    nodes: impl IntoIterator<Item = &'a EntryNode>,
+    data_centre: &DataCentreId,
+    terms: EntryTerms,
+) -> Vec<&'a EntryNode> {
+    let mut ranked: Vec<(f64, &EntryNode)> = nodes
+        .into_iter()
+        .filter(|node| node.data_centre == *data_centre)
+        .map(|node| (rank(node), node))
+        .collect();
+    ranked.sort_by(|(left, _), (right, _)| right.total_cmp(left));
+    let mut chosen = Vec::new();
+    let mut processor = 0;
+    for (_, node) in ranked {
+        if chosen.len() >= terms.min_nodes && processor >= terms.min_processor_milli {
+            break;
+        }
+        processor += node.processor_milli;
+        chosen.push(node);
+    }
+    chosen
+}
+
+/// Ranks by weighted rendezvous hashing: a node twice as large is twice as likely to be first.
+fn rank(node: &EntryNode) -> f64 {
+    let hash = StableHash::of(node.vm.as_bytes()).0;
+    let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    f64::from(node.processor_milli.max(1)) / -uniform.ln()
+}
--- /dev/null
+++ b/lib/src/routing.rs
@@ -0,0 +1,177 @@
+//! The routing that operators publish as one document, in the form that requests look up.
+//!
+//! A [`RoutingDocument`] is what one version says; a [`RoutingTable`] answers the lookups of the
+//! request path from it. See [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::config::{Idempotence, RouteAccess};
+use crate::ids::{CustomerId, RouteId, ServiceId};
+use crate::key::KeyDigest;
+
+/// The version of a routing document; a later one is higher, with gaps.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct RoutingVersion(pub u64);
+
+/// The rank of a request when a service is short of capacity; lower ranks go first.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PriorityRank(pub u32);
+
+/// A service that a route sends to, and its part of the route's requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Destination {
+    /// The service.
+    pub service: ServiceId,
+    /// The service's part, relative to the weights of the route's other destinations.
+    pub weight: u32,
+}
+
+/// A host and path prefix, and how its requests are served.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RouteRule {
+    /// The route's name.
+    pub id: RouteId,
+    /// The host that callers ask for, in lower case.
+    pub host: String,
+    /// The path prefix; the longest matching prefix of the host wins.
+    pub path_prefix: String,
+    /// Whether a request may run more than once.
+    pub idempotence: Idempotence,
+    /// The longest time for which a request is kept waiting.
+    pub timeout: Duration,
+    /// The latency within which an answer is worth its full value.
+    pub latency_objective: Duration,
+    /// The rank of the route's requests.
+    pub priority: PriorityRank,
+    /// Where requests go; never empty, and at least one weight is positive.
+    pub destinations: Vec<Destination>,
+    /// The most targets to which one request is sent.
+    pub max_attempts: u32,
+    /// Who may use the route.
+    pub access: RouteAccess,
+}
+
+/// What the routing says of a service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceRule {
+    /// The path that a target's health endpoint answers.
+    pub health_path: String,
+    /// The connections that each target accepts from the whole fleet.
+    pub connections: u32,
+}
+
+/// A customer, its keys and its rate limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CustomerRule {
+    /// The customer's name.
+    pub id: CustomerId,
+    /// The digests of the keys that work.
+    pub keys: Vec<KeyDigest>,
+    /// The rank of the customer's requests, which goes before the route's.
+    pub priority: Option<PriorityRank>,
+    /// The requests per second over the whole fleet; zero for no limit.
+    pub rate_per_s: f64,
+    /// The requests that may come at once, beyond the rate.
+    pub burst: f64,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    /// The largest request head, in bytes.
+    pub max_head_bytes: usize,
+    /// The largest request body, in bytes.
+    pub max_body_bytes: u64,
+    /// The time in which a request head must arrive.
+    pub head_timeout: Duration,
+    /// The time for which a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 16 << 10,
+            max_body_bytes: 64 << 20,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One version of the routing as it was published.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RoutingDocument {
+    /// The version.
+    pub version: RoutingVersion,
+    /// All routes.
+    pub routes: Vec<RouteRule>,
+    /// All services.
+    pub services: IndexMap<ServiceId, ServiceRule>,
+    /// The bounds on callers.
+    pub limits: CallerLimits,
+    /// The customers; none if requests need no key.
+    pub customers: Option<Vec<CustomerRule>>,
+}
+
+/// A routing document indexed for the lookups of the request path.
+#[derive(Debug, Default)]
+pub struct RoutingTable {
+    document: RoutingDocument,
+    /// The indices of a host's routes, longest prefix first.
+    hosts: IndexMap<String, Vec<usize>>,
+    keys: IndexMap<KeyDigest, usize>,
+}
+
+impl From<RoutingDocument> for RoutingTable {
+    fn from(document: RoutingDocument) -> Self {
+        let mut hosts: IndexMap<String, Vec<usize>> = IndexMap::new();
+        for (index, route) in document.routes.iter().enumerate() {
+            hosts.entry(route.host.clone()).or_default().push(index);
+        }
+        for routes in hosts.values_mut() {
+            routes
+                .sort_by_key(|index| std::cmp::Reverse(document.routes[*index].path_prefix.len()));
+        }
+        let mut keys = IndexMap::new();
+        for (index, customer) in document.customers.iter().flatten().enumerate() {
+            keys.extend(customer.keys.iter().map(|key| (*key, index)));
+        }
+        Self {
+            document,
+            hosts,
+            keys,
+        }
+    }
+}
+
+impl RoutingTable {
+    /// Returns the document that the table was made of.
+    pub fn document(&self) -> &RoutingDocument {
+        &self.document
+    }
+
+    /// Finds the route of a request: the longest prefix of the host that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let lower;
+        let host = if host.bytes().any(|byte| byte.is_ascii_uppercase()) {
+            lower = host.to_ascii_lowercase();
+            &lower
+        } else {
+            host
+        };
+        let routes = self.hosts.get(host)?.iter();
+        routes
+            .map(|index| &self.document.routes[*index])
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// Finds the customer that holds a key.
+    pub fn customer(&self, key: &KeyDigest) -> Option<&CustomerRule> {
+        let index = *self.keys.get(key)?;
+        self.document.customers.as_ref()?.get(index)
+    }
+}
--- /dev/null
+++ b/lib/src/table_mirror.rs
@@ -0,0 +1,83 @@
+//! A node's copy of a table of the platform's store, which it can pass on to peers.
+//!
+//! Removed rows stay as markers, so that a peer that asks for the changes after a version learns of
+//! removals too. See [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// A row, or the marker of its removal.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MirrorRow {
+    /// The row's key.
+    pub key: String,
+    /// The row's bytes; none if it was removed.
+    pub value: Option<Bytes>,
+    /// The version at which it was written or removed.
+    pub version: u64,
+}
+
+/// The copy of one table.
+#[derive(Debug, Default)]
+pub struct TableMirror {
+    rows: IndexMap<String, (Option<Bytes>, u64)>,
+    version: u64,
+}
+
+impl TableMirror {
+    /// Returns the newest version that the copy reflects.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Takes in changes up to a version; returns those that were news.
+    pub fn apply(&mut self, rows: Vec<MirrorRow>, version: u64) -> Vec<MirrorRow> {
+        let news = rows.into_iter().filter(|row| {
+            let held = self.rows.get(&row.key);
+            if held.is_some_and(|(_, version)| *version >= row.version) {
+                return false;
+            }
+            // A removal of a row that was never seen changes nothing here, but peers may know it.
+            self.rows
+                .insert(row.key.clone(), (row.value.clone(), row.version));
+            true
+        });
+        let news = news.collect();
+        self.version = self.version.max(version);
+        news
+    }
+
+    /// Takes in the whole table as of a version; returns what was news, removals included.
+    pub fn replace(&mut self, rows: Vec<MirrorRow>, version: u64) -> Vec<MirrorRow> {
+        if version < self.version {
+            return Vec::new();
+        }
+        let missing: Vec<MirrorRow> = self
+            .rows
+            .iter()
+            .filter(|(key, (value, _))| value.is_some() && !rows.iter().any(|row| row.key == **key))
+            .map(|(key, _)| MirrorRow {
+                key: key.clone(),
+                value: None,
+                version,
+            })
+            .collect();
+        let mut news = self.apply(rows, version);
+        news.extend(self.apply(missing, version));
+        news
+    }
+
+    /// Returns the changes after a version.
+    pub fn changes_after(&self, version: u64) -> Vec<MirrorRow> {
+        self.rows
+            .iter()
+            .filter(|(_, (_, changed_at))| *changed_at > version)
+            .map(|(key, (value, version))| MirrorRow {
+                key: key.clone(),
+                value: value.clone(),
+                version: *version,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/lib/src/target_board.rs
@@ -0,0 +1,378 @@
+//! Which target of a service a request goes to.
+//!
+//! The cost of a target is the wait that its load makes likely, the loss that its failing makes
+//! likely, and the price of its distance, all in parts of a request's value. The cheapest target is
+//! taken. A request that may be sent again loses less by a failure, so that such requests are the
+//! ones that try suspected targets. See
+//! [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::config::Idempotence;
+use crate::failure_filter::{FailureFilter, TargetSign};
+use crate::ids::{DataCentreId, ServiceId, TargetId, VmId};
+use crate::time::MonoTime;
+
+/// What a failure costs of a request that cannot be sent again: all of its value.
+const FAILURE_COST: f64 = 1.0;
+/// What a failure costs of a request that is sent again: its latency and a part of the budget.
+const REPEATABLE_FAILURE_COST: f64 = 0.3;
+/// What it costs to cross data centres: about the price of the bytes of a usual request.
+const DISTANCE_COST: f64 = 0.06;
+/// What a wait of one usual running time costs.
+const WAIT_COST: f64 = 0.25;
+/// What a running request beside it costs, to spread work while slots are free.
+const COMPANY_COST: f64 = 0.03;
+/// What a cold target costs: it runs about twice as long.
+const COLD_COST: f64 = 0.12;
+/// What a path costs that did not connect lately.
+const PATH_COST: f64 = 2.0;
+/// The time for which a path that did not connect is avoided, in milliseconds: some tries.
+const PATH_AVOIDED_MS: u64 = 1_500;
+/// The time in which a target's own load report loses half of its weight, in milliseconds: about
+/// the running time of the requests that it counts.
+const REPORT_HALF_LIFE_MS: f64 = 150.0;
+/// The time for which a peer's count of running requests is used, in milliseconds: some intervals.
+const PEER_COUNT_MS: u64 = 600;
+/// The time for which a target that refused for want of room counts as full, in milliseconds.
+const SHED_MS: u64 = 120;
+/// An answer is late after so many usual running times: beyond the usual spread of work.
+const LATE_FACTOR: f64 = 4.0;
+/// The least time after which an answer is late, in milliseconds.
+const MIN_LATE_MS: u64 = 250;
+/// The weight of a new answer in the averages of a service.
+const AVERAGE_WEIGHT: f64 = 0.02;
+/// The part of failures that is assumed of healthy targets, at least: few errors are usual anywhere.
+const MIN_USUAL_FAILURES: f64 = 0.012;
+/// The part of failures that is assumed of healthy targets, at most.
+const MAX_USUAL_FAILURES: f64 = 0.25;
+/// A target that is likelier to fail than this does not count in the usual failures.
+const SUSPECT_PROBABILITY: f64 = 0.5;
+/// The running time that is assumed before answers came, in milliseconds.
+const FIRST_RUNNING_MS: f64 = 120.0;
+
+/// What a choice is made for.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceRequest<'a> {
+    /// Whether the request may be sent again.
+    pub idempotence: Idempotence,
+    /// The targets that had the request already.
+    pub tried: &'a [TargetId],
+    /// A number that differs between requests, to break ties.
+    pub seed: u64,
+}
+
+/// The target that a request goes to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetChoice {
+    /// The target.
+    pub target: TargetId,
+    /// The wait that is expected before the request runs.
+    pub expected_wait: Duration,
+    /// The probability that the target is failing.
+    pub failing: f64,
+}
+
+/// Names a running request of this node.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RunningId(u64);
+
+#[derive(Debug)]
+struct RunningRequest {
+    id: RunningId,
+    started: MonoTime,
+    counted_late: bool,
+}
+
+#[derive(Debug)]
+struct BoardTarget {
+    data_centre: DataCentreId,
+    slots: u32,
+    cold_until: MonoTime,
+    filter: FailureFilter,
+    running: Vec<RunningRequest>,
+    peers: IndexMap<VmId, (u32, MonoTime)>,
+    /// The requests of others that the target reported, and when.
+    report: Option<(f64, MonoTime)>,
+    full_until: MonoTime,
+    path_avoided_until: MonoTime,
+}
+
+impl BoardTarget {
+    fn load(&self, now: MonoTime) -> f64 {
+        let fresh = Duration::from_millis(PEER_COUNT_MS);
+        let peers: u32 = self
+            .peers
+            .values()
+            .filter(|(_, at)| now.since(*at) < fresh)
+            .map(|(count, _)| *count)
+            .sum();
+        let reported = self.report.map_or(0.0, |(others, at)| {
+            let age_ms = now.since(at).as_secs_f64() * 1_000.0;
+            others * (-age_ms / REPORT_HALF_LIFE_MS).exp2()
+        });
+        let known = self.running.len() as f64 + reported.max(f64::from(peers));
+        if now < self.full_until {
+            known.max(f64::from(self.slots) * 2.0)
+        } else {
+            known
+        }
+    }
+}
+
+/// The targets of one service, as one node sees them.
+#[derive(Debug)]
+pub struct TargetBoard {
+    own_data_centre: DataCentreId,
+    targets: IndexMap<TargetId, BoardTarget>,
+    usual_failures: f64,
+    running_ms: f64,
+    next_running: u64,
+}
+
+impl TargetBoard {
+    /// Makes an empty board of a node in a data centre.
+    pub fn new(own_data_centre: DataCentreId) -> Self {
+        Self {
+            own_data_centre,
+            targets: IndexMap::new(),
+            usual_failures: MIN_USUAL_FAILURES,
+            running_ms: FIRST_RUNNING_MS,
+            next_running: 0,
+        }
+    }
+
+    /// Adds a target that takes work, or forgets what was believed of an earlier start of it.
+    pub fn put(
+        &mut self,
+        now: MonoTime,
+        id: TargetId,
+        data_centre: DataCentreId,
+        slots: u32,
+        cold_for: Duration,
+    ) {
+        let target = BoardTarget {
+            data_centre,
+            slots: slots.max(1),
+            cold_until: now + cold_for,
+            filter: FailureFilter::new(now),
+            running: Vec::new(),
+            peers: IndexMap::new(),
+            report: None,
+            full_until: MonoTime::ZERO,
+            path_avoided_until: MonoTime::ZERO,
+        };
+        self.targets.insert(id, target);
+    }
+
+    /// Takes a target out that gets no more work.
+    pub fn remove(&mut self, id: &TargetId) {
+        self.targets.swap_remove(id);
+    }
+
+    /// Returns the number of targets that may get work.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Returns whether no target may get work.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Returns whether a target may get work.
+    pub fn contains(&self, id: &TargetId) -> bool {
+        self.targets.contains_key(id)
+    }
+
+    /// Returns the time after which an answer counts as late.
+    pub fn late_after(&self) -> Duration {
+        Duration::from_millis((self.running_ms * LATE_FACTOR) as u64)
+            .max(Duration::from_millis(MIN_LATE_MS))
+    }
+
+    /// Returns the usual running time of the service's requests.
+    pub fn usual_running(&self) -> Duration {
+        Duration::from_secs_f64(self.running_ms / 1_000.0)
+    }
+
+    /// Chooses the cheapest target that did not have the request yet.
+    pub fn choose(&self, now: MonoTime, request: &ChoiceRequest<'_>) -> Option<TargetChoice> {
+        let failure_cost = match request.idempotence {
+            Idempotence::Idempotent => REPEATABLE_FAILURE_COST,
+            Idempotence::NonIdempotent => FAILURE_COST,
+        };
+        let count = self.targets.len();
+        let start = usize::try_from(request.seed % count.max(1) as u64).unwrap_or(0);
+        let mut best: Option<(f64, TargetChoice)> = None;
+        for step in 0..count {
+            let (id, target) = self.targets.get_index((start + step) % count)?;
+            if request.tried.contains(id) {
+                continue;
+            }
+            let (cost, wait) = self.cost(now, target, failure_cost);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                let choice = TargetChoice {
+                    target: id.clone(),
+                    expected_wait: wait,
+                    failing: target.filter.probability(now),
+                };
+                best = Some((cost, choice));
+            }
+        }
+        best.map(|(_, choice)| choice)
+    }
+
+    fn cost(&self, now: MonoTime, target: &BoardTarget, failure_cost: f64) -> (f64, Duration) {
+        let slots = f64::from(target.slots);
+        let load = target.load(now);
+        let waiting = (load + 1.0 - slots).max(0.0) / slots;
+        let mut cost = waiting * WAIT_COST + load / slots * COMPANY_COST;
+        cost += target.filter.probability(now) * failure_cost;
+        if target.data_centre != self.own_data_centre {
+            cost += DISTANCE_COST;
+        }
+        if now < target.cold_until {
+            cost += COLD_COST;
+        }
+        if now < target.path_avoided_until {
+            cost += PATH_COST;
+        }
+        let wait = Duration::from_secs_f64(waiting * self.running_ms / 1_000.0);
+        (cost, wait)
+    }
+
+    /// Notes that a request was sent to a target.
+    pub fn begin(&mut self, now: MonoTime, id: &TargetId) -> RunningId {
+        self.next_running += 1;
+        let running = RunningId(self.next_running);
+        if let Some(target) = self.targets.get_mut(id) {
+            target.running.push(RunningRequest {
+                id: running,
+                started: now,
+                counted_late: false,
+            });
+        }
+        running
+    }
+
+    /// Notes that a request of this node does not run at a target any more.
+    ///
+    /// Returns how long it ran, and whether its answer counted as late already.
+    pub fn end(&mut self, now: MonoTime, id: &TargetId, running: RunningId) -> (Duration, bool) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return (Duration::ZERO, false);
+        };
+        let Some(index) = target.running.iter().position(|entry| entry.id == running) else {
+            return (Duration::ZERO, false);
+        };
+        let entry = target.running.swap_remove(index);
+        (now.since(entry.started), entry.counted_late)
+    }
+
+    /// Takes in what an attempt showed of a target; returns whether others should hear of it.
+    pub fn observe(&mut self, now: MonoTime, id: &TargetId, sign: TargetSign) -> bool {
+        let usual = self.usual_failures;
+        let Some(target) = self.targets.get_mut(id) else {
+            return false;
+        };
+        let before = target.filter.probability(now);
+        target.filter.observe(now, sign, usual);
+        if before < SUSPECT_PROBABILITY {
+            let failed = f64::from(u8::from(sign == TargetSign::Failed));
+            let average = usual + (failed - usual) * AVERAGE_WEIGHT;
+            self.usual_failures = average.clamp(MIN_USUAL_FAILURES, MAX_USUAL_FAILURES);
+        }
+        sign != TargetSign::Good || before > FailureFilter::new(now).probability(now) * 1.5
+    }
+
+    /// Takes in what a peer saw of a target.
+    pub fn observe_peer(&mut self, now: MonoTime, id: &TargetId, sign: TargetSign) {
+        let usual = self.usual_failures;
+        if let Some(target) = self.targets.get_mut(id) {
+            target.filter.observe(now, sign, usual);
+        }
+    }
+
+    /// Takes in how long a good answer took.
+    pub fn note_running(&mut self, taken: Duration) {
+        let taken_ms = taken.as_secs_f64() * 1_000.0;
+        self.running_ms += (taken_ms - self.running_ms) * AVERAGE_WEIGHT;
+    }
+
+    /// Takes in a target's report of its load: running and waiting requests of everybody.
+    pub fn note_report(&mut self, now: MonoTime, id: &TargetId, load: u32) {
+        if let Some(target) = self.targets.get_mut(id) {
+            // The request that brought the report has ended at the target but not here yet.
+            let own = target.running.len() as f64;
+            let others = (f64::from(load) - own).max(0.0);
+            target.report = Some((others, now));
+        }
+    }
+
+    /// Takes in that a target had no room.
+    pub fn note_full(&mut self, now: MonoTime, id: &TargetId) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.full_until = now + Duration::from_millis(SHED_MS);
+        }
+    }
+
+    /// Takes in that a target did not accept a connection from this node.
+    pub fn note_unreachable(&mut self, now: MonoTime, id: &TargetId) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.path_avoided_until = now + Duration::from_millis(PATH_AVOIDED_MS);
+        }
+    }
+
+    /// Takes in how many requests of a peer run at each target; those left out have none.
+    pub fn note_peer_counts(&mut self, now: MonoTime, peer: &VmId, running: &[(TargetId, u32)]) {
+        for target in self.targets.values_mut() {
+            target.peers.swap_remove(peer);
+        }
+        for (id, count) in running {
+            if let Some(target) = self.targets.get_mut(id) {
+                target.peers.insert(peer.clone(), (*count, now));
+            }
+        }
+    }
+
+    /// Returns how many requests of this node run at each busy target.
+    pub fn running(&self) -> impl Iterator<Item = (&TargetId, u32)> {
+        self.targets
+            .iter()
+            .filter(|(_, target)| !target.running.is_empty())
+            .map(|(id, target)| (id, u32::try_from(target.running.len()).unwrap_or(u32::MAX)))
+    }
+
+    /// Counts answers that became late; returns their targets.
+    pub fn count_late(&mut self, now: MonoTime) -> Vec<TargetId> {
+        let late_after = self.late_after();
+        let usual = self.usual_failures;
+        let mut late = Vec::new();
+        for (id, target) in &mut self.targets {
+            for running in &mut target.running {
+                if !running.counted_late && now.since(running.started) >= late_after {
+                    running.counted_late = true;
+                    target.filter.observe(now, TargetSign::Late, usual);
+                    late.push(id.clone());
+                }
+            }
+        }
+        late
+    }
+
+    /// Returns the service's failure rate as it is assumed of healthy targets.
+    pub fn usual_failures(&self) -> f64 {
+        self.usual_failures
+    }
+
+    /// Returns the probability that a target is failing.
+    pub fn failing(&self, now: MonoTime, id: &TargetId) -> Option<f64> {
+        Some(self.targets.get(id)?.filter.probability(now))
+    }
+}
+
+/// The boards of all services.
+pub type ServiceBoards = IndexMap<ServiceId, TargetBoard>;
--- /dev/null
+++ b/lib/src/target_catalog.rs
@@ -0,0 +1,176 @@
+//! The targets that announce themselves, and which of them may be sent work.
+//!
+//! A target keeps its announcement alive in the platform's store. It may vanish there because the
+//! target left, or because the store was away and the announcement lapsed. After an outage, targets
+//! get [`RETURN_GRACE_MS`] to announce themselves again before they count as gone. See
+//! [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::ids::{DataCentreId, ServiceId, TargetId};
+use crate::time::MonoTime;
+
+/// The time that a living target needs to be back after an outage of the store, in milliseconds.
+///
+/// The platform states about two seconds; the rest is for the way of the news.
+pub const RETURN_GRACE_MS: u64 = 2_300;
+
+/// What a target says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Announcement {
+    /// The service that the target belongs to.
+    pub service: ServiceId,
+    /// Where the target listens.
+    pub address: SocketAddr,
+    /// The target's data centre.
+    pub data_centre: DataCentreId,
+    /// The requests that the target runs at once.
+    pub slots: u32,
+    /// Whether the target leaves and is to get no new work.
+    pub leaving: bool,
+    /// The time for which the target is still slow after its start.
+    pub cold_for: Duration,
+    /// The time of the target's start, in Unix milliseconds, which tells two starts apart.
+    pub started_at_ms: Option<u64>,
+}
+
+/// A target as this node knows it.
+#[derive(Clone, Debug)]
+pub struct KnownTarget {
+    /// What the target said last.
+    pub announcement: Announcement,
+    /// When that was first seen here.
+    pub seen_at: MonoTime,
+    /// When the announcement vanished, if it did during or right after an outage of the store.
+    lapsed_at: Option<MonoTime>,
+}
+
+/// What a change of the catalogue means for one target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CatalogChange {
+    /// The target is new, or has started anew under its name.
+    Started(TargetId),
+    /// The target said something else of itself.
+    Updated(TargetId),
+    /// The target is gone.
+    Gone(TargetId),
+}
+
+/// All targets that are known.
+#[derive(Debug, Default)]
+pub struct TargetCatalog {
+    targets: IndexMap<TargetId, KnownTarget>,
+    /// When the store was last found away; announcements that vanish soon after may have lapsed.
+    away_at: Option<MonoTime>,
+    /// When the store was last found back after that.
+    back_at: Option<MonoTime>,
+}
+
+impl TargetCatalog {
+    /// Notes that the store does not answer.
+    pub fn store_away(&mut self, now: MonoTime) {
+        self.away_at = Some(now);
+        self.back_at = None;
+    }
+
+    /// Notes that the store answers.
+    pub fn store_back(&mut self, now: MonoTime) {
+        if self.away_at.is_some() && self.back_at.is_none() {
+            self.back_at = Some(now);
+        }
+    }
+
+    /// Returns until when vanished announcements are taken for lapsed ones.
+    fn grace_end(&self) -> Option<MonoTime> {
+        self.away_at?;
+        let grace = Duration::from_millis(RETURN_GRACE_MS);
+        Some(
+            self.back_at
+                .map_or(MonoTime::from_micros(u64::MAX), |back| back + grace),
+        )
+    }
+
+    /// Takes in what a target says of itself.
+    pub fn announce(
+        &mut self,
+        now: MonoTime,
+        id: TargetId,
+        announcement: Announcement,
+    ) -> Option<CatalogChange> {
+        let known = KnownTarget {
+            announcement,
+            seen_at: now,
+            lapsed_at: None,
+        };
+        let Some(held) = self.targets.get_mut(&id) else {
+            self.targets.insert(id.clone(), known);
+            return Some(CatalogChange::Started(id));
+        };
+        let same_start = held.announcement.started_at_ms == known.announcement.started_at_ms
+            && held.announcement.address == known.announcement.address;
+        let same = held.announcement == known.announcement && held.lapsed_at.is_none();
+        *held = known;
+        match (same_start, same) {
+            (false, _) => Some(CatalogChange::Started(id)),
+            (true, false) => Some(CatalogChange::Updated(id)),
+            (true, true) => None,
+        }
+    }
+
+    /// Takes in that a target's announcement is not there any more.
+    pub fn vanish(&mut self, now: MonoTime, id: &TargetId) -> Option<CatalogChange> {
+        let in_grace = self.grace_end().is_some_and(|end| now < end);
+        let held = self.targets.get_mut(id)?;
+        // A target that said that it leaves did not lapse.
+        if in_grace && !held.announcement.leaving {
+            held.lapsed_at.get_or_insert(now);
+            return None;
+        }
+        self.targets.shift_remove(id);
+        Some(CatalogChange::Gone(id.clone()))
+    }
+
+    /// Drops lapsed targets that did not come back in time after the outage.
+    pub fn tick(&mut self, now: MonoTime) -> Vec<CatalogChange> {
+        if self.grace_end().is_none_or(|end| now < end) {
+            return Vec::new();
+        }
+        (self.away_at, self.back_at) = (None, None);
+        let lapsed: Vec<TargetId> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| target.lapsed_at.is_some())
+            .map(|(id, _)| id.clone())
+            .collect();
+        lapsed
+            .into_iter()
+            .inspect(|id| {
+                self.targets.shift_remove(id);
+            })
+            .map(CatalogChange::Gone)
+            .collect()
+    }
+
+    /// Returns a target.
+    pub fn get(&self, id: &TargetId) -> Option<&KnownTarget> {
+        self.targets.get(id)
+    }
+
+    /// Returns all targets.
+    pub fn iter(&self) -> impl Iterator<Item = (&TargetId, &KnownTarget)> {
+        self.targets.iter()
+    }
+
+    /// Returns the number of targets.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Returns whether no target is known.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+}
