entry: tell of failures at once, start with empty rate buckets, rows from peers

Change: buckets start empty and reckon with unheard peers for 2 s; signs wake the sender; errors at once weigh ten times as much; nodes fetch rows from peers with newer ones.

--- a/entry/src/command.rs
+++ b/entry/src/command.rs
@@ -103,6 +103,7 @@
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
+        .with_target(false)
         .with_env_filter(filter)
         .with_writer(std::io::stdout)
         .init();
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -27,6 +27,7 @@
 use damaskloom_platform::store_client::ROUTING_ROW;
 use damaskloom_platform::target_reader::read_announcement;
 use indexmap::IndexMap;
+use tokio::sync::Notify;
 
 use crate::clock::{MonoClock, unix_ms};
 use crate::entry_counters::EntryCounters;
@@ -83,6 +84,12 @@
     pub signs: RefCell<Vec<(TargetId, TargetSign)>>,
     /// What others are to be told of requests that take targets down.
     pub crash_news: RefCell<Vec<CrashMessage>>,
+    /// Wakes whoever tells others news of targets.
+    pub news_ready: Notify,
+    /// Wakes whoever tells others that the node is there.
+    pub presence_due: Notify,
+    /// Whether the store answers this node's reads of the targets.
+    pub store_linked: Cell<bool>,
     /// The counters of the process.
     pub counters: EntryCounters,
     /// The requests in flight.
@@ -120,6 +127,9 @@
             secret: RefCell::default(),
             signs: RefCell::default(),
             crash_news: RefCell::default(),
+            news_ready: Notify::new(),
+            presence_due: Notify::new(),
+            store_linked: Cell::new(false),
             counters: EntryCounters::default(),
             in_flight: Cell::new(0),
             last_request: Cell::new(MonoTime::ZERO),
@@ -157,6 +167,10 @@
 
     /// Notes that a caller's request arrived.
     pub fn note_request(&self) {
+        if !self.is_carrying() {
+            // Nodes that carry traffic tell each other their counts, so they hear of it at once.
+            self.presence_due.notify_one();
+        }
         self.last_request.set(self.clock.now());
     }
 
@@ -182,8 +196,8 @@
             standing,
             carrying: self.is_carrying(),
             processor_milli: settings.machine.processor_milli(),
-            routing_version: self.routing_mirror.borrow().version(),
-            targets_version: self.target_mirror.borrow().version(),
+            routing_version: self.routing_mirror.borrow().newest_row(),
+            targets_version: self.target_mirror.borrow().newest_row(),
         }
     }
 
@@ -222,7 +236,9 @@
     }
 
     /// Takes in rows of the targets' table.
-    pub fn take_target_rows(&self, news: &[MirrorRow]) {
+    ///
+    /// What vanished counts as gone at once if it is `certain` that the store was not away.
+    pub fn take_target_rows(&self, news: &[MirrorRow], certain: bool) {
         let now = self.clock.now();
         for row in news {
             let Ok(id) = row.key.parse::<TargetId>() else {
@@ -234,9 +250,9 @@
                 Some(Ok(announcement)) => self.catalog.borrow_mut().announce(now, id, announcement),
                 Some(Err(error)) => {
                     tracing::warn!(row = %row.key, %error, "row names no target");
-                    self.catalog.borrow_mut().vanish(now, &id)
+                    self.catalog.borrow_mut().vanish(now, &id, certain)
                 }
-                None => self.catalog.borrow_mut().vanish(now, &id),
+                None => self.catalog.borrow_mut().vanish(now, &id, certain),
             };
             if let Some(change) = change {
                 self.take_catalog_change(now, &change);
@@ -265,7 +281,7 @@
             .get(id)
             .filter(|target| !target.announcement.leaving);
         let Some(target) = active else {
-            tracing::info!(target = %id, "target gets no more work");
+            tracing::info!(id = %id, "target gets no more work");
             boards.values_mut().for_each(|board| board.remove(id));
             self.pools.remove(id);
             return;
@@ -280,7 +296,7 @@
             .entry(said.service.clone())
             .or_insert_with(|| TargetBoard::new(own));
         if !board.contains(id) {
-            tracing::info!(target = %id, service = %said.service, "target gets work");
+            tracing::info!(id = %id, service = %said.service, "target gets work");
             let centre = said.data_centre.clone();
             board.put(now, id.clone(), centre, said.slots, said.cold_for);
         }
@@ -301,6 +317,7 @@
         let is_news = self.with_board(service, |board| board.observe(now, target, sign));
         if is_news == Some(true) {
             self.signs.borrow_mut().push((target.clone(), sign));
+            self.news_ready.notify_one();
         }
     }
 
@@ -348,6 +365,13 @@
         }
     }
 
+    /// Returns how many other nodes may carry traffic, reckoned from this node's data centre.
+    pub fn expected_entries(&self) -> usize {
+        let settings = self.settings();
+        let own = self.entries_of(&settings.data_centre).len();
+        (own * settings.data_centres.len()).saturating_sub(1)
+    }
+
     /// Returns the nodes that callers of a data centre are sent to.
     pub fn entries_of(&self, data_centre: &DataCentreId) -> Vec<EntryNode> {
         let nodes = self.serving_nodes();
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod command;
 pub mod entry_counters;
 pub mod entry_state;
+pub mod peer_rows;
 pub mod peer_socket;
 pub mod peer_wire;
 pub mod process;
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -17,8 +17,8 @@
 
 /// The interval at which nodes that carry traffic tell each other their counts.
 const COUNTS: Duration = Duration::from_millis(100);
-/// The interval at which late answers are looked for and news of targets leaves.
-const SIGNS: Duration = Duration::from_millis(50);
+/// The interval at which late answers are looked for.
+const LATE_LOOK: Duration = Duration::from_millis(50);
 /// The pause of a node without traffic until it looks again whether it has any.
 const IDLE: Duration = Duration::from_millis(250);
 /// The largest datagram, in bytes.
@@ -55,7 +55,12 @@
             state.tick_catalog();
             let carrying = state.members.borrow().carrying(now).count();
             state.repeats.borrow_mut().set_sharers(carrying + 1);
-            tokio::time::sleep(Duration::from_millis(PRESENCE_MS)).await;
+            let entries = state.expected_entries();
+            state.rates.borrow_mut().set_expected_peers(entries);
+            tokio::select! {
+                () = state.presence_due.notified() => {}
+                () = tokio::time::sleep(Duration::from_millis(PRESENCE_MS)) => {}
+            }
         }
     }
 
@@ -121,8 +126,11 @@
                 note_late(state);
             }
             self.send_signs(state);
-            let carrying = state.is_carrying();
-            tokio::time::sleep(if carrying { SIGNS } else { IDLE }).await;
+            let pause = if state.is_carrying() { LATE_LOOK } else { IDLE };
+            tokio::select! {
+                () = state.news_ready.notified() => {}
+                () = tokio::time::sleep(pause) => {}
+            }
         }
     }
 
@@ -267,7 +275,10 @@
 pub fn take_crash_actions(state: &EntryState, actions: Vec<CrashAction>) {
     for action in actions {
         match action {
-            CrashAction::Send { message, .. } => state.crash_news.borrow_mut().push(message),
+            CrashAction::Send { message, .. } => {
+                state.crash_news.borrow_mut().push(message);
+                state.news_ready.notify_one();
+            }
             CrashAction::Blocked(fingerprint) => {
                 tracing::warn!(
                     customer = %fingerprint.customer,
@@ -286,6 +297,7 @@
     match sign {
         TargetSign::Good => WireSign::Good,
         TargetSign::Failed => WireSign::Failed,
+        TargetSign::FailedAtOnce => WireSign::FailedAtOnce,
         TargetSign::Late => WireSign::Late,
     }
 }
@@ -294,6 +306,7 @@
     match sign {
         WireSign::Good => TargetSign::Good,
         WireSign::Failed => TargetSign::Failed,
+        WireSign::FailedAtOnce => TargetSign::FailedAtOnce,
         WireSign::Late => TargetSign::Late,
     }
 }
--- a/entry/src/peer_wire.rs
+++ b/entry/src/peer_wire.rs
@@ -19,6 +19,8 @@
     Good,
     /// See [`damaskloom_lib::failure_filter::TargetSign::Failed`].
     Failed,
+    /// See [`damaskloom_lib::failure_filter::TargetSign::FailedAtOnce`].
+    FailedAtOnce,
     /// See [`damaskloom_lib::failure_filter::TargetSign::Late`].
     Late,
 }
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -12,6 +12,7 @@
 
 use crate::caller_listener::{run_callers, run_directory, run_ready};
 use crate::entry_state::EntryState;
+use crate::peer_rows::{run_fetches, run_rows};
 use crate::peer_socket::PeerSocket;
 use crate::settings::EntrySettings;
 use crate::store_watch::{join_fleet, watch_routing, watch_targets};
@@ -61,12 +62,15 @@
     let socket = socket.context(ListenSnafu {
         address: peer_address,
     })?;
+    let rows = listen(peer_address).await?;
     let peers = Rc::new(PeerSocket::new(socket, settings.peer_port));
     let state = EntryState::new(settings);
     let (stop, stopped) = watch::channel(false);
     let callers = tokio::task::spawn_local(run_callers(Rc::clone(&state), callers, stopped));
     tokio::task::spawn_local(run_ready(Rc::clone(&state), ready));
     tokio::task::spawn_local(run_directory(Rc::clone(&state), directory));
+    tokio::task::spawn_local(run_rows(Rc::clone(&state), rows));
+    tokio::task::spawn_local(run_fetches(Rc::clone(&state)));
     tokio::task::spawn_local(join_fleet(Rc::clone(&state)));
     tokio::task::spawn_local(watch_routing(Rc::clone(&state)));
     tokio::task::spawn_local(watch_targets(Rc::clone(&state)));
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -358,7 +358,7 @@
             Ok(answer) if answer.status().is_server_error() => {
                 self.sent += 1;
                 self.may_have_run = true;
-                state.observe(service, id, TargetSign::Failed);
+                self.observe_failure(id, taken);
                 "server-error"
             }
             Ok(_) => {
@@ -370,7 +370,7 @@
                 return;
             }
             Err(error) => {
-                self.judge_error(id, *error, was_late);
+                self.judge_error(id, *error, taken, was_late);
                 error.label()
             }
         };
@@ -379,14 +379,14 @@
         }
         tracing::info!(
             request = self.request,
-            target = %id,
+            to = %id,
             error,
             taken_ms = taken.as_millis() as u64,
             "sending failed"
         );
     }
 
-    fn judge_error(&mut self, id: &TargetId, error: CallError, was_late: bool) {
+    fn judge_error(&mut self, id: &TargetId, error: CallError, taken: Duration, was_late: bool) {
         let (state, service) = (self.state, self.service);
         let now = state.clock.now();
         match error {
@@ -411,7 +411,7 @@
                 self.sent += 1;
                 self.may_have_run = true;
                 if !was_late {
-                    state.observe(service, id, TargetSign::Failed);
+                    self.observe_failure(id, taken);
                 }
                 if error == CallError::Broken
                     && let Some(fingerprint) = &self.fingerprint
@@ -422,6 +422,15 @@
         }
     }
 
+    fn observe_failure(&self, id: &TargetId, taken: Duration) {
+        let sign = self
+            .state
+            .with_board(self.service, |board| board.failure_sign(taken));
+        if let Some(sign) = sign {
+            self.state.observe(self.service, id, sign);
+        }
+    }
+
     fn note_completed(&self) {
         if let Some(fingerprint) = &self.fingerprint {
             let now = self.state.clock.now();
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -225,8 +225,9 @@
                 link.up();
                 backoff = Backoff::new();
                 state.catalog.borrow_mut().store_back(now);
+                state.store_linked.set(true);
                 state.targets_known.set(true);
-                state.take_target_rows(&news);
+                state.take_target_rows(&news, false);
                 if !news.is_empty() {
                     tokio::time::sleep(TARGET_FEED_PAUSE).await;
                 }
@@ -234,6 +235,7 @@
             Err(error) => {
                 link.down(&error);
                 state.catalog.borrow_mut().store_away(now);
+                state.store_linked.set(false);
                 backoff.pause().await;
             }
         }
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -144,12 +144,17 @@
         })
     }
 
+    /// Returns the nodes that were heard lately.
+    pub fn heard(&self, now: MonoTime) -> impl Iterator<Item = (&VmId, &KnownNode)> {
+        let silent = Duration::from_millis(SILENT_MS);
+        self.nodes
+            .iter()
+            .filter(move |(_, node)| now.since(node.heard_at) < silent)
+    }
+
     /// Returns the nodes that carry traffic, as far as was heard lately.
     pub fn carrying(&self, now: MonoTime) -> impl Iterator<Item = (&VmId, &KnownNode)> {
-        let silent = Duration::from_millis(SILENT_MS);
-        self.nodes.iter().filter(move |(_, node)| {
-            let carries = node.note.as_ref().is_some_and(|note| note.carrying);
-            carries && now.since(node.heard_at) < silent
-        })
+        self.heard(now)
+            .filter(|(_, node)| node.note.as_ref().is_some_and(|note| note.carrying))
     }
 }
--- a/lib/src/failure_filter.rs
+++ b/lib/src/failure_filter.rs
@@ -16,6 +16,8 @@
 const MEAN_FAILING_S: f64 = 4.0;
 /// The part of its answers that a failing target fails.
 const FAILING_RATE: f64 = 0.7;
+/// The part of a healthy target's failures that come at once: its errors come of work.
+const AT_ONCE_PART: f64 = 0.1;
 /// How much likelier an answer is late at a failing target than at a healthy one.
 const LATE_ODDS: f64 = 12.0;
 /// The probability is kept off 0 and 1, so that later news still counts.
@@ -29,6 +31,8 @@
     Good,
     /// An error, a broken connection or a spoilt answer.
     Failed,
+    /// An error long before the request could have been worked on.
+    FailedAtOnce,
     /// No answer when one was due.
     Late,
 }
@@ -67,6 +71,7 @@
         let (failing, healthy) = match sign {
             TargetSign::Good => (1.0 - FAILING_RATE, 1.0 - usual_failures),
             TargetSign::Failed => (FAILING_RATE, usual_failures),
+            TargetSign::FailedAtOnce => (FAILING_RATE, usual_failures * AT_ONCE_PART),
             TargetSign::Late => (LATE_ODDS, 1.0),
         };
         let joint = prior * failing;
--- a/lib/src/fleet_rate.rs
+++ b/lib/src/fleet_rate.rs
@@ -22,6 +22,9 @@
 const SILENT_PEER_MS: u64 = 10_000;
 /// The time between reports after which a peer's requests are estimated, in milliseconds.
 const REPORT_DUE_MS: u64 = 300;
+/// The time after its first request for which a node reckons with peers that it has not heard of, in
+/// milliseconds: after a restart of all nodes, their first reports are still on their way.
+const UNHEARD_PEER_MS: u64 = 2_000;
 /// The requests of its own part that a node may save up while the rate is divided.
 const SAVED_REQUESTS: f64 = 2.0;
 
@@ -67,36 +70,46 @@
     own_part: f64,
     refilled_at: MonoTime,
     admitted: u64,
+    /// The admitted requests that were refused in the end and not admitted anew yet.
+    returned: u64,
     demand_per_s: f64,
+    first_asked_at: Option<MonoTime>,
     asked_at: MonoTime,
     peers: IndexMap<VmId, PeerRate>,
 }
 
 impl CustomerBucket {
+    /// Makes an empty bucket: what is in it may have been spent before the node started.
     fn new(now: MonoTime, limit: FleetLimit) -> Self {
         Self {
             limit,
-            level: limit.burst,
+            level: 0.0,
             own_part: 0.0,
             refilled_at: now,
             admitted: 0,
+            returned: 0,
             demand_per_s: 0.0,
+            first_asked_at: None,
             asked_at: now,
             peers: IndexMap::new(),
         }
     }
 
     /// Returns this node's part of what callers ask of the whole fleet.
-    fn own_share(&self, now: MonoTime) -> f64 {
+    fn own_share(&self, now: MonoTime, expected_peers: usize) -> f64 {
         let silent = Duration::from_millis(SILENT_PEER_MS);
-        let others: f64 = self
+        let heard = self
             .peers
             .values()
-            .filter(|peer| now.since(peer.heard_at) < silent)
-            .map(|peer| peer.demand_per_s)
-            .sum();
+            .filter(|peer| now.since(peer.heard_at) < silent);
+        let others: f64 = heard.clone().map(|peer| peer.demand_per_s).sum();
         let own = self.demand(now).max(0.01);
-        own / (own + others)
+        let starts = Duration::from_millis(UNHEARD_PEER_MS);
+        let unheard = match self.first_asked_at {
+            Some(first) if now.since(first) >= starts => 0,
+            _ => expected_peers.saturating_sub(heard.count()),
+        };
+        own / (own * (1.0 + unheard as f64) + others)
     }
 
     fn demand(&self, now: MonoTime) -> f64 {
@@ -104,12 +117,12 @@
         self.demand_per_s * (-idle / DEMAND_MEMORY_S).exp()
     }
 
-    fn refill(&mut self, now: MonoTime) {
+    fn refill(&mut self, now: MonoTime, expected_peers: usize) {
         let elapsed = now.since(self.refilled_at).as_secs_f64();
         self.refilled_at = now;
         let gained = elapsed * self.limit.rate_per_s;
         self.level = (self.level + gained).min(self.limit.burst.max(1.0));
-        let share = self.own_share(now);
+        let share = self.own_share(now, expected_peers);
         self.own_part = (self.own_part + gained * share).min(SAVED_REQUESTS);
         self.charge_silent_peers(now);
     }
@@ -131,36 +144,51 @@
         self.level = self.level.max(-self.limit.burst.max(self.limit.rate_per_s));
     }
 
-    fn ask(&mut self, now: MonoTime) -> RateAnswer {
+    fn ask(&mut self, now: MonoTime, expected_peers: usize) -> RateAnswer {
+        self.first_asked_at.get_or_insert(now);
         let interval = now.since(self.asked_at).as_secs_f64();
         let decay = (-interval / DEMAND_MEMORY_S).exp();
         self.demand_per_s = self.demand_per_s * decay + 1.0 / DEMAND_MEMORY_S;
         self.asked_at = now;
-        self.refill(now);
+        self.refill(now, expected_peers);
         if self.level >= 1.0 && self.level >= self.limit.burst * LOW_PART {
-            self.level -= 1.0;
-            self.admitted += 1;
+            self.note_admitted();
             return RateAnswer::Admit;
         }
         if self.own_part >= 1.0 {
             self.own_part -= 1.0;
-            self.level -= 1.0;
-            self.admitted += 1;
+            self.note_admitted();
             return RateAnswer::Admit;
         }
-        let own_rate = (self.limit.rate_per_s * self.own_share(now)).max(0.1);
+        let share = self.own_share(now, expected_peers);
+        let own_rate = (self.limit.rate_per_s * share).max(0.1);
         let wait = (1.0 - self.own_part) / own_rate;
         RateAnswer::Refuse(Duration::from_secs_f64(wait.clamp(0.01, 5.0)))
     }
+
+    fn note_admitted(&mut self) {
+        self.level -= 1.0;
+        // The count that peers are told of never goes down, since they take differences.
+        match self.returned.checked_sub(1) {
+            Some(left) => self.returned = left,
+            None => self.admitted += 1,
+        }
+    }
 }
 
 /// The limits of all customers, as one node applies them.
 #[derive(Debug, Default)]
 pub struct FleetRates {
+    expected_peers: usize,
     buckets: IndexMap<CustomerId, CustomerBucket>,
 }
 
 impl FleetRates {
+    /// Changes how many other nodes are expected to carry traffic.
+    pub fn set_expected_peers(&mut self, nodes: usize) {
+        self.expected_peers = nodes;
+    }
+
     /// Changes the limits to those of a newer configuration.
     pub fn set_limits(
         &mut self,
@@ -172,7 +200,7 @@
             let bucket = match old.swap_remove(&id) {
                 None => CustomerBucket::new(now, limit),
                 Some(mut bucket) => {
-                    bucket.refill(now);
+                    bucket.refill(now, self.expected_peers);
                     bucket.level = bucket.level.min(limit.burst);
                     bucket.limit = limit;
                     bucket
@@ -185,7 +213,7 @@
     /// Decides on a request of a customer.
     pub fn ask(&mut self, now: MonoTime, customer: &CustomerId) -> RateAnswer {
         match self.buckets.get_mut(customer) {
-            Some(bucket) if bucket.limit.rate_per_s > 0.0 => bucket.ask(now),
+            Some(bucket) if bucket.limit.rate_per_s > 0.0 => bucket.ask(now, self.expected_peers),
             _ => RateAnswer::Admit,
         }
     }
@@ -194,7 +222,7 @@
     pub fn give_back(&mut self, customer: &CustomerId) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
             bucket.level += 1.0;
-            bucket.admitted = bucket.admitted.saturating_sub(1);
+            bucket.returned += 1;
         }
     }
 
@@ -209,7 +237,7 @@
         let Some(bucket) = self.buckets.get_mut(customer) else {
             return;
         };
-        bucket.refill(now);
+        bucket.refill(now, self.expected_peers);
         let fresh = PeerRate {
             admitted: report.admitted,
             demand_per_s: report.demand_per_s,
--- a/lib/src/table_mirror.rs
+++ b/lib/src/table_mirror.rs
@@ -31,6 +31,12 @@
         self.version
     }
 
+    /// Returns the version of the newest row or removal.
+    pub fn newest_row(&self) -> u64 {
+        let versions = self.rows.values().map(|(_, version)| *version);
+        versions.max().unwrap_or(0)
+    }
+
     /// Takes in changes up to a version; returns those that were news.
     pub fn apply(&mut self, rows: Vec<MirrorRow>, version: u64) -> Vec<MirrorRow> {
         let news = rows.into_iter().filter(|row| {
--- a/lib/src/target_board.rs
+++ b/lib/src/target_board.rs
@@ -50,6 +50,8 @@
 const MAX_USUAL_FAILURES: f64 = 0.25;
 /// A target that is likelier to fail than this does not count in the usual failures.
 const SUSPECT_PROBABILITY: f64 = 0.5;
+/// A failure within this part of the usual running time came before any work.
+const AT_ONCE_PART: f64 = 0.1;
 /// The running time that is assumed before answers came, in milliseconds.
 const FIRST_RUNNING_MS: f64 = 120.0;
 
@@ -244,6 +246,15 @@
         (cost, wait)
     }
 
+    /// Says what a failure after some time shows: one that came at once was not of the request's work.
+    pub fn failure_sign(&self, taken: Duration) -> TargetSign {
+        if taken.as_secs_f64() * 1_000.0 < self.running_ms * AT_ONCE_PART {
+            TargetSign::FailedAtOnce
+        } else {
+            TargetSign::Failed
+        }
+    }
+
     /// Notes that a request was sent to a target.
     pub fn begin(&mut self, now: MonoTime, id: &TargetId) -> RunningId {
         self.next_running += 1;
@@ -281,7 +292,7 @@
         let before = target.filter.probability(now);
         target.filter.observe(now, sign, usual);
         if before < SUSPECT_PROBABILITY {
-            let failed = f64::from(u8::from(sign == TargetSign::Failed));
+            let failed = f64::from(u8::from(sign != TargetSign::Good));
             let average = usual + (failed - usual) * AVERAGE_WEIGHT;
             self.usual_failures = average.clamp(MIN_USUAL_FAILURES, MAX_USUAL_FAILURES);
         }
--- a/lib/src/target_catalog.rs
+++ b/lib/src/target_catalog.rs
@@ -121,8 +121,10 @@
     }
 
     /// Takes in that a target's announcement is not there any more.
-    pub fn vanish(&mut self, now: MonoTime, id: &TargetId) -> Option<CatalogChange> {
-        let in_grace = self.grace_end().is_some_and(|end| now < end);
+    ///
+    /// It may have lapsed if the store was away, unless it is `certain` that it was not.
+    pub fn vanish(&mut self, now: MonoTime, id: &TargetId, certain: bool) -> Option<CatalogChange> {
+        let in_grace = !certain && self.grace_end().is_some_and(|end| now < end);
         let held = self.targets.get_mut(id)?;
         // A target that said that it leaves did not lapse.
         if in_grace && !held.announcement.leaving {
