fleet rates: reckon with unheard peers from the registrations, tested in virtual time

Ruled out: the buckets themselves, by the new tests, which pass with known peers. Change: registrations hold data centre and size; a node is ready once it has read them; a meter tells traffic from single requests; presence wakes on the first traffic; a node whose clock jumped back between two starts is believed after a silence.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -14,7 +14,7 @@
 use damaskloom_lib::failure_filter::TargetSign;
 use damaskloom_lib::fleet_rate::{FleetLimit, FleetRates};
 use damaskloom_lib::ids::{
-    CustomerId, DataCentreId, Incarnation, NodeId, RouteId, ServiceId, TargetId,
+    CustomerId, DataCentreId, Incarnation, NodeId, RouteId, ServiceId, TargetId, VmId,
 };
 use damaskloom_lib::repeat_budget::RepeatBudget;
 use damaskloom_lib::routing::{RoutingDocument, RoutingTable};
@@ -22,6 +22,7 @@
 use damaskloom_lib::target_board::{ServiceBoards, TargetBoard};
 use damaskloom_lib::target_catalog::{CatalogChange, TargetCatalog};
 use damaskloom_lib::time::MonoTime;
+use damaskloom_lib::traffic_meter::TrafficMeter;
 use damaskloom_lib::weighted_split::WeightedSplit;
 use damaskloom_platform::routing_reader::read_routing;
 use damaskloom_platform::store_client::ROUTING_ROW;
@@ -39,8 +40,6 @@
 /// The processor that a slot of a target keeps busy on entries, in thousandths of a core: some ten
 /// requests a second of about a millisecond each, at a third of the processor.
 const PROCESSOR_MILLI_PER_SLOT: u32 = 30;
-/// The time after its last request for which a node counts as carrying traffic, in milliseconds.
-const CARRYING_MS: u64 = 3_000;
 /// The time that callers keep a directory answer, in seconds, if the bound allows it: a new choice
 /// of nodes is then in force soon after one is lost.
 const DIRECTORY_LIFETIME_S: f64 = 4.0;
@@ -88,13 +87,15 @@
     pub news_ready: Notify,
     /// Wakes whoever tells others that the node is there.
     pub presence_due: Notify,
+    /// Wakes whoever fetches rows from peers that have newer ones.
+    pub peer_newer: Notify,
     /// Whether the store answers this node's reads of the targets.
     pub store_linked: Cell<bool>,
     /// The counters of the process.
     pub counters: EntryCounters,
     /// The requests in flight.
     pub in_flight: Cell<usize>,
-    last_request: Cell<MonoTime>,
+    traffic: RefCell<TrafficMeter>,
     leaving: Cell<bool>,
 }
 
@@ -129,10 +130,11 @@
             crash_news: RefCell::default(),
             news_ready: Notify::new(),
             presence_due: Notify::new(),
+            peer_newer: Notify::new(),
             store_linked: Cell::new(false),
             counters: EntryCounters::default(),
             in_flight: Cell::new(0),
-            last_request: Cell::new(MonoTime::ZERO),
+            traffic: RefCell::default(),
             leaving: Cell::new(false),
         })
     }
@@ -162,22 +164,27 @@
 
     /// Says whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.routing.borrow().is_some() && self.targets_known.get()
+        let knows = self.routing.borrow().is_some() && self.targets_known.get();
+        // Without the secret no other node is heard, so that rates could not be divided.
+        knows && !self.is_leaving() && self.secret.borrow().is_some()
     }
 
     /// Notes that a caller's request arrived.
     pub fn note_request(&self) {
-        if !self.is_carrying() {
+        let carried = self.is_carrying();
+        self.traffic.borrow_mut().note(self.clock.now());
+        if !carried && self.is_carrying() {
             // Nodes that carry traffic tell each other their counts, so they hear of it at once.
             self.presence_due.notify_one();
         }
-        self.last_request.set(self.clock.now());
+        if self.in_flight.get() == 0 {
+            self.news_ready.notify_one();
+        }
     }
 
-    /// Says whether callers' requests arrived lately.
+    /// Says whether the node carries traffic.
     pub fn is_carrying(&self) -> bool {
-        let last = self.last_request.get();
-        last > MonoTime::ZERO && self.clock.now().since(last) < Duration::from_millis(CARRYING_MS)
+        self.traffic.borrow().is_carrying(self.clock.now())
     }
 
     /// Returns what others are told of this node.
@@ -328,6 +335,18 @@
         }
     }
 
+    /// Takes in a peer's presence note.
+    pub fn take_presence(&self, vm: &VmId, note: PresenceNote) {
+        let newer = note.routing_version > self.routing_mirror.borrow().newest_row()
+            || note.targets_version > self.target_mirror.borrow().newest_row();
+        if newer {
+            self.peer_newer.notify_one();
+        }
+        if self.members.borrow_mut().note(vm, note) {
+            tracing::info!(node = %vm, "node heard of");
+        }
+    }
+
     /// Returns the time for which callers keep a directory answer.
     pub fn directory_lifetime(&self) -> Duration {
         let bound = self.settings().bounds.max_directory_lifetime_s;
@@ -339,13 +358,7 @@
         let now = self.clock.now();
         let mut nodes: Vec<EntryNode> = self.members.borrow().serving(now).collect();
         if self.is_ready() {
-            let settings = self.settings();
-            nodes.push(EntryNode {
-                vm: settings.vm.clone(),
-                data_centre: settings.data_centre.clone(),
-                address: settings.caller_listen,
-                processor_milli: settings.machine.processor_milli(),
-            });
+            nodes.push(own_entry(&self.settings()));
         }
         nodes
     }
@@ -365,11 +378,21 @@
         }
     }
 
-    /// Returns how many other nodes may carry traffic, reckoned from this node's data centre.
+    /// Returns how many other nodes callers may be sent to, heard of or not.
     pub fn expected_entries(&self) -> usize {
         let settings = self.settings();
-        let own = self.entries_of(&settings.data_centre).len();
-        (own * settings.data_centres.len()).saturating_sub(1)
+        let nodes: Vec<EntryNode> = self
+            .members
+            .borrow()
+            .possible()
+            .chain([own_entry(&settings)])
+            .collect();
+        let terms = self.entry_terms();
+        let centres = settings.data_centres.keys();
+        let all: usize = centres
+            .map(|centre| choose_entries(&nodes, centre, terms).len())
+            .sum();
+        all.saturating_sub(1)
     }
 
     /// Returns the nodes that callers of a data centre are sent to.
@@ -398,3 +421,12 @@
             .any(|node| node.vm == settings.vm)
     }
 }
+
+fn own_entry(settings: &EntrySettings) -> EntryNode {
+    EntryNode {
+        vm: settings.vm.clone(),
+        data_centre: settings.data_centre.clone(),
+        address: settings.caller_listen,
+        processor_milli: settings.machine.processor_milli(),
+    }
+}
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -23,11 +23,9 @@
 use crate::caller_listener::run_helper;
 use crate::entry_state::EntryState;
 
-/// The interval at which a node looks whether peers have newer rows.
-const LOOK: Duration = Duration::from_millis(250);
-/// The looks in a row that find newer rows at peers before they are fetched: the node's own feed
-/// usually brings them within that time.
-const LOOKS_BEFORE_FETCH: u32 = 3;
+/// The time for which newer rows may be known of before they are fetched: the node's own feed usually
+/// brings them within that time.
+const OWN_FEED_TIME: Duration = Duration::from_millis(700);
 /// The time in which a peer must answer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
 /// The largest answer, in bytes.
@@ -144,23 +142,15 @@
 
 /// Fetches rows that peers have and this node lacks, until the task is ended.
 pub async fn run_fetches(state: Rc<EntryState>) {
-    let mut behind = [0_u32; 2];
     loop {
-        tokio::time::sleep(LOOK).await;
-        for (kind, looks) in [MirrorKind::Routing, MirrorKind::Targets]
-            .into_iter()
-            .zip(&mut behind)
-        {
+        state.peer_newer.notified().await;
+        tokio::time::sleep(OWN_FEED_TIME).await;
+        for kind in [MirrorKind::Routing, MirrorKind::Targets] {
             let Some(peer) = newer_peer(&state, kind) else {
-                *looks = 0;
                 continue;
             };
-            *looks += 1;
-            if *looks >= LOOKS_BEFORE_FETCH {
-                *looks = 0;
-                if let Err(error) = fetch(&state, kind, peer).await {
-                    tracing::warn!(%peer, %error, "rows not fetched from peer");
-                }
+            if let Err(error) = fetch(&state, kind, peer).await {
+                tracing::warn!(%peer, %error, "rows not fetched from peer");
             }
         }
     }
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -19,8 +19,10 @@
 const COUNTS: Duration = Duration::from_millis(100);
 /// The interval at which late answers are looked for.
 const LATE_LOOK: Duration = Duration::from_millis(50);
-/// The pause of a node without traffic until it looks again whether it has any.
-const IDLE: Duration = Duration::from_millis(250);
+/// The interval at which a node with single requests tells what it admitted.
+const IDLE_COUNTS: Duration = Duration::from_millis(1_000);
+/// The pause after the socket failed.
+const SOCKET_PAUSE: Duration = Duration::from_millis(250);
 /// The largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
@@ -47,6 +49,8 @@
     /// Tells others that the node is there, until the task is ended.
     pub async fn run_presence(&self, state: &EntryState) {
         loop {
+            let entries = state.expected_entries();
+            state.rates.borrow_mut().set_expected_peers(entries);
             self.send_presence(state);
             let now = state.clock.now();
             state.members.borrow_mut().tick(now);
@@ -55,8 +59,6 @@
             state.tick_catalog();
             let carrying = state.members.borrow().carrying(now).count();
             state.repeats.borrow_mut().set_sharers(carrying + 1);
-            let entries = state.expected_entries();
-            state.rates.borrow_mut().set_expected_peers(entries);
             tokio::select! {
                 () = state.presence_due.notified() => {}
                 () = tokio::time::sleep(Duration::from_millis(PRESENCE_MS)) => {}
@@ -87,12 +89,9 @@
     /// Tells nodes that carry traffic what runs here and was admitted, until the task is ended.
     pub async fn run_counts(&self, state: &EntryState) {
         loop {
-            if state.is_carrying() {
-                self.send_counts(state);
-                tokio::time::sleep(COUNTS).await;
-            } else {
-                tokio::time::sleep(IDLE).await;
-            }
+            self.send_counts(state);
+            let carrying = state.is_carrying();
+            tokio::time::sleep(if carrying { COUNTS } else { IDLE_COUNTS }).await;
         }
     }
 
@@ -115,6 +114,9 @@
                 });
             }
         }
+        if running.is_empty() && customers.is_empty() {
+            return;
+        }
         let message = PeerMessage::Counts { running, customers };
         self.send(state, &self.carrying(state), message);
     }
@@ -126,10 +128,16 @@
                 note_late(state);
             }
             self.send_signs(state);
-            let pause = if state.is_carrying() { LATE_LOOK } else { IDLE };
+            let look = async {
+                if state.in_flight.get() > 0 {
+                    tokio::time::sleep(LATE_LOOK).await;
+                } else {
+                    std::future::pending::<()>().await;
+                }
+            };
             tokio::select! {
                 () = state.news_ready.notified() => {}
-                () = tokio::time::sleep(pause) => {}
+                () = look => {}
             }
         }
     }
@@ -192,7 +200,7 @@
                 Ok((length, from)) => self.take(state, &buffer[..length], from),
                 Err(error) => {
                     tracing::warn!(%error, "peer socket");
-                    tokio::time::sleep(IDLE).await;
+                    tokio::time::sleep(SOCKET_PAUSE).await;
                 }
             }
         }
@@ -227,12 +235,7 @@
         let now = state.clock.now();
         let vm = envelope.from;
         match envelope.message {
-            PeerMessage::Presence(note) => {
-                let is_new = state.members.borrow_mut().note(&vm, note);
-                if is_new {
-                    tracing::info!(node = %vm, "node heard of");
-                }
-            }
+            PeerMessage::Presence(note) => state.take_presence(&vm, note),
             PeerMessage::Counts { running, customers } => {
                 for board in state.boards.borrow_mut().values_mut() {
                     board.note_peer_counts(now, &vm, &running);
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use damaskloom_gateway::peer_auth::SharedSecret;
+use damaskloom_lib::entry_members::NodeRegistration;
 use damaskloom_lib::ids::VmId;
 use damaskloom_lib::platform::PlatformError;
 use damaskloom_lib::table_mirror::{MirrorRow, TableMirror};
@@ -12,7 +13,6 @@
     CreateOutcome, FeedOutcome, OPERATOR_TABLE, RowBatch, StoreClient, StoreRow, TARGET_TABLE,
 };
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 
 use crate::entry_state::EntryState;
 
@@ -34,14 +34,6 @@
 /// The length of the secret, in bytes.
 const SECRET_BYTES: usize = 32;
 
-/// What a node registers of itself.
-#[derive(Debug, Deserialize, Serialize)]
-#[serde(rename_all = "snake_case")]
-struct NodeRow {
-    ip: std::net::IpAddr,
-    started_at_ms: u64,
-}
-
 /// A pause that grows while calls fail, by chance so that nodes do not call all at once.
 struct Backoff(Duration);
 
@@ -83,16 +75,28 @@
     }
 }
 
-/// Registers the node and learns of the others; ends once both are done.
+/// Learns of the other nodes and registers this one; ends once both are done.
 pub async fn join_fleet(state: Rc<EntryState>) {
     let settings = state.settings();
-    let client = Rc::new(tokio::sync::Mutex::new(StoreClient::new(settings.store)));
-    let row = NodeRow {
-        ip: settings.ip,
+    let client = tokio::sync::Mutex::new(StoreClient::new(settings.store));
+    let key = format!("{NODE_PREFIX}{}", settings.vm);
+    let rows = read_fleet(&client).await;
+    take_registrations(&state, &rows);
+    let find = |name: &str| rows.rows.iter().find(|row| row.key == name);
+    let held = find(SECRET_ROW).and_then(|row| row.value.clone());
+    let secret = match held {
+        Some(secret) => secret.to_vec(),
+        None => agree_on_secret(&client).await,
+    };
+    *state.secret.borrow_mut() = Some(SharedSecret::new(secret));
+    state.presence_due.notify_one();
+    let row = NodeRegistration {
         started_at_ms: state.started_at_ms,
+        data_centre: settings.data_centre.clone(),
+        caller_address: settings.caller_listen,
+        processor_milli: settings.machine.processor_milli(),
     };
     let value = serde_json::to_vec(&row).expect("a registration can be written");
-    let key = format!("{NODE_PREFIX}{}", settings.vm);
     until_answered("registration", || async {
         let mut client = client.lock().await;
         client
@@ -100,22 +104,21 @@
             .await
     })
     .await;
-    let rows = until_answered("members", || async {
-        client
-            .lock()
-            .await
-            .read_table(FLEET_TABLE, CALL_TIMEOUT)
-            .await
+    if find(&key).is_none() {
+        // Another new node may have looked before this one's registration was there.
+        take_registrations(&state, &read_fleet(&client).await);
+        state.presence_due.notify_one();
+    }
+    let members = state.members.borrow().iter().count();
+    tracing::info!(members, "fleet joined");
+}
+
+async fn read_fleet(client: &tokio::sync::Mutex<StoreClient>) -> RowBatch {
+    until_answered("members", || async {
+        let mut client = client.lock().await;
+        client.read_table(FLEET_TABLE, CALL_TIMEOUT).await
     })
-    .await;
-    take_registrations(&state, &rows);
-    let found = rows.rows.iter().find(|row| row.key == SECRET_ROW);
-    let secret = match found.and_then(|row| row.value.clone()) {
-        Some(secret) => secret.to_vec(),
-        None => agree_on_secret(&client).await,
-    };
-    *state.secret.borrow_mut() = Some(SharedSecret::new(secret));
-    tracing::info!(members = rows.rows.len(), "fleet joined");
+    .await
 }
 
 fn take_registrations(state: &EntryState, batch: &RowBatch) {
@@ -128,12 +131,12 @@
         let node = row
             .value
             .as_ref()
-            .and_then(|value| serde_json::from_slice::<NodeRow>(value).ok());
+            .and_then(|value| serde_json::from_slice::<NodeRegistration>(value).ok());
         match (name.parse::<VmId>(), node) {
             (Ok(vm), Some(_)) if vm == own => {}
             (Ok(vm), Some(node)) => {
                 let mut members = state.members.borrow_mut();
-                members.register(now, vm, node.started_at_ms, node.ip);
+                members.register(now, vm, node);
             }
             _ => tracing::warn!(row = %row.key, "registration cannot be read"),
         }
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -16,6 +16,9 @@
 pub const PRESENCE_MS: u64 = 1_000;
 /// The time without a note after which a node gets no callers, in milliseconds: two lost notes.
 const SILENT_MS: u64 = 2_600;
+/// The time without a message of a node after which one with an earlier start is believed, in
+/// milliseconds: more than its notes are apart.
+const RESTARTED_MS: u64 = 1_500;
 /// The time without a note after which a node counts as gone, in milliseconds.
 const GONE_MS: u64 = 30_000;
 
@@ -51,6 +54,20 @@
     pub targets_version: u64,
 }
 
+/// What a node registers of itself when it starts.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct NodeRegistration {
+    /// When the node started, in its own Unix milliseconds; tells two starts apart.
+    pub started_at_ms: u64,
+    /// The node's data centre.
+    pub data_centre: DataCentreId,
+    /// Where callers connect; other nodes reach it at the same IP address.
+    pub caller_address: SocketAddr,
+    /// The processor that the node has, in thousandths of a core.
+    pub processor_milli: u32,
+}
+
 /// A node as it was heard of.
 #[derive(Clone, Debug)]
 pub struct KnownNode {
@@ -60,6 +77,7 @@
     pub ip: IpAddr,
     /// What it told of itself; none if only its registration is known.
     pub note: Option<PresenceNote>,
+    registration: Option<NodeRegistration>,
     heard_at: MonoTime,
     last_number: u64,
 }
@@ -72,11 +90,22 @@
 
 impl EntryMembers {
     /// Takes in a node's registration.
-    pub fn register(&mut self, now: MonoTime, vm: VmId, started_at_ms: u64, ip: IpAddr) {
+    pub fn register(&mut self, now: MonoTime, vm: VmId, registration: NodeRegistration) {
+        let ip = registration.caller_address.ip();
+        self.put(now, vm.clone(), registration.started_at_ms, ip);
+        if let Some(node) = self.nodes.get_mut(&vm)
+            && node.started_at_ms <= registration.started_at_ms
+        {
+            node.registration = Some(registration);
+        }
+    }
+
+    fn put(&mut self, now: MonoTime, vm: VmId, started_at_ms: u64, ip: IpAddr) {
         let known = KnownNode {
             started_at_ms,
             ip,
             note: None,
+            registration: None,
             heard_at: now,
             last_number: 0,
         };
@@ -97,7 +126,16 @@
         number: u64,
         ip: IpAddr,
     ) -> bool {
-        self.register(now, vm.clone(), started_at_ms, ip);
+        self.put(now, vm.clone(), started_at_ms, ip);
+        let silent = Duration::from_millis(RESTARTED_MS);
+        let restarted = self.nodes.get(vm).is_some_and(|held| {
+            held.started_at_ms > started_at_ms && now.since(held.heard_at) >= silent
+        });
+        if restarted {
+            // The time of day has jumped back between the two starts.
+            self.nodes.swap_remove(vm);
+            self.put(now, vm.clone(), started_at_ms, ip);
+        }
         let Some(node) = self.nodes.get_mut(vm) else {
             return false;
         };
@@ -144,6 +182,25 @@
         })
     }
 
+    /// Returns all nodes that may serve callers: those that are registered, heard of or not, but for
+    /// those that leave.
+    pub fn possible(&self) -> impl Iterator<Item = EntryNode> {
+        self.nodes.iter().filter_map(|(vm, node)| {
+            let (data_centre, address, processor_milli) = match (&node.note, &node.registration) {
+                (Some(note), _) if note.standing == EntryStanding::Leaving => return None,
+                (Some(note), _) => (&note.data_centre, note.caller_address, note.processor_milli),
+                (None, Some(own)) => (&own.data_centre, own.caller_address, own.processor_milli),
+                (None, None) => return None,
+            };
+            Some(EntryNode {
+                vm: vm.clone(),
+                data_centre: data_centre.clone(),
+                address,
+                processor_milli,
+            })
+        })
+    }
+
     /// Returns the nodes that were heard lately.
     pub fn heard(&self, now: MonoTime) -> impl Iterator<Item = (&VmId, &KnownNode)> {
         let silent = Duration::from_millis(SILENT_MS);
--- a/lib/src/fleet_rate.rs
+++ b/lib/src/fleet_rate.rs
@@ -25,7 +25,11 @@
 /// The time after its first request for which a node reckons with peers that it has not heard of, in
 /// milliseconds: after a restart of all nodes, their first reports are still on their way.
 const UNHEARD_PEER_MS: u64 = 2_000;
-/// The requests of its own part that a node may save up while the rate is divided.
+/// One unheard peer in so many does not matter.
+const BORNE_UNHEARD: usize = 4;
+/// The part of its share of the burst that a node may save up while the rate is divided.
+const SAVED_BURST_PART: f64 = 0.5;
+/// The requests that a node may save up at least, whatever its share.
 const SAVED_REQUESTS: f64 = 2.0;
 
 /// A customer's limit over the whole fleet.
@@ -73,7 +77,6 @@
     /// The admitted requests that were refused in the end and not admitted anew yet.
     returned: u64,
     demand_per_s: f64,
-    first_asked_at: Option<MonoTime>,
     asked_at: MonoTime,
     peers: IndexMap<VmId, PeerRate>,
 }
@@ -84,46 +87,43 @@
         Self {
             limit,
             level: 0.0,
-            own_part: 0.0,
+            // The first request at a node need not wait until the node knows its part.
+            own_part: 1.0,
             refilled_at: now,
             admitted: 0,
             returned: 0,
             demand_per_s: 0.0,
-            first_asked_at: None,
             asked_at: now,
             peers: IndexMap::new(),
         }
     }
 
     /// Returns this node's part of what callers ask of the whole fleet.
-    fn own_share(&self, now: MonoTime, expected_peers: usize) -> f64 {
-        let silent = Duration::from_millis(SILENT_PEER_MS);
-        let heard = self
-            .peers
-            .values()
-            .filter(|peer| now.since(peer.heard_at) < silent);
-        let others: f64 = heard.clone().map(|peer| peer.demand_per_s).sum();
+    fn own_share(&self, now: MonoTime, unheard: usize) -> f64 {
+        let others: f64 = self.heard(now).map(|peer| peer.demand_per_s).sum();
         let own = self.demand(now).max(0.01);
-        let starts = Duration::from_millis(UNHEARD_PEER_MS);
-        let unheard = match self.first_asked_at {
-            Some(first) if now.since(first) >= starts => 0,
-            _ => expected_peers.saturating_sub(heard.count()),
-        };
         own / (own * (1.0 + unheard as f64) + others)
     }
 
+    fn heard(&self, now: MonoTime) -> impl Iterator<Item = &PeerRate> {
+        let silent = Duration::from_millis(SILENT_PEER_MS);
+        let peers = self.peers.values();
+        peers.filter(move |peer| now.since(peer.heard_at) < silent)
+    }
+
     fn demand(&self, now: MonoTime) -> f64 {
         let idle = now.since(self.asked_at).as_secs_f64();
         self.demand_per_s * (-idle / DEMAND_MEMORY_S).exp()
     }
 
-    fn refill(&mut self, now: MonoTime, expected_peers: usize) {
+    fn refill(&mut self, now: MonoTime, unheard: usize) {
         let elapsed = now.since(self.refilled_at).as_secs_f64();
         self.refilled_at = now;
         let gained = elapsed * self.limit.rate_per_s;
         self.level = (self.level + gained).min(self.limit.burst.max(1.0));
-        let share = self.own_share(now, expected_peers);
-        self.own_part = (self.own_part + gained * share).min(SAVED_REQUESTS);
+        let share = self.own_share(now, unheard);
+        let saved = SAVED_REQUESTS.max(self.limit.burst * share * SAVED_BURST_PART);
+        self.own_part = (self.own_part + gained * share).min(saved);
         self.charge_silent_peers(now);
     }
 
@@ -144,14 +144,14 @@
         self.level = self.level.max(-self.limit.burst.max(self.limit.rate_per_s));
     }
 
-    fn ask(&mut self, now: MonoTime, expected_peers: usize) -> RateAnswer {
-        self.first_asked_at.get_or_insert(now);
+    fn ask(&mut self, now: MonoTime, unheard: usize) -> RateAnswer {
         let interval = now.since(self.asked_at).as_secs_f64();
         let decay = (-interval / DEMAND_MEMORY_S).exp();
         self.demand_per_s = self.demand_per_s * decay + 1.0 / DEMAND_MEMORY_S;
         self.asked_at = now;
-        self.refill(now, expected_peers);
-        if self.level >= 1.0 && self.level >= self.limit.burst * LOW_PART {
+        self.refill(now, unheard);
+        let filled = self.level >= 1.0 && self.level >= self.limit.burst * LOW_PART;
+        if filled && unheard == 0 {
             self.note_admitted();
             return RateAnswer::Admit;
         }
@@ -160,7 +160,7 @@
             self.note_admitted();
             return RateAnswer::Admit;
         }
-        let share = self.own_share(now, expected_peers);
+        let share = self.own_share(now, unheard);
         let own_rate = (self.limit.rate_per_s * share).max(0.1);
         let wait = (1.0 - self.own_part) / own_rate;
         RateAnswer::Refuse(Duration::from_secs_f64(wait.clamp(0.01, 5.0)))
@@ -180,6 +180,8 @@
 #[derive(Debug, Default)]
 pub struct FleetRates {
     expected_peers: usize,
+    first_asked_at: Option<MonoTime>,
+    heard: IndexMap<VmId, MonoTime>,
     buckets: IndexMap<CustomerId, CustomerBucket>,
 }
 
@@ -195,12 +197,13 @@
         now: MonoTime,
         limits: impl IntoIterator<Item = (CustomerId, FleetLimit)>,
     ) {
+        let unheard = self.unheard(now);
         let mut old = std::mem::take(&mut self.buckets);
         for (id, limit) in limits {
             let bucket = match old.swap_remove(&id) {
                 None => CustomerBucket::new(now, limit),
                 Some(mut bucket) => {
-                    bucket.refill(now, self.expected_peers);
+                    bucket.refill(now, unheard);
                     bucket.level = bucket.level.min(limit.burst);
                     bucket.limit = limit;
                     bucket
@@ -212,12 +215,29 @@
 
     /// Decides on a request of a customer.
     pub fn ask(&mut self, now: MonoTime, customer: &CustomerId) -> RateAnswer {
+        self.first_asked_at.get_or_insert(now);
+        let unheard = self.unheard(now);
         match self.buckets.get_mut(customer) {
-            Some(bucket) if bucket.limit.rate_per_s > 0.0 => bucket.ask(now, self.expected_peers),
+            Some(bucket) if bucket.limit.rate_per_s > 0.0 => bucket.ask(now, unheard),
             _ => RateAnswer::Admit,
         }
     }
 
+    /// Returns how many peers are reckoned with that were not heard of yet.
+    fn unheard(&self, now: MonoTime) -> usize {
+        let starts = Duration::from_millis(UNHEARD_PEER_MS);
+        let unheard = match self.first_asked_at {
+            Some(first) if now.since(first) >= starts => 0,
+            _ => self.expected_peers.saturating_sub(self.heard.len()),
+        };
+        // What a few take before they are heard of is within the room that the low part leaves.
+        if unheard * BORNE_UNHEARD <= self.expected_peers {
+            0
+        } else {
+            unheard
+        }
+    }
+
     /// Gives back what a request took that was then refused for another reason.
     pub fn give_back(&mut self, customer: &CustomerId) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
@@ -234,10 +254,12 @@
         customer: &CustomerId,
         report: RateReport,
     ) {
+        self.heard.insert(peer.clone(), now);
+        let unheard = self.unheard(now);
         let Some(bucket) = self.buckets.get_mut(customer) else {
             return;
         };
-        bucket.refill(now, self.expected_peers);
+        bucket.refill(now, unheard);
         let fresh = PeerRate {
             admitted: report.admitted,
             demand_per_s: report.demand_per_s,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -100,6 +100,7 @@
 pub mod target_picker;
 pub mod time;
 pub mod token_bucket;
+pub mod traffic_meter;
 pub mod units;
 pub mod usage;
 pub mod verdict;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -28,6 +28,7 @@
 mod test_ejection;
 mod test_epochs;
 mod test_fair_queue;
+mod test_fleet_rates;
 mod test_freshness;
 mod test_keys;
 mod test_loans;
