entry: two nodes of a data centre follow the store for the others

Ruled out: longer waits of feeds; changes end them anyway. Change: the first two of each data centre by rendezvous follow the feeds and send presence notes at once after a change; others fetch the rows from them, and read by themselves once no linked reader was heard for 1.4 s. Parts of a rate stop at an overdraft of a quarter of the burst.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -40,6 +40,14 @@
 /// The processor that a slot of a target keeps busy on entries, in thousandths of a core: some ten
 /// requests a second of about a millisecond each, at a third of the processor.
 const PROCESSOR_MILLI_PER_SLOT: u32 = 30;
+/// The nodes of a data centre that follow the store for the others: the loss of one leaves one.
+const READERS: EntryTerms = EntryTerms {
+    min_nodes: 2,
+    min_processor_milli: 0,
+};
+/// The time without a note of a node that follows the store after which a node follows it itself, in
+/// milliseconds: one lost note, and well within the time in which changes must be in force.
+const READER_SILENT_MS: u64 = 1_400;
 /// The time that callers keep a directory answer, in seconds, if the bound allows it: a new choice
 /// of nodes is then in force soon after one is lost.
 const DIRECTORY_LIFETIME_S: f64 = 4.0;
@@ -91,6 +99,8 @@
     pub peer_newer: Notify,
     /// Whether the store answers this node's reads of the targets.
     pub store_linked: Cell<bool>,
+    /// Whether this node is one of those that follow the store for others.
+    pub is_reader: Cell<bool>,
     /// The counters of the process.
     pub counters: EntryCounters,
     /// The requests in flight.
@@ -132,6 +142,7 @@
             presence_due: Notify::new(),
             peer_newer: Notify::new(),
             store_linked: Cell::new(false),
+            is_reader: Cell::new(true),
             counters: EntryCounters::default(),
             in_flight: Cell::new(0),
             traffic: RefCell::default(),
@@ -203,6 +214,7 @@
             standing,
             carrying: self.is_carrying(),
             processor_milli: settings.machine.processor_milli(),
+            linked: self.is_reader.get() && self.store_linked.get(),
             routing_version: self.routing_mirror.borrow().newest_row(),
             targets_version: self.target_mirror.borrow().newest_row(),
         }
@@ -378,6 +390,29 @@
         }
     }
 
+    /// Decides anew whether this node follows the store for others.
+    pub fn choose_role(&self) {
+        let settings = self.settings();
+        let nodes: Vec<EntryNode> = self
+            .members
+            .borrow()
+            .serving(self.clock.now())
+            .chain([own_entry(&settings)])
+            .collect();
+        let readers = choose_entries(&nodes, &settings.data_centre, READERS);
+        let is_reader = readers.iter().any(|node| node.vm == settings.vm);
+        if self.is_reader.replace(is_reader) != is_reader {
+            tracing::info!(is_reader, "role towards the store changed");
+        }
+    }
+
+    /// Says whether this node follows the store: for others, or because nobody does it for this one.
+    pub fn follows_store(&self) -> bool {
+        let age = Duration::from_millis(READER_SILENT_MS);
+        let members = self.members.borrow();
+        self.is_reader.get() || !members.hears_linked(self.clock.now(), age)
+    }
+
     /// Returns how many other nodes callers may be sent to, heard of or not.
     pub fn expected_entries(&self) -> usize {
         let settings = self.settings();
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -26,6 +26,8 @@
 /// The time for which newer rows may be known of before they are fetched: the node's own feed usually
 /// brings them within that time.
 const OWN_FEED_TIME: Duration = Duration::from_millis(700);
+/// The peers that are asked one after the other.
+const FETCH_PEERS: usize = 3;
 /// The time in which a peer must answer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
 /// The largest answer, in bytes.
@@ -55,8 +57,8 @@
 struct RowsAnswer {
     rows: Vec<MirrorRow>,
     version: u64,
-    /// Whether the store answers the peer, so that what vanished there is gone.
-    linked: bool,
+    /// Whether what vanished is gone, and did not lapse while the store was away.
+    certain: bool,
 }
 
 /// Says why a peer gave no rows.
@@ -122,12 +124,13 @@
         _ => return refuse(StatusCode::NOT_FOUND),
     };
     let after = request.uri().query().and_then(|query| query.parse().ok());
+    let now = state.clock.now();
     let answer = {
         let mirror = mirror.borrow();
         RowsAnswer {
             rows: mirror.changes_after(after.unwrap_or(0)),
             version: mirror.version(),
-            linked: state.store_linked.get(),
+            certain: state.store_linked.get() && !state.catalog.borrow().is_in_grace(now),
         }
     };
     let Ok(body) = postcard::to_stdvec(&answer) else {
@@ -144,20 +147,22 @@
 pub async fn run_fetches(state: Rc<EntryState>) {
     loop {
         state.peer_newer.notified().await;
-        tokio::time::sleep(OWN_FEED_TIME).await;
+        if state.follows_store() {
+            tokio::time::sleep(OWN_FEED_TIME).await;
+        }
         for kind in [MirrorKind::Routing, MirrorKind::Targets] {
-            let Some(peer) = newer_peer(&state, kind) else {
-                continue;
-            };
-            if let Err(error) = fetch(&state, kind, peer).await {
-                tracing::warn!(%peer, %error, "rows not fetched from peer");
+            for peer in newer_peers(&state, kind) {
+                match fetch(&state, kind, peer).await {
+                    Ok(()) => break,
+                    Err(error) => tracing::warn!(%peer, %error, "rows not fetched from peer"),
+                }
             }
         }
     }
 }
 
-/// Returns a peer that has newer rows, near ones first.
-fn newer_peer(state: &EntryState, kind: MirrorKind) -> Option<SocketAddr> {
+/// Returns peers that have newer rows, near ones first.
+fn newer_peers(state: &EntryState, kind: MirrorKind) -> Vec<SocketAddr> {
     let settings = state.settings();
     let held = match kind {
         MirrorKind::Routing => state.routing_mirror.borrow().newest_row(),
@@ -171,10 +176,14 @@
             MirrorKind::Targets => note.targets_version,
         };
         let far = note.data_centre != settings.data_centre;
-        (theirs > held).then_some((far, std::cmp::Reverse(theirs), node.ip))
+        (theirs > held).then_some((far, !note.linked, std::cmp::Reverse(theirs), node.ip))
     });
-    let (_, _, ip) = newer.min()?;
-    Some(SocketAddr::new(ip, settings.peer_port))
+    let mut newer: Vec<_> = newer.collect();
+    newer.sort();
+    let addresses = newer
+        .into_iter()
+        .map(|(_, _, _, ip)| SocketAddr::new(ip, settings.peer_port));
+    addresses.take(FETCH_PEERS).collect()
 }
 
 async fn fetch(state: &EntryState, kind: MirrorKind, peer: SocketAddr) -> Result<(), FetchError> {
@@ -194,7 +203,15 @@
     tracing::info!(%peer, what = kind.path(), rows = news.len(), "rows fetched from peer");
     match kind {
         MirrorKind::Routing => state.take_routing_rows(&news),
-        MirrorKind::Targets => state.take_target_rows(&news, answer.linked),
+        MirrorKind::Targets => {
+            if !answer.certain {
+                let now = state.clock.now();
+                let mut catalog = state.catalog.borrow_mut();
+                catalog.store_away(now);
+                catalog.store_back(now);
+            }
+            state.take_target_rows(&news, answer.certain);
+        }
     }
     Ok(())
 }
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -51,6 +51,7 @@
         loop {
             let entries = state.expected_entries();
             state.rates.borrow_mut().set_expected_peers(entries);
+            state.choose_role();
             self.send_presence(state);
             let now = state.clock.now();
             state.members.borrow_mut().tick(now);
@@ -69,7 +70,7 @@
     /// Tells the node's own data centre, and if it carries traffic everybody, that it is there.
     pub fn send_presence(&self, state: &EntryState) {
         let note = state.presence();
-        let everybody = note.carrying || state.is_entry() || state.is_leaving();
+        let everybody = note.linked || note.carrying || state.is_entry() || state.is_leaving();
         let to: Vec<SocketAddr> = state
             .members
             .borrow()
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -25,6 +25,10 @@
 /// The first and the longest pause after a call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+/// The interval at which a node that follows other nodes looks whether it has to read by itself.
+const FOLLOWER_LOOK: Duration = Duration::from_millis(350);
+/// The pause after a failed call of a node that reads only because no other does.
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(2_000);
 /// The table of the fleet's own rows.
 const FLEET_TABLE: &str = "damaskloom";
 /// The row with what nodes prove themselves to each other with.
@@ -168,6 +172,9 @@
     let mut link = LinkLog::new("configuration");
     loop {
         let known = state.routing.borrow().is_some();
+        if known {
+            wait_for_turn(&state).await;
+        }
         let version = state.routing_mirror.borrow().version();
         let read = if known && version > 0 {
             let feed = client
@@ -188,6 +195,7 @@
                 link.up();
                 backoff = Backoff::new();
                 state.take_routing_rows(&news);
+                pass_on(&state, &news);
                 if state.routing.borrow().is_none() {
                     // Nobody has published a configuration yet.
                     tokio::time::sleep(FIRST_PAUSE).await;
@@ -195,7 +203,7 @@
             }
             Err(error) => {
                 link.down(&error);
-                backoff.pause().await;
+                pause_after_failure(&state, &mut backoff).await;
             }
         }
     }
@@ -207,6 +215,9 @@
     let mut backoff = Backoff::new();
     let mut link = LinkLog::new("targets");
     loop {
+        if state.targets_known.get() {
+            wait_for_turn(&state).await;
+        }
         let version = state.target_mirror.borrow().version();
         let read = if state.targets_known.get() {
             let feed = client
@@ -231,6 +242,7 @@
                 state.store_linked.set(true);
                 state.targets_known.set(true);
                 state.take_target_rows(&news, false);
+                pass_on(&state, &news);
                 if !news.is_empty() {
                     tokio::time::sleep(TARGET_FEED_PAUSE).await;
                 }
@@ -239,12 +251,34 @@
                 link.down(&error);
                 state.catalog.borrow_mut().store_away(now);
                 state.store_linked.set(false);
-                backoff.pause().await;
+                pause_after_failure(&state, &mut backoff).await;
             }
         }
     }
 }
 
+/// Waits until this node has to follow the store itself.
+async fn wait_for_turn(state: &EntryState) {
+    while !state.follows_store() {
+        tokio::time::sleep(FOLLOWER_LOOK).await;
+    }
+}
+
+/// Tells the nodes that follow this one of changes.
+fn pass_on(state: &EntryState, news: &[MirrorRow]) {
+    if !news.is_empty() && state.is_reader.get() {
+        state.presence_due.notify_one();
+    }
+}
+
+async fn pause_after_failure(state: &EntryState, backoff: &mut Backoff) {
+    if state.is_reader.get() {
+        backoff.pause().await;
+    } else {
+        tokio::time::sleep(FOLLOWER_PAUSE).await;
+    }
+}
+
 async fn read_whole(
     client: &mut StoreClient,
     table: &str,
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -48,6 +48,8 @@
     pub carrying: bool,
     /// The processor that the node has, in thousandths of a core.
     pub processor_milli: u32,
+    /// Whether the node follows the store itself and the store answers it.
+    pub linked: bool,
     /// The version of the node's copy of the routing.
     pub routing_version: u64,
     /// The version of the node's copy of the targets.
@@ -209,6 +211,14 @@
             .filter(move |(_, node)| now.since(node.heard_at) < silent)
     }
 
+    /// Says whether a node was heard within `age` that follows the store itself.
+    pub fn hears_linked(&self, now: MonoTime, age: Duration) -> bool {
+        self.nodes.values().any(|node| {
+            let linked = node.note.as_ref().is_some_and(|note| note.linked);
+            linked && now.since(node.heard_at) < age
+        })
+    }
+
     /// Returns the nodes that carry traffic, as far as was heard lately.
     pub fn carrying(&self, now: MonoTime) -> impl Iterator<Item = (&VmId, &KnownNode)> {
         self.heard(now)
--- a/lib/src/fleet_rate.rs
+++ b/lib/src/fleet_rate.rs
@@ -25,6 +25,8 @@
 /// The time after its first request for which a node reckons with peers that it has not heard of, in
 /// milliseconds: after a restart of all nodes, their first reports are still on their way.
 const UNHEARD_PEER_MS: u64 = 2_000;
+/// The part of the burst by which the fleet may have overdrawn while nodes still admit their parts.
+const OVERDRAFT_PART: f64 = 0.25;
 /// One unheard peer in so many does not matter.
 const BORNE_UNHEARD: usize = 4;
 /// The part of its share of the burst that a node may save up while the rate is divided.
@@ -155,7 +157,7 @@
             self.note_admitted();
             return RateAnswer::Admit;
         }
-        if self.own_part >= 1.0 {
+        if self.own_part >= 1.0 && self.level > -self.limit.burst * OVERDRAFT_PART {
             self.own_part -= 1.0;
             self.note_admitted();
             return RateAnswer::Admit;
--- a/lib/src/target_catalog.rs
+++ b/lib/src/target_catalog.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Says whether announcements that vanish now may have lapsed while the store was away.
+    pub fn is_in_grace(&self, now: MonoTime) -> bool {
+        self.grace_end().is_some_and(|end| now < end)
+    }
+
     /// Returns until when vanished announcements are taken for lapsed ones.
     fn grace_end(&self) -> Option<MonoTime> {
         self.away_at?;
@@ -124,7 +129,7 @@
     ///
     /// It may have lapsed if the store was away, unless it is `certain` that it was not.
     pub fn vanish(&mut self, now: MonoTime, id: &TargetId, certain: bool) -> Option<CatalogChange> {
-        let in_grace = !certain && self.grace_end().is_some_and(|end| now < end);
+        let in_grace = !certain && self.is_in_grace(now);
         let held = self.targets.get_mut(id)?;
         // A target that said that it leaves did not lapse.
         if in_grace && !held.announcement.leaving {
--- a/lib/tests/test_fleet_rates.rs
+++ b/lib/tests/test_fleet_rates.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use damaskloom_lib::fleet_rate::{FleetLimit, FleetRates, RateAnswer};
+use damaskloom_lib::fleet_rate::{FleetLimit, FleetRates, RateAnswer, RateReport};
 use damaskloom_lib::ids::{CustomerId, VmId};
 use damaskloom_lib::time::MonoTime;
 use rand::rngs::SmallRng;
@@ -16,6 +16,11 @@
 const EXCESS: f64 = 0.1;
 const SLACK: f64 = 20.0;
 
+const OTHERS_REPORT: RateReport = RateReport {
+    admitted: 0,
+    demand_per_s: 5.0,
+};
+
 /// What happens to the fleet, in milliseconds since the start.
 #[derive(Clone, Copy, Debug, Default)]
 struct FleetPlan {
@@ -57,6 +62,7 @@
 
 fn run(plan: FleetPlan, limit: FleetLimit, seed: u64) -> Outcome {
     let customer: CustomerId = "hauliers".parse().expect("a valid name");
+    let others: CustomerId = "others".parse().expect("a valid name");
     let mut random = SmallRng::seed_from_u64(seed);
     let fresh = |now| {
         let mut rates = FleetRates::default();
@@ -100,8 +106,10 @@
                 continue;
             }
             let report = nodes[sender].reports(now).next().map(|(_, report)| report);
-            let Some(report) = report else { continue };
             for receiver in (0..plan.nodes).filter(|index| *index != sender) {
+                // Other customers' requests make every node report.
+                nodes[receiver].note_report(now, &vm(sender), &others, OTHERS_REPORT);
+                let Some(report) = report else { continue };
                 nodes[receiver].note_report(now, &vm(sender), &customer, report);
             }
         }
