entry: notice the store's return at once; unused targets are due for a request

Change: the first feed call after trouble does not wait; targets unused for a second, and not suspected, are worth a detour.

--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -178,7 +178,7 @@
         let version = state.routing_mirror.borrow().version();
         let read = if known && version > 0 {
             let feed = client
-                .read_feed(OPERATOR_TABLE, version, FEED_WAIT, CALL_TIMEOUT)
+                .read_feed(OPERATOR_TABLE, version, link.feed_wait(), CALL_TIMEOUT)
                 .await;
             match feed {
                 Ok(FeedOutcome::Changes(batch)) => Ok(take_changes(&state.routing_mirror, batch)),
@@ -221,7 +221,7 @@
         let version = state.target_mirror.borrow().version();
         let read = if state.targets_known.get() {
             let feed = client
-                .read_feed(TARGET_TABLE, version, FEED_WAIT, CALL_TIMEOUT)
+                .read_feed(TARGET_TABLE, version, link.feed_wait(), CALL_TIMEOUT)
                 .await;
             match feed {
                 Ok(FeedOutcome::Changes(batch)) => Ok(take_changes(&state.target_mirror, batch)),
@@ -316,6 +316,16 @@
         }
     }
 
+    /// Returns how long a feed may wait: not at all after trouble, so that its end is noticed at once
+    /// and not with the next change.
+    fn feed_wait(&self) -> Duration {
+        if self.is_down {
+            Duration::ZERO
+        } else {
+            FEED_WAIT
+        }
+    }
+
     fn up(&mut self) {
         if std::mem::take(&mut self.is_down) {
             tracing::info!(what = self.what, "store answers again");
--- a/lib/src/target_board.rs
+++ b/lib/src/target_board.rs
@@ -46,6 +46,16 @@
 const AVERAGE_WEIGHT: f64 = 0.02;
 /// The part of failures that is assumed of healthy targets, at least: few errors are usual anywhere.
 const MIN_USUAL_FAILURES: f64 = 0.012;
+/// The time without a request after which a target is due for one, in milliseconds: every target that
+/// may be sound has to take part of the work.
+const UNUSED_MS: u64 = 1_000;
+/// What it is worth to send a request that may be sent again to an unused target: more than distance
+/// and the usual doubt.
+const REPEATABLE_UNUSED_VALUE: f64 = 0.15;
+/// What it is worth to send another request there.
+const UNUSED_VALUE: f64 = 0.03;
+/// An unused target that is likelier to fail than this is left alone.
+const UNUSED_PROBABILITY: f64 = 0.2;
 /// The part of failures that is assumed of healthy targets, at most.
 const MAX_USUAL_FAILURES: f64 = 0.25;
 /// A target that is likelier to fail than this does not count in the usual failures.
@@ -77,6 +87,13 @@
     pub failing: f64,
 }
 
+/// What a request stands to lose and to show.
+#[derive(Clone, Copy, Debug)]
+struct RequestStakes {
+    failure_cost: f64,
+    unused_value: f64,
+}
+
 /// Names a running request of this node.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RunningId(u64);
@@ -100,6 +117,7 @@
     report: Option<(f64, MonoTime)>,
     full_until: MonoTime,
     path_avoided_until: MonoTime,
+    used_at: MonoTime,
 }
 
 impl BoardTarget {
@@ -165,6 +183,7 @@
             report: None,
             full_until: MonoTime::ZERO,
             path_avoided_until: MonoTime::ZERO,
+            used_at: now,
         };
         self.targets.insert(id, target);
     }
@@ -202,9 +221,20 @@
 
     /// Chooses the cheapest target that did not have the request yet.
     pub fn choose(&self, now: MonoTime, request: &ChoiceRequest<'_>) -> Option<TargetChoice> {
-        let failure_cost = match request.idempotence {
-            Idempotence::Idempotent => REPEATABLE_FAILURE_COST,
-            Idempotence::NonIdempotent => FAILURE_COST,
+        let stakes = match request.idempotence {
+            Idempotence::Idempotent => RequestStakes {
+                failure_cost: REPEATABLE_FAILURE_COST,
+                // The second sending is to succeed.
+                unused_value: if request.tried.is_empty() {
+                    REPEATABLE_UNUSED_VALUE
+                } else {
+                    0.0
+                },
+            },
+            Idempotence::NonIdempotent => RequestStakes {
+                failure_cost: FAILURE_COST,
+                unused_value: UNUSED_VALUE,
+            },
         };
         let count = self.targets.len();
         let start = usize::try_from(request.seed % count.max(1) as u64).unwrap_or(0);
@@ -214,7 +244,7 @@
             if request.tried.contains(id) {
                 continue;
             }
-            let (cost, wait) = self.cost(now, target, failure_cost);
+            let (cost, wait) = self.cost(now, target, stakes);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let choice = TargetChoice {
                     target: id.clone(),
@@ -227,12 +257,17 @@
         best.map(|(_, choice)| choice)
     }
 
-    fn cost(&self, now: MonoTime, target: &BoardTarget, failure_cost: f64) -> (f64, Duration) {
+    fn cost(&self, now: MonoTime, target: &BoardTarget, stakes: RequestStakes) -> (f64, Duration) {
         let slots = f64::from(target.slots);
         let load = target.load(now);
         let waiting = (load + 1.0 - slots).max(0.0) / slots;
         let mut cost = waiting * WAIT_COST + load / slots * COMPANY_COST;
-        cost += target.filter.probability(now) * failure_cost;
+        cost += target.filter.probability(now) * stakes.failure_cost;
+        let failing = target.filter.probability(now);
+        let unused = now.since(target.used_at) >= Duration::from_millis(UNUSED_MS);
+        if unused && failing < UNUSED_PROBABILITY {
+            cost -= stakes.unused_value;
+        }
         if target.data_centre != self.own_data_centre {
             cost += DISTANCE_COST;
         }
@@ -260,6 +295,7 @@
         self.next_running += 1;
         let running = RunningId(self.next_running);
         if let Some(target) = self.targets.get_mut(id) {
+            target.used_at = now;
             target.running.push(RunningRequest {
                 id: running,
                 started: now,
@@ -344,6 +380,7 @@
         }
         for (id, count) in running {
             if let Some(target) = self.targets.get_mut(id) {
+                target.used_at = now;
                 target.peers.insert(peer.clone(), (*count, now));
             }
         }
