--- /dev/null
+++ b/lib/tests/test_entry_nodes.rs
@@ -0,0 +1,216 @@
+//! Which nodes callers are sent to, what nodes know of each other, and the routing's lookups.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use damaskloom_lib::config::{Idempotence, RouteAccess};
+use damaskloom_lib::entry_members::{EntryMembers, EntryStanding, NodeRegistration, PresenceNote};
+use damaskloom_lib::entry_nodes::{EntryNode, EntryTerms, choose_entries};
+use damaskloom_lib::ids::{DataCentreId, VmId};
+use damaskloom_lib::key::RawKey;
+use damaskloom_lib::routing::{
+    CustomerRule, Destination, PriorityRank, RouteRule, RoutingDocument, RoutingTable,
+    RoutingVersion,
+};
+use damaskloom_lib::time::MonoTime;
+use damaskloom_lib::traffic_meter::TrafficMeter;
+use damaskloom_lib::weighted_split::WeightedSplit;
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from_millis(1_000 + ms)
+}
+
+fn vm(index: usize) -> VmId {
+    format!("vm-{index}").parse().expect("a valid name")
+}
+
+fn centre(name: &str) -> DataCentreId {
+    name.parse().expect("a valid name")
+}
+
+fn address(index: usize) -> SocketAddr {
+    format!("10.0.0.{index}:80").parse().expect("an address")
+}
+
+fn nodes(count: usize, processor_milli: u32) -> Vec<EntryNode> {
+    (0..count)
+        .map(|index| EntryNode {
+            vm: vm(index),
+            data_centre: centre(if index % 2 == 0 { "even" } else { "odd" }),
+            address: address(index),
+            processor_milli,
+        })
+        .collect()
+}
+
+const TERMS: EntryTerms = EntryTerms {
+    min_nodes: 3,
+    min_processor_milli: 800,
+};
+
+#[test]
+fn entries_have_the_processor_that_is_asked_for_and_are_near() {
+    let small = nodes(40, 100);
+    let chosen = choose_entries(&small, &centre("odd"), TERMS);
+    assert_eq!(chosen.len(), 8);
+    assert!(chosen.iter().all(|node| node.data_centre == centre("odd")));
+    let large = nodes(40, 500);
+    assert_eq!(choose_entries(&large, &centre("odd"), TERMS).len(), 3);
+    assert!(choose_entries(&large, &centre("elsewhere"), TERMS).is_empty());
+}
+
+#[test]
+fn the_loss_of_a_node_moves_no_other() {
+    let all = nodes(40, 200);
+    let before = choose_entries(&all, &centre("even"), TERMS);
+    let lost = before[1].vm.clone();
+    let left: Vec<EntryNode> = all.iter().filter(|node| node.vm != lost).cloned().collect();
+    let after = choose_entries(&left, &centre("even"), TERMS);
+    let kept = before.iter().filter(|node| after.contains(node)).count();
+    assert_eq!(kept, before.len() - 1);
+}
+
+fn note(standing: EntryStanding, linked: bool) -> PresenceNote {
+    PresenceNote {
+        data_centre: centre("even"),
+        caller_address: address(1),
+        standing,
+        carrying: true,
+        processor_milli: 200,
+        linked,
+        routing_version: 1,
+        targets_version: 1,
+    }
+}
+
+#[test]
+fn a_silent_or_leaving_node_gets_no_callers() {
+    let mut members = EntryMembers::default();
+    let ip = address(1).ip();
+    assert!(members.accept(at(0), &vm(1), 5, 1, ip));
+    members.note(&vm(1), note(EntryStanding::Serving, true));
+    assert_eq!(members.serving(at(1_000)).count(), 1);
+    assert_eq!(members.serving(at(4_000)).count(), 0);
+    assert!(members.accept(at(4_000), &vm(1), 5, 2, ip));
+    members.note(&vm(1), note(EntryStanding::Leaving, true));
+    assert_eq!(members.serving(at(4_100)).count(), 0);
+}
+
+#[test]
+fn repeated_messages_and_those_of_an_earlier_start_are_dropped() {
+    let mut members = EntryMembers::default();
+    let ip = address(1).ip();
+    assert!(members.accept(at(0), &vm(1), 5, 7, ip));
+    assert!(!members.accept(at(10), &vm(1), 5, 7, ip));
+    assert!(members.accept(at(20), &vm(1), 9, 1, ip));
+    assert!(!members.accept(at(30), &vm(1), 5, 8, ip));
+}
+
+#[test]
+fn a_node_whose_clock_jumped_back_between_starts_is_heard_after_a_silence() {
+    let mut members = EntryMembers::default();
+    let ip = address(1).ip();
+    assert!(members.accept(at(0), &vm(1), 9_000, 50, ip));
+    assert!(!members.accept(at(500), &vm(1), 7_000, 1, ip));
+    assert!(members.accept(at(2_500), &vm(1), 7_000, 2, ip));
+}
+
+#[test]
+fn a_registered_node_is_reckoned_with_before_it_is_heard() {
+    let mut members = EntryMembers::default();
+    let registration = NodeRegistration {
+        started_at_ms: 5,
+        data_centre: centre("even"),
+        caller_address: address(1),
+        processor_milli: 200,
+    };
+    members.register(at(0), vm(1), registration);
+    assert_eq!(members.possible().count(), 1);
+    assert_eq!(members.serving(at(0)).count(), 0);
+}
+
+#[test]
+fn a_node_follows_the_store_itself_once_no_linked_node_is_heard() {
+    let mut members = EntryMembers::default();
+    let ip = address(1).ip();
+    members.accept(at(0), &vm(1), 5, 1, ip);
+    members.note(&vm(1), note(EntryStanding::Serving, true));
+    let age = Duration::from_millis(1_400);
+    assert!(members.hears_linked(at(1_000), age));
+    assert!(!members.hears_linked(at(1_500), age));
+}
+
+#[test]
+fn single_requests_make_no_traffic() {
+    let mut meter = TrafficMeter::default();
+    for second in 0..10 {
+        meter.note(at(second * 1_000));
+        assert!(!meter.is_carrying(at(second * 1_000)));
+    }
+    for step in 0..10 {
+        meter.note(at(20_000 + step * 100));
+    }
+    assert!(meter.is_carrying(at(21_000)));
+    assert!(!meter.is_carrying(at(25_000)));
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> RouteRule {
+    RouteRule {
+        id: name.parse().expect("a valid name"),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        idempotence: Idempotence::Idempotent,
+        timeout: Duration::from_secs(1),
+        latency_objective: Duration::from_millis(400),
+        priority: PriorityRank(1),
+        destinations: Vec::new(),
+        max_attempts: 2,
+        access: RouteAccess::Keyed,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let document = RoutingDocument {
+        version: RoutingVersion(1),
+        routes: vec![
+            route("short", "a.example", "/x/"),
+            route("long", "a.example", "/x/y/"),
+            route("other", "b.example", "/"),
+        ],
+        customers: Some(vec![CustomerRule {
+            id: "hauliers".parse().expect("a valid name"),
+            keys: vec![RawKey::new("key-1").digest()],
+            priority: None,
+            rate_per_s: 0.0,
+            burst: 0.0,
+        }]),
+        ..RoutingDocument::default()
+    };
+    let table = RoutingTable::from(document);
+    let find = |host, path| table.route(host, path).map(|route| route.id.to_string());
+    assert_eq!(find("a.example", "/x/y/z"), Some("long".to_owned()));
+    assert_eq!(find("A.Example:80", "/x/yy"), Some("short".to_owned()));
+    assert_eq!(find("a.example", "/x"), None);
+    assert_eq!(find("b.example", "/x/"), Some("other".to_owned()));
+    assert_eq!(find("c.example", "/x/"), None);
+    assert!(table.customer(&RawKey::new("key-1").digest()).is_some());
+    assert!(table.customer(&RawKey::new("key-2").digest()).is_none());
+}
+
+#[test]
+fn a_split_keeps_its_weights_at_every_length() {
+    let part = |name: &str, weight| Destination {
+        service: name.parse().expect("a valid name"),
+        weight,
+    };
+    let destinations = [part("a", 90), part("b", 10), part("c", 0)];
+    let mut split = WeightedSplit::default();
+    let mut counts = [0_i32; 3];
+    for sent in 1..=1_000 {
+        counts[split.next(&destinations)] += 1;
+        let expected = f64::from(sent) * 0.1;
+        assert!((f64::from(counts[1]) - expected).abs() <= 1.0);
+    }
+    assert_eq!(counts, [900, 100, 0]);
+}
--- /dev/null
+++ b/lib/tests/test_target_catalog.rs
@@ -0,0 +1,127 @@
+//! Which targets are known, and the copies of tables that nodes pass on.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use damaskloom_lib::ids::TargetId;
+use damaskloom_lib::table_mirror::{MirrorRow, TableMirror};
+use damaskloom_lib::target_catalog::{Announcement, CatalogChange, RETURN_GRACE_MS, TargetCatalog};
+use damaskloom_lib::time::MonoTime;
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from_millis(1_000 + ms)
+}
+
+fn id(name: &str) -> TargetId {
+    name.parse().expect("a valid name")
+}
+
+fn announcement(started_at_ms: u64) -> Announcement {
+    Announcement {
+        service: "desk".parse().expect("a valid name"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: "khankh".parse().expect("a valid name"),
+        slots: 2,
+        leaving: false,
+        cold_for: Duration::ZERO,
+        started_at_ms: Some(started_at_ms),
+    }
+}
+
+#[test]
+fn a_vanished_target_is_gone_at_once_while_the_store_answers() {
+    let mut catalog = TargetCatalog::default();
+    let started = catalog.announce(at(0), id("a"), announcement(1));
+    assert_eq!(started, Some(CatalogChange::Started(id("a"))));
+    assert_eq!(
+        catalog.vanish(at(10), &id("a"), false),
+        Some(CatalogChange::Gone(id("a")))
+    );
+    assert!(catalog.is_empty());
+}
+
+#[test]
+fn a_lapsed_target_is_kept_until_the_grace_after_an_outage_ends() {
+    let mut catalog = TargetCatalog::default();
+    catalog.announce(at(0), id("a"), announcement(1));
+    catalog.announce(at(0), id("b"), announcement(1));
+    catalog.store_away(at(100));
+    catalog.store_back(at(5_000));
+    assert_eq!(catalog.vanish(at(5_010), &id("a"), false), None);
+    assert_eq!(catalog.vanish(at(5_010), &id("b"), false), None);
+    catalog.announce(at(6_000), id("b"), announcement(1));
+    assert!(catalog.tick(at(5_000 + RETURN_GRACE_MS - 1)).is_empty());
+    assert_eq!(
+        catalog.tick(at(5_000 + RETURN_GRACE_MS)),
+        [CatalogChange::Gone(id("a"))]
+    );
+    assert!(catalog.get(&id("b")).is_some());
+}
+
+#[test]
+fn a_target_that_said_that_it_leaves_did_not_lapse() {
+    let mut catalog = TargetCatalog::default();
+    let mut leaving = announcement(1);
+    leaving.leaving = true;
+    catalog.announce(at(0), id("a"), leaving);
+    catalog.store_away(at(100));
+    assert_eq!(
+        catalog.vanish(at(110), &id("a"), false),
+        Some(CatalogChange::Gone(id("a")))
+    );
+}
+
+#[test]
+fn word_of_a_peer_that_the_store_answers_is_certain() {
+    let mut catalog = TargetCatalog::default();
+    catalog.announce(at(0), id("a"), announcement(1));
+    catalog.store_away(at(100));
+    assert_eq!(
+        catalog.vanish(at(110), &id("a"), true),
+        Some(CatalogChange::Gone(id("a")))
+    );
+}
+
+#[test]
+fn a_target_that_starts_again_under_its_name_is_new() {
+    let mut catalog = TargetCatalog::default();
+    catalog.announce(at(0), id("a"), announcement(1));
+    assert_eq!(catalog.announce(at(1), id("a"), announcement(1)), None);
+    assert_eq!(
+        catalog.announce(at(2), id("a"), announcement(2)),
+        Some(CatalogChange::Started(id("a")))
+    );
+}
+
+fn row(key: &str, value: Option<&'static str>, version: u64) -> MirrorRow {
+    MirrorRow {
+        key: key.to_owned(),
+        value: value.map(Bytes::from),
+        version,
+    }
+}
+
+#[test]
+fn a_mirror_passes_changes_and_removals_on_and_ignores_old_news() {
+    let mut mirror = TableMirror::default();
+    mirror.replace(vec![row("a", Some("1"), 3), row("b", Some("1"), 4)], 5);
+    let news = mirror.apply(vec![row("a", Some("2"), 7), row("b", None, 8)], 8);
+    assert_eq!(news.len(), 2);
+    assert!(mirror.apply(vec![row("a", Some("1"), 3)], 3).is_empty());
+    assert_eq!((mirror.version(), mirror.newest_row()), (8, 8));
+    assert_eq!(
+        mirror.changes_after(5),
+        [row("a", Some("2"), 7), row("b", None, 8)]
+    );
+}
+
+#[test]
+fn a_whole_table_shows_what_was_removed_unseen() {
+    let mut mirror = TableMirror::default();
+    mirror.replace(vec![row("a", Some("1"), 3), row("b", Some("1"), 4)], 5);
+    let news = mirror.replace(vec![row("a", Some("1"), 3)], 9);
+    assert_eq!(news, [row("b", None, 9)]);
+    // An older reading than the copy changes nothing.
+    assert!(mirror.replace(Vec::new(), 8).is_empty());
+    assert_eq!(mirror.changes_after(0).len(), 2);
+}
