entry: a follower's grace for lapsed targets is that of whom it follows

Notes that counts had overtaken were dropped. Rows of two tables were fetched one after the other with 600 ms a peer. Change: rows come with the time for which they may still have lapsed; each kind of message keeps its own order; tables are fetched side by side; first reports of peers are charged; a starting fleet spends a fifth of what the platform bears beyond limits.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -113,6 +113,7 @@
     /// Makes the state of a process that knows nothing yet.
     pub fn new(settings: EntrySettings) -> Rc<Self> {
         let repeats = RepeatBudget::new(settings.bounds.repeat_terms());
+        let rates = FleetRates::new(settings.bounds.rate_tolerance());
         let mut crashes = CrashGuard::new();
         // Its news goes to all nodes in one datagram, so that it needs one addressee only.
         crashes.set_peers([NodeId {
@@ -130,7 +131,7 @@
             catalog: RefCell::default(),
             boards: RefCell::default(),
             pools: TargetPools::default(),
-            rates: RefCell::default(),
+            rates: RefCell::new(rates),
             repeats: RefCell::new(repeats),
             crashes: RefCell::new(crashes),
             splits: RefCell::default(),
@@ -255,9 +256,7 @@
     }
 
     /// Takes in rows of the targets' table.
-    ///
-    /// What vanished counts as gone at once if it is `certain` that the store was not away.
-    pub fn take_target_rows(&self, news: &[MirrorRow], certain: bool) {
+    pub fn take_target_rows(&self, news: &[MirrorRow]) {
         let now = self.clock.now();
         for row in news {
             let Ok(id) = row.key.parse::<TargetId>() else {
@@ -269,9 +268,9 @@
                 Some(Ok(announcement)) => self.catalog.borrow_mut().announce(now, id, announcement),
                 Some(Err(error)) => {
                     tracing::warn!(row = %row.key, %error, "row names no target");
-                    self.catalog.borrow_mut().vanish(now, &id, certain)
+                    self.catalog.borrow_mut().vanish(now, &id)
                 }
-                None => self.catalog.borrow_mut().vanish(now, &id, certain),
+                None => self.catalog.borrow_mut().vanish(now, &id),
             };
             if let Some(change) = change {
                 self.take_catalog_change(now, &change);
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -29,7 +29,7 @@
 /// The peers that are asked one after the other.
 const FETCH_PEERS: usize = 3;
 /// The time in which a peer must answer.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
+const FETCH_TIMEOUT: Duration = Duration::from_millis(300);
 /// The largest answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Carries the proof of a call or an answer, in hexadecimal digits.
@@ -57,8 +57,8 @@
 struct RowsAnswer {
     rows: Vec<MirrorRow>,
     version: u64,
-    /// Whether what vanished is gone, and did not lapse while the store was away.
-    certain: bool,
+    /// For how long what vanished may still have lapsed while the store was away, in milliseconds.
+    lapse_left_ms: u64,
 }
 
 /// Says why a peer gave no rows.
@@ -130,7 +130,7 @@
         RowsAnswer {
             rows: mirror.changes_after(after.unwrap_or(0)),
             version: mirror.version(),
-            certain: state.store_linked.get() && !state.catalog.borrow().is_in_grace(now),
+            lapse_left_ms: state.catalog.borrow().grace_left(now).as_millis() as u64,
         }
     };
     let Ok(body) = postcard::to_stdvec(&answer) else {
@@ -150,18 +150,24 @@
         if state.follows_store() {
             tokio::time::sleep(OWN_FEED_TIME).await;
         }
-        for kind in [MirrorKind::Routing, MirrorKind::Targets] {
-            for peer in newer_peers(&state, kind) {
-                match fetch(&state, kind, peer).await {
-                    Ok(()) => break,
-                    Err(error) => tracing::warn!(%peer, %error, "rows not fetched from peer"),
-                }
-            }
+        // Side by side, so that trouble with one table does not hold up the other.
+        tokio::join!(
+            fetch_newer(&state, MirrorKind::Routing),
+            fetch_newer(&state, MirrorKind::Targets)
+        );
+    }
+}
+
+async fn fetch_newer(state: &EntryState, kind: MirrorKind) {
+    for peer in newer_peers(state, kind) {
+        match fetch(state, kind, peer).await {
+            Ok(()) => return,
+            Err(error) => tracing::warn!(%peer, %error, "rows not fetched from peer"),
         }
     }
 }
 
-/// Returns peers that have newer rows, near ones first.
+/// Returns peers that have newer rows: those that follow the store first, then near ones.
 fn newer_peers(state: &EntryState, kind: MirrorKind) -> Vec<SocketAddr> {
     let settings = state.settings();
     let held = match kind {
@@ -176,7 +182,7 @@
             MirrorKind::Targets => note.targets_version,
         };
         let far = note.data_centre != settings.data_centre;
-        (theirs > held).then_some((far, !note.linked, std::cmp::Reverse(theirs), node.ip))
+        (theirs > held).then_some((!note.linked, far, std::cmp::Reverse(theirs), node.ip))
     });
     let mut newer: Vec<_> = newer.collect();
     newer.sort();
@@ -204,13 +210,10 @@
     match kind {
         MirrorKind::Routing => state.take_routing_rows(&news),
         MirrorKind::Targets => {
-            if !answer.certain {
-                let now = state.clock.now();
-                let mut catalog = state.catalog.borrow_mut();
-                catalog.store_away(now);
-                catalog.store_back(now);
-            }
-            state.take_target_rows(&news, answer.certain);
+            let left = Duration::from_millis(answer.lapse_left_ms);
+            let now = state.clock.now();
+            state.catalog.borrow_mut().follow_grace(now, left);
+            state.take_target_rows(&news);
         }
     }
     Ok(())
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use damaskloom_lib::crash_guard::CrashAction;
-use damaskloom_lib::entry_members::PRESENCE_MS;
+use damaskloom_lib::entry_members::{MessageLane, PRESENCE_MS};
 use damaskloom_lib::failure_filter::TargetSign;
 use damaskloom_lib::fleet_rate::RateReport;
 use damaskloom_lib::ids::{CustomerId, TargetId};
@@ -57,7 +57,6 @@
             state.members.borrow_mut().tick(now);
             state.crashes.borrow_mut().tick(now);
             state.pools.close_idle();
-            state.tick_catalog();
             let carrying = state.members.borrow().carrying(now).count();
             state.repeats.borrow_mut().set_sharers(carrying + 1);
             tokio::select! {
@@ -221,11 +220,14 @@
         };
         let now = state.clock.now();
         let (vm, started) = (&envelope.from, envelope.started_at_ms);
-        let accepted =
-            state
-                .members
-                .borrow_mut()
-                .accept(now, vm, started, envelope.number, from.ip());
+        let lane = match envelope.message {
+            PeerMessage::Presence(_) => MessageLane::Presence,
+            _ => MessageLane::Counts,
+        };
+        let numbered = (lane, envelope.number);
+        let mut members = state.members.borrow_mut();
+        let accepted = members.accept(now, vm, started, numbered, from.ip());
+        drop(members);
         if !accepted {
             return;
         }
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -15,7 +15,7 @@
 use crate::peer_rows::{run_fetches, run_rows};
 use crate::peer_socket::PeerSocket;
 use crate::settings::EntrySettings;
-use crate::store_watch::{join_fleet, watch_routing, watch_targets};
+use crate::store_watch::{join_fleet, run_lapses, watch_routing, watch_targets};
 
 /// The interval at which the settings file is looked at, since it may change without a signal.
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
@@ -74,6 +74,7 @@
     tokio::task::spawn_local(join_fleet(Rc::clone(&state)));
     tokio::task::spawn_local(watch_routing(Rc::clone(&state)));
     tokio::task::spawn_local(watch_targets(Rc::clone(&state)));
+    tokio::task::spawn_local(run_lapses(Rc::clone(&state)));
     tokio::task::spawn_local(watch_settings(Rc::clone(&state), path, reload));
     spawn_peers(&state, &peers);
     tracing::info!(vm = %state.settings().vm, started_at_ms = state.started_at_ms, "started");
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use damaskloom_lib::fleet_rate::RateTolerance;
 use damaskloom_lib::ids::{DataCentreId, VmId};
 use damaskloom_lib::repeat_budget::RepeatTerms;
 use indexmap::IndexMap;
@@ -87,9 +88,24 @@
     pub repeat_slack: f64,
     /// The window of the budget of repeats, in seconds.
     pub repeat_window_s: f64,
+    /// The window over which customers' rates are counted, in seconds.
+    pub rate_window_s: f64,
+    /// The part of a customer's limit that may come beyond it in a window.
+    pub rate_excess: f64,
+    /// The requests of a customer that may come beyond that in a window.
+    pub rate_slack: f64,
 }
 
 impl FleetBounds {
+    /// Returns what the platform bears beyond a customer's limit.
+    pub fn rate_tolerance(&self) -> RateTolerance {
+        RateTolerance {
+            window: Duration::from_secs_f64(self.rate_window_s),
+            excess: self.rate_excess,
+            slack: self.rate_slack,
+        }
+    }
+
     /// Returns the bound on repeats.
     pub fn repeat_terms(&self) -> RepeatTerms {
         RepeatTerms {
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -24,11 +24,13 @@
 const TARGET_FEED_PAUSE: Duration = Duration::from_millis(250);
 /// The first and the longest pause after a call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 /// The interval at which a node that follows other nodes looks whether it has to read by itself.
 const FOLLOWER_LOOK: Duration = Duration::from_millis(350);
 /// The pause after a failed call of a node that reads only because no other does.
 const FOLLOWER_PAUSE: Duration = Duration::from_millis(2_000);
+/// The interval at which lapsed targets are looked for, unless their grace ends sooner.
+const LAPSE_LOOK: Duration = Duration::from_millis(700);
 /// The table of the fleet's own rows.
 const FLEET_TABLE: &str = "damaskloom";
 /// The row with what nodes prove themselves to each other with.
@@ -241,7 +243,7 @@
                 state.catalog.borrow_mut().store_back(now);
                 state.store_linked.set(true);
                 state.targets_known.set(true);
-                state.take_target_rows(&news, false);
+                state.take_target_rows(&news);
                 pass_on(&state, &news);
                 if !news.is_empty() {
                     tokio::time::sleep(TARGET_FEED_PAUSE).await;
@@ -257,6 +259,20 @@
     }
 }
 
+/// Drops targets that did not come back after an outage, until the task is ended.
+pub async fn run_lapses(state: Rc<EntryState>) {
+    loop {
+        let left = state.catalog.borrow().grace_left(state.clock.now());
+        let pause = if left.is_zero() {
+            LAPSE_LOOK
+        } else {
+            left.min(LAPSE_LOOK)
+        };
+        tokio::time::sleep(pause).await;
+        state.tick_catalog();
+    }
+}
+
 /// Waits until this node has to follow the store itself.
 async fn wait_for_turn(state: &EntryState) {
     while !state.follows_store() {
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -70,6 +70,15 @@
     pub processor_milli: u32,
 }
 
+/// Which messages of a node overtake each other without harm: each kind keeps its own order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MessageLane {
+    /// Presence notes.
+    Presence,
+    /// Counts and news.
+    Counts,
+}
+
 /// A node as it was heard of.
 #[derive(Clone, Debug)]
 pub struct KnownNode {
@@ -81,7 +90,7 @@
     pub note: Option<PresenceNote>,
     registration: Option<NodeRegistration>,
     heard_at: MonoTime,
-    last_number: u64,
+    last_numbers: [u64; 2],
 }
 
 /// All nodes that a node knows, itself excepted.
@@ -109,7 +118,7 @@
             note: None,
             registration: None,
             heard_at: now,
-            last_number: 0,
+            last_numbers: [0; 2],
         };
         match self.nodes.get(&vm) {
             Some(held) if held.started_at_ms >= started_at_ms => {}
@@ -125,7 +134,7 @@
         now: MonoTime,
         vm: &VmId,
         started_at_ms: u64,
-        number: u64,
+        (lane, number): (MessageLane, u64),
         ip: IpAddr,
     ) -> bool {
         self.put(now, vm.clone(), started_at_ms, ip);
@@ -141,10 +150,11 @@
         let Some(node) = self.nodes.get_mut(vm) else {
             return false;
         };
-        if node.started_at_ms != started_at_ms || number <= node.last_number {
+        let last = &mut node.last_numbers[lane as usize];
+        if node.started_at_ms != started_at_ms || number <= *last {
             return false;
         }
-        node.last_number = number;
+        *last = number;
         node.heard_at = now;
         true
     }
--- a/lib/src/fleet_rate.rs
+++ b/lib/src/fleet_rate.rs
@@ -27,6 +27,11 @@
 const UNHEARD_PEER_MS: u64 = 2_000;
 /// The part of the burst by which the fleet may have overdrawn while nodes still admit their parts.
 const OVERDRAFT_PART: f64 = 0.25;
+/// The time before a peer's first report for which its requests are charged, in seconds.
+const FIRST_REPORT_S: f64 = 1.0;
+/// The part of what the platform bears beyond a limit that a starting fleet spends; the rest is for
+/// what nodes admit before they hear of each other.
+const OPENING_PART: f64 = 0.2;
 /// One unheard peer in so many does not matter.
 const BORNE_UNHEARD: usize = 4;
 /// The part of its share of the burst that a node may save up while the rate is divided.
@@ -34,6 +39,25 @@
 /// The requests that a node may save up at least, whatever its share.
 const SAVED_REQUESTS: f64 = 2.0;
 
+/// What the platform bears beyond a limit in each window.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RateTolerance {
+    /// The window.
+    pub window: Duration,
+    /// The part of the limit's requests in a window that may come beyond them.
+    pub excess: f64,
+    /// The requests that may come beyond that.
+    pub slack: f64,
+}
+
+impl RateTolerance {
+    /// Returns what a fleet that starts may spend although it may have spent the limit just before.
+    fn opening(&self, limit: FleetLimit) -> f64 {
+        let requests = limit.rate_per_s * self.window.as_secs_f64() + limit.burst;
+        (requests * self.excess + self.slack) * OPENING_PART
+    }
+}
+
 /// A customer's limit over the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FleetLimit {
@@ -74,6 +98,7 @@
     limit: FleetLimit,
     level: f64,
     own_part: f64,
+    made_at: MonoTime,
     refilled_at: MonoTime,
     admitted: u64,
     /// The admitted requests that were refused in the end and not admitted anew yet.
@@ -84,13 +109,14 @@
 }
 
 impl CustomerBucket {
-    /// Makes an empty bucket: what is in it may have been spent before the node started.
-    fn new(now: MonoTime, limit: FleetLimit) -> Self {
+    /// Makes a bucket that is nearly empty: what was in it may have been spent before the node started.
+    fn new(now: MonoTime, limit: FleetLimit, opening: f64) -> Self {
         Self {
             limit,
-            level: 0.0,
+            level: opening.min(limit.burst),
             // The first request at a node need not wait until the node knows its part.
             own_part: 1.0,
+            made_at: now,
             refilled_at: now,
             admitted: 0,
             returned: 0,
@@ -181,6 +207,7 @@
 /// The limits of all customers, as one node applies them.
 #[derive(Debug, Default)]
 pub struct FleetRates {
+    tolerance: RateTolerance,
     expected_peers: usize,
     first_asked_at: Option<MonoTime>,
     heard: IndexMap<VmId, MonoTime>,
@@ -188,6 +215,14 @@
 }
 
 impl FleetRates {
+    /// Makes limits under what the platform bears beyond them.
+    pub fn new(tolerance: RateTolerance) -> Self {
+        Self {
+            tolerance,
+            ..Self::default()
+        }
+    }
+
     /// Changes how many other nodes are expected to carry traffic.
     pub fn set_expected_peers(&mut self, nodes: usize) {
         self.expected_peers = nodes;
@@ -203,7 +238,7 @@
         let mut old = std::mem::take(&mut self.buckets);
         for (id, limit) in limits {
             let bucket = match old.swap_remove(&id) {
-                None => CustomerBucket::new(now, limit),
+                None => CustomerBucket::new(now, limit, self.tolerance.opening(limit)),
                 Some(mut bucket) => {
                     bucket.refill(now, unheard);
                     bucket.level = bucket.level.min(limit.burst);
@@ -269,6 +304,10 @@
             charged_until: now,
         };
         let Some(held) = bucket.peers.insert(peer.clone(), fresh) else {
+            // What the peer admitted since this node's bucket was made is not in the bucket yet.
+            let age = now.since(bucket.made_at).as_secs_f64().min(FIRST_REPORT_S);
+            let since = age * report.demand_per_s;
+            bucket.level -= since.min(report.admitted as f64);
             return;
         };
         let due = Duration::from_millis(REPORT_DUE_MS);
--- a/lib/src/target_catalog.rs
+++ b/lib/src/target_catalog.rs
@@ -17,6 +17,7 @@
 ///
 /// The platform states about two seconds; the rest is for the way of the news.
 pub const RETURN_GRACE_MS: u64 = 2_300;
+const GRACE: Duration = Duration::from_millis(RETURN_GRACE_MS);
 
 /// What a target says of itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -83,19 +84,30 @@
         }
     }
 
-    /// Says whether announcements that vanish now may have lapsed while the store was away.
-    pub fn is_in_grace(&self, now: MonoTime) -> bool {
-        self.grace_end().is_some_and(|end| now < end)
+    /// Returns for how long announcements that vanish may still have lapsed while the store was away;
+    /// zero if what vanishes is gone.
+    pub fn grace_left(&self, now: MonoTime) -> Duration {
+        match self.grace_end() {
+            Some(end) if self.back_at.is_none() => end.since(now).min(GRACE),
+            Some(end) => end.since(now),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Takes over from another node for how long vanished announcements may still have lapsed.
+    pub fn follow_grace(&mut self, now: MonoTime, left: Duration) {
+        (self.away_at, self.back_at) = if left.is_zero() {
+            (self.away_at, self.away_at.map(|_| now - GRACE))
+        } else {
+            (Some(now), Some(now - GRACE.saturating_sub(left)))
+        };
     }
 
     /// Returns until when vanished announcements are taken for lapsed ones.
     fn grace_end(&self) -> Option<MonoTime> {
         self.away_at?;
-        let grace = Duration::from_millis(RETURN_GRACE_MS);
-        Some(
-            self.back_at
-                .map_or(MonoTime::from_micros(u64::MAX), |back| back + grace),
-        )
+        let ends = self.back_at.map(|back| back + GRACE);
+        Some(ends.unwrap_or(MonoTime::from_micros(u64::MAX)))
     }
 
     /// Takes in what a target says of itself.
@@ -126,13 +138,11 @@
     }
 
     /// Takes in that a target's announcement is not there any more.
-    ///
-    /// It may have lapsed if the store was away, unless it is `certain` that it was not.
-    pub fn vanish(&mut self, now: MonoTime, id: &TargetId, certain: bool) -> Option<CatalogChange> {
-        let in_grace = !certain && self.is_in_grace(now);
+    pub fn vanish(&mut self, now: MonoTime, id: &TargetId) -> Option<CatalogChange> {
+        let may_have_lapsed = !self.grace_left(now).is_zero();
         let held = self.targets.get_mut(id)?;
         // A target that said that it leaves did not lapse.
-        if in_grace && !held.announcement.leaving {
+        if may_have_lapsed && !held.announcement.leaving {
             held.lapsed_at.get_or_insert(now);
             return None;
         }
--- a/lib/tests/test_entry_nodes.rs
+++ b/lib/tests/test_entry_nodes.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use damaskloom_lib::config::{Idempotence, RouteAccess};
-use damaskloom_lib::entry_members::{EntryMembers, EntryStanding, NodeRegistration, PresenceNote};
+use damaskloom_lib::entry_members::{
+    EntryMembers, EntryStanding, MessageLane, NodeRegistration, PresenceNote,
+};
 use damaskloom_lib::entry_nodes::{EntryNode, EntryTerms, choose_entries};
 use damaskloom_lib::ids::{DataCentreId, VmId};
 use damaskloom_lib::key::RawKey;
@@ -87,11 +89,11 @@
 fn a_silent_or_leaving_node_gets_no_callers() {
     let mut members = EntryMembers::default();
     let ip = address(1).ip();
-    assert!(members.accept(at(0), &vm(1), 5, 1, ip));
+    assert!(members.accept(at(0), &vm(1), 5, (MessageLane::Presence, 1), ip));
     members.note(&vm(1), note(EntryStanding::Serving, true));
     assert_eq!(members.serving(at(1_000)).count(), 1);
     assert_eq!(members.serving(at(4_000)).count(), 0);
-    assert!(members.accept(at(4_000), &vm(1), 5, 2, ip));
+    assert!(members.accept(at(4_000), &vm(1), 5, (MessageLane::Presence, 2), ip));
     members.note(&vm(1), note(EntryStanding::Leaving, true));
     assert_eq!(members.serving(at(4_100)).count(), 0);
 }
@@ -100,19 +102,27 @@
 fn repeated_messages_and_those_of_an_earlier_start_are_dropped() {
     let mut members = EntryMembers::default();
     let ip = address(1).ip();
-    assert!(members.accept(at(0), &vm(1), 5, 7, ip));
-    assert!(!members.accept(at(10), &vm(1), 5, 7, ip));
-    assert!(members.accept(at(20), &vm(1), 9, 1, ip));
-    assert!(!members.accept(at(30), &vm(1), 5, 8, ip));
+    assert!(members.accept(at(0), &vm(1), 5, (MessageLane::Presence, 7), ip));
+    assert!(!members.accept(at(10), &vm(1), 5, (MessageLane::Presence, 7), ip));
+    assert!(members.accept(at(20), &vm(1), 9, (MessageLane::Presence, 1), ip));
+    assert!(!members.accept(at(30), &vm(1), 5, (MessageLane::Presence, 8), ip));
+}
+
+#[test]
+fn a_note_that_counts_overtook_is_taken() {
+    let mut members = EntryMembers::default();
+    let ip = address(1).ip();
+    assert!(members.accept(at(0), &vm(1), 5, (MessageLane::Counts, 8), ip));
+    assert!(members.accept(at(1), &vm(1), 5, (MessageLane::Presence, 7), ip));
 }
 
 #[test]
 fn a_node_whose_clock_jumped_back_between_starts_is_heard_after_a_silence() {
     let mut members = EntryMembers::default();
     let ip = address(1).ip();
-    assert!(members.accept(at(0), &vm(1), 9_000, 50, ip));
-    assert!(!members.accept(at(500), &vm(1), 7_000, 1, ip));
-    assert!(members.accept(at(2_500), &vm(1), 7_000, 2, ip));
+    assert!(members.accept(at(0), &vm(1), 9_000, (MessageLane::Presence, 50), ip));
+    assert!(!members.accept(at(500), &vm(1), 7_000, (MessageLane::Presence, 1), ip));
+    assert!(members.accept(at(2_500), &vm(1), 7_000, (MessageLane::Presence, 2), ip));
 }
 
 #[test]
@@ -133,7 +143,7 @@
 fn a_node_follows_the_store_itself_once_no_linked_node_is_heard() {
     let mut members = EntryMembers::default();
     let ip = address(1).ip();
-    members.accept(at(0), &vm(1), 5, 1, ip);
+    members.accept(at(0), &vm(1), 5, (MessageLane::Presence, 1), ip);
     members.note(&vm(1), note(EntryStanding::Serving, true));
     let age = Duration::from_millis(1_400);
     assert!(members.hears_linked(at(1_000), age));
--- a/lib/tests/test_fleet_rates.rs
+++ b/lib/tests/test_fleet_rates.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use damaskloom_lib::fleet_rate::{FleetLimit, FleetRates, RateAnswer, RateReport};
+use damaskloom_lib::fleet_rate::{FleetLimit, FleetRates, RateAnswer, RateReport, RateTolerance};
 use damaskloom_lib::ids::{CustomerId, VmId};
 use damaskloom_lib::time::MonoTime;
 use rand::rngs::SmallRng;
@@ -65,7 +65,11 @@
     let others: CustomerId = "others".parse().expect("a valid name");
     let mut random = SmallRng::seed_from_u64(seed);
     let fresh = |now| {
-        let mut rates = FleetRates::default();
+        let mut rates = FleetRates::new(RateTolerance {
+            window: Duration::from_millis(WINDOW_MS),
+            excess: EXCESS,
+            slack: SLACK,
+        });
         rates.set_limits(now, [(customer.clone(), limit)]);
         rates.set_expected_peers(plan.nodes - 1);
         rates
--- a/lib/tests/test_target_catalog.rs
+++ b/lib/tests/test_target_catalog.rs
@@ -34,7 +34,7 @@
     let started = catalog.announce(at(0), id("a"), announcement(1));
     assert_eq!(started, Some(CatalogChange::Started(id("a"))));
     assert_eq!(
-        catalog.vanish(at(10), &id("a"), false),
+        catalog.vanish(at(10), &id("a")),
         Some(CatalogChange::Gone(id("a")))
     );
     assert!(catalog.is_empty());
@@ -47,8 +47,8 @@
     catalog.announce(at(0), id("b"), announcement(1));
     catalog.store_away(at(100));
     catalog.store_back(at(5_000));
-    assert_eq!(catalog.vanish(at(5_010), &id("a"), false), None);
-    assert_eq!(catalog.vanish(at(5_010), &id("b"), false), None);
+    assert_eq!(catalog.vanish(at(5_010), &id("a")), None);
+    assert_eq!(catalog.vanish(at(5_010), &id("b")), None);
     catalog.announce(at(6_000), id("b"), announcement(1));
     assert!(catalog.tick(at(5_000 + RETURN_GRACE_MS - 1)).is_empty());
     assert_eq!(
@@ -66,20 +66,27 @@
     catalog.announce(at(0), id("a"), leaving);
     catalog.store_away(at(100));
     assert_eq!(
-        catalog.vanish(at(110), &id("a"), false),
+        catalog.vanish(at(110), &id("a")),
         Some(CatalogChange::Gone(id("a")))
     );
 }
 
 #[test]
-fn word_of_a_peer_that_the_store_answers_is_certain() {
+fn a_node_that_follows_another_takes_over_its_grace() {
     let mut catalog = TargetCatalog::default();
     catalog.announce(at(0), id("a"), announcement(1));
+    catalog.announce(at(0), id("b"), announcement(1));
+    // Its own reads failed; then it follows a node that the store answers for long.
     catalog.store_away(at(100));
+    catalog.follow_grace(at(5_000), Duration::ZERO);
     assert_eq!(
-        catalog.vanish(at(110), &id("a"), true),
+        catalog.vanish(at(5_000), &id("a")),
         Some(CatalogChange::Gone(id("a")))
     );
+    catalog.follow_grace(at(6_000), Duration::from_millis(300));
+    assert_eq!(catalog.vanish(at(6_000), &id("b")), None);
+    assert!(catalog.tick(at(6_299)).is_empty());
+    assert_eq!(catalog.tick(at(6_300)), [CatalogChange::Gone(id("b"))]);
 }
 
 #[test]
