--- a/entry/src/caller_listener.rs
+++ b/entry/src/caller_listener.rs
@@ -1,4 +1,4 @@
-//! The listeners of a node: callers' requests, readiness and the directory.
+//! The listeners of a node: callers' requests, readiness, the directory and metrics.
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -25,6 +25,8 @@
 
 /// The time for which a directory or readiness connection may be idle.
 const HELPER_IDLE: Duration = Duration::from_secs(15);
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
 /// The pause after a failed accept, for instance when descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// The read buffer of a caller's connection, in bytes: a head and a usual body.
@@ -119,6 +121,22 @@
     .await;
 }
 
+/// Answers whoever collects metrics.
+pub async fn run_metrics(state: Rc<EntryState>, listener: TcpListener) {
+    run_helper(listener, move |request| {
+        let answer = match (request.uri().path(), state.encode_metrics()) {
+            (METRICS_PATH, Ok(text)) => Response::new(Full::new(Bytes::from(text))),
+            (METRICS_PATH, Err(error)) => {
+                tracing::error!(%error, "metrics not written");
+                text_answer(StatusCode::INTERNAL_SERVER_ERROR, "metrics not written")
+            }
+            _ => text_answer(StatusCode::NOT_FOUND, "unknown path"),
+        };
+        std::future::ready(answer)
+    })
+    .await;
+}
+
 fn answer_directory(state: &EntryState, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     if request.uri().path() != DIRECTORY_PATH {
         return text_answer(StatusCode::NOT_FOUND, "unknown path");
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use damaskloom_gateway::meters::MeterError;
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::crash_guard::{CrashGuard, CrashMessage};
 use damaskloom_lib::entry_members::{EntryMembers, EntryStanding, PresenceNote};
@@ -31,7 +32,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::{MonoClock, unix_ms};
-use crate::entry_counters::EntryCounters;
+use crate::entry_meters::EntryMeters;
 use crate::settings::EntrySettings;
 use crate::target_pool::TargetPools;
 
@@ -101,8 +102,8 @@
     pub store_linked: Cell<bool>,
     /// Whether this node is one of those that follow the store for others.
     pub is_reader: Cell<bool>,
-    /// The counters of the process.
-    pub counters: EntryCounters,
+    /// The metrics.
+    pub meters: EntryMeters,
     /// The requests in flight.
     pub in_flight: Cell<usize>,
     traffic: RefCell<TrafficMeter>,
@@ -111,7 +112,11 @@
 
 impl EntryState {
     /// Makes the state of a process that knows nothing yet.
-    pub fn new(settings: EntrySettings) -> Rc<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics cannot be set up.
+    pub fn new(settings: EntrySettings) -> Result<Rc<Self>, MeterError> {
         let repeats = RepeatBudget::new(settings.bounds.repeat_terms());
         let rates = FleetRates::new(settings.bounds.rate_tolerance());
         let mut crashes = CrashGuard::new();
@@ -120,7 +125,7 @@
             vm: settings.vm.clone(),
             incarnation: Incarnation(0),
         }]);
-        Rc::new(Self {
+        Ok(Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             clock: MonoClock::start(),
             started_at_ms: unix_ms(),
@@ -144,11 +149,11 @@
             peer_newer: Notify::new(),
             store_linked: Cell::new(false),
             is_reader: Cell::new(true),
-            counters: EntryCounters::default(),
+            meters: EntryMeters::new()?,
             in_flight: Cell::new(0),
             traffic: RefCell::default(),
             leaving: Cell::new(false),
-        })
+        }))
     }
 
     /// Returns the settings in force.
@@ -358,6 +363,22 @@
         }
     }
 
+    /// Returns the metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they cannot be encoded.
+    pub fn encode_metrics(&self) -> Result<Vec<u8>, MeterError> {
+        let routing = self.routing.borrow();
+        let version = routing
+            .as_ref()
+            .map_or(0, |table| table.document().version.0);
+        let nodes = self.members.borrow().heard(self.clock.now()).count() + 1;
+        let targets = self.catalog.borrow().len();
+        self.meters.note_known(version, targets, nodes);
+        self.meters.encode()
+    }
+
     /// Returns the time for which callers keep a directory answer.
     pub fn directory_lifetime(&self) -> Duration {
         let bound = self.settings().bounds.max_directory_lifetime_s;
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod caller_listener;
 pub mod clock;
 pub mod command;
-pub mod entry_counters;
+pub mod entry_meters;
 pub mod entry_state;
 pub mod peer_rows;
 pub mod peer_socket;
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -5,12 +5,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
+use damaskloom_gateway::meters::MeterError;
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::caller_listener::{run_callers, run_directory, run_ready};
+use crate::caller_listener::{run_callers, run_directory, run_metrics, run_ready};
 use crate::entry_state::EntryState;
 use crate::peer_rows::{run_fetches, run_rows};
 use crate::peer_socket::PeerSocket;
@@ -37,6 +38,12 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The metrics cannot be set up.
+    #[snafu(display("cannot set up metrics: {source}"))]
+    Meters {
+        /// What the library said.
+        source: MeterError,
+    },
     /// Signals cannot be received.
     #[snafu(display("signals cannot be received: {source}"))]
     Signals {
@@ -64,11 +71,14 @@
     })?;
     let rows = listen(peer_address).await?;
     let peers = Rc::new(PeerSocket::new(socket, settings.peer_port));
-    let state = EntryState::new(settings);
+    let metrics_address = SocketAddr::new(settings.ip, settings.metrics_port);
+    let metrics = listen(metrics_address).await?;
+    let state = EntryState::new(settings).context(MetersSnafu)?;
     let (stop, stopped) = watch::channel(false);
     let callers = tokio::task::spawn_local(run_callers(Rc::clone(&state), callers, stopped));
     tokio::task::spawn_local(run_ready(Rc::clone(&state), ready));
     tokio::task::spawn_local(run_directory(Rc::clone(&state), directory));
+    tokio::task::spawn_local(run_metrics(Rc::clone(&state), metrics));
     tokio::task::spawn_local(run_rows(Rc::clone(&state), rows));
     tokio::task::spawn_local(run_fetches(Rc::clone(&state)));
     tokio::task::spawn_local(join_fleet(Rc::clone(&state)));
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -24,7 +24,6 @@
 use crate::caller_answer::{
     CallerBody, CallerRefusal, RefusalReason, refusal_answer, target_answer,
 };
-use crate::entry_counters::count;
 use crate::entry_state::EntryState;
 use crate::peer_socket::take_crash_actions;
 use crate::target_call::{CallError, CallResult, OutgoingHead, TargetAnswer, call, call_target};
@@ -46,12 +45,13 @@
 pub async fn serve(state: Rc<EntryState>, request: Request<Incoming>) -> Response<CallerBody> {
     let arrival = Instant::now();
     state.note_request();
-    count(&state.counters.requests);
     let _in_flight = InFlightGuard::new(&state);
     let (parts, body) = request.into_parts();
     match run(&state, &parts, body, arrival).await {
         Ok(answer) => {
-            count(&state.counters.answered);
+            state
+                .meters
+                .answered(answer.status().as_u16(), arrival.elapsed());
             target_answer(answer)
         }
         Err(refusal) => {
@@ -62,11 +62,7 @@
 }
 
 fn note_refusal(state: &EntryState, parts: &Parts, refusal: CallerRefusal, arrival: Instant) {
-    let counter = match refusal.reason {
-        RefusalReason::TargetBroke | RefusalReason::TargetTimeout => &state.counters.lost,
-        _ => &state.counters.refused,
-    };
-    count(counter);
+    state.meters.refused(refusal.reason.label());
     tracing::info!(
         request = request_id(parts),
         reason = refusal.reason.label(),
@@ -325,9 +321,8 @@
         let target = call_target(&state.pools, id, address, self.connection_limit());
         let running = RunningGuard::begin(state, self.service, id);
         let result = call(&target, self.head, body, self.admitted.deadline).await;
-        count(&state.counters.sendings);
         if result.connected {
-            count(&state.counters.connects);
+            state.meters.connected();
         }
         let (taken, was_late) = running.end();
         self.judge(id, &result, taken, was_late);
@@ -367,6 +362,7 @@
                     state.observe(service, id, TargetSign::Good);
                 }
                 state.with_board(service, |board| board.note_running(taken));
+                state.meters.sent("answered");
                 return;
             }
             Err(error) => {
@@ -374,6 +370,7 @@
                 error.label()
             }
         };
+        state.meters.sent(error);
         if !matches!(&result.answer, Err(CallError::Stale)) {
             self.tried.push(id.clone());
         }
@@ -456,7 +453,7 @@
         let now = self.state.clock.now();
         let allowed = self.state.repeats.borrow_mut().take(now, self.service);
         if allowed {
-            count(&self.state.counters.repeats);
+            self.state.meters.repeated();
         }
         allowed
     }
--- a/lib/tests/test_fleet_rates.rs
+++ b/lib/tests/test_fleet_rates.rs
@@ -106,7 +106,7 @@
         let is_cut = plan.cut.is_some_and(|(from, to)| (from..to).contains(&ms));
         for sender in 0..plan.nodes {
             // Nodes report at times of their own.
-            if is_cut || (ms + sender as u64 * 7) % REPORT_MS != 0 {
+            if is_cut || !(ms + sender as u64 * 7).is_multiple_of(REPORT_MS) {
                 continue;
             }
             let report = nodes[sender].reports(now).next().map(|(_, report)| report);
