--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -202,14 +202,17 @@
             self.bounds.max_directory_lifetime_s > 0.0,
             bad("bounds.max_directory_lifetime_s", "a positive number")
         );
+        let windows = [self.bounds.repeat_window_s, self.bounds.rate_window_s];
+        let figures = [
+            self.bounds.repeat_ratio,
+            self.bounds.repeat_slack,
+            self.bounds.rate_excess,
+            self.bounds.rate_slack,
+        ];
         ensure!(
-            self.bounds.repeat_window_s > 0.0
-                && self.bounds.repeat_ratio >= 0.0
-                && self.bounds.repeat_slack >= 0.0,
-            bad(
-                "bounds",
-                "a positive `repeat_window_s` and no negative figure"
-            )
+            windows.iter().all(|window| *window > 0.0)
+                && figures.iter().all(|figure| *figure >= 0.0),
+            bad("bounds", "positive windows and no negative figure")
         );
         Ok(())
     }
--- /dev/null
+++ b/entry/tests/fixture.rs
@@ -0,0 +1,320 @@
+//! Entry processes before stand-in targets and a stand-in store, on loopback.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use damaskloom_entry::process::run;
+use damaskloom_entry::settings::EntrySettings;
+use damaskloom_testutils::row_store::RowStore;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpStream};
+
+/// The tries of a wait for something that happens soon, and the pause between them.
+const TRIES: u32 = 400;
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// The port between nodes, on addresses that nothing else uses.
+pub const PEER_PORT: u16 = 7_360;
+
+/// How a stand-in target answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TargetManner {
+    /// Runs the request and answers whole.
+    Good,
+    /// Runs the request and fails.
+    Fails,
+    /// Refuses without running the request.
+    Full,
+    /// Says that another target was meant.
+    AnotherTarget,
+    /// Runs the request and answers without its receipt.
+    NoReceipt,
+    /// Runs the request and answers another one.
+    Crossed,
+}
+
+/// A stand-in target.
+#[derive(Debug)]
+pub struct StandInTarget {
+    /// The target's name.
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// How it answers.
+    pub manner: Cell<TargetManner>,
+    /// The requests that it ran.
+    pub runs: Cell<u32>,
+    /// The header fields of the last request.
+    pub last_headers: RefCell<HeaderMap>,
+}
+
+impl StandInTarget {
+    /// Starts a target in the current local task set.
+    pub async fn start(id: &str, manner: TargetManner) -> Rc<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+        let listener = listener.expect("loopback has a free port");
+        let target = Rc::new(Self {
+            id: id.to_owned(),
+            address: listener.local_addr().expect("a bound address"),
+            manner: Cell::new(manner),
+            runs: Cell::new(0),
+            last_headers: RefCell::default(),
+        });
+        let shared = Rc::clone(&target);
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let target = Rc::clone(&shared);
+                tokio::task::spawn_local(async move {
+                    let service = service_fn(|request| {
+                        let answer = target.answer(request);
+                        async move { Ok::<_, Infallible>(answer.await) }
+                    });
+                    // A node that hangs up ends the connection.
+                    let _ = hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        });
+        target
+    }
+
+    fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Full<Bytes>>> + use<> {
+        self.last_headers.replace(request.headers().clone());
+        let manner = self.manner.get();
+        if !matches!(manner, TargetManner::Full | TargetManner::AnotherTarget) {
+            self.runs.set(self.runs.get() + 1);
+        }
+        let id = request.headers().get("request-id").cloned();
+        async move {
+            // The whole request is read, as a real target does.
+            let _ = request.into_body().collect().await;
+            let mut answer = Response::builder();
+            if let Some(id) = id.filter(|_| manner != TargetManner::Crossed) {
+                answer = answer.header("request-id", id);
+            }
+            answer = match manner {
+                TargetManner::Good => answer.header("server-seal", "seal"),
+                TargetManner::Crossed => answer
+                    .header("server-seal", "seal")
+                    .header("request-id", "another"),
+                TargetManner::NoReceipt => answer,
+                TargetManner::Fails => answer.status(500).header("server-seal", "seal"),
+                TargetManner::Full => answer.status(503).header("not-executed", "1"),
+                TargetManner::AnotherTarget => answer.status(421),
+            };
+            answer
+                .body(Full::new(Bytes::from_static(b"answer")))
+                .expect("the parts are valid")
+        }
+    }
+
+    /// Returns the row that the target keeps in the store.
+    pub fn row(&self, state: &str) -> String {
+        json!({
+            "service": "desk", "address": self.address.to_string(), "zone": "near",
+            "version": "v1", "concurrency": 4, "state": state, "warmup_left_s": 0,
+            "sequence": 1, "born": 1
+        })
+        .to_string()
+    }
+}
+
+/// Returns a configuration with a safe, an unsafe and a public route to one service.
+pub fn configuration(version: u64, keys: &[&str]) -> String {
+    json!({
+        "version": version,
+        "routes": {
+            "columns": ["name", "host", "prefix", "kind", "timeout_s", "target_latency_s",
+                        "priority", "service", "max_attempts", "public"],
+            "rows": [
+                ["read", "a.example", "/read/", "safe", 10, 0.4, 1, "desk", 3, false],
+                ["book", "a.example", "/book/", "unsafe", 10, 0.4, 1, "desk", 3, false],
+                ["open", "a.example", "/open/", "safe", 10, 0.4, 1, "desk", 3, true]
+            ]
+        },
+        "services": { "columns": ["name", "max_conns"], "rows": [["desk", 400]] },
+        "tenants": {
+            "columns": ["name", "api_keys", "rate_per_s", "burst"],
+            "rows": [["hauliers", keys, 0, 0]]
+        }
+    })
+    .to_string()
+}
+
+/// An answer as a caller gets it.
+#[derive(Debug)]
+pub struct CallerAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The header fields.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A node of a fleet under test.
+#[derive(Debug)]
+pub struct EntryNode {
+    settings: EntrySettings,
+}
+
+/// The last part of the address of the next node.
+static NEXT_NODE: AtomicU8 = AtomicU8::new(1);
+
+/// Returns a port that is free at an address; nothing else uses the addresses of nodes.
+pub fn free_port(ip: IpAddr) -> u16 {
+    let listener = std::net::TcpListener::bind((ip, 0)).expect("loopback has a free port");
+    listener.local_addr().expect("a bound address").port()
+}
+
+impl EntryNode {
+    /// Starts a node on a loopback address of its own; the peer port is the same for a fleet.
+    pub fn start(store: &RowStore, peer_port: u16) -> Self {
+        let number = NEXT_NODE.fetch_add(1, Ordering::Relaxed);
+        // An address of its own, so that no outgoing connection takes a port of a listener.
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 77, 0, number));
+        let listen = || format!("{ip}:{}", free_port(ip));
+        let settings = json!({
+            "vm": format!("vm-{number}"), "data_centre": "near",
+            "data_centres": {"near": "region"}, "ip": ip.to_string(),
+            "caller_listen": listen(), "ready_listen": listen(), "directory_listen": listen(),
+            "peer_port": peer_port, "metrics_port": free_port(ip),
+            "store": store.address().to_string(),
+            "machine": {"cpu_share": 0.2, "cpu_cores": 1, "memory_mb": 260},
+            "bounds": {
+                "stop_grace_s": 6, "max_directory_lifetime_s": 5, "repeat_ratio": 0.2,
+                "repeat_slack": 64, "repeat_window_s": 10, "rate_window_s": 5,
+                "rate_excess": 0.1, "rate_slack": 20
+            }
+        });
+        let settings = EntrySettings::parse(settings.to_string(), "test").expect("valid settings");
+        let process = run(PathBuf::from("test"), settings.clone());
+        tokio::task::spawn_local(async move { process.await.expect("the node runs") });
+        Self { settings }
+    }
+
+    /// Returns the node's name.
+    pub fn name(&self) -> &str {
+        self.settings.vm.as_str()
+    }
+
+    /// Returns where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.settings.caller_listen
+    }
+
+    /// Sends a caller's request on a connection of its own.
+    pub async fn send(&self, method: &str, path: &str, key: Option<&str>) -> CallerAnswer {
+        let address = self.settings.caller_listen;
+        send(address, method, path, key).await
+    }
+
+    /// Asks the directory and returns the addresses that it names.
+    pub async fn directory(&self) -> Vec<String> {
+        let path = "/v1/resolve?name=a.example&region=region&zone=near";
+        let answer = send(self.settings.directory_listen, "GET", path, None).await;
+        let answer: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let addresses = answer["addresses"].as_array().cloned().unwrap_or_default();
+        let addresses = addresses.iter().filter_map(Value::as_str);
+        addresses.map(str::to_owned).collect()
+    }
+
+    /// Returns the metrics.
+    pub async fn metrics(&self) -> String {
+        let address = SocketAddr::new(self.settings.ip, self.settings.metrics_port);
+        let answer = send(address, "GET", "/metrics", None).await;
+        String::from_utf8_lossy(&answer.body).into_owned()
+    }
+
+    /// Waits until the platform's question is answered with yes.
+    pub async fn wait_until_ready(&self) {
+        wait_until("the node is ready", async || {
+            let ready = send(self.settings.ready_listen, "GET", "/v1/ready", None).await;
+            ready.status == StatusCode::OK
+        })
+        .await;
+    }
+}
+
+/// Tries until something has happened.
+pub async fn wait_until(what: &str, mut happened: impl AsyncFnMut() -> bool) {
+    for _ in 0..TRIES {
+        if happened().await {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("not seen: {what}");
+}
+
+async fn send(address: SocketAddr, method: &str, path: &str, key: Option<&str>) -> CallerAnswer {
+    for _ in 0..TRIES {
+        if let Ok(stream) = TcpStream::connect(address).await {
+            return exchange(stream, method, path, key).await;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("{address} accepts no connection");
+}
+
+async fn exchange(stream: TcpStream, method: &str, path: &str, key: Option<&str>) -> CallerAnswer {
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.expect("a connection");
+    tokio::task::spawn_local(connection);
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "a.example")
+        .header("request-id", "id-1")
+        .header("deadline-ms", "8000")
+        .header("tenant-name", "somebody-else");
+    if let Some(key) = key {
+        request = request.header("authorization", format!("Bearer {key}"));
+    }
+    let request = request.body(Full::new(Bytes::from_static(b"body")));
+    let response = sender.send_request(request.expect("valid parts")).await;
+    let (parts, body) = response.expect("an answer").into_parts();
+    CallerAnswer {
+        status: parts.status,
+        headers: parts.headers,
+        body: body.collect().await.expect("a whole answer").to_bytes(),
+    }
+}
+
+/// Runs a test with a store that holds a configuration, one node and targets of the given manners.
+pub async fn with_node<F: Future<Output = ()>>(
+    manners: &[TargetManner],
+    test: impl FnOnce(RowStore, EntryNode, Vec<Rc<StandInTarget>>) -> F,
+) {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async move {
+            let store = RowStore::start().await.expect("loopback has a free port");
+            store.put("op", "config", configuration(1, &["key-1", "key-2"]));
+            let mut targets = Vec::new();
+            for (index, manner) in manners.iter().enumerate() {
+                let target = StandInTarget::start(&format!("i-{index}"), *manner).await;
+                store.put("servers", &target.id, target.row("ready"));
+                targets.push(target);
+            }
+            let node = EntryNode::start(&store, PEER_PORT);
+            node.wait_until_ready().await;
+            test(store, node, targets).await;
+        })
+        .await;
+}
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -1,1 +1,7 @@
-//! Runs all tests of the crate in one program.
+//! All tests of the crate, one module a subject.
+
+mod fixture;
+mod test_fleet;
+mod test_peer_wire;
+mod test_requests;
+mod test_settings;
--- /dev/null
+++ b/entry/tests/test_fleet.rs
@@ -0,0 +1,82 @@
+//! What nodes do together, and while the store is in trouble.
+
+use damaskloom_testutils::row_store::{RowStore, StoreFault};
+use http::StatusCode;
+use tokio::task::LocalSet;
+
+use crate::fixture::{
+    EntryNode, PEER_PORT, StandInTarget, TargetManner, configuration, wait_until, with_node,
+};
+
+#[tokio::test]
+async fn nodes_find_each_other_and_the_directory_names_both() {
+    LocalSet::new()
+        .run_until(async {
+            let store = RowStore::start().await.expect("loopback has a free port");
+            store.put("op", "config", configuration(1, &["key-1"]));
+            let target = StandInTarget::start("i-0", TargetManner::Good).await;
+            store.put("servers", "i-0", target.row("ready"));
+            let nodes = [
+                EntryNode::start(&store, PEER_PORT),
+                EntryNode::start(&store, PEER_PORT),
+            ];
+            for node in &nodes {
+                node.wait_until_ready().await;
+            }
+            wait_until("both directories name both nodes", async || {
+                let named = [nodes[0].directory().await, nodes[1].directory().await];
+                named.iter().all(|named| named.len() == 2)
+            })
+            .await;
+            let named = nodes[1].directory().await;
+            assert!(named.contains(&nodes[0].caller_address().to_string()));
+            assert!(store.get("damaskloom", "secret").is_some());
+            for node in &nodes {
+                let registration = format!("node:{}", node.name());
+                assert!(store.get("damaskloom", &registration).is_some());
+            }
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn a_node_serves_on_while_the_store_is_away_and_catches_up_after() {
+    with_node(&[TargetManner::Good], |store, node, _targets| async move {
+        let key = Some("key-1");
+        for fault in [StoreFault::Busy, StoreFault::Forgetful] {
+            store.set_fault(fault);
+            for _ in 0..4 {
+                let answer = node.send("GET", "/read/1", key).await;
+                assert_eq!(answer.status, StatusCode::OK);
+            }
+        }
+        store.put("op", "config", configuration(9, &["key-1", "key-9"]));
+        store.set_fault(StoreFault::None);
+        wait_until("the change made meanwhile is in force", async || {
+            node.send("GET", "/read/1", Some("key-9")).await.status == StatusCode::OK
+        })
+        .await;
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_node_without_a_configuration_promises_that_nothing_ran() {
+    LocalSet::new()
+        .run_until(async {
+            let store = RowStore::start().await.expect("loopback has a free port");
+            store.set_fault(StoreFault::Busy);
+            let node = EntryNode::start(&store, PEER_PORT);
+            let answer = node.send("POST", "/book/1", Some("key-1")).await;
+            assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+            assert!(answer.headers.contains_key("retry-after"));
+            store.put("op", "config", configuration(1, &["key-1"]));
+            let target = StandInTarget::start("i-0", TargetManner::Good).await;
+            store.put("servers", "i-0", target.row("ready"));
+            store.set_fault(StoreFault::None);
+            node.wait_until_ready().await;
+            let answer = node.send("POST", "/book/1", Some("key-1")).await;
+            assert_eq!(answer.status, StatusCode::OK);
+        })
+        .await;
+}
--- /dev/null
+++ b/entry/tests/test_peer_wire.rs
@@ -0,0 +1,46 @@
+//! The datagrams between nodes.
+
+use damaskloom_entry::peer_wire::{CustomerCount, PeerEnvelope, PeerMessage, decode, encode};
+use damaskloom_gateway::peer_auth::SharedSecret;
+
+fn envelope() -> PeerEnvelope {
+    PeerEnvelope {
+        from: "vm-1".parse().expect("a valid name"),
+        started_at_ms: 5,
+        number: 7,
+        message: PeerMessage::Counts {
+            running: vec![("i-1".parse().expect("a valid name"), 2)],
+            customers: vec![CustomerCount {
+                customer: "hauliers".parse().expect("a valid name"),
+                admitted: 9,
+                demand_milli: 1_500,
+            }],
+        },
+    }
+}
+
+#[test]
+fn a_datagram_is_read_as_it_was_written() {
+    let secret = SharedSecret::new(*b"a secret of the fleet");
+    let datagram = encode(&secret, &envelope()).expect("it can be written");
+    assert_eq!(
+        decode(&secret, &datagram).expect("it is proven"),
+        envelope()
+    );
+}
+
+#[test]
+fn changed_and_foreign_datagrams_are_dropped() {
+    let secret = SharedSecret::new(*b"a secret of the fleet");
+    let datagram = encode(&secret, &envelope()).expect("it can be written");
+    for index in 0..datagram.len() {
+        let mut changed = datagram.clone();
+        changed[index] ^= 1;
+        assert!(decode(&secret, &changed).is_err(), "byte {index}");
+    }
+    for length in 0..datagram.len() {
+        assert!(decode(&secret, &datagram[..length]).is_err());
+    }
+    let other = SharedSecret::new(*b"a secret of another fleet");
+    assert!(decode(&other, &datagram).is_err());
+}
--- /dev/null
+++ b/entry/tests/test_requests.rs
@@ -0,0 +1,166 @@
+//! What callers and targets see of requests.
+
+use http::StatusCode;
+
+use crate::fixture::{EntryNode, TargetManner, configuration, wait_until, with_node};
+
+const KEY: Option<&str> = Some("key-1");
+
+#[tokio::test]
+async fn a_request_runs_for_the_customer_of_its_key_and_the_key_stays_here() {
+    with_node(&[TargetManner::Good], |_store, node, targets| async move {
+        let answer = node.send("POST", "/book/1?x=y", KEY).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(answer.body, "answer");
+        assert_eq!(answer.headers["server-seal"], "seal");
+        assert_eq!(answer.headers["request-id"], "id-1");
+        let seen = targets[0].last_headers.borrow();
+        assert_eq!(seen["tenant-name"], "hauliers");
+        assert_eq!(seen["expect-instance"], "i-0");
+        assert_eq!(seen["host"], "a.example");
+        assert_eq!(seen.get("authorization"), None);
+        let left: u64 = seen["deadline-ms"].to_str().unwrap().parse().unwrap();
+        assert!(left <= 8_000);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn requests_without_route_or_key_run_nowhere() {
+    with_node(&[TargetManner::Good], |_store, node, targets| async move {
+        let unknown_route = node.send("GET", "/elsewhere/", KEY).await;
+        let no_key = node.send("GET", "/read/1", None).await;
+        let unknown_key = node.send("GET", "/read/1", Some("key-9")).await;
+        assert_eq!(unknown_route.status, StatusCode::NOT_FOUND);
+        assert_eq!(no_key.status, StatusCode::UNAUTHORIZED);
+        assert_eq!(unknown_key.status, StatusCode::UNAUTHORIZED);
+        assert_eq!(targets[0].runs.get(), 0);
+        let open = node.send("GET", "/open/1", None).await;
+        assert_eq!(open.status, StatusCode::OK);
+        assert_eq!(targets[0].last_headers.borrow().get("tenant-name"), None);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_booking_that_failed_is_not_sent_again() {
+    let manners = [TargetManner::Fails, TargetManner::Fails];
+    with_node(&manners, |_store, node, targets| async move {
+        let answer = node.send("POST", "/book/1", KEY).await;
+        assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+        assert_eq!(answer.headers["server-seal"], "seal");
+        assert_eq!(targets[0].runs.get() + targets[1].runs.get(), 1);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_lookup_that_failed_is_sent_to_another_target() {
+    let manners = [TargetManner::Fails, TargetManner::Good];
+    with_node(&manners, |_store, node, _targets| async move {
+        for _ in 0..6 {
+            let answer = node.send("GET", "/read/1", KEY).await;
+            assert_eq!(answer.status, StatusCode::OK);
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_booking_that_did_not_run_is_sent_to_another_target() {
+    for manner in [TargetManner::Full, TargetManner::AnotherTarget] {
+        with_node(
+            &[manner, TargetManner::Good],
+            |_store, node, targets| async move {
+                for _ in 0..6 {
+                    let answer = node.send("POST", "/book/1", KEY).await;
+                    assert_eq!(answer.status, StatusCode::OK);
+                }
+                assert_eq!(targets[1].runs.get(), 6);
+            },
+        )
+        .await;
+    }
+}
+
+#[tokio::test]
+async fn a_booking_that_no_target_runs_is_refused_with_a_time_to_come_back() {
+    let manners = [TargetManner::Full, TargetManner::Full];
+    with_node(&manners, |_store, node, targets| async move {
+        let answer = node.send("POST", "/book/1", KEY).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.headers.contains_key("retry-after"));
+        assert_eq!(targets[0].runs.get() + targets[1].runs.get(), 0);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_answer_that_is_not_the_targets_own_reaches_nobody() {
+    for manner in [TargetManner::NoReceipt, TargetManner::Crossed] {
+        with_node(&[manner], |_store, node, targets| async move {
+            let answer = node.send("POST", "/book/1", KEY).await;
+            // It may have run, so that nothing may promise that it has not.
+            assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+            assert_ne!(answer.body, "answer");
+            assert_eq!(targets[0].runs.get(), 1);
+        })
+        .await;
+    }
+}
+
+#[tokio::test]
+async fn a_withdrawn_key_stops_working_and_an_older_configuration_changes_nothing() {
+    with_node(&[TargetManner::Good], |store, node, _targets| async move {
+        assert_eq!(
+            node.send("GET", "/read/1", KEY).await.status,
+            StatusCode::OK
+        );
+        store.put("op", "config", configuration(5, &["key-2"]));
+        wait_until("the key is refused", async || {
+            node.send("GET", "/read/1", KEY).await.status == StatusCode::UNAUTHORIZED
+        })
+        .await;
+        store.put("op", "config", "{\"version\": 6");
+        store.put("op", "config", configuration(4, &["key-1"]));
+        store.put("op", "config", configuration(7, &["key-2", "key-3"]));
+        wait_until("the newest configuration is in force", async || {
+            node.send("GET", "/read/1", Some("key-3")).await.status == StatusCode::OK
+        })
+        .await;
+        let withdrawn = node.send("GET", "/read/1", KEY).await;
+        assert_eq!(withdrawn.status, StatusCode::UNAUTHORIZED);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_leaving_or_vanished_target_gets_no_more_requests() {
+    let manners = [TargetManner::Good, TargetManner::Good];
+    with_node(&manners, |store, node, targets| async move {
+        store.put("servers", "i-0", targets[0].row("draining"));
+        store.put("servers", "broken", "{\"service\": 1}");
+        wait_until("the target is left alone", async || {
+            node.metrics().await.contains("damaskloom_targets")
+                && alone(&node, &targets[0].runs).await
+        })
+        .await;
+        store.put("servers", "i-0", targets[0].row("ready"));
+        store.remove("servers", "i-1");
+        wait_until("the other target is left alone", async || {
+            alone(&node, &targets[1].runs).await
+        })
+        .await;
+    })
+    .await;
+}
+
+/// Says whether some requests pass without a run of the target.
+async fn alone(node: &EntryNode, runs: &std::cell::Cell<u32>) -> bool {
+    let before = runs.get();
+    for _ in 0..8 {
+        let answer = node.send("GET", "/read/1", KEY).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    runs.get() == before
+}
