--- a/entry/src/command.rs
+++ b/entry/src/command.rs
@@ -99,7 +99,9 @@
 }
 
 fn start_logs() {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    // The metrics library tells of its own end at this level, which says nothing to operators.
+    let filter = EnvFilter::try_from_default_env()
+        .unwrap_or_else(|_| EnvFilter::new("info,opentelemetry=warn,opentelemetry_sdk=warn"));
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
