--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use damaskloom_gateway::clock::MonoClock;
 use damaskloom_gateway::meters::MeterError;
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::crash_guard::{CrashGuard, CrashMessage};
@@ -31,10 +32,10 @@
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 
-use crate::clock::{MonoClock, unix_ms};
 use crate::entry_meters::EntryMeters;
 use crate::settings::EntrySettings;
 use crate::target_pool::TargetPools;
+use crate::wall_clock::unix_ms;
 
 /// The fewest nodes of a data centre that callers are sent to: the loss of one leaves others.
 const MIN_ENTRIES: usize = 3;
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod admission;
 pub mod caller_answer;
 pub mod caller_listener;
-pub mod clock;
 pub mod command;
 pub mod entry_meters;
 pub mod entry_state;
@@ -21,3 +20,4 @@
 pub mod store_watch;
 pub mod target_call;
 pub mod target_pool;
+pub mod wall_clock;
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -26,7 +26,7 @@
 };
 use crate::entry_state::EntryState;
 use crate::peer_socket::take_crash_actions;
-use crate::target_call::{CallError, CallResult, OutgoingHead, TargetAnswer, call, call_target};
+use crate::target_call::{CallError, CallResult, CallTarget, OutgoingHead, TargetAnswer, call};
 use crate::target_pool::ConnectError;
 
 /// Bodies up to this size are taken whole, so that they can be sent again.
@@ -318,7 +318,11 @@
             let target = catalog.get(id).expect("boards hold known targets only");
             target.announcement.address
         };
-        let target = call_target(&state.pools, id, address, self.connection_limit());
+        let target = CallTarget {
+            id,
+            pool: state.pools.pool(id, address),
+            connections: self.connection_limit(),
+        };
         let running = RunningGuard::begin(state, self.service, id);
         let result = call(&target, self.head, body, self.admitted.deadline).await;
         if result.connected {
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -63,8 +63,6 @@
     pub cpu_share: f64,
     /// The speed of the core, relative to a usual one.
     pub cpu_cores: f64,
-    /// The memory, in megabytes.
-    pub memory_mb: u64,
 }
 
 impl MachineSize {
--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -1,6 +1,5 @@
 //! One sending of a request to one target.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -174,20 +173,6 @@
     pub connections: u32,
 }
 
-/// Returns the pool of a target's connections and its address in one value for a call.
-pub fn call_target<'a>(
-    pools: &crate::target_pool::TargetPools,
-    id: &'a TargetId,
-    address: SocketAddr,
-    connections: u32,
-) -> CallTarget<'a> {
-    CallTarget {
-        id,
-        pool: pools.pool(id, address),
-        connections,
-    }
-}
-
 /// Sends the request to a target and waits for its answer until the deadline.
 pub async fn call(
     target: &CallTarget<'_>,
--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -195,7 +195,7 @@
             "caller_listen": listen(), "ready_listen": listen(), "directory_listen": listen(),
             "peer_port": peer_port, "metrics_port": free_port(ip),
             "store": store.address().to_string(),
-            "machine": {"cpu_share": 0.2, "cpu_cores": 1, "memory_mb": 260},
+            "machine": {"cpu_share": 0.2, "cpu_cores": 1},
             "bounds": {
                 "stop_grace_s": 6, "max_directory_lifetime_s": 5, "repeat_ratio": 0.2,
                 "repeat_slack": 64, "repeat_window_s": 10, "rate_window_s": 5,
--- a/entry/tests/test_settings.rs
+++ b/entry/tests/test_settings.rs
@@ -8,7 +8,7 @@
   "ip": "127.0.0.1", "caller_listen": "127.0.0.1:8001", "ready_listen": "127.0.0.1:8002",
   "directory_listen": "127.0.0.1:8003", "peer_port": 8004, "metrics_port": 8005,
   "store": "127.0.0.1:8006",
-  "machine": {"cpu_share": 0.2, "cpu_cores": 1, "memory_mb": 260},
+  "machine": {"cpu_share": 0.2, "cpu_cores": 1},
   "bounds": {"stop_grace_s": 6, "max_directory_lifetime_s": 5, "repeat_ratio": 0.2,
              "repeat_slack": 64, "repeat_window_s": 10, "rate_window_s": 5,
              "rate_excess": 0.1, "rate_slack": 20}
--- a/lib/src/failure_filter.rs
+++ b/lib/src/failure_filter.rs
@@ -6,8 +6,6 @@
 //! target that was left alone becomes worth a trial again. See
 //! [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
 
-use std::time::Duration;
-
 use crate::time::MonoTime;
 
 /// The mean time for which a target stays healthy, in seconds: a target fails now and then.
@@ -81,14 +79,4 @@
         self.probability = posterior.clamp(MIN_PROBABILITY, MAX_PROBABILITY);
         self.updated_at = now;
     }
-
-    /// Returns how long the target is still likelier to fail than `threshold`.
-    pub fn time_until_below(&self, now: MonoTime, threshold: f64) -> Duration {
-        let (probability, usual) = (self.probability(now), Self::usual());
-        if probability <= threshold || threshold <= usual {
-            return Duration::ZERO;
-        }
-        let rate = 1.0 / MEAN_HEALTHY_S + 1.0 / MEAN_FAILING_S;
-        Duration::from_secs_f64(((probability - usual) / (threshold - usual)).ln() / rate)
-    }
 }
--- a/testutils/src/row_store.rs
+++ b/testutils/src/row_store.rs
@@ -44,7 +44,6 @@
     rows: BTreeMap<(String, String), StoredRow>,
     version: u64,
     fault: StoreFault,
-    calls: u64,
 }
 
 /// A running store; dropping it ends it.
@@ -118,11 +117,6 @@
         let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
         row.value.clone()
     }
-
-    /// Returns the calls that arrived so far.
-    pub fn calls(&self) -> u64 {
-        lock(&self.state).calls
-    }
 }
 
 impl StoreState {
@@ -238,11 +232,7 @@
     changed: &watch::Sender<u64>,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, HangUp> {
-    let fault = {
-        let mut state = lock(state);
-        state.calls += 1;
-        state.fault
-    };
+    let fault = lock(state).fault;
     if fault == StoreFault::Busy {
         return Ok(answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
     }
