--- a/cli/src/bin/damaskloom-demo.rs
+++ b/cli/src/bin/damaskloom-demo.rs
@@ -10,6 +10,10 @@
 
 Usage: damaskloom-demo
 
+Options:
+  --help     print this help
+  --version  print the version
+
 Exit codes: 0 every promise held, 1 a promise was broken or the demo failed, 2 wrong arguments.
 ";
 
@@ -20,6 +24,10 @@
         print!("{HELP}");
         return ExitCode::SUCCESS;
     }
+    if arguments.contains("--version") {
+        println!("damaskloom-demo {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
     if let Some(argument) = arguments.finish().first() {
         eprintln!("damaskloom-demo: unknown argument {argument:?}; see --help");
         return ExitCode::from(2);
--- a/cli/src/bin/damaskloom-report.rs
+++ b/cli/src/bin/damaskloom-report.rs
@@ -19,6 +19,7 @@
   --html FILE        also writes one HTML page with plots
   --save FILE        also saves the snapshots, for --snapshot
   --help             prints this text
+  --version          prints the version
 
 Sources that could not be read are named; what they counted is missing. Fails if none could be read.
 ";
@@ -29,6 +30,10 @@
         print!("{HELP}");
         return Ok(());
     }
+    if args.contains("--version") {
+        println!("damaskloom-report {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
     let gateways: Vec<SocketAddr> = args.values_from_str("--gateway")?;
     let files: Vec<PathBuf> = args.values_from_str("--snapshot")?;
     let json = args.contains("--json");
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -3,3 +3,4 @@
 mod test_ctl;
 mod test_demo;
 mod test_report;
+mod test_versions;
