--- a/entry/src/command.rs
+++ b/entry/src/command.rs
@@ -3,13 +3,14 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use damaskloom_gateway::settings::SettingsError;
 use pico_args::Arguments;
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::task::LocalSet;
 use tracing_subscriber::EnvFilter;
 
 use crate::process::{StartError, run};
-use crate::settings::{EntrySettings, SettingsError};
+use crate::settings::EntrySettings;
 
 /// Names the settings file where no option does.
 const SETTINGS_VARIABLE: &str = "DAMASKLOOM_SETTINGS";
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -1,59 +1,16 @@
 //! The settings of an entry process: JSON with comments.
 
-use std::fs;
 use std::net::{IpAddr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
+use damaskloom_gateway::settings::{BadFieldSnafu, SettingsError, parse_document, read_document};
 use damaskloom_lib::fleet_rate::RateTolerance;
 use damaskloom_lib::ids::{DataCentreId, VmId};
 use damaskloom_lib::repeat_budget::RepeatTerms;
 use indexmap::IndexMap;
 use serde::Deserialize;
-use snafu::{ResultExt, Snafu, ensure};
-
-/// Says why settings were rejected, in terms of the file that the operator wrote.
-#[derive(Debug, Snafu)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[snafu(display("{}: cannot be read: {source}", path.display()))]
-    Unreadable {
-        /// The settings file.
-        path: PathBuf,
-        /// What the system said.
-        source: std::io::Error,
-    },
-    /// The comments are malformed.
-    #[snafu(display("{}: comments are malformed: {source}", path.display()))]
-    BadComments {
-        /// The settings file.
-        path: PathBuf,
-        /// What was found.
-        source: std::io::Error,
-    },
-    /// The file is no valid settings document.
-    #[snafu(display("{}:{line}: field `{field}`: {expected}", path.display()))]
-    BadDocument {
-        /// The settings file.
-        path: PathBuf,
-        /// The line of the file.
-        line: usize,
-        /// The path of the field within the document.
-        field: String,
-        /// What was found and what was expected.
-        expected: String,
-    },
-    /// A field has a value that cannot be used.
-    #[snafu(display("{}: field `{field}`: expected {expected}", path.display()))]
-    BadField {
-        /// The settings file.
-        path: PathBuf,
-        /// The field's name.
-        field: &'static str,
-        /// What the field must hold.
-        expected: &'static str,
-    },
-}
+use snafu::ensure;
 
 /// What the VM has.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
@@ -152,8 +109,7 @@
     /// The error names the file and, where it can, the line, the field and what was expected.
     pub fn load(path: impl AsRef<Path>) -> Result<Self, SettingsError> {
         let path = path.as_ref();
-        let text = fs::read_to_string(path).context(UnreadableSnafu { path })?;
-        Self::parse(text, path)
+        Self::parse(read_document(path)?, path)
     }
 
     /// Checks the text of a settings file; `path` is used in errors only.
@@ -163,17 +119,7 @@
     /// See [`EntrySettings::load`].
     pub fn parse(text: impl Into<String>, path: impl AsRef<Path>) -> Result<Self, SettingsError> {
         let path = path.as_ref();
-        let mut text = text.into();
-        json_strip_comments::strip(&mut text).context(BadCommentsSnafu { path })?;
-        let mut reader = serde_json::Deserializer::from_str(&text);
-        let settings: Self = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
-            SettingsError::BadDocument {
-                path: path.to_owned(),
-                line: error.inner().line(),
-                field: error.path().to_string(),
-                expected: error.inner().to_string(),
-            }
-        })?;
+        let settings: Self = parse_document(text, path)?;
         settings.check(path)?;
         Ok(settings)
     }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -8,12 +8,14 @@
 use damaskloom_lib::ids::{DataCentreId, VmId};
 use http::header::HeaderName;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu, ensure};
 
 use crate::key_removal::KeyPlaces;
 
 /// Says why settings were rejected, in terms of the file that the operator wrote.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
 pub enum SettingsError {
     /// The file cannot be read.
     #[snafu(display("{}: cannot be read", path.display()))]
@@ -170,8 +172,7 @@
     /// The error names the file and, where it can, the line, the field and what was expected.
     pub fn load(path: impl AsRef<Path>) -> Result<Self, SettingsError> {
         let path = path.as_ref();
-        let text = fs::read_to_string(path).context(UnreadableSnafu { path })?;
-        Self::parse(text, path)
+        Self::parse(read_document(path)?, path)
     }
 
     /// Checks the text of a settings file; `path` is used in errors only.
@@ -181,11 +182,7 @@
     /// See [`GatewaySettings::load`].
     pub fn parse(text: impl Into<String>, path: impl AsRef<Path>) -> Result<Self, SettingsError> {
         let path = path.as_ref();
-        let mut text = text.into();
-        json_strip_comments::strip(&mut text).context(BadCommentsSnafu { path })?;
-        let mut reader = serde_json::Deserializer::from_str(&text);
-        let raw: RawSettings = serde_path_to_error::deserialize(&mut reader)
-            .map_err(|error| bad_document(path, &error))?;
+        let raw: RawSettings = parse_document(text, path)?;
         Self::check(raw, path)
     }
 
@@ -241,6 +238,30 @@
     }
 }
 
+/// Reads the text of a settings file.
+///
+/// # Errors
+///
+/// Fails with the file's name if the system cannot read it.
+pub fn read_document(path: &Path) -> Result<String, SettingsError> {
+    fs::read_to_string(path).context(UnreadableSnafu { path })
+}
+
+/// Reads settings of any daemon from JSON with comments; `path` is used in errors only.
+///
+/// # Errors
+///
+/// The error names the file and, where it can, the line, the field and what was expected.
+pub fn parse_document<T: DeserializeOwned>(
+    text: impl Into<String>,
+    path: &Path,
+) -> Result<T, SettingsError> {
+    let mut text = text.into();
+    json_strip_comments::strip(&mut text).context(BadCommentsSnafu { path })?;
+    let mut reader = serde_json::Deserializer::from_str(&text);
+    serde_path_to_error::deserialize(&mut reader).map_err(|error| bad_document(path, &error))
+}
+
 fn bad_document(
     path: &Path,
     error: &serde_path_to_error::Error<serde_json::Error>,
