platform: one client and one stand-in for tables, feeds and objects

Ruled out: keeping the older calls behind a switch, and a second adapter for the gateway. Change: StoreClient has all calls (pages, feeds, transactions, objects) over shared connections; PlatformClient carries out the library's traits over it with retries and a budget. Calls that the store would refuse for good are not sent and are an error of their own. One stand-in speaks rows, feeds and objects from the platform's pages, with all faults of both.

--- a/cli/src/local_fleet.rs
+++ b/cli/src/local_fleet.rs
@@ -233,7 +233,7 @@
                 state: VmState::Live,
             })
         });
-        self.platform.server().set_vms(vms.collect());
+        self.platform.server().set_vms(&vms.collect::<Vec<_>>());
     }
 }
 
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::entry_members::NodeRegistration;
 use damaskloom_lib::ids::VmId;
@@ -84,7 +85,7 @@
 /// Learns of the other nodes and registers this one; ends once both are done.
 pub async fn join_fleet(state: Rc<EntryState>) {
     let settings = state.settings();
-    let client = tokio::sync::Mutex::new(StoreClient::new(settings.store));
+    let client = StoreClient::new(settings.store);
     let key = format!("{NODE_PREFIX}{}", settings.vm);
     let rows = read_fleet(&client).await;
     take_registrations(&state, &rows);
@@ -103,10 +104,11 @@
         processor_milli: settings.machine.processor_milli(),
     };
     let value = serde_json::to_vec(&row).expect("a registration can be written");
+    let value = Bytes::from(value);
     until_answered("registration", || async {
-        let mut client = client.lock().await;
+        let value = value.clone();
         client
-            .write_row(FLEET_TABLE, &key, &value, CALL_TIMEOUT)
+            .write_row(FLEET_TABLE, &key, value, CALL_TIMEOUT)
             .await
     })
     .await;
@@ -119,12 +121,8 @@
     tracing::info!(members, "fleet joined");
 }
 
-async fn read_fleet(client: &tokio::sync::Mutex<StoreClient>) -> RowBatch {
-    until_answered("members", || async {
-        let mut client = client.lock().await;
-        client.read_table(FLEET_TABLE, CALL_TIMEOUT).await
-    })
-    .await
+async fn read_fleet(client: &StoreClient) -> RowBatch {
+    until_answered("members", || client.read_table(FLEET_TABLE, CALL_TIMEOUT)).await
 }
 
 fn take_registrations(state: &EntryState, batch: &RowBatch) {
@@ -150,14 +148,12 @@
 }
 
 /// Writes a secret if there is none; the one that stands there counts.
-async fn agree_on_secret(client: &tokio::sync::Mutex<StoreClient>) -> Vec<u8> {
+async fn agree_on_secret(client: &StoreClient) -> Vec<u8> {
     let mut proposed = [0_u8; SECRET_BYTES];
     rand::rng().fill(&mut proposed);
-    let outcome = until_answered("secret", || async {
-        let mut client = client.lock().await;
-        client
-            .create_row(FLEET_TABLE, SECRET_ROW, &proposed, CALL_TIMEOUT)
-            .await
+    let proposed = Bytes::copy_from_slice(&proposed);
+    let outcome = until_answered("secret", || {
+        client.create_row(FLEET_TABLE, SECRET_ROW, proposed.clone(), CALL_TIMEOUT)
     })
     .await;
     match outcome {
@@ -169,7 +165,7 @@
 
 /// Follows the operators' table until the task is ended.
 pub async fn watch_routing(state: Rc<EntryState>) {
-    let mut client = StoreClient::new(state.settings().store);
+    let client = StoreClient::new(state.settings().store);
     let mut backoff = Backoff::new();
     let mut link = LinkLog::new("configuration");
     loop {
@@ -185,12 +181,12 @@
             match feed {
                 Ok(FeedOutcome::Changes(batch)) => Ok(take_changes(&state.routing_mirror, batch)),
                 Ok(FeedOutcome::Forgotten) => {
-                    read_whole(&mut client, OPERATOR_TABLE, &state.routing_mirror).await
+                    read_whole(&client, OPERATOR_TABLE, &state.routing_mirror).await
                 }
                 Err(error) => Err(error),
             }
         } else {
-            read_whole(&mut client, OPERATOR_TABLE, &state.routing_mirror).await
+            read_whole(&client, OPERATOR_TABLE, &state.routing_mirror).await
         };
         match read {
             Ok(news) => {
@@ -213,7 +209,7 @@
 
 /// Follows the targets' table until the task is ended.
 pub async fn watch_targets(state: Rc<EntryState>) {
-    let mut client = StoreClient::new(state.settings().store);
+    let client = StoreClient::new(state.settings().store);
     let mut backoff = Backoff::new();
     let mut link = LinkLog::new("targets");
     loop {
@@ -228,12 +224,12 @@
             match feed {
                 Ok(FeedOutcome::Changes(batch)) => Ok(take_changes(&state.target_mirror, batch)),
                 Ok(FeedOutcome::Forgotten) => {
-                    read_whole(&mut client, TARGET_TABLE, &state.target_mirror).await
+                    read_whole(&client, TARGET_TABLE, &state.target_mirror).await
                 }
                 Err(error) => Err(error),
             }
         } else {
-            read_whole(&mut client, TARGET_TABLE, &state.target_mirror).await
+            read_whole(&client, TARGET_TABLE, &state.target_mirror).await
         };
         let now = state.clock.now();
         match read {
@@ -296,7 +292,7 @@
 }
 
 async fn read_whole(
-    client: &mut StoreClient,
+    client: &StoreClient,
     table: &str,
     mirror: &std::cell::RefCell<TableMirror>,
 ) -> Result<Vec<MirrorRow>, PlatformError> {
--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use damaskloom_entry::process::run;
 use damaskloom_entry::settings::EntrySettings;
-use damaskloom_testutils::row_store::RowStore;
+use damaskloom_testutils::platform_server::PlatformServer;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -184,7 +184,7 @@
 
 impl EntryNode {
     /// Starts a node on a loopback address of its own; the peer port is the same for a fleet.
-    pub fn start(store: &RowStore, peer_port: u16) -> Self {
+    pub fn start(store: &PlatformServer, peer_port: u16) -> Self {
         let number = NEXT_NODE.fetch_add(1, Ordering::Relaxed);
         // An address of its own, so that no outgoing connection takes a port of a listener.
         let ip = IpAddr::V4(Ipv4Addr::new(127, 77, 0, number));
@@ -299,12 +299,14 @@
 /// Runs a test with a store that holds a configuration, one node and targets of the given manners.
 pub async fn with_node<F: Future<Output = ()>>(
     manners: &[TargetManner],
-    test: impl FnOnce(RowStore, EntryNode, Vec<Rc<StandInTarget>>) -> F,
+    test: impl FnOnce(PlatformServer, EntryNode, Vec<Rc<StandInTarget>>) -> F,
 ) {
     let local = tokio::task::LocalSet::new();
     local
         .run_until(async move {
-            let store = RowStore::start().await.expect("loopback has a free port");
+            let store = PlatformServer::start_local()
+                .await
+                .expect("loopback has a free port");
             store.put("op", "config", configuration(1, &["key-1", "key-2"]));
             let mut targets = Vec::new();
             for (index, manner) in manners.iter().enumerate() {
--- a/entry/tests/test_fleet.rs
+++ b/entry/tests/test_fleet.rs
@@ -1,6 +1,7 @@
 //! What nodes do together, and while the store is in trouble.
 
-use damaskloom_testutils::row_store::{RowStore, StoreFault};
+use damaskloom_testutils::platform_faults::PlatformFaults;
+use damaskloom_testutils::platform_server::PlatformServer;
 use http::StatusCode;
 use tokio::task::LocalSet;
 
@@ -12,7 +13,9 @@
 async fn nodes_find_each_other_and_the_directory_names_both() {
     LocalSet::new()
         .run_until(async {
-            let store = RowStore::start().await.expect("loopback has a free port");
+            let store = PlatformServer::start_local()
+                .await
+                .expect("loopback has a free port");
             store.put("op", "config", configuration(1, &["key-1"]));
             let target = StandInTarget::start("i-0", TargetManner::Good).await;
             store.put("servers", "i-0", target.row("ready"));
@@ -43,15 +46,19 @@
 async fn a_node_serves_on_while_the_store_is_away_and_catches_up_after() {
     with_node(&[TargetManner::Good], |store, node, _targets| async move {
         let key = Some("key-1");
-        for fault in [StoreFault::Busy, StoreFault::Forgetful] {
-            store.set_fault(fault);
+        let forgetful = PlatformFaults {
+            forgetful: true,
+            ..PlatformFaults::default()
+        };
+        for faults in [PlatformFaults::refusing(), forgetful] {
+            store.set_faults(faults);
             for _ in 0..4 {
                 let answer = node.send("GET", "/read/1", key).await;
                 assert_eq!(answer.status, StatusCode::OK);
             }
         }
         store.put("op", "config", configuration(9, &["key-1", "key-9"]));
-        store.set_fault(StoreFault::None);
+        store.set_faults(PlatformFaults::default());
         wait_until("the change made meanwhile is in force", async || {
             node.send("GET", "/read/1", Some("key-9")).await.status == StatusCode::OK
         })
@@ -64,8 +71,10 @@
 async fn a_node_without_a_configuration_promises_that_nothing_ran() {
     LocalSet::new()
         .run_until(async {
-            let store = RowStore::start().await.expect("loopback has a free port");
-            store.set_fault(StoreFault::Busy);
+            let store = PlatformServer::start_local()
+                .await
+                .expect("loopback has a free port");
+            store.set_faults(PlatformFaults::refusing());
             let node = EntryNode::start(&store, PEER_PORT);
             let answer = node.send("POST", "/book/1", Some("key-1")).await;
             assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
@@ -73,7 +82,7 @@
             store.put("op", "config", configuration(1, &["key-1"]));
             let target = StandInTarget::start("i-0", TargetManner::Good).await;
             store.put("servers", "i-0", target.row("ready"));
-            store.set_fault(StoreFault::None);
+            store.set_faults(PlatformFaults::default());
             node.wait_until_ready().await;
             let answer = node.send("POST", "/book/1", Some("key-1")).await;
             assert_eq!(answer.status, StatusCode::OK);
--- a/gateway/src/claim_store.rs
+++ b/gateway/src/claim_store.rs
@@ -53,7 +53,9 @@
         match self.client.commit(&transaction).await {
             Ok(CommitOutcome::Committed) => RowWrite::Committed,
             Ok(CommitOutcome::Conflict(_)) => RowWrite::Conflict,
-            Err(PlatformError::Unavailable { .. }) => RowWrite::Unavailable,
+            Err(PlatformError::Unavailable { .. } | PlatformError::TooLarge { .. }) => {
+                RowWrite::Unavailable
+            }
             Err(PlatformError::AnswerLost { .. } | PlatformError::Malformed { .. }) => {
                 RowWrite::AnswerLost
             }
--- a/gateway/src/control_plane.rs
+++ b/gateway/src/control_plane.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use damaskloom_lib::config::{ConfigDelta, FleetConfig};
+use damaskloom_lib::config_reader::{read_deltas, read_snapshot};
 use damaskloom_lib::distribution::{ConfigReplica, ReplicaAction, ReplicaPeer, ReplicaSettings};
 use damaskloom_lib::epoch::EpochKeeper;
 use damaskloom_lib::epoch_types::{
@@ -22,7 +23,6 @@
 use damaskloom_lib::rendezvous::{StableHash, rank_members};
 use damaskloom_lib::share_basis::ShareBasis;
 use damaskloom_lib::time::MonoTime;
-use damaskloom_platform::config_reader::{read_deltas, read_snapshot};
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
--- a/gateway/src/platform_reads.rs
+++ b/gateway/src/platform_reads.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
+use damaskloom_lib::config_reader;
 use damaskloom_lib::epoch_types::EPOCH_ROW;
 use damaskloom_lib::ids::Revision;
 use damaskloom_lib::platform::{PlatformError, RowKey, TableRow, TableStore};
 use damaskloom_lib::registration::{MEMBER_ROW_PREFIX, MemberRecord};
 use damaskloom_platform::client::PlatformClient;
-use damaskloom_platform::config_reader;
 use serde::de::DeserializeOwned;
 
 /// The rows that one scan asks for.
--- a/platform/src/config_reader.rs
+++ b/lib/src/config_reader.rs
@@ -1,18 +1,16 @@
 //! Reads the configuration from the platform, as distribution asks for it.
 
-use damaskloom_lib::config::{ConfigDelta, FleetConfig};
-use damaskloom_lib::distribution::DELTA_BATCH;
-use damaskloom_lib::ids::Revision;
-use damaskloom_lib::platform::{ObjectStore, PlatformError, RowKey, TableRow, TableStore};
-use damaskloom_lib::snapshot_transfer::ConfigAssembly;
-use damaskloom_lib::table_layout::{
+use crate::config::{ConfigDelta, FleetConfig};
+use crate::distribution::DELTA_BATCH;
+use crate::ids::Revision;
+use crate::platform::{ObjectStore, PlatformError, RowKey, TableRow, TableStore};
+use crate::snapshot_transfer::ConfigAssembly;
+use crate::table_layout::{
     DELTA_PREFIX, HeadRow, SnapshotPart, SnapshotRow, delta_key, head_key, snapshot_key,
 };
 use futures::{StreamExt, stream};
 use serde::de::DeserializeOwned;
 
-use crate::http_call::malformed;
-
 /// The parts of a snapshot that are fetched at a time.
 const PART_CONCURRENCY: usize = 4;
 
@@ -86,12 +84,16 @@
 ) -> Result<SnapshotPart, PlatformError> {
     let name = row.part_name(part);
     let Some(body) = store.get_object(&name).await? else {
-        return Err(malformed(format!("object {name} is missing")));
+        return Err(PlatformError::malformed(format!(
+            "object {name} is missing"
+        )));
     };
     let part: SnapshotPart = serde_json::from_slice(&body)
-        .map_err(|error| malformed(format!("object {name}: {error}")))?;
+        .map_err(|error| PlatformError::malformed(format!("object {name}: {error}")))?;
     if part.revision != row.revision {
-        return Err(malformed(format!("object {name} is of another snapshot")));
+        return Err(PlatformError::malformed(format!(
+            "object {name} is of another snapshot"
+        )));
     }
     Ok(part)
 }
@@ -105,5 +107,6 @@
 
 pub(crate) fn parse_row<T: DeserializeOwned>(row: TableRow) -> Result<T, PlatformError> {
     let key = row.key;
-    serde_json::from_value(row.value).map_err(|error| malformed(format!("row {key}: {error}")))
+    serde_json::from_value(row.value)
+        .map_err(|error| PlatformError::malformed(format!("row {key}: {error}")))
 }
--- a/platform/src/config_snapshot.rs
+++ b/lib/src/config_snapshot.rs
@@ -1,19 +1,16 @@
 //! Writes snapshots of the configuration, and trims the deltas that they make needless.
 
-use damaskloom_lib::config::FleetConfig;
-use damaskloom_lib::distribution::DELTA_BATCH;
-use damaskloom_lib::ids::Revision;
-use damaskloom_lib::platform::{
-    CommitOutcome, Condition, Mutation, ObjectStore, PlatformError, TableStore, Transaction,
+use crate::config::FleetConfig;
+use crate::distribution::DELTA_BATCH;
+use crate::ids::Revision;
+use crate::platform::{
+    CommitOutcome, Condition, MAX_TRANSACTION_ROWS, Mutation, ObjectStore, PlatformError,
+    TableStore, Transaction,
 };
-use damaskloom_lib::snapshot_transfer::{SnapshotCursor, read_part};
-use damaskloom_lib::table_layout::{
-    DELTA_PREFIX, SnapshotPart, SnapshotRow, delta_key, snapshot_key,
-};
-use rand::Rng;
+use crate::snapshot_transfer::{SnapshotCursor, read_part};
+use crate::table_layout::{DELTA_PREFIX, SnapshotPart, SnapshotRow, delta_key, snapshot_key};
 
 use crate::config_reader::{parse_row, read_deltas, read_head, read_snapshot};
-use crate::http_call::malformed;
 
 /// The size at which a part of a snapshot ends, in bytes of JSON.
 const PART_BYTES: usize = 1 << 20;
@@ -22,7 +19,8 @@
 /// the last one; returns its revision if one was written.
 ///
 /// The deltas before the last snapshot are deleted, so that a node which was paused for up to
-/// `every` revisions still finds the deltas that it lacks.
+/// `every` revisions still finds the deltas that it lacks. `nonce` is a random number, which tells the
+/// objects of two processes that write at once apart.
 ///
 /// # Errors
 ///
@@ -30,6 +28,7 @@
 pub async fn write_snapshot_if_due(
     store: &(impl TableStore + ObjectStore),
     every: u64,
+    nonce: u32,
 ) -> Result<Option<Revision>, PlatformError> {
     let held = store.get(&snapshot_key()).await?;
     let (condition, last) = match held {
@@ -43,7 +42,7 @@
         return Ok(None);
     }
     let config = load_newest(store).await?;
-    let row = write_parts(store, &config).await?;
+    let row = write_parts(store, &config, nonce).await?;
     let value = serde_json::to_value(&row).expect("snapshot rows have text keys only");
     let transaction = Transaction {
         conditions: vec![condition],
@@ -69,7 +68,7 @@
         }
         for delta in deltas {
             let applied = config.apply(&delta);
-            applied.map_err(|error| malformed(error.to_string()))?;
+            applied.map_err(|error| PlatformError::malformed(error.to_string()))?;
         }
     }
 }
@@ -77,8 +76,8 @@
 async fn write_parts(
     store: &impl ObjectStore,
     config: &FleetConfig,
+    nonce: u32,
 ) -> Result<SnapshotRow, PlatformError> {
-    let nonce: u32 = rand::rng().random();
     let mut row = SnapshotRow {
         revision: config.revision,
         name: format!("snapshot/{:020}-{nonce:08x}", config.revision.0),
@@ -107,6 +106,7 @@
     loop {
         let rows = store.scan(DELTA_PREFIX, None, DELTA_BATCH).await?;
         let old = rows.into_iter().filter(|row| row.key <= end);
+        let old = old.take(MAX_TRANSACTION_ROWS);
         let mutations: Vec<Mutation> = old.map(|row| Mutation::Delete(row.key)).collect();
         if mutations.is_empty() {
             return Ok(());
--- a/lib/src/platform.rs
+++ b/lib/src/platform.rs
@@ -103,6 +103,12 @@
         /// What was seen.
         detail: String,
     },
+    /// The call is beyond what the platform takes; it was not sent and would be refused for good.
+    #[snafu(display("the platform does not take the call: {detail}"))]
+    TooLarge {
+        /// What is too large.
+        detail: String,
+    },
     /// The platform's answer could not be understood.
     #[snafu(display("the platform's answer is malformed: {detail}"))]
     Malformed {
@@ -111,6 +117,39 @@
     },
 }
 
+impl PlatformError {
+    /// Makes the error of a call that had no effect.
+    pub fn unavailable(detail: impl Into<String>) -> Self {
+        Self::Unavailable {
+            detail: detail.into(),
+        }
+    }
+
+    /// Makes the error of a call that may have had an effect.
+    pub fn answer_lost(detail: impl Into<String>) -> Self {
+        Self::AnswerLost {
+            detail: detail.into(),
+        }
+    }
+
+    /// Makes the error of a call that the platform would refuse for good.
+    pub fn too_large(detail: impl Into<String>) -> Self {
+        Self::TooLarge {
+            detail: detail.into(),
+        }
+    }
+
+    /// Makes the error of an answer that could not be understood.
+    pub fn malformed(detail: impl Into<String>) -> Self {
+        Self::Malformed {
+            detail: detail.into(),
+        }
+    }
+}
+
+/// The rows that one transaction may name.
+pub const MAX_TRANSACTION_ROWS: usize = 100;
+
 /// The platform's transactional table.
 pub trait TableStore: Send + Sync {
     /// Reads one row.
--- a/platform/src/backoff.rs
+++ b/lib/src/retry_backoff.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use rand::Rng;
-
 /// Draws exponentially growing delays with full jitter.
 ///
 /// Jitter keeps the nodes of a fleet from returning all at once when the platform recovers.
@@ -24,13 +22,13 @@
         }
     }
 
-    /// Draws the delay before the next attempt.
-    pub fn next_delay(&mut self, rng: &mut impl Rng) -> Duration {
+    /// Returns the delay before the next attempt; `drawn` is a random number from 0 to 1.
+    pub fn next_delay(&mut self, drawn: f64) -> Duration {
         let bound = self
             .base
             .saturating_mul(1_u32 << self.attempt.min(16))
             .min(self.cap);
         self.attempt += 1;
-        bound.mul_f64(rng.random_range(0.0..=1.0))
+        bound.mul_f64(drawn.clamp(0.0, 1.0))
     }
 }
--- a/operator/src/snapshot.rs
+++ b/operator/src/snapshot.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use damaskloom_lib::config_snapshot::write_snapshot_if_due;
 use damaskloom_platform::client::PlatformClient;
-use damaskloom_platform::config_snapshot::write_snapshot_if_due;
+use rand::Rng;
 
 /// Lets at most one snapshot be written at a time by this process.
 #[derive(Clone, Debug, Default)]
@@ -21,7 +22,8 @@
         let guard = BusyGuard(self.is_busy.clone());
         tokio::spawn(async move {
             let _guard = guard;
-            match write_snapshot_if_due(platform.as_ref(), every).await {
+            let nonce = rand::rng().random();
+            match write_snapshot_if_due(platform.as_ref(), every, nonce).await {
                 Ok(None) => {}
                 Ok(Some(revision)) => tracing::info!(%revision, "snapshot written"),
                 // The next accepted plan tries again.
--- a/operator/tests/test_operator_api.rs
+++ b/operator/tests/test_operator_api.rs
@@ -2,6 +2,8 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
+use damaskloom_lib::config_reader::{read_deltas, read_head, read_snapshot};
+use damaskloom_lib::config_snapshot::write_snapshot_if_due;
 use damaskloom_lib::confirm::{PlanOutcome, PlanRefusal};
 use damaskloom_lib::ids::Revision;
 use damaskloom_lib::key::RawKey;
@@ -13,8 +15,6 @@
     AuditList, ConfirmResponse, GrantResponse, KeyList, OperatorResponse, PlanView, RotateResponse,
 };
 use damaskloom_platform::client::{ClientSettings, PlatformClient};
-use damaskloom_platform::config_reader::{read_deltas, read_head, read_snapshot};
-use damaskloom_platform::config_snapshot::write_snapshot_if_due;
 use damaskloom_testutils::platform_faults::{OutageMode, PlatformFaults};
 use damaskloom_testutils::platform_server::PlatformServer;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
@@ -218,7 +218,7 @@
     for rate in 1..=7 {
         let plan: PlanView = post(&api, "/v1/plans", customer(rate)).await;
         confirm(&api, &plan).await;
-        snapshots.extend(write_snapshot_if_due(&client, 2).await.unwrap());
+        snapshots.extend(write_snapshot_if_due(&client, 2, 7).await.unwrap());
     }
     assert_eq!(snapshots, [Revision(2), Revision(4), Revision(6)]);
     assert_eq!(read_head(&client).await, Ok(Revision(7)));
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod platform_faults;
 pub mod platform_server;
 pub mod platform_table;
-pub mod row_store;
+mod platform_wire;
 pub mod settings_file;
 pub mod target_answer;
 pub mod target_mode;
--- a/testutils/src/platform_faults.rs
+++ b/testutils/src/platform_faults.rs
@@ -33,6 +33,18 @@
     pub read_lag_ms: u64,
     /// How far the VM list lies in the past, in milliseconds.
     pub vm_list_lag_ms: u64,
+    /// Whether the history is forgotten, so that feeds must read their table anew.
+    pub forgetful: bool,
+}
+
+impl PlatformFaults {
+    /// Refuses all calls.
+    pub fn refusing() -> Self {
+        Self {
+            outage: OutageMode::Refuse,
+            ..Self::default()
+        }
+    }
 }
 
 /// The calls that the stand-in got since its start.
@@ -53,6 +65,8 @@
     pub object_writes: u64,
     /// Reads of the VM list.
     pub vm_lists: u64,
+    /// Reads of feeds.
+    pub feeds: u64,
     /// Calls that were refused or hung.
     pub failed: u64,
     /// Writes whose answer was lost on purpose.
@@ -62,7 +76,7 @@
 impl PlatformCounters {
     /// Returns the number of reads of every kind.
     pub const fn reads(&self) -> u64 {
-        self.gets + self.scans + self.object_reads + self.vm_lists
+        self.gets + self.scans + self.object_reads + self.vm_lists + self.feeds
     }
 
     /// Returns the number of writes of every kind.
--- a/testutils/src/platform_server.rs
+++ b/testutils/src/platform_server.rs
@@ -1,8 +1,9 @@
-//! The platform's stand-in: table, object store and VM list over HTTP, with faults on demand.
+//! The platform's stand-in: tables of rows, their feeds and an object store, with faults on demand.
 //!
 //! Besides the platform's interface it has a control interface, which faults never touch:
 //! `GET`/`PUT /control/faults` ([`PlatformFaults`]), `GET /control/counters`
-//! ([`PlatformCounters`]) and `PUT /control/vms` (a [`VmListResponse`]).
+//! ([`PlatformCounters`]), `PUT /control/vms` (a [`VmNames`]), and `PUT`/`DELETE
+//! /control/rows/TABLE/KEY`, which writes and removes rows as operators and targets do.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -10,11 +11,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use damaskloom_lib::platform::{CommitOutcome, Transaction, VmEntry};
-use damaskloom_lib::platform_wire::{
-    COMMIT_PATH, GET_PATH, GetRequest, GetResponse, OBJECT_PREFIX, SCAN_PATH, ScanRequest,
-    ScanResponse, VM_LIST_PATH, VmListResponse,
-};
+use damaskloom_lib::platform::VmEntry;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -23,14 +20,17 @@
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
 use crate::platform_faults::{OutageMode, PlatformCounters, PlatformFaults};
-use crate::platform_table::{MemoryTable, ValueHistory};
+use crate::platform_table::{MemoryTables, MemoryTransaction, RowName, ValueHistory};
+use crate::platform_wire::{CallQuery, FeedQuery, PageQuery, rows_answer, transaction};
 
 /// The largest request body that the stand-in accepts.
 const MAX_BODY_BYTES: usize = 256 << 20;
@@ -41,6 +41,12 @@
 /// The seed of the random faults.
 const FAULT_SEED: u64 = 7;
 
+/// The rows that one read returns at most.
+const PAGE_ROWS: usize = 500;
+
+/// The table with the VM list, which has a lag of its own.
+const VM_TABLE: &str = "vms";
+
 /// Says why the stand-in did not start.
 #[derive(Debug, Snafu)]
 pub enum ServerError {
@@ -65,13 +71,16 @@
     BadBody,
     #[snafu(display("there is no such path or object"))]
     NotFound,
+    #[snafu(display("the history of the feed is forgotten"))]
+    Forgotten,
+    #[snafu(display("a row has another version"))]
+    Conflict { body: Value },
 }
 
 #[derive(Debug)]
 struct PlatformState {
-    table: MemoryTable,
+    tables: MemoryTables,
     objects: IndexMap<String, ValueHistory<Bytes>>,
-    vms: ValueHistory<Vec<VmEntry>>,
     faults: PlatformFaults,
     counters: PlatformCounters,
     rng: SmallRng,
@@ -80,17 +89,44 @@
 impl PlatformState {
     fn new() -> Self {
         Self {
-            table: MemoryTable::default(),
+            tables: MemoryTables::default(),
             objects: IndexMap::new(),
-            vms: ValueHistory::default(),
             faults: PlatformFaults::default(),
             counters: PlatformCounters::default(),
             rng: SmallRng::seed_from_u64(FAULT_SEED),
         }
     }
 
-    fn read_time(&self) -> Instant {
-        before_now(self.faults.read_lag_ms)
+    fn read_time(&self, table: &str) -> Instant {
+        before_now(match table {
+            VM_TABLE => self.faults.vm_list_lag_ms,
+            _ => self.faults.read_lag_ms,
+        })
+    }
+
+    fn write(&mut self, table: &str, key: &str, value: Option<Bytes>) {
+        let name = RowName {
+            table: table.to_owned(),
+            key: key.to_owned(),
+        };
+        let transaction = MemoryTransaction {
+            expected: Vec::new(),
+            writes: vec![(name, value)],
+        };
+        let applied = self.tables.transact(transaction, Instant::now());
+        applied.expect("a transaction that expects nothing is applied");
+    }
+
+    fn set_vms(&mut self, vms: &[VmEntry]) {
+        let (held, _) = self
+            .tables
+            .read(VM_TABLE, "", None, usize::MAX, Instant::now());
+        for row in held {
+            self.write(VM_TABLE, &row.key, None);
+        }
+        for vm in vms {
+            self.write(VM_TABLE, vm.id.as_str(), Some(to_json(vm)));
+        }
     }
 
     fn draw(&mut self, per_mille: u32) -> bool {
@@ -115,11 +151,39 @@
         .unwrap_or(now)
 }
 
+/// The stand-in's state, and the news that something in it has changed.
+#[derive(Debug)]
+struct SharedPlatform {
+    state: Mutex<PlatformState>,
+    changed: watch::Sender<()>,
+}
+
+impl SharedPlatform {
+    fn lock(&self) -> MutexGuard<'_, PlatformState> {
+        let state = self.state.lock();
+        state.expect("no holder of the stand-in's state panics")
+    }
+
+    fn change<T>(&self, step: impl FnOnce(&mut PlatformState) -> T) -> T {
+        let result = step(&mut self.lock());
+        self.changed.send_replace(());
+        result
+    }
+}
+
+/// The VMs that the list names from now on.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct VmNames {
+    /// The VMs.
+    pub vms: Vec<VmEntry>,
+}
+
 /// A running stand-in; dropping it stops it and closes its connections.
 #[derive(Debug)]
 pub struct PlatformServer {
     address: SocketAddr,
-    state: Arc<Mutex<PlatformState>>,
+    shared: Arc<SharedPlatform>,
     acceptor: JoinHandle<()>,
 }
 
@@ -134,15 +198,28 @@
             .await
             .context(ListenSnafu { address })?;
         let address = listener.local_addr().context(ListenSnafu { address })?;
-        let state = Arc::new(Mutex::new(PlatformState::new()));
-        let acceptor = tokio::spawn(accept_connections(listener, state.clone()));
+        let (changed, _) = watch::channel(());
+        let shared = Arc::new(SharedPlatform {
+            state: Mutex::new(PlatformState::new()),
+            changed,
+        });
+        let acceptor = tokio::spawn(accept_connections(listener, Arc::clone(&shared)));
         Ok(Self {
             address,
-            state,
+            shared,
             acceptor,
         })
     }
 
+    /// Starts a stand-in on a free port of loopback.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be listened on.
+    pub async fn start_local() -> Result<Self, ServerError> {
+        Self::start(SocketAddr::from(([127, 0, 0, 1], 0))).await
+    }
+
     /// Returns the address that the stand-in listens on.
     pub const fn address(&self) -> SocketAddr {
         self.address
@@ -150,17 +227,37 @@
 
     /// Sets the faults from now on.
     pub fn set_faults(&self, faults: PlatformFaults) {
-        lock(&self.state).faults = faults;
+        self.shared.change(|state| state.faults = faults);
     }
 
     /// Sets the VM list from now on; answers follow with the lag that the faults name.
-    pub fn set_vms(&self, vms: Vec<VmEntry>) {
-        lock(&self.state).vms.set(Instant::now(), vms);
+    pub fn set_vms(&self, vms: &[VmEntry]) {
+        self.shared.change(|state| state.set_vms(vms));
+    }
+
+    /// Writes a row, as operators and targets do, whatever the faults.
+    pub fn put(&self, table: &str, key: &str, value: impl Into<Bytes>) {
+        let value = Some(value.into());
+        self.shared.change(|state| state.write(table, key, value));
+    }
+
+    /// Removes a row, whatever the faults.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.shared.change(|state| state.write(table, key, None));
+    }
+
+    /// Returns a row's bytes.
+    pub fn get(&self, table: &str, key: &str) -> Option<Bytes> {
+        let now = Instant::now();
+        let state = self.shared.lock();
+        let (rows, _) = state.tables.read(table, key, None, 1, now);
+        let row = rows.into_iter().find(|row| row.key == key)?;
+        row.value
     }
 
     /// Returns the calls so far.
     pub fn counters(&self) -> PlatformCounters {
-        lock(&self.state).counters.clone()
+        self.shared.lock().counters.clone()
     }
 }
 
@@ -170,19 +267,13 @@
     }
 }
 
-fn lock(state: &Mutex<PlatformState>) -> MutexGuard<'_, PlatformState> {
-    state
-        .lock()
-        .expect("no holder of the stand-in's state panics")
-}
-
-async fn accept_connections(listener: TcpListener, state: Arc<Mutex<PlatformState>>) {
+async fn accept_connections(listener: TcpListener, shared: Arc<SharedPlatform>) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    connections.spawn(serve_connection(stream, state.clone()));
+                    connections.spawn(serve_connection(stream, Arc::clone(&shared)));
                 }
             }
             Some(_) = connections.join_next() => {}
@@ -190,11 +281,11 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, state: Arc<Mutex<PlatformState>>) {
+async fn serve_connection(stream: TcpStream, shared: Arc<SharedPlatform>) {
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
-        let state = state.clone();
-        async move { serve_request(&state, request).await }
+        let shared = Arc::clone(&shared);
+        async move { serve_request(&shared, request).await }
     });
     // A connection that breaks is the client's matter; the stand-in keeps no record of it.
     let _ = hyper::server::conn::http1::Builder::new()
@@ -205,48 +296,64 @@
 
 /// Answers a request; an error closes the connection without an answer.
 async fn serve_request(
-    state: &Mutex<PlatformState>,
+    shared: &SharedPlatform,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, CallError> {
     let is_control = request.uri().path().starts_with("/control/");
     let answer = if is_control {
-        serve_control(state, request).await
+        serve_control(shared, request).await
     } else {
-        serve_platform(state, request).await
+        serve_platform(shared, request).await
     };
     match answer {
-        Ok(body) => Ok(Response::new(Full::new(body))),
+        Ok(body) => Ok(response(StatusCode::OK, body)),
         Err(CallError::AnswerLost) => Err(CallError::AnswerLost),
         Err(CallError::Refused) => Ok(empty_response(StatusCode::SERVICE_UNAVAILABLE)),
         Err(CallError::BadBody) => Ok(empty_response(StatusCode::BAD_REQUEST)),
         Err(CallError::NotFound) => Ok(empty_response(StatusCode::NOT_FOUND)),
+        Err(CallError::Forgotten) => Ok(empty_response(StatusCode::GONE)),
+        Err(CallError::Conflict { body }) => {
+            Ok(response(StatusCode::PRECONDITION_FAILED, to_json(&body)))
+        }
     }
 }
 
-fn empty_response(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+fn response(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
     response
 }
 
+fn empty_response(status: StatusCode) -> Response<Full<Bytes>> {
+    response(status, Bytes::new())
+}
+
 async fn serve_control(
-    state: &Mutex<PlatformState>,
+    shared: &SharedPlatform,
     request: Request<Incoming>,
 ) -> Result<Bytes, CallError> {
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     let body = read_body(request).await?;
-    let mut state = lock(state);
     match (method, path.as_str()) {
-        (Method::GET, "/control/faults") => Ok(to_json(&state.faults)),
+        (Method::GET, "/control/faults") => Ok(to_json(&shared.lock().faults)),
         (Method::PUT, "/control/faults") => {
-            state.faults = from_json(&body)?;
+            let faults = from_json(&body)?;
+            shared.change(|state| state.faults = faults);
             Ok(Bytes::new())
         }
-        (Method::GET, "/control/counters") => Ok(to_json(&state.counters)),
+        (Method::GET, "/control/counters") => Ok(to_json(&shared.lock().counters)),
         (Method::PUT, "/control/vms") => {
-            let list: VmListResponse = from_json(&body)?;
-            state.vms.set(Instant::now(), list.vms);
+            let list: VmNames = from_json(&body)?;
+            shared.change(|state| state.set_vms(&list.vms));
+            Ok(Bytes::new())
+        }
+        (method @ (Method::PUT | Method::DELETE), path) => {
+            let row = path.strip_prefix("/control/rows/");
+            let row = row.and_then(|row| row.split_once('/'));
+            let (table, key) = row.ok_or(CallError::NotFound)?;
+            let value = (method == Method::PUT).then_some(body);
+            shared.change(|state| state.write(table, key, value));
             Ok(Bytes::new())
         }
         _ => NotFoundSnafu.fail(),
@@ -254,31 +361,30 @@
 }
 
 async fn serve_platform(
-    state: &Mutex<PlatformState>,
+    shared: &SharedPlatform,
     request: Request<Incoming>,
 ) -> Result<Bytes, CallError> {
     let method = request.method().clone();
-    let path = request.uri().path().to_owned();
+    let uri = request.uri().clone();
     let body = read_body(request).await?;
-    let delay = admit_call(state).await?;
+    let delay = admit_call(shared).await?;
     tokio::time::sleep(delay).await;
-    let mut state = lock(state);
-    match (method, path.as_str()) {
-        (Method::POST, GET_PATH) => serve_get(&mut state, &body),
-        (Method::POST, SCAN_PATH) => serve_scan(&mut state, &body),
-        (Method::POST, COMMIT_PATH) => serve_commit(&mut state, &body),
-        (Method::GET, VM_LIST_PATH) => Ok(serve_vm_list(&mut state)),
-        (method, path) => {
-            let name = path.strip_prefix(OBJECT_PREFIX);
-            serve_object(&mut state, &method, name, body)
+    let query = CallQuery::of(uri.query().unwrap_or_default());
+    match (method, uri.path()) {
+        (Method::GET, "/v1/rows-get") => Ok(serve_page(&mut shared.lock(), &query.page())),
+        (Method::GET, "/v1/rows-feed") => serve_feed(shared, &query.feed()).await,
+        (Method::POST, "/v1/rows-tx") => {
+            let transaction = transaction(&body).ok_or(CallError::BadBody)?;
+            shared.change(|state| serve_transaction(state, transaction))
         }
+        (method, path) => shared.change(|state| serve_object(state, &method, path, body)),
     }
 }
 
 /// Applies the faults that hit a call before it takes effect; returns the delay to wait.
-async fn admit_call(state: &Mutex<PlatformState>) -> Result<Duration, CallError> {
+async fn admit_call(shared: &SharedPlatform) -> Result<Duration, CallError> {
     let hangs = {
-        let mut state = lock(state);
+        let mut state = shared.lock();
         let refused = state.faults.outage == OutageMode::Refuse
             || state.faults.refused_per_mille > 0 && {
                 let per_mille = state.faults.refused_per_mille;
@@ -295,56 +401,88 @@
         tokio::time::sleep(HANG_DURATION).await;
         return AnswerLostSnafu.fail();
     }
-    Ok(Duration::from_millis(lock(state).faults.delay_ms))
+    Ok(Duration::from_millis(shared.lock().faults.delay_ms))
 }
 
-fn serve_get(state: &mut PlatformState, body: &[u8]) -> Result<Bytes, CallError> {
-    let request: GetRequest = from_json(body)?;
-    state.counters.gets += 1;
-    let row = state.table.get(&request.key, state.read_time());
-    Ok(to_json(&GetResponse { row }))
+fn serve_page(state: &mut PlatformState, query: &PageQuery) -> Bytes {
+    let single = format!("{}\0", query.from);
+    match (query.table.as_str(), &query.before) {
+        (VM_TABLE, _) => state.counters.vm_lists += 1,
+        (_, Some(before)) if *before == single => state.counters.gets += 1,
+        _ => state.counters.scans += 1,
+    }
+    let at = state.read_time(&query.table);
+    let limit = query.limit.min(PAGE_ROWS);
+    let (rows, has_more) = state.tables.read(
+        &query.table,
+        &query.from,
+        query.before.as_deref(),
+        limit,
+        at,
+    );
+    to_json(&rows_answer(
+        &query.table,
+        rows,
+        has_more,
+        state.tables.version(),
+    ))
 }
 
-fn serve_scan(state: &mut PlatformState, body: &[u8]) -> Result<Bytes, CallError> {
-    let request: ScanRequest = from_json(body)?;
-    state.counters.scans += 1;
-    let rows = state.table.scan(
-        &request.prefix,
-        request.after.as_ref(),
-        request.limit,
-        state.read_time(),
-    );
-    Ok(to_json(&ScanResponse { rows }))
+async fn serve_feed(shared: &SharedPlatform, query: &FeedQuery) -> Result<Bytes, CallError> {
+    shared.lock().counters.feeds += 1;
+    let mut news = shared.changed.subscribe();
+    let end = tokio::time::Instant::now() + query.wait;
+    loop {
+        let (rows, version, faults) = {
+            let state = shared.lock();
+            let rows = state.tables.changes(&query.table, query.after);
+            (rows, state.tables.version(), state.faults.clone())
+        };
+        match faults.outage {
+            OutageMode::Refuse => return RefusedSnafu.fail(),
+            // The answer comes when the outage is over, if the caller still waits.
+            OutageMode::Hang => {}
+            OutageMode::None if faults.forgetful => return ForgottenSnafu.fail(),
+            OutageMode::None if !rows.is_empty() => {
+                return Ok(to_json(&rows_answer(&query.table, rows, false, version)));
+            }
+            OutageMode::None => {}
+        }
+        if tokio::time::timeout_at(end, news.changed()).await.is_err() {
+            return Ok(to_json(&rows_answer(&query.table, rows, false, version)));
+        }
+    }
 }
 
-fn serve_commit(state: &mut PlatformState, body: &[u8]) -> Result<Bytes, CallError> {
-    let transaction: Transaction = from_json(body)?;
-    let outcome = state.table.commit(&transaction, Instant::now());
-    match outcome {
-        CommitOutcome::Committed => state.counters.commits += 1,
-        CommitOutcome::Conflict(_) => state.counters.conflicts += 1,
+fn serve_transaction(
+    state: &mut PlatformState,
+    transaction: MemoryTransaction,
+) -> Result<Bytes, CallError> {
+    let outcome = state.tables.transact(transaction, Instant::now());
+    match &outcome {
+        Ok(()) => state.counters.commits += 1,
+        Err(_) => state.counters.conflicts += 1,
     }
     if state.answer_is_lost() {
         return AnswerLostSnafu.fail();
     }
-    Ok(to_json(&outcome))
-}
-
-fn serve_vm_list(state: &mut PlatformState) -> Bytes {
-    state.counters.vm_lists += 1;
-    let at = before_now(state.faults.vm_list_lag_ms);
-    let vms = state.vms.as_of(at).cloned().unwrap_or_default();
-    to_json(&VmListResponse { vms })
+    let version = state.tables.version();
+    match outcome {
+        Ok(()) => Ok(to_json(&json!({ "row_version": version }))),
+        Err(held) => ConflictSnafu {
+            body: rows_answer("", held, false, version),
+        }
+        .fail(),
+    }
 }
 
 fn serve_object(
     state: &mut PlatformState,
     method: &Method,
-    name: Option<&str>,
+    path: &str,
     body: Bytes,
 ) -> Result<Bytes, CallError> {
-    let name = name.ok_or(CallError::NotFound)?;
-    if method == Method::PUT {
+    if let (&Method::PUT, Some(name)) = (method, path.strip_prefix("/v1/blob-put/")) {
         state.counters.object_writes += 1;
         let history = state.objects.entry(name.to_owned()).or_default();
         history.set(Instant::now(), body);
@@ -353,12 +491,13 @@
             false => Ok(Bytes::new()),
         };
     }
+    let name = path.strip_prefix("/v1/blob-get/");
+    let name = name.filter(|_| method == Method::GET);
+    let name = name.ok_or(CallError::NotFound)?;
     state.counters.object_reads += 1;
-    let at = state.read_time();
-    let object = state
-        .objects
-        .get(name)
-        .and_then(|history| history.as_of(at));
+    let at = before_now(state.faults.read_lag_ms);
+    let history = state.objects.get(name);
+    let object = history.and_then(|history| history.as_of(at));
     object.cloned().ok_or(CallError::NotFound)
 }
 
--- a/testutils/src/platform_table.rs
+++ b/testutils/src/platform_table.rs
@@ -1,16 +1,13 @@
-//! An in-memory transactional table that remembers the past for a while.
+//! In-memory transactional tables that remember the past for a while.
 //!
-//! Each commit gives the rows that it writes the number of the commit as their version, so that a
-//! row that is deleted and written again never has an old version. The past is kept so that reads
+//! Each transaction gives the rows that it writes its number as their version, so that a row that is
+//! removed and written again never has an old version. The past is kept so that reads
 //! can be answered as of an earlier time, as a lagging replica of a real table would.
 
 use std::collections::BTreeMap;
-use std::ops::Bound;
 use std::time::{Duration, Instant};
 
-use damaskloom_lib::platform::{
-    CommitOutcome, Condition, Mutation, RowKey, RowVersion, TableRow, Transaction,
-};
+use bytes::Bytes;
 
 /// How long superseded values are kept.
 const HISTORY_RETENTION: Duration = Duration::from_secs(120);
@@ -64,93 +61,128 @@
     }
 }
 
-type RowState = Option<(RowVersion, serde_json::Value)>;
+/// A row's version and bytes; no bytes stand for a row that was removed.
+type RowState = (u64, Option<Bytes>);
+
+/// A row as it is read: its key, its version and its bytes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MemoryRow {
+    /// The row's key within its table.
+    pub key: String,
+    /// The number of the transaction that wrote the row.
+    pub version: u64,
+    /// The row's bytes; none if it was removed.
+    pub value: Option<Bytes>,
+}
+
+/// A row that a transaction names.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RowName {
+    /// The table.
+    pub table: String,
+    /// The key within the table.
+    pub key: String,
+}
 
-/// A table of versioned rows with atomic conditional transactions.
+/// What a transaction expects and writes.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryTransaction {
+    /// The versions that rows must have; zero for a row that must not exist.
+    pub expected: Vec<(RowName, u64)>,
+    /// The rows that are written, or removed if there are no bytes.
+    pub writes: Vec<(RowName, Option<Bytes>)>,
+}
+
+/// Tables of versioned rows with atomic conditional transactions.
 #[derive(Debug, Default)]
-pub struct MemoryTable {
-    rows: BTreeMap<RowKey, ValueHistory<RowState>>,
-    last_commit: u64,
+pub struct MemoryTables {
+    rows: BTreeMap<RowName, ValueHistory<RowState>>,
+    version: u64,
 }
 
-impl MemoryTable {
-    /// Reads a row as of `at`.
-    pub fn get(&self, key: &RowKey, at: Instant) -> Option<TableRow> {
-        let state = self.rows.get(key)?.as_of(at)?;
-        to_row(key, state)
+impl MemoryTables {
+    /// Returns the number of the newest transaction.
+    pub const fn version(&self) -> u64 {
+        self.version
     }
 
-    /// Reads at most `limit` rows of a key range as of `at`.
-    pub fn scan(
+    /// Reads at most `limit` rows of a table from a key on, as of `at`; says whether there are more.
+    pub fn read(
         &self,
-        prefix: &str,
-        after: Option<&RowKey>,
+        table: &str,
+        from: &str,
+        before: Option<&str>,
         limit: usize,
         at: Instant,
-    ) -> Vec<TableRow> {
-        let start = match after {
-            Some(after) if after.0.as_str() >= prefix => Bound::Excluded(after.clone()),
-            _ => Bound::Included(RowKey::from(prefix)),
-        };
-        self.rows
-            .range((start, Bound::Unbounded))
-            .take_while(|(key, _)| key.0.starts_with(prefix))
-            .filter_map(|(key, history)| to_row(key, history.as_of(at)?))
-            .take(limit)
-            .collect()
+    ) -> (Vec<MemoryRow>, bool) {
+        let mut rows: Vec<MemoryRow> = self
+            .table(table, from)
+            .take_while(|(name, _)| before.is_none_or(|before| name.key.as_str() < before))
+            .filter_map(|(name, history)| Some(to_row(name, history.as_of(at)?)))
+            .filter(|row| row.value.is_some())
+            .take(limit.saturating_add(1))
+            .collect();
+        let has_more = rows.len() > limit;
+        rows.truncate(limit);
+        (rows, has_more)
     }
 
-    /// Commits a transaction if all its conditions hold now.
-    pub fn commit(&mut self, transaction: &Transaction, now: Instant) -> CommitOutcome {
-        let failed: Vec<RowKey> = transaction
-            .conditions
-            .iter()
-            .filter(|condition| !self.holds(condition))
-            .map(|condition| condition_key(condition).clone())
+    /// Returns the newest state of the rows of a table that changed after a version, in order.
+    pub fn changes(&self, table: &str, after: u64) -> Vec<MemoryRow> {
+        let mut rows: Vec<MemoryRow> = self
+            .table(table, "")
+            .filter_map(|(name, history)| Some(to_row(name, history.newest()?)))
+            .filter(|row| row.version > after)
             .collect();
-        if !failed.is_empty() {
-            return CommitOutcome::Conflict(failed);
-        }
-        self.last_commit += 1;
-        for mutation in &transaction.mutations {
-            self.mutate(mutation, now);
-        }
-        CommitOutcome::Committed
+        rows.sort_by_key(|row| row.version);
+        rows
     }
 
-    fn holds(&self, condition: &Condition) -> bool {
-        let held = self.newest_version(condition_key(condition));
-        match condition {
-            Condition::VersionIs(_, version) => held == Some(*version),
-            Condition::Absent(_) => held.is_none(),
+    /// Applies a transaction if all its expectations hold now; returns the rows of the expectations
+    /// that exist if they do not.
+    pub fn transact(
+        &mut self,
+        transaction: MemoryTransaction,
+        now: Instant,
+    ) -> Result<(), Vec<MemoryRow>> {
+        let held = |name: &RowName| {
+            let row = to_row(name, self.rows.get(name)?.newest()?);
+            row.value.is_some().then_some(row)
+        };
+        let holds =
+            |(name, version): &(RowName, u64)| held(name).map_or(0, |row| row.version) == *version;
+        if !transaction.expected.iter().all(holds) {
+            let names = transaction.expected.iter().map(|(name, _)| name);
+            return Err(names.filter_map(held).collect());
         }
+        self.version += 1;
+        for (name, value) in transaction.writes {
+            let history = self.rows.entry(name).or_default();
+            history.set(now, (self.version, value));
+        }
+        Ok(())
     }
 
-    fn newest_version(&self, key: &RowKey) -> Option<RowVersion> {
-        let state = self.rows.get(key)?.newest()?;
-        state.as_ref().map(|(version, _)| *version)
-    }
-
-    fn mutate(&mut self, mutation: &Mutation, now: Instant) {
-        let (key, state) = match mutation {
-            Mutation::Put(key, value) => (key, Some((RowVersion(self.last_commit), value.clone()))),
-            Mutation::Delete(key) => (key, None),
+    fn table(
+        &self,
+        table: &str,
+        from: &str,
+    ) -> impl Iterator<Item = (&RowName, &ValueHistory<RowState>)> {
+        let start = RowName {
+            table: table.to_owned(),
+            key: from.to_owned(),
         };
-        self.rows.entry(key.clone()).or_default().set(now, state);
-    }
-}
-
-fn condition_key(condition: &Condition) -> &RowKey {
-    match condition {
-        Condition::VersionIs(key, _) | Condition::Absent(key) => key,
+        let end = table.to_owned();
+        self.rows
+            .range(start..)
+            .take_while(move |(name, _)| name.table == end)
     }
 }
 
-fn to_row(key: &RowKey, state: &RowState) -> Option<TableRow> {
-    let (version, value) = state.as_ref()?;
-    Some(TableRow {
-        key: key.clone(),
-        value: value.clone(),
+fn to_row(name: &RowName, (version, value): &RowState) -> MemoryRow {
+    MemoryRow {
+        key: name.key.clone(),
         version: *version,
-    })
+        value: value.clone(),
+    }
 }
