entry: one reader a data centre, rows from peers at the start, registrations written once

Every node polled for the first configuration four times a second, read both tables by itself at each start, wrote its registration at each start, and two nodes of each data centre followed every change. Change: three readers over all data centres at least, one for each of three or more; roles are chosen over the registered nodes while a node joins. A feed waits for the first configuration. Nodes that callers are not sent to fetch rows from peers; those that callers may be sent to read at once after a restart. The registration is written first on the first start of the fleet, and else only if it differs. Nodes tell others as soon as they serve. What a node does for the fleet is a module of its own (fleet_roles).

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -5,19 +5,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
 
 use damaskloom_gateway::clock::MonoClock;
 use damaskloom_gateway::meters::MeterError;
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::crash_guard::{CrashGuard, CrashMessage};
 use damaskloom_lib::entry_members::{EntryMembers, EntryStanding, PresenceNote};
-use damaskloom_lib::entry_nodes::{EntryNode, EntryTerms, choose_entries, processor_demand};
 use damaskloom_lib::failure_filter::TargetSign;
 use damaskloom_lib::fleet_rate::{FleetLimit, FleetRates};
-use damaskloom_lib::ids::{
-    CustomerId, DataCentreId, Incarnation, NodeId, RouteId, ServiceId, TargetId, VmId,
-};
+use damaskloom_lib::ids::{CustomerId, Incarnation, NodeId, RouteId, ServiceId, TargetId, VmId};
 use damaskloom_lib::repeat_budget::RepeatBudget;
 use damaskloom_lib::routing::{RoutingDocument, RoutingTable};
 use damaskloom_lib::table_mirror::{MirrorRow, TableMirror};
@@ -37,22 +33,6 @@
 use crate::target_pool::TargetPools;
 use crate::wall_clock::unix_ms;
 
-/// The fewest nodes of a data centre that callers are sent to: the loss of one leaves others.
-const MIN_ENTRIES: usize = 3;
-/// The time within which answers are wanted of a service that no route names.
-const UNROUTED_LATENCY: Duration = Duration::from_secs(1);
-/// The nodes of a data centre that follow the store for the others: the loss of one leaves one.
-const READERS: EntryTerms = EntryTerms {
-    min_nodes: 2,
-    min_processor_milli: 0,
-};
-/// The time without a note of a node that follows the store after which a node follows it itself, in
-/// milliseconds: one lost note, and well within the time in which changes must be in force.
-const READER_SILENT_MS: u64 = 1_400;
-/// The time that callers keep a directory answer, in seconds, if the bound allows it: a new choice
-/// of nodes is then in force soon after one is lost.
-const DIRECTORY_LIFETIME_S: f64 = 4.0;
-
 /// Everything that the tasks of one entry process read and write.
 #[derive(Debug)]
 pub struct EntryState {
@@ -100,12 +80,16 @@
     pub counts_due: Notify,
     /// Wakes whoever tells others that the node is there.
     pub presence_due: Notify,
+    /// Wakes whoever waits for this node's turn to follow the store.
+    pub turn_changed: Notify,
     /// Wakes whoever fetches rows from peers that have newer ones.
     pub peer_newer: Notify,
     /// Whether the store answers this node's reads of the targets.
     pub store_linked: Cell<bool>,
     /// Whether this node is one of those that follow the store for others.
     pub is_reader: Cell<bool>,
+    /// When this node knew the other nodes' registrations; none before.
+    pub joined_at: Cell<Option<MonoTime>>,
     /// The metrics.
     pub meters: EntryMeters,
     /// The requests in flight.
@@ -154,8 +138,10 @@
             counts_due: Notify::new(),
             presence_due: Notify::new(),
             peer_newer: Notify::new(),
+            turn_changed: Notify::new(),
             store_linked: Cell::new(false),
-            is_reader: Cell::new(true),
+            is_reader: Cell::new(false),
+            joined_at: Cell::new(None),
             meters: EntryMeters::new()?,
             in_flight: Cell::new(0),
             traffic: RefCell::default(),
@@ -268,7 +254,19 @@
             .borrow_mut()
             .retain(|id, _| document.routes.iter().any(|route| route.id == *id));
         tracing::info!(version = document.version.0, "configuration in force");
+        let is_first = self.routing.borrow().is_none();
         *self.routing.borrow_mut() = Some(Rc::new(RoutingTable::from(document)));
+        if is_first {
+            // Other nodes can name this one to callers as soon as it serves.
+            self.presence_due.notify_one();
+        }
+    }
+
+    /// Notes that the targets' table is known.
+    pub fn set_targets_known(&self) {
+        if !self.targets_known.replace(true) {
+            self.presence_due.notify_one();
+        }
     }
 
     /// Takes in rows of the targets' table.
@@ -373,6 +371,10 @@
         }
         if self.members.borrow_mut().note(vm, note) {
             tracing::info!(node = %vm, "node heard of");
+            if self.is_reader.get() {
+                // The new node can fetch rows as soon as it knows who has them.
+                self.presence_due.notify_one();
+            }
         }
     }
 
@@ -391,117 +393,4 @@
         self.meters.note_known(version, targets, nodes);
         self.meters.encode()
     }
-
-    /// Returns the time for which callers keep a directory answer.
-    pub fn directory_lifetime(&self) -> Duration {
-        let bound = self.settings().bounds.max_directory_lifetime_s;
-        Duration::from_secs_f64(bound.min(DIRECTORY_LIFETIME_S))
-    }
-
-    /// Returns all nodes that serve callers, this one included if it does.
-    pub fn serving_nodes(&self) -> Vec<EntryNode> {
-        let now = self.clock.now();
-        let mut nodes: Vec<EntryNode> = self.members.borrow().serving(now).collect();
-        if self.is_ready() {
-            nodes.push(own_entry(&self.settings()));
-        }
-        nodes
-    }
-
-    /// Returns how many nodes of a data centre carry its traffic.
-    pub fn entry_terms(&self) -> EntryTerms {
-        let mut slots: IndexMap<ServiceId, u32> = IndexMap::new();
-        for (_, target) in self.catalog.borrow().iter() {
-            let said = &target.announcement;
-            *slots.entry(said.service.clone()).or_default() += said.slots;
-        }
-        let routing = self.routing.borrow();
-        let demand = |(service, slots): (&ServiceId, &u32)| {
-            let table = routing.as_ref();
-            let latency = table.and_then(|table| table.wanted_latency(service));
-            processor_demand(*slots, latency.unwrap_or(UNROUTED_LATENCY))
-        };
-        let all: f64 = slots.iter().map(demand).sum();
-        let centres = self.settings().data_centres.len().max(1);
-        EntryTerms {
-            min_nodes: MIN_ENTRIES,
-            min_processor_milli: (all / centres as f64).ceil() as u32,
-        }
-    }
-
-    /// Decides anew whether this node follows the store for others.
-    pub fn choose_role(&self) {
-        let settings = self.settings();
-        let nodes: Vec<EntryNode> = self
-            .members
-            .borrow()
-            .serving(self.clock.now())
-            .chain([own_entry(&settings)])
-            .collect();
-        let readers = choose_entries(&nodes, &settings.data_centre, READERS);
-        let is_reader = readers.iter().any(|node| node.vm == settings.vm);
-        if self.is_reader.replace(is_reader) != is_reader {
-            tracing::info!(is_reader, "role towards the store changed");
-        }
-    }
-
-    /// Says whether this node follows the store: for others, or because nobody does it for this one.
-    pub fn follows_store(&self) -> bool {
-        let age = Duration::from_millis(READER_SILENT_MS);
-        let members = self.members.borrow();
-        self.is_reader.get() || !members.hears_linked(self.clock.now(), age)
-    }
-
-    /// Returns the other nodes that callers may be sent to, heard of or not.
-    pub fn expected_entry_nodes(&self) -> Vec<EntryNode> {
-        let settings = self.settings();
-        let nodes: Vec<EntryNode> = self
-            .members
-            .borrow()
-            .possible()
-            .chain([own_entry(&settings)])
-            .collect();
-        let terms = self.entry_terms();
-        let centres = settings.data_centres.keys();
-        centres
-            .flat_map(|centre| choose_entries(&nodes, centre, terms))
-            .filter(|node| node.vm != settings.vm)
-            .cloned()
-            .collect()
-    }
-
-    /// Returns the nodes that callers of a data centre are sent to.
-    pub fn entries_of(&self, data_centre: &DataCentreId) -> Vec<EntryNode> {
-        let nodes = self.serving_nodes();
-        let terms = self.entry_terms();
-        let mut chosen: Vec<EntryNode> = choose_entries(&nodes, data_centre, terms)
-            .into_iter()
-            .cloned()
-            .collect();
-        if chosen.is_empty() {
-            // Nobody near serves: any other data centre is better than none.
-            let centres = self.settings().data_centres.clone();
-            for centre in centres.keys() {
-                chosen.extend(choose_entries(&nodes, centre, terms).into_iter().cloned());
-            }
-        }
-        chosen
-    }
-
-    /// Says whether this node is among those that callers of its data centre are sent to.
-    pub fn is_entry(&self) -> bool {
-        let settings = self.settings();
-        self.entries_of(&settings.data_centre)
-            .iter()
-            .any(|node| node.vm == settings.vm)
-    }
-}
-
-fn own_entry(settings: &EntrySettings) -> EntryNode {
-    EntryNode {
-        vm: settings.vm.clone(),
-        data_centre: settings.data_centre.clone(),
-        address: settings.caller_listen,
-        processor_milli: settings.machine.processor_milli(),
-    }
 }
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod command;
 pub mod entry_meters;
 pub mod entry_state;
+pub mod fleet_roles;
 pub mod peer_rows;
 pub mod peer_socket;
 pub mod peer_wire;
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -214,6 +214,9 @@
             let now = state.clock.now();
             state.catalog.borrow_mut().follow_grace(now, left);
             state.take_target_rows(&news);
+            if answer.version > 0 {
+                state.set_targets_known();
+            }
         }
     }
     Ok(())
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -23,6 +23,8 @@
 /// The interval at which they tell those of other data centres, which is priced: what they admit of a
 /// customer meanwhile is within what the platform bears.
 const FAR_COUNTS: Duration = Duration::from_millis(250);
+/// The least time between two presence notes: changes that come in a row are told by one.
+const PRESENCE_PAUSE: Duration = Duration::from_millis(50);
 /// The interval at which late answers are looked for.
 const LATE_LOOK: Duration = Duration::from_millis(50);
 /// The interval at which a node with single requests tells what it admitted.
@@ -76,9 +78,10 @@
             state.pools.close_idle();
             let carrying = state.members.borrow().carrying(now).count();
             state.repeats.borrow_mut().set_sharers(carrying + 1);
+            tokio::time::sleep(PRESENCE_PAUSE).await;
             tokio::select! {
                 () = state.presence_due.notified() => {}
-                () = tokio::time::sleep(Duration::from_millis(PRESENCE_MS)) => {}
+                () = tokio::time::sleep(Duration::from_millis(PRESENCE_MS) - PRESENCE_PAUSE) => {}
             }
         }
     }
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -95,6 +95,9 @@
     pub metrics_port: u16,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Whether the whole fleet starts for the first time, so that nobody has registered yet.
+    #[serde(default)]
+    pub first_start: bool,
     /// What the VM has.
     pub machine: MachineSize,
     /// The bounds that the fleet keeps.
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -86,7 +86,16 @@
 pub async fn join_fleet(state: Rc<EntryState>) {
     let settings = state.settings();
     let client = StoreClient::new(settings.store);
-    let key = format!("{NODE_PREFIX}{}", settings.vm);
+    let own = NodeRegistration {
+        started_at_ms: state.started_at_ms,
+        data_centre: settings.data_centre.clone(),
+        caller_address: settings.caller_listen,
+        processor_milli: settings.machine.processor_milli(),
+    };
+    if settings.first_start {
+        // Of any two nodes, the one that reads later sees the registration of the other.
+        register(&client, &settings.vm, &own).await;
+    }
     let rows = read_fleet(&client).await;
     take_registrations(&state, &rows);
     let find = |name: &str| rows.rows.iter().find(|row| row.key == name);
@@ -96,23 +105,14 @@
         None => agree_on_secret(&client).await,
     };
     *state.secret.borrow_mut() = Some(SharedSecret::new(secret));
+    state.joined_at.set(Some(state.clock.now()));
+    state.choose_role();
+    state.turn_changed.notify_waiters();
     state.presence_due.notify_one();
-    let row = NodeRegistration {
-        started_at_ms: state.started_at_ms,
-        data_centre: settings.data_centre.clone(),
-        caller_address: settings.caller_listen,
-        processor_milli: settings.machine.processor_milli(),
-    };
-    let value = serde_json::to_vec(&row).expect("a registration can be written");
-    let value = Bytes::from(value);
-    until_answered("registration", || async {
-        let value = value.clone();
-        client
-            .write_row(FLEET_TABLE, &key, value, CALL_TIMEOUT)
-            .await
-    })
-    .await;
-    if find(&key).is_none() {
+    let held = find(&format!("{NODE_PREFIX}{}", settings.vm));
+    let held = held.and_then(|row| read_registration(row));
+    if !held.is_some_and(|held| held.is_same_node(&own)) {
+        register(&client, &settings.vm, &own).await;
         // Another new node may have looked before this one's registration was there.
         take_registrations(&state, &read_fleet(&client).await);
         state.presence_due.notify_one();
@@ -121,6 +121,20 @@
     tracing::info!(members, "fleet joined");
 }
 
+async fn register(client: &StoreClient, vm: &VmId, own: &NodeRegistration) {
+    let key = format!("{NODE_PREFIX}{vm}");
+    let value = serde_json::to_vec(own).expect("a registration can be written");
+    let value = Bytes::from(value);
+    until_answered("registration", || {
+        client.write_row(FLEET_TABLE, &key, value.clone(), CALL_TIMEOUT)
+    })
+    .await;
+}
+
+fn read_registration(row: &StoreRow) -> Option<NodeRegistration> {
+    serde_json::from_slice(row.value.as_ref()?).ok()
+}
+
 async fn read_fleet(client: &StoreClient) -> RowBatch {
     until_answered("members", || client.read_table(FLEET_TABLE, CALL_TIMEOUT)).await
 }
@@ -132,11 +146,7 @@
         let Some(name) = row.key.strip_prefix(NODE_PREFIX) else {
             continue;
         };
-        let node = row
-            .value
-            .as_ref()
-            .and_then(|value| serde_json::from_slice::<NodeRegistration>(value).ok());
-        match (name.parse::<VmId>(), node) {
+        match (name.parse::<VmId>(), read_registration(row)) {
             (Ok(vm), Some(_)) if vm == own => {}
             (Ok(vm), Some(node)) => {
                 let mut members = state.members.borrow_mut();
@@ -169,12 +179,10 @@
     let mut backoff = Backoff::new();
     let mut link = LinkLog::new("configuration");
     loop {
-        let known = state.routing.borrow().is_some();
-        if known {
-            wait_for_turn(&state).await;
-        }
+        wait_for_turn(&state).await;
         let version = state.routing_mirror.borrow().version();
-        let read = if known && version > 0 {
+        // The first read is of the whole table; nobody may have published a configuration yet.
+        let read = if version > 0 {
             let feed = client
                 .read_feed(OPERATOR_TABLE, version, link.feed_wait(), CALL_TIMEOUT)
                 .await;
@@ -194,10 +202,7 @@
                 backoff = Backoff::new();
                 state.take_routing_rows(&news);
                 pass_on(&state, &news);
-                if state.routing.borrow().is_none() {
-                    // Nobody has published a configuration yet.
-                    tokio::time::sleep(FIRST_PAUSE).await;
-                }
+                pause_if_empty(&state.routing_mirror).await;
             }
             Err(error) => {
                 link.down(&error);
@@ -213,9 +218,10 @@
     let mut backoff = Backoff::new();
     let mut link = LinkLog::new("targets");
     loop {
-        if state.targets_known.get() {
-            wait_for_turn(&state).await;
+        if !state.follows_store() {
+            state.store_linked.set(false);
         }
+        wait_for_turn(&state).await;
         let version = state.target_mirror.borrow().version();
         let read = if state.targets_known.get() {
             let feed = client
@@ -238,12 +244,13 @@
                 backoff = Backoff::new();
                 state.catalog.borrow_mut().store_back(now);
                 state.store_linked.set(true);
-                state.targets_known.set(true);
+                state.set_targets_known();
                 state.take_target_rows(&news);
                 pass_on(&state, &news);
                 if !news.is_empty() {
                     tokio::time::sleep(TARGET_FEED_PAUSE).await;
                 }
+                pause_if_empty(&state.target_mirror).await;
             }
             Err(error) => {
                 link.down(&error);
@@ -272,7 +279,17 @@
 /// Waits until this node has to follow the store itself.
 async fn wait_for_turn(state: &EntryState) {
     while !state.follows_store() {
-        tokio::time::sleep(FOLLOWER_LOOK).await;
+        tokio::select! {
+            () = state.turn_changed.notified() => {}
+            () = tokio::time::sleep(FOLLOWER_LOOK) => {}
+        }
+    }
+}
+
+/// Pauses before an empty store is read again: there is no version yet that a feed could follow.
+async fn pause_if_empty(mirror: &std::cell::RefCell<TableMirror>) {
+    if mirror.borrow().version() == 0 {
+        tokio::time::sleep(FIRST_PAUSE).await;
     }
 }
 
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -56,7 +56,7 @@
     pub targets_version: u64,
 }
 
-/// What a node registers of itself when it starts.
+/// What a node registers of itself when it starts for the first time.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct NodeRegistration {
@@ -99,6 +99,16 @@
     nodes: IndexMap<VmId, KnownNode>,
 }
 
+impl NodeRegistration {
+    /// Says whether another start of the node registered the same.
+    pub fn is_same_node(&self, other: &Self) -> bool {
+        Self {
+            started_at_ms: other.started_at_ms,
+            ..self.clone()
+        } == *other
+    }
+}
+
 impl EntryMembers {
     /// Takes in a node's registration.
     pub fn register(&mut self, now: MonoTime, vm: VmId, registration: NodeRegistration) {
@@ -194,6 +204,20 @@
         })
     }
 
+    /// Returns the nodes that were heard lately and do not leave, whether they serve yet or not.
+    pub fn present(&self, now: MonoTime) -> impl Iterator<Item = EntryNode> {
+        self.heard(now).filter_map(|(vm, node)| {
+            let note = node.note.as_ref()?;
+            let stays = note.standing != EntryStanding::Leaving;
+            stays.then(|| EntryNode {
+                vm: vm.clone(),
+                data_centre: note.data_centre.clone(),
+                address: note.caller_address,
+                processor_milli: note.processor_milli,
+            })
+        })
+    }
+
     /// Returns all nodes that may serve callers: those that are registered, heard of or not, but for
     /// those that leave.
     pub fn possible(&self) -> impl Iterator<Item = EntryNode> {
