--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -110,7 +110,7 @@
     state.turn_changed.notify_waiters();
     state.presence_due.notify_one();
     let held = find(&format!("{NODE_PREFIX}{}", settings.vm));
-    let held = held.and_then(|row| read_registration(row));
+    let held = held.and_then(read_registration);
     if !held.is_some_and(|held| held.is_same_node(&own)) {
         register(&client, &settings.vm, &own).await;
         // Another new node may have looked before this one's registration was there.
