entry: a change spreads over a data centre in steps, asked of random peers

Ruled out: the readers' feeds (the first node had the version 40 ms after the acknowledgement), lost datagrams (nodes knew of the newer version and tried). Change: nodes ask a random near peer that has newer rows, else a random far one; each half of a data centre asks 30 ms after the half before it, and whoever has fetched tells its data centre at once; a failed fetch is tried again after up to 100 ms.

--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use damaskloom_lib::entry_nodes::{EntryNode, EntryTerms, choose_entries, processor_demand};
+use damaskloom_lib::entry_nodes::{
+    EntryNode, EntryTerms, choose_entries, processor_demand, spread_step,
+};
 use damaskloom_lib::ids::{DataCentreId, ServiceId};
 use indexmap::IndexMap;
 
@@ -117,6 +119,18 @@
         !linked && now.since(joined_at) >= silent
     }
 
+    /// Returns in which step of spreading a change this node asks its peers for it: the number of times
+    /// that the nodes of its data centre before it can be halved.
+    pub fn spread_step(&self) -> u32 {
+        let settings = self.settings();
+        let members = self.members.borrow();
+        let before = members
+            .present(self.clock.now())
+            .filter(|node| node.data_centre == settings.data_centre && node.vm < settings.vm)
+            .count();
+        spread_step(before)
+    }
+
     /// Returns the nodes that callers may be sent to, heard of or not, this one perhaps among them.
     fn expected_entries(&self) -> Vec<EntryNode> {
         let settings = self.settings();
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -15,6 +15,8 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use rand::Rng;
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use subtle::ConstantTimeEq;
@@ -26,8 +28,13 @@
 /// The time for which newer rows may be known of before they are fetched: the node's own feed usually
 /// brings them within that time.
 const OWN_FEED_TIME: Duration = Duration::from_millis(700);
-/// The peers that are asked one after the other.
-const FETCH_PEERS: usize = 3;
+/// How much later each half of a data centre's nodes asks than the half before it, which can then be
+/// asked too: some times a fetch.
+const FETCH_STEP: Duration = Duration::from_millis(30);
+/// The longest pause after a fetch that failed; a random part of it is waited.
+const FETCH_PAUSE: Duration = Duration::from_millis(100);
+/// The fetches that may fail one after the other before the next presence note is waited for.
+const FETCH_TRIES: u32 = 12;
 /// The time in which a peer must answer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(300);
 /// The largest answer, in bytes.
@@ -144,11 +151,16 @@
 }
 
 /// Fetches rows that peers have and this node lacks, until the task is ended.
+///
+/// Whoever has fetched rows tells its data centre, so that the next ones ask it: a change reaches `n`
+/// nodes in about `log n` steps, and no node answers many at a time.
 pub async fn run_fetches(state: Rc<EntryState>) {
     loop {
         state.peer_newer.notified().await;
         if state.follows_store() {
             tokio::time::sleep(OWN_FEED_TIME).await;
+        } else {
+            tokio::time::sleep(FETCH_STEP * state.spread_step()).await;
         }
         // Side by side, so that trouble with one table does not hold up the other.
         tokio::join!(
@@ -159,16 +171,26 @@
 }
 
 async fn fetch_newer(state: &EntryState, kind: MirrorKind) {
-    for peer in newer_peers(state, kind) {
+    for _ in 0..FETCH_TRIES {
+        let Some(peer) = newer_peer(state, kind) else {
+            return;
+        };
         match fetch(state, kind, peer).await {
-            Ok(()) => return,
-            Err(error) => tracing::warn!(%peer, %error, "rows not fetched from peer"),
+            // The peer's newest row is known here as a part of a newer reading.
+            Ok(0) => return,
+            Ok(_) => state.presence_due.notify_one(),
+            Err(error) => {
+                tracing::warn!(%peer, %error, "rows not fetched from peer");
+                let part = rand::rng().random_range(0.2..1.0);
+                tokio::time::sleep(FETCH_PAUSE.mul_f64(part)).await;
+            }
         }
     }
 }
 
-/// Returns peers that have newer rows: those that follow the store first, then near ones.
-fn newer_peers(state: &EntryState, kind: MirrorKind) -> Vec<SocketAddr> {
+/// Chooses a peer that has newer rows, by chance so that no peer is asked by all; a near one if there
+/// is any.
+fn newer_peer(state: &EntryState, kind: MirrorKind) -> Option<SocketAddr> {
     let settings = state.settings();
     let held = match kind {
         MirrorKind::Routing => state.routing_mirror.borrow().newest_row(),
@@ -181,25 +203,27 @@
             MirrorKind::Routing => note.routing_version,
             MirrorKind::Targets => note.targets_version,
         };
-        let far = note.data_centre != settings.data_centre;
-        (theirs > held).then_some((!note.linked, far, std::cmp::Reverse(theirs), node.ip))
+        let near = note.data_centre == settings.data_centre;
+        (theirs > held).then_some((near, node.ip))
     });
-    let mut newer: Vec<_> = newer.collect();
-    newer.sort();
-    let addresses = newer
-        .into_iter()
-        .map(|(_, _, _, ip)| SocketAddr::new(ip, settings.peer_port));
-    addresses.take(FETCH_PEERS).collect()
+    let (near, far): (Vec<_>, Vec<_>) = newer.partition(|(near, _)| *near);
+    let asked = if near.is_empty() { far } else { near };
+    let (_, ip) = asked.choose(&mut rand::rng())?;
+    Some(SocketAddr::new(*ip, settings.peer_port))
 }
 
-async fn fetch(state: &EntryState, kind: MirrorKind, peer: SocketAddr) -> Result<(), FetchError> {
+async fn fetch(
+    state: &EntryState,
+    kind: MirrorKind,
+    peer: SocketAddr,
+) -> Result<usize, FetchError> {
     let mirror = match kind {
         MirrorKind::Routing => &state.routing_mirror,
         MirrorKind::Targets => &state.target_mirror,
     };
     let secret = state.secret.borrow().clone();
     let Some(secret) = secret else {
-        return Ok(());
+        return Ok(0);
     };
     let after = mirror.borrow().version();
     let asked = format!("{}?{after}", kind.path());
@@ -219,7 +243,7 @@
             }
         }
     }
-    Ok(())
+    Ok(news.len())
 }
 
 async fn ask(
--- a/lib/src/entry_nodes.rs
+++ b/lib/src/entry_nodes.rs
@@ -50,6 +50,12 @@
     requests_per_s * PROCESSOR_S_PER_REQUEST / USED_PROCESSOR_PART * 1_000.0
 }
 
+/// Returns the step in which a node that has so many before it asks for a change: each step has twice
+/// the nodes of the one before, so that every node finds another one to ask that nobody else asks.
+pub fn spread_step(before: usize) -> u32 {
+    (before + 1).ilog2()
+}
+
 /// Chooses the nodes of one data centre that carry its traffic.
 pub fn choose_entries<'a>(
     nodes: impl IntoIterator<Item = &'a EntryNode>,
--- a/lib/tests/test_entry_nodes.rs
+++ b/lib/tests/test_entry_nodes.rs
@@ -7,7 +7,9 @@
 use damaskloom_lib::entry_members::{
     EntryMembers, EntryStanding, MessageLane, NodeRegistration, PresenceNote,
 };
-use damaskloom_lib::entry_nodes::{EntryNode, EntryTerms, choose_entries, processor_demand};
+use damaskloom_lib::entry_nodes::{
+    EntryNode, EntryTerms, choose_entries, processor_demand, spread_step,
+};
 use damaskloom_lib::ids::{DataCentreId, VmId};
 use damaskloom_lib::key::RawKey;
 use damaskloom_lib::routing::{
@@ -233,3 +235,9 @@
     let fast = processor_demand(300, Duration::from_millis(250));
     assert!((fast / slow - 4.0).abs() < 0.01, "{fast}");
 }
+
+#[test]
+fn each_step_of_a_change_has_twice_the_nodes_of_the_step_before() {
+    let steps: Vec<u32> = (0..15).map(spread_step).collect();
+    assert_eq!(steps, [0, 1, 1, 2, 2, 2, 2, 3, 3, 3, 3, 3, 3, 3, 3]);
+}
