entry: lines for every decision, bounded by kind and never waited for

Ruled out: a level for good requests that is off: on-call engineers would have no sample of what went well. Change: lines go through a bounded queue to a writing thread; each place that writes lines has a budget, and what is left out is told. New events: target picked, answered, repeat decided, over rate, caller left, target suspected and trusted again with the evidence, targets known, node fell silent, keys that are gone with a configuration. A late answer no longer counts in the usual failures.

--- a/entry/src/admission.rs
+++ b/entry/src/admission.rs
@@ -8,8 +8,8 @@
 use damaskloom_lib::fleet_rate::RateAnswer;
 use damaskloom_lib::ids::CustomerId;
 use damaskloom_lib::key::RawKey;
-use damaskloom_lib::routing::{PriorityRank, RouteRule, RoutingTable};
-use damaskloom_platform::header_names::{caller_key, time_left_ms};
+use damaskloom_lib::routing::{PriorityRank, RouteRule, RoutingTable, RoutingVersion};
+use damaskloom_platform::header_names::{REQUEST_ID, caller_key, time_left_ms};
 use http::header::HOST;
 use http::request::Parts;
 
@@ -19,9 +19,17 @@
 /// The time after which a caller may do better at a node that has no configuration yet.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
 
+/// Returns the id that the caller gave the request, for log lines.
+pub fn request_id(parts: &Parts) -> &str {
+    let id = parts.headers.get(REQUEST_ID);
+    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+}
+
 /// A request that may run.
 #[derive(Clone, Debug)]
 pub struct AdmittedRequest {
+    /// The version of the configuration that admitted the request.
+    pub version: RoutingVersion,
     /// The route that matched.
     pub route: RouteRule,
     /// The customer whose key came with the request.
@@ -57,8 +65,19 @@
     let (customer, rank) = find_customer(&table, &route, parts)?;
     if let Some(customer) = &customer {
         let answer = state.rates.borrow_mut().ask(state.clock.now(), customer);
-        if let RateAnswer::Refuse(period) = answer {
-            return Err(CallerRefusal::after(RefusalReason::RateExceeded, period));
+        if let RateAnswer::Refuse(shortage) = answer {
+            tracing::info!(
+                request = request_id(parts),
+                %customer,
+                level = shortage.level,
+                share = shortage.share,
+                unheard = shortage.unheard,
+                "over rate"
+            );
+            return Err(CallerRefusal::after(
+                RefusalReason::RateExceeded,
+                shortage.wait,
+            ));
         }
     }
     let mut wait = route.timeout;
@@ -66,6 +85,7 @@
         wait = wait.min(Duration::from_millis(left_ms));
     }
     Ok(AdmittedRequest {
+        version: table.document().version,
         priority: rank.unwrap_or(route.priority),
         route,
         customer,
--- a/entry/src/command.rs
+++ b/entry/src/command.rs
@@ -7,8 +7,8 @@
 use pico_args::Arguments;
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::task::LocalSet;
-use tracing_subscriber::EnvFilter;
 
+use crate::log_lines::LogLines;
 use crate::process::{StartError, run};
 use crate::settings::EntrySettings;
 
@@ -89,25 +89,17 @@
         println!("settings are valid");
         return Ok(());
     }
-    start_logs();
+    let lines = LogLines::start();
     // One thread: the VMs have one core, of which a second thread would only take turns.
     tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context(RuntimeSnafu)?
-        .block_on(LocalSet::new().run_until(run(path, settings)))
+        .block_on(LocalSet::new().run_until(async {
+            tokio::select! {
+                ended = run(path, settings) => ended,
+                () = lines.tell_left_out() => unreachable!("the lines are watched until the end"),
+            }
+        }))
         .context(StartSnafu)
 }
-
-fn start_logs() {
-    // The metrics library tells of its own end at this level, which says nothing to operators.
-    let filter = EnvFilter::try_from_default_env()
-        .unwrap_or_else(|_| EnvFilter::new("info,opentelemetry=warn,opentelemetry_sdk=warn"));
-    tracing_subscriber::fmt()
-        .json()
-        .flatten_event(true)
-        .with_target(false)
-        .with_env_filter(filter)
-        .with_writer(std::io::stdout)
-        .init();
-}
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -17,7 +17,9 @@
 use damaskloom_lib::repeat_budget::RepeatBudget;
 use damaskloom_lib::routing::{RoutingDocument, RoutingTable};
 use damaskloom_lib::table_mirror::{MirrorRow, TableMirror};
-use damaskloom_lib::target_board::{ServiceBoards, TargetBoard, TargetCode};
+use damaskloom_lib::target_board::{
+    BeliefChange, ServiceBoards, SignOutcome, TargetBoard, TargetCode,
+};
 use damaskloom_lib::target_catalog::{CatalogChange, TargetCatalog};
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::traffic_meter::TrafficMeter;
@@ -238,7 +240,8 @@
 
     fn take_routing(&self, document: RoutingDocument) {
         let held = self.routing.borrow().clone();
-        if held.is_some_and(|held| held.document().version >= document.version) {
+        let newest = held.as_ref().map(|held| held.document().version);
+        if newest.is_some_and(|newest| newest >= document.version) {
             return;
         }
         let now = self.clock.now();
@@ -253,7 +256,15 @@
         self.splits
             .borrow_mut()
             .retain(|id, _| document.routes.iter().any(|route| route.id == *id));
-        tracing::info!(version = document.version.0, "configuration in force");
+        let held = held.as_ref().map(|table| table.document());
+        tracing::info!(
+            version = document.version.0,
+            before = held.map(|held| held.version.0),
+            routes = document.routes.len(),
+            keys = document.keys().count(),
+            keys_gone = held.map(|held| document.keys_gone_since(held)),
+            "configuration in force"
+        );
         let is_first = self.routing.borrow().is_none();
         *self.routing.borrow_mut() = Some(Rc::new(RoutingTable::from(document)));
         if is_first {
@@ -265,6 +276,8 @@
     /// Notes that the targets' table is known.
     pub fn set_targets_known(&self) {
         if !self.targets_known.replace(true) {
+            let targets = self.catalog.borrow().len();
+            tracing::info!(targets, "targets known");
             self.presence_due.notify_one();
         }
     }
@@ -309,11 +322,11 @@
         };
         let catalog = self.catalog.borrow();
         let mut boards = self.boards.borrow_mut();
-        let active = catalog
-            .get(id)
-            .filter(|target| !target.announcement.leaving);
-        let Some(target) = active else {
-            tracing::info!(id = %id, "target gets no more work");
+        let known = catalog.get(id);
+        let row = self.target_mirror.borrow().version();
+        let Some(target) = known.filter(|target| !target.announcement.leaving) else {
+            let why = if known.is_some() { "leaving" } else { "gone" };
+            tracing::info!(id = %id, why, row, "target gets no more work");
             boards.values_mut().for_each(|board| board.remove(id));
             self.pools.remove(id);
             return;
@@ -328,7 +341,9 @@
             .entry(said.service.clone())
             .or_insert_with(|| TargetBoard::new(own));
         if !board.contains(id) {
-            tracing::info!(id = %id, service = %said.service, "target gets work");
+            if self.targets_known.get() {
+                tracing::info!(id = %id, service = %said.service, row, "target gets work");
+            }
             let centre = said.data_centre.clone();
             board.put(now, id.clone(), centre, said.slots, said.cold_for);
         }
@@ -346,8 +361,12 @@
     /// Takes in what an attempt showed, and notes it for others if they should know.
     pub fn observe(&self, service: &ServiceId, target: &TargetId, sign: TargetSign) {
         let now = self.clock.now();
-        let is_news = self.with_board(service, |board| board.observe(now, target, sign));
-        if is_news == Some(true) {
+        let outcome = self.with_board(service, |board| board.observe(now, target, sign));
+        let outcome = outcome.flatten();
+        if let Some(outcome) = &outcome {
+            note_belief(target, sign, outcome, None);
+        }
+        if outcome.is_some_and(|outcome| outcome.is_news) {
             self.signs.borrow_mut().push((target.clone(), sign));
             self.news_ready.notify_one();
         } else if sign == TargetSign::Good {
@@ -355,6 +374,32 @@
         }
     }
 
+    /// Takes in what a peer saw of a target.
+    pub fn observe_peer(&self, peer: &VmId, target: &TargetId, sign: TargetSign) {
+        let now = self.clock.now();
+        // Nodes without traffic decide nothing by what they believe.
+        let carries = self.is_carrying();
+        for board in self.boards.borrow_mut().values_mut() {
+            let outcome = board.observe_peer(now, target, sign);
+            if let Some(outcome) = outcome.filter(|_| carries) {
+                note_belief(target, sign, &outcome, Some(peer));
+            }
+        }
+    }
+
+    /// Finds answers that became late, and takes them as signs of their targets.
+    pub fn observe_late(&self) {
+        let now = self.clock.now();
+        let mut late: Vec<(ServiceId, TargetId)> = Vec::new();
+        for (service, board) in self.boards.borrow_mut().iter_mut() {
+            let targets = board.count_late(now).into_iter();
+            late.extend(targets.map(|id| (service.clone(), id)));
+        }
+        for (service, target) in late {
+            self.observe(&service, &target, TargetSign::Late);
+        }
+    }
+
     /// Gives back what a refused request took of its customer's rate.
     pub fn give_back_rate(&self, customer: Option<&CustomerId>) {
         if let Some(customer) = customer {
@@ -370,7 +415,7 @@
             self.peer_newer.notify_one();
         }
         if self.members.borrow_mut().note(vm, note) {
-            tracing::info!(node = %vm, "node heard of");
+            tracing::debug!(node = %vm, "node heard of");
             if self.is_reader.get() {
                 // The new node can fetch rows as soon as it knows who has them.
                 self.presence_due.notify_one();
@@ -394,3 +439,18 @@
         self.meters.encode()
     }
 }
+
+/// Logs a change of what is believed of a target; `from` is the peer whose sign it was.
+fn note_belief(target: &TargetId, sign: TargetSign, outcome: &SignOutcome, from: Option<&VmId>) {
+    let from = from.map_or("here", |vm| vm.as_str());
+    let (before, after) = (outcome.before, outcome.after);
+    match outcome.change {
+        Some(BeliefChange::Suspected) => {
+            tracing::info!(id = %target, ?sign, from, before, after, "target suspected");
+        }
+        Some(BeliefChange::Trusted) => {
+            tracing::info!(id = %target, ?sign, from, before, after, "target trusted again");
+        }
+        None => {}
+    }
+}
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -9,7 +9,6 @@
 use damaskloom_lib::entry_nodes::EntryNode;
 use damaskloom_lib::failure_filter::TargetSign;
 use damaskloom_lib::fleet_rate::{RateReport, ReportFilter};
-use damaskloom_lib::ids::TargetId;
 use damaskloom_lib::target_board::TargetCode;
 use indexmap::IndexSet;
 use tokio::net::UdpSocket;
@@ -73,7 +72,9 @@
             state.choose_role();
             self.send_presence(state);
             let now = state.clock.now();
-            state.members.borrow_mut().tick(now);
+            for node in state.members.borrow_mut().tick(now) {
+                tracing::info!(%node, "node fell silent");
+            }
             state.crashes.borrow_mut().tick(now);
             state.pools.close_idle();
             let carrying = state.members.borrow().carrying(now).count();
@@ -187,7 +188,7 @@
     pub async fn run_signs(&self, state: &EntryState) {
         loop {
             if state.in_flight.get() > 0 {
-                note_late(state);
+                state.observe_late();
             }
             self.send_signs(state);
             let look = async {
@@ -338,10 +339,8 @@
                 }
             }
             PeerMessage::Signs(signs) => {
-                for board in state.boards.borrow_mut().values_mut() {
-                    for (id, sign) in &signs {
-                        board.observe_peer(now, id, target_sign(*sign));
-                    }
+                for (id, sign) in &signs {
+                    state.observe_peer(&vm, id, target_sign(*sign));
                 }
             }
             PeerMessage::Crash(message) => {
@@ -352,16 +351,6 @@
     }
 }
 
-fn note_late(state: &EntryState) {
-    let now = state.clock.now();
-    let mut late: Vec<TargetId> = Vec::new();
-    for board in state.boards.borrow_mut().values_mut() {
-        late.extend(board.count_late(now));
-    }
-    let late = late.into_iter().map(|id| (id, TargetSign::Late));
-    state.signs.borrow_mut().extend(late);
-}
-
 /// Carries out what the guard against crashing requests asks for.
 pub fn take_crash_actions(state: &EntryState, actions: Vec<CrashAction>) {
     for action in actions {
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -11,7 +11,6 @@
 use damaskloom_lib::ids::{CustomerId, ServiceId, TargetId};
 use damaskloom_lib::target_board::{ChoiceRequest, RunningId, TargetChoice};
 use damaskloom_lib::units::ByteSize;
-use damaskloom_platform::header_names::REQUEST_ID;
 use http::request::Parts;
 use http::{Request, Response};
 use http_body::Body;
@@ -20,11 +19,12 @@
 use rand::Rng;
 use sha2::{Digest, Sha256};
 
-use crate::admission::{AdmittedRequest, admit};
+use crate::admission::{AdmittedRequest, admit, request_id};
 use crate::caller_answer::{
     CallerBody, CallerRefusal, RefusalReason, refusal_answer, target_answer,
 };
 use crate::entry_state::EntryState;
+use crate::log_lines::GOOD;
 use crate::peer_socket::take_crash_actions;
 use crate::target_call::{CallError, CallResult, CallTarget, OutgoingHead, TargetAnswer, call};
 use crate::target_pool::ConnectError;
@@ -43,55 +43,64 @@
 
 /// Serves one request of a caller.
 pub async fn serve(state: Rc<EntryState>, request: Request<Incoming>) -> Response<CallerBody> {
-    let arrival = Instant::now();
     state.note_request();
-    let _in_flight = InFlightGuard::new(&state);
     let (parts, body) = request.into_parts();
-    match run(&state, &parts, body, arrival).await {
+    let mut in_flight = InFlightGuard::new(&state, request_id(&parts));
+    let result = run(&state, &parts, body, in_flight.arrival).await;
+    in_flight.ended = true;
+    let held = in_flight.arrival.elapsed();
+    match result {
         Ok(answer) => {
-            state
-                .meters
-                .answered(answer.status().as_u16(), arrival.elapsed());
+            state.meters.answered(answer.status().as_u16(), held);
             target_answer(answer)
         }
         Err(refusal) => {
-            note_refusal(&state, &parts, refusal, arrival);
+            note_refusal(&state, &parts, refusal, held);
             refusal_answer(refusal)
         }
     }
 }
 
-fn note_refusal(state: &EntryState, parts: &Parts, refusal: CallerRefusal, arrival: Instant) {
+fn note_refusal(state: &EntryState, parts: &Parts, refusal: CallerRefusal, held: Duration) {
     state.meters.refused(refusal.reason.label());
+    let routing = state.routing.borrow();
     tracing::info!(
         request = request_id(parts),
         reason = refusal.reason.label(),
+        version = routing.as_ref().map(|table| table.document().version.0),
         retry_after_ms = refusal.retry_after.map(|period| period.as_millis() as u64),
-        held_ms = arrival.elapsed().as_millis() as u64,
+        held_ms = held.as_millis() as u64,
         "refused"
     );
 }
 
-fn request_id(parts: &Parts) -> &str {
-    parts
-        .headers
-        .get(REQUEST_ID)
-        .and_then(|id| id.to_str().ok())
-        .unwrap_or("-")
+/// Counts a request as in flight until it is dropped, which also happens when its caller leaves.
+struct InFlightGuard<'a> {
+    state: &'a EntryState,
+    request: &'a str,
+    arrival: Instant,
+    ended: bool,
 }
 
-struct InFlightGuard<'a>(&'a EntryState);
-
 impl<'a> InFlightGuard<'a> {
-    fn new(state: &'a EntryState) -> Self {
+    fn new(state: &'a EntryState, request: &'a str) -> Self {
         state.in_flight.set(state.in_flight.get() + 1);
-        Self(state)
+        Self {
+            state,
+            request,
+            arrival: Instant::now(),
+            ended: false,
+        }
     }
 }
 
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.state.in_flight.set(self.state.in_flight.get() - 1);
+        if !self.ended {
+            let held_ms = self.arrival.elapsed().as_millis() as u64;
+            tracing::info!(request = self.request, held_ms, "caller left");
+        }
     }
 }
 
@@ -323,6 +332,7 @@
             pool: state.pools.pool(id, address),
             connections: self.connection_limit(),
         };
+        self.note_picked(choice);
         let running = RunningGuard::begin(state, self.service, id);
         let result = call(&target, self.head, body, self.admitted.deadline).await;
         if result.connected {
@@ -333,6 +343,23 @@
         result.answer
     }
 
+    fn note_picked(&self, choice: &TargetChoice) {
+        tracing::info!(
+            target: GOOD,
+            request = self.request,
+            route = %self.admitted.route.id,
+            customer = self.admitted.customer.as_ref().map(|customer| customer.as_str()),
+            version = self.admitted.version.0,
+            to = %choice.target,
+            of = choice.of,
+            tried = self.tried.len(),
+            failing = choice.failing,
+            load = choice.load,
+            wait_ms = choice.expected_wait.as_millis() as u64,
+            "target picked"
+        );
+    }
+
     /// Returns the connections that this node may open to a target of the service.
     ///
     /// All nodes that may carry traffic together keep to what a target accepts.
@@ -360,13 +387,21 @@
                 self.observe_failure(id, taken);
                 "server-error"
             }
-            Ok(_) => {
+            Ok(answer) => {
                 self.note_completed();
                 if !was_late {
                     state.observe(service, id, TargetSign::Good);
                 }
                 state.with_board(service, |board| board.note_running(taken));
                 state.meters.sent("answered");
+                tracing::info!(
+                    target: GOOD,
+                    request = self.request,
+                    by = %id,
+                    status = answer.status().as_u16(),
+                    taken_ms = taken.as_millis() as u64,
+                    "answered"
+                );
                 return;
             }
             Err(error) => {
@@ -459,6 +494,13 @@
         if allowed {
             self.state.meters.repeated();
         }
+        tracing::info!(
+            request = self.request,
+            sent = self.sent,
+            error = error.map_or("server-error", CallError::label),
+            allowed,
+            "repeat decided"
+        );
         allowed
     }
 }
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -244,8 +244,8 @@
                 backoff = Backoff::new();
                 state.catalog.borrow_mut().store_back(now);
                 state.store_linked.set(true);
-                state.set_targets_known();
                 state.take_target_rows(&news);
+                state.set_targets_known();
                 pass_on(&state, &news);
                 if !news.is_empty() {
                     tokio::time::sleep(TARGET_FEED_PAUSE).await;
--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -42,6 +42,8 @@
     NoReceipt,
     /// Runs the request and answers another one.
     Crossed,
+    /// Runs the request and never answers.
+    Silent,
 }
 
 /// A stand-in target.
@@ -116,6 +118,7 @@
                 TargetManner::Fails => answer.status(500).header("server-seal", "seal"),
                 TargetManner::Full => answer.status(503).header("not-executed", "1"),
                 TargetManner::AnotherTarget => answer.status(421),
+                TargetManner::Silent => std::future::pending().await,
             };
             answer
                 .body(Full::new(Bytes::from_static(b"answer")))
@@ -234,6 +237,13 @@
         addresses.map(str::to_owned).collect()
     }
 
+    /// Returns the value of a metric that has no labels of its own.
+    pub async fn metric(&self, name: &str) -> Option<f64> {
+        let text = self.metrics().await;
+        let line = text.lines().find(|line| line.starts_with(name))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
     /// Returns the metrics.
     pub async fn metrics(&self) -> String {
         let address = SocketAddr::new(self.settings.ip, self.settings.metrics_port);
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 mod test_fleet;
+mod test_log_lines;
 mod test_peer_wire;
 mod test_requests;
 mod test_settings;
--- /dev/null
+++ b/entry/tests/test_log_lines.rs
@@ -0,0 +1,174 @@
+//! The log lines: what they hold, how many there may be, and that writing them never waits.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+
+use damaskloom_entry::log_lines::LogLines;
+use damaskloom_testutils::platform_faults::PlatformFaults;
+use serde_json::Value;
+use tracing_subscriber::EnvFilter;
+
+use crate::fixture::{TargetManner, configuration, wait_until, with_node};
+
+/// The messages whose fields are shown; others depend on what other nodes do.
+const SHOWN: [&str; 14] = [
+    "answered",
+    "caller left",
+    "configuration in force",
+    "fleet joined",
+    "refused",
+    "repeat decided",
+    "sending failed",
+    "started",
+    "store answers again",
+    "store does not answer",
+    "target gets no more work",
+    "target gets work",
+    "target picked",
+    "targets known",
+];
+
+/// Keeps what is written to it.
+#[derive(Clone, Debug, Default)]
+struct KeptLines(Arc<Mutex<Vec<u8>>>);
+
+impl KeptLines {
+    fn text(&self) -> String {
+        let bytes = self.0.lock().expect("no writer panics");
+        String::from_utf8(bytes.clone()).expect("lines are text")
+    }
+}
+
+impl Write for KeptLines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("no writer panics").extend(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes nothing until its sender is dropped, like a reader that stands still.
+struct StuckOutput(Receiver<()>);
+
+impl StuckOutput {
+    fn new() -> (Sender<()>, Self) {
+        let (release, stuck) = channel();
+        (release, Self(stuck))
+    }
+}
+
+impl Write for StuckOutput {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        // An error says that the sender is gone.
+        let _ = self.0.recv();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[tokio::test]
+async fn every_event_has_its_fields_and_no_line_shows_a_key() {
+    let kept = KeptLines::default();
+    let (lines, subscriber) = LogLines::new(kept.clone(), EnvFilter::new("info"));
+    let default = tracing::subscriber::set_default(subscriber);
+    with_node(
+        &[TargetManner::Good, TargetManner::Fails],
+        |store, node, targets| async move {
+            let key = Some("key-1");
+            wait_until("the failing target was tried", async || {
+                node.send("GET", "/read/1", key).await;
+                targets[1].runs.get() > 0
+            })
+            .await;
+            node.send("GET", "/read/1", Some("key-9")).await;
+            targets[0].manner.set(TargetManner::Silent);
+            targets[1].manner.set(TargetManner::Silent);
+            let leaves = node.send("POST", "/book/1", key);
+            let _ = tokio::time::timeout(std::time::Duration::from_millis(300), leaves).await;
+            store.put("op", "config", configuration(9, &["key-2"]));
+            store.remove("servers", "i-1");
+            store.put("servers", "i-9", targets[0].row("ready"));
+            wait_until("the target is gone and the key too", async || {
+                let refused = node.send("GET", "/open/1", None);
+                let refused = tokio::time::timeout(std::time::Duration::from_millis(50), refused);
+                let _ = refused.await;
+                let targets = node.metric("damaskloom_targets").await;
+                let version = node.metric("damaskloom_routing_version").await;
+                (targets, version) == (Some(2.0), Some(9.0))
+            })
+            .await;
+            store.set_faults(PlatformFaults::refusing());
+            tokio::time::sleep(std::time::Duration::from_millis(600)).await;
+            store.set_faults(PlatformFaults::default());
+            store.put("op", "config", configuration(11, &["key-2"]));
+            wait_until("the store answers again", async || {
+                node.metric("damaskloom_routing_version").await == Some(11.0)
+            })
+            .await;
+        },
+    )
+    .await;
+    drop(default);
+    drop(lines);
+    let text = kept.text();
+    assert!(!text.contains("key-1") && !text.contains("key-2"));
+    let mut fields: BTreeMap<String, String> = BTreeMap::new();
+    for line in text.lines() {
+        let line: Value = serde_json::from_str(line).expect("a line is JSON");
+        let line = line.as_object().expect("a line is an object");
+        let message = line["message"].as_str().expect("a line has a message");
+        if SHOWN.contains(&message) {
+            let names = line.keys().filter(|name| *name != "message");
+            let names: Vec<&str> = names.map(String::as_str).collect();
+            fields.insert(message.to_owned(), names.join(" "));
+        }
+    }
+    assert_eq!(fields.len(), SHOWN.len(), "{:?}", fields.keys());
+    let shown: Vec<String> = fields
+        .iter()
+        .map(|(message, names)| format!("{message}: {names}"))
+        .collect();
+    insta::assert_snapshot!(shown.join("\n"));
+}
+
+#[test]
+fn a_flood_of_lines_is_cut_and_counted() {
+    let kept = KeptLines::default();
+    let (lines, subscriber) = LogLines::new(kept.clone(), EnvFilter::new("info"));
+    tracing::subscriber::with_default(subscriber, || {
+        for number in 0..20_000 {
+            tracing::info!(number, "flood");
+        }
+        tracing::info!("something else");
+    });
+    let left_out: u64 = lines.take_left_out().iter().map(|(_, count)| count).sum();
+    drop(lines);
+    let text = kept.text();
+    let written = text.lines().filter(|line| line.contains("flood")).count() as u64;
+    assert!(left_out > 0);
+    assert_eq!(written + left_out, 20_000);
+    assert!(text.contains("something else"));
+}
+
+#[test]
+fn a_reader_that_stands_still_stops_nothing() {
+    let (release, stuck) = StuckOutput::new();
+    let (lines, subscriber) = LogLines::new(stuck, EnvFilter::new("info"));
+    tracing::subscriber::with_default(subscriber, || {
+        // Each place in the code has a budget of its own.
+        macro_rules! flood {
+            ($($name:literal)*) => { $(for _ in 0..400 { tracing::info!($name); })* };
+        }
+        flood!("a0" "a1" "a2" "a3" "a4" "a5" "a6" "a7" "b0" "b1" "b2" "b3" "b4" "b5" "b6" "b7" "c0" "c1" "c2" "c3" "c4" "c5" "c6" "c7" "d0" "d1" "d2" "d3" "d4" "d5" "d6" "d7" "e0" "e1" "e2" "e3" "e4" "e5" "e6" "e7" "f0" "f1" "f2" "f3" "f4" "f5" "f6" "f7");
+    });
+    assert!(lines.lost() > 0, "more lines than the queue holds");
+    drop(release);
+}
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -90,6 +90,7 @@
     pub note: Option<PresenceNote>,
     registration: Option<NodeRegistration>,
     heard_at: MonoTime,
+    is_silent: bool,
     last_numbers: [u64; 2],
 }
 
@@ -128,6 +129,7 @@
             note: None,
             registration: None,
             heard_at: now,
+            is_silent: false,
             last_numbers: [0; 2],
         };
         match self.nodes.get(&vm) {
@@ -177,10 +179,23 @@
         node.note.replace(note).is_none()
     }
 
-    /// Forgets nodes that were silent for long.
-    pub fn tick(&mut self, now: MonoTime) {
+    /// Forgets nodes that were silent for long; returns which nodes that carry traffic or follow the
+    /// store have newly fallen silent. Others need not be heard everywhere.
+    pub fn tick(&mut self, now: MonoTime) -> Vec<VmId> {
         let gone = Duration::from_millis(GONE_MS);
         self.nodes.retain(|_, node| now.since(node.heard_at) < gone);
+        let silent = Duration::from_millis(SILENT_MS);
+        let mut newly_silent = Vec::new();
+        for (vm, node) in &mut self.nodes {
+            let is_silent = now.since(node.heard_at) >= silent;
+            let note = node.note.as_ref();
+            let counts = note.is_some_and(|note| note.carrying || note.linked);
+            if is_silent && !node.is_silent && counts {
+                newly_silent.push(vm.clone());
+            }
+            node.is_silent = is_silent;
+        }
+        newly_silent
     }
 
     /// Returns all nodes that were heard of lately, or registered lately.
--- a/lib/src/fleet_rate.rs
+++ b/lib/src/fleet_rate.rs
@@ -85,8 +85,21 @@
 pub enum RateAnswer {
     /// The request is within the limit.
     Admit,
-    /// The request is over the limit; there is room again after the period.
-    Refuse(Duration),
+    /// The request is over the limit.
+    Refuse(RateShortage),
+}
+
+/// Why a customer's request is over its limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateShortage {
+    /// The time after which there is room again.
+    pub wait: Duration,
+    /// The requests that are left for the fleet, as this node reckons; negative if too many came.
+    pub level: f64,
+    /// This node's part of what callers ask of the fleet.
+    pub share: f64,
+    /// The nodes that are reckoned with although they were not heard yet.
+    pub unheard: usize,
 }
 
 #[derive(Debug)]
@@ -213,7 +226,12 @@
         let share = self.own_share(now, peers);
         let own_rate = (self.limit.rate_per_s * share).max(0.1);
         let wait = (1.0 - self.own_part) / own_rate;
-        RateAnswer::Refuse(Duration::from_secs_f64(wait.clamp(0.01, 5.0)))
+        RateAnswer::Refuse(RateShortage {
+            wait: Duration::from_secs_f64(wait.clamp(0.01, 5.0)),
+            level: self.level,
+            share,
+            unheard: peers.unheard,
+        })
     }
 
     fn note_admitted(&mut self) {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod key;
 pub mod key_table;
 mod lender_board;
+pub mod line_budget;
 pub mod loan;
 mod member_entry;
 pub mod membership;
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::config::{Idempotence, RouteAccess};
 use crate::ids::{CustomerId, RouteId, ServiceId};
@@ -116,6 +116,22 @@
     pub customers: Option<Vec<CustomerRule>>,
 }
 
+impl RoutingDocument {
+    /// Returns the digests of all keys that work.
+    pub fn keys(&self) -> impl Iterator<Item = &KeyDigest> {
+        self.customers
+            .iter()
+            .flatten()
+            .flat_map(|customer| &customer.keys)
+    }
+
+    /// Returns how many keys of an earlier document do not work any more.
+    pub fn keys_gone_since(&self, earlier: &Self) -> usize {
+        let now: IndexSet<&KeyDigest> = self.keys().collect();
+        earlier.keys().filter(|key| !now.contains(key)).count()
+    }
+}
+
 /// A routing document indexed for the lookups of the request path.
 #[derive(Debug, Default)]
 pub struct RoutingTable {
--- a/lib/src/target_board.rs
+++ b/lib/src/target_board.rs
@@ -62,6 +62,8 @@
 const MAX_USUAL_FAILURES: f64 = 0.25;
 /// A target that is likelier to fail than this does not count in the usual failures.
 const SUSPECT_PROBABILITY: f64 = 0.5;
+/// A good answer is news at once if the target was so much likelier to fail than usual.
+const NEWS_FACTOR: f64 = 1.5;
 /// A failure within this part of the usual running time came before any work.
 const AT_ONCE_PART: f64 = 0.1;
 /// The running time that is assumed before answers came, in milliseconds.
@@ -87,6 +89,32 @@
     pub expected_wait: Duration,
     /// The probability that the target is failing.
     pub failing: f64,
+    /// The requests that run there, as far as is known.
+    pub load: f64,
+    /// How many targets there were to choose from.
+    pub of: usize,
+}
+
+/// A change of what a node believes of a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BeliefChange {
+    /// The target is likelier to fail than not: requests go elsewhere while there is room.
+    Suspected,
+    /// The target is trusted again.
+    Trusted,
+}
+
+/// What a sign of a target has changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SignOutcome {
+    /// The probability before that the target was failing.
+    pub before: f64,
+    /// The probability after.
+    pub after: f64,
+    /// Whether the belief changed sides.
+    pub change: Option<BeliefChange>,
+    /// Whether others should hear of the sign.
+    pub is_news: bool,
 }
 
 /// What a request stands to lose and to show.
@@ -133,9 +161,29 @@
     full_until: MonoTime,
     path_avoided_until: MonoTime,
     used_at: MonoTime,
+    is_suspected: bool,
 }
 
 impl BoardTarget {
+    fn take_sign(&mut self, now: MonoTime, sign: TargetSign, usual: f64) -> SignOutcome {
+        let before = self.filter.probability(now);
+        self.filter.observe(now, sign, usual);
+        let after = self.filter.probability(now);
+        let change = match (self.is_suspected, after >= SUSPECT_PROBABILITY) {
+            (false, true) => Some(BeliefChange::Suspected),
+            (true, false) => Some(BeliefChange::Trusted),
+            _ => None,
+        };
+        self.is_suspected = after >= SUSPECT_PROBABILITY;
+        let usual_belief = FailureFilter::new(now).probability(now);
+        SignOutcome {
+            before,
+            after,
+            change,
+            is_news: sign != TargetSign::Good || before > usual_belief * NEWS_FACTOR,
+        }
+    }
+
     fn load(&self, now: MonoTime) -> f64 {
         let fresh = Duration::from_millis(PEER_COUNT_MS);
         let peers: u32 = self
@@ -204,6 +252,7 @@
             full_until: MonoTime::ZERO,
             path_avoided_until: MonoTime::ZERO,
             used_at: now,
+            is_suspected: false,
         };
         self.codes.insert(TargetCode::from(&id), id.clone());
         self.targets.insert(id, target);
@@ -276,6 +325,8 @@
                     target: id.clone(),
                     expected_wait: wait,
                     failing: target.filter.probability(now),
+                    load: target.load(now),
+                    of: count,
                 };
                 best = Some((cost, choice));
             }
@@ -345,28 +396,34 @@
         (now.since(entry.started), entry.counted_late)
     }
 
-    /// Takes in what an attempt showed of a target; returns whether others should hear of it.
-    pub fn observe(&mut self, now: MonoTime, id: &TargetId, sign: TargetSign) -> bool {
-        let usual = self.usual_failures;
-        let Some(target) = self.targets.get_mut(id) else {
-            return false;
-        };
-        let before = target.filter.probability(now);
-        target.filter.observe(now, sign, usual);
-        if before < SUSPECT_PROBABILITY {
+    /// Takes in what an attempt showed of a target; none if it gets no work.
+    pub fn observe(
+        &mut self,
+        now: MonoTime,
+        id: &TargetId,
+        sign: TargetSign,
+    ) -> Option<SignOutcome> {
+        let outcome = self.observe_peer(now, id, sign)?;
+        // A late answer may still be a good one.
+        if outcome.before < SUSPECT_PROBABILITY && sign != TargetSign::Late {
+            let usual = self.usual_failures;
             let failed = f64::from(u8::from(sign != TargetSign::Good));
             let average = usual + (failed - usual) * AVERAGE_WEIGHT;
             self.usual_failures = average.clamp(MIN_USUAL_FAILURES, MAX_USUAL_FAILURES);
         }
-        sign != TargetSign::Good || before > FailureFilter::new(now).probability(now) * 1.5
+        Some(outcome)
     }
 
-    /// Takes in what a peer saw of a target.
-    pub fn observe_peer(&mut self, now: MonoTime, id: &TargetId, sign: TargetSign) {
+    /// Takes in what a peer saw of a target; none if it gets no work.
+    pub fn observe_peer(
+        &mut self,
+        now: MonoTime,
+        id: &TargetId,
+        sign: TargetSign,
+    ) -> Option<SignOutcome> {
         let usual = self.usual_failures;
-        if let Some(target) = self.targets.get_mut(id) {
-            target.filter.observe(now, sign, usual);
-        }
+        let target = self.targets.get_mut(id)?;
+        Some(target.take_sign(now, sign, usual))
     }
 
     /// Takes in how long a good answer took.
@@ -424,7 +481,7 @@
         let usual = self.usual_failures;
         for code in goods {
             if let Some(target) = self.by_code(*code) {
-                target.filter.observe(now, TargetSign::Good, usual);
+                target.take_sign(now, TargetSign::Good, usual);
             }
         }
     }
@@ -437,16 +494,14 @@
             .map(|(id, target)| (id, u32::try_from(target.running.len()).unwrap_or(u32::MAX)))
     }
 
-    /// Counts answers that became late; returns their targets.
+    /// Finds answers that became late, each once; returns their targets.
     pub fn count_late(&mut self, now: MonoTime) -> Vec<TargetId> {
         let late_after = self.late_after();
-        let usual = self.usual_failures;
         let mut late = Vec::new();
         for (id, target) in &mut self.targets {
             for running in &mut target.running {
                 if !running.counted_late && now.since(running.started) >= late_after {
                     running.counted_late = true;
-                    target.filter.observe(now, TargetSign::Late, usual);
                     late.push(id.clone());
                 }
             }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -32,6 +32,7 @@
 mod test_fleet_rates;
 mod test_freshness;
 mod test_keys;
+mod test_line_budget;
 mod test_loans;
 mod test_membership;
 mod test_picker;
