soak: real entry processes under random faults from outside

Change: damaskloom-soak starts entry processes on loopback addresses, each with a proxy before the store and one before each target, and plays a seeded series of faults: processes killed, stopped as planned, paused and told to reload; paths delayed, reset, cut one way and silenced; targets gray, slow, mute, cutting or doubling answers and replaced; the store refusing, hanging, slow, losing answers and its history; limits and keys changed. Callers and targets keep a ledger, from which the promises are checked. Ruled out: fakes of the entry process in one address space: signals would not mean anything.

--- /dev/null
+++ b/testutils/src/bin/damaskloom-soak.rs
@@ -0,0 +1,129 @@
+//! Runs real entry processes under random faults and checks what callers and targets see.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use damaskloom_testutils::soak_plan::SoakSize;
+use damaskloom_testutils::soak_run::{SoakError, run_soak};
+
+const HELP: &str = "\
+Runs entry processes on loopback under random faults and checks the promises to callers and targets.
+
+Usage: damaskloom-soak [--program FILE] [--seeds FIRST..END] [--seconds N] [--nodes N]
+                       [--targets N] [--callers N] [--logs FOLDER]
+
+Options:
+  --program FILE      the entry program; else damaskloom-entry beside this one
+  --seeds FIRST..END  the seeds to run, one after the other; 1..2 if left out
+  --seconds N         how long faults come; 10 if left out
+  --nodes N           the entry processes; 6 if left out
+  --targets N         the targets; 9 if left out
+  --callers N         the callers that send at the same time; 24 if left out
+  --logs FOLDER       where logs of broken seeds are kept; target/soak if left out
+  --help              print this help
+  --version           print the version
+
+Exit codes: 0 all promises held, 1 a promise was broken, 2 wrong command line or nothing could run.
+";
+
+struct SoakArguments {
+    program: PathBuf,
+    seeds: std::ops::Range<u64>,
+    size: SoakSize,
+    logs: PathBuf,
+}
+
+fn parse() -> Result<Option<SoakArguments>, String> {
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains("--help") {
+        print!("{HELP}");
+        return Ok(None);
+    }
+    if arguments.contains("--version") {
+        println!("damaskloom-soak {}", env!("CARGO_PKG_VERSION"));
+        return Ok(None);
+    }
+    let wrong = |error: pico_args::Error| error.to_string();
+    let mut number = |name: &'static str, usual: u64| {
+        let given = arguments.opt_value_from_str(name).map_err(wrong)?;
+        Ok::<u64, String>(given.unwrap_or(usual))
+    };
+    let size = SoakSize {
+        nodes: number("--nodes", 6)? as usize,
+        targets: number("--targets", 9)? as usize,
+        callers: number("--callers", 24)? as usize,
+        length_ms: number("--seconds", 10)? * 1_000,
+    };
+    let seeds: Option<String> = arguments.opt_value_from_str("--seeds").map_err(wrong)?;
+    let seeds = seeds.unwrap_or_else(|| "1..2".to_owned());
+    let range = seeds.split_once("..");
+    let range = range.and_then(|(first, end)| Some(first.parse().ok()?..end.parse().ok()?));
+    let own = std::env::current_exe().map_err(|error| error.to_string())?;
+    let program = arguments.opt_value_from_str("--program").map_err(wrong)?;
+    let logs = arguments.opt_value_from_str("--logs").map_err(wrong)?;
+    if let Some(argument) = arguments.finish().first() {
+        return Err(format!("unknown argument {argument:?}"));
+    }
+    if size.nodes == 0 || size.nodes > 250 || size.targets < 3 {
+        return Err("--nodes takes 1 to 250, --targets at least 3".to_owned());
+    }
+    Ok(Some(SoakArguments {
+        program: program.unwrap_or_else(|| own.with_file_name("damaskloom-entry")),
+        seeds: range.ok_or(format!("--seeds takes FIRST..END, not {seeds:?}"))?,
+        size,
+        logs: logs.unwrap_or_else(|| PathBuf::from("target/soak")),
+    }))
+}
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt()
+        .with_env_filter(tracing_subscriber::EnvFilter::from_default_env())
+        .with_writer(std::io::stderr)
+        .init();
+    let arguments = match parse() {
+        Ok(Some(arguments)) => arguments,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("damaskloom-soak: {error}; see --help");
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime can be made");
+    match runtime.block_on(run(&arguments)) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("damaskloom-soak: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Runs all seeds and returns how many broke a promise.
+async fn run(arguments: &SoakArguments) -> Result<usize, SoakError> {
+    let mut broken = 0;
+    for seed in arguments.seeds.clone() {
+        let folder = arguments.logs.join(format!("seed-{seed}"));
+        let report = run_soak(&arguments.program, &folder, seed, arguments.size).await?;
+        let (sent, served, run) = report.counts;
+        println!(
+            "seed {seed}: {} faults, {sent} sent, {served} served, {run} run, {} broken",
+            report.plan.len(),
+            report.breaches.len()
+        );
+        if report.breaches.is_empty() {
+            // Only logs of broken seeds are worth their space.
+            let _ = std::fs::remove_dir_all(&folder);
+            continue;
+        }
+        broken += 1;
+        for fault in &report.plan {
+            println!("  {fault:?}");
+        }
+        for breach in report.breaches.iter().take(10) {
+            println!("  BROKEN: {}: {}", breach.promise, breach.seen);
+        }
+        println!("  logs in {}", folder.display());
+    }
+    Ok(broken)
+}
--- /dev/null
+++ b/testutils/src/soak_target.rs
@@ -0,0 +1,238 @@
+//! Targets of a soak: they speak the users' platform's protocol and tell the ledger what they run.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::HeaderMap;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::soak_ledger::{RunRecord, SoakLedger};
+use crate::soak_plan::TargetFault;
+
+/// The usual running time, in milliseconds.
+const RUNNING_MS: u64 = 15;
+/// The part of requests that a gray target fails, as one in so many that it does not.
+const GRAY_GOOD_ONE_IN: u64 = 5;
+/// The largest head that is read, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
+/// Returns the body that a caller sends with a request id.
+pub fn request_body(id: &str) -> Bytes {
+    format!("please run {id}").into()
+}
+
+/// Returns the body of the answer to a request id.
+pub fn answer_body(id: &str) -> Bytes {
+    format!("answer to {id}: ").repeat(40).into()
+}
+
+/// A running target; dropping it closes its connections.
+#[derive(Debug)]
+pub struct SoakTarget {
+    /// The target's name.
+    pub id: String,
+    /// The target's service.
+    pub service: &'static str,
+    address: SocketAddr,
+    fault: watch::Sender<TargetFault>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for SoakTarget {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Clone, Debug)]
+struct TargetContext {
+    id: String,
+    service: &'static str,
+    ledger: Arc<SoakLedger>,
+    fault: watch::Receiver<TargetFault>,
+}
+
+impl SoakTarget {
+    /// Starts a target on a free port of loopback.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be listened on.
+    pub async fn start(
+        id: String,
+        service: &'static str,
+        ledger: Arc<SoakLedger>,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let (fault, faults) = watch::channel(TargetFault::None);
+        let context = TargetContext {
+            id: id.clone(),
+            service,
+            ledger,
+            fault: faults,
+        };
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let context = context.clone();
+                tokio::spawn(async move {
+                    // A node that hangs up ends the connection.
+                    let _ = serve(stream, context).await;
+                });
+            }
+        });
+        Ok(Self {
+            id,
+            service,
+            address,
+            fault,
+            task,
+        })
+    }
+
+    /// Returns where the target listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how the target answers.
+    pub fn set_fault(&self, fault: TargetFault) {
+        self.fault.send_replace(fault);
+    }
+
+    /// Returns the row that the target keeps in the store; nodes reach it at `address`.
+    pub fn row(&self, address: SocketAddr, state: &str) -> String {
+        json!({
+            "service": self.service, "address": address.to_string(), "zone": "near",
+            "version": "v1", "concurrency": 4, "state": state, "warmup_left_s": 0,
+            "sequence": 1, "born": 1
+        })
+        .to_string()
+    }
+}
+
+/// A request as it was read.
+struct ReadRequest {
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+async fn serve(mut stream: TcpStream, context: TargetContext) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut buffer = Vec::new();
+    while let Some(request) = read_request(&mut stream, &mut buffer).await? {
+        let header = |name: &str| {
+            let value = request.headers.get(name)?;
+            value.to_str().ok().map(str::to_owned)
+        };
+        let Some(id) = header("request-id") else {
+            stream
+                .write_all(&head(400, "-", "not-executed: 1\r\n", 0))
+                .await?;
+            continue;
+        };
+        if header("expect-instance").is_some_and(|expected| expected != context.id) {
+            stream.write_all(&head(421, &id, "", 0)).await?;
+            continue;
+        }
+        context.ledger.note_run(RunRecord {
+            id: id.clone(),
+            at: Instant::now(),
+            target: context.id.clone(),
+            service: context.service,
+            customer: header("tenant-name"),
+            has_key: request.headers.contains_key("authorization"),
+            path: request.path,
+            is_own_body: request.body.is_empty() || request.body == request_body(&id),
+        });
+        let fault = *context.fault.borrow();
+        let factor = if fault == TargetFault::Slow { 10 } else { 1 };
+        tokio::time::sleep(Duration::from_millis(RUNNING_MS * factor)).await;
+        answer(&mut stream, &id, fault).await?;
+    }
+    Ok(())
+}
+
+async fn answer(stream: &mut TcpStream, id: &str, fault: TargetFault) -> std::io::Result<()> {
+    let body = answer_body(id);
+    let mut whole = head(200, id, "server-seal: seal\r\n", body.len());
+    whole.extend(&body);
+    match fault {
+        TargetFault::Gray if !digit_sum(id).is_multiple_of(GRAY_GOOD_ONE_IN) => {
+            stream
+                .write_all(&head(500, id, "server-seal: seal\r\n", 0))
+                .await
+        }
+        TargetFault::Mute => std::future::pending().await,
+        TargetFault::CutsAnswers => {
+            stream.write_all(&whole[..whole.len() / 2]).await?;
+            Err(std::io::ErrorKind::ConnectionAborted.into())
+        }
+        TargetFault::ExtraAnswers => {
+            whole.extend_from_within(..);
+            stream.write_all(&whole).await
+        }
+        TargetFault::None | TargetFault::Gray | TargetFault::Slow => stream.write_all(&whole).await,
+    }
+}
+
+fn digit_sum(id: &str) -> u64 {
+    id.bytes().map(u64::from).sum()
+}
+
+fn head(status: u16, id: &str, more: &str, length: usize) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 {status} X\r\nrequest-id: {id}\r\n{more}server-load: 1,0,4\r\n\
+         content-length: {length}\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+async fn read_request(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> std::io::Result<Option<ReadRequest>> {
+    let end = loop {
+        let found = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+        if let Some(index) = found {
+            break index + 4;
+        }
+        if buffer.len() > MAX_HEAD_BYTES || stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+    let mut lines = head.split("\r\n");
+    let path = lines.next().and_then(|line| line.split(' ').nth(1));
+    let path = path.unwrap_or_default().to_owned();
+    let mut headers = HeaderMap::new();
+    for (name, value) in lines.filter_map(|line| line.split_once(':')) {
+        let name = http::HeaderName::from_bytes(name.as_bytes());
+        let value = http::HeaderValue::from_str(value.trim());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    let length = headers.get("content-length");
+    let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
+    let length: usize = length.unwrap_or(0);
+    while buffer.len() < end + length {
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    }
+    let body = Bytes::copy_from_slice(&buffer[end..end + length]);
+    buffer.drain(..end + length);
+    Ok(Some(ReadRequest {
+        path,
+        headers,
+        body,
+    }))
+}
