--- a/testutils/tests/runner.rs
+++ b/testutils/tests/runner.rs
@@ -1,4 +1,5 @@
 //! All tests of the crate, one module a subject.
 
 mod test_ledger;
+mod test_soak;
 mod test_stand_ins;
