soak: looks at processes also while it waits for the fleet to serve again

Its log ends with a planned stop: the node was told to stop, stood still meanwhile, and ended after the last fault, when the soak no longer looked at ends and did not start it again. A fault of the soak, not of the node.

--- a/testutils/src/soak_run.rs
+++ b/testutils/src/soak_run.rs
@@ -129,7 +129,7 @@
     let faults = plan(seed, size);
     let mut soak = Soak::start(program, folder, seed, size).await?;
     soak.wait_until_serving("the fleet serves after its start")
-        .await;
+        .await?;
     let callers = Arc::new(CallerPlan {
         directories: soak.nodes.iter().map(SoakNode::directory_address).collect(),
         nodes: soak.nodes.iter().map(SoakNode::caller_address).collect(),
@@ -143,7 +143,7 @@
     soak.play(&faults).await?;
     soak.heal().await?;
     soak.wait_until_serving("the fleet serves again once all faults are over")
-        .await;
+        .await?;
     callers.stopped.store(true, Ordering::Relaxed);
     for task in tasks {
         task.await.expect("callers do not panic");
@@ -418,12 +418,15 @@
     }
 
     /// Waits until every node serves and the directory names nodes; a withdrawn key works no more.
-    async fn wait_until_serving(&mut self, what: &'static str) {
+    async fn wait_until_serving(&mut self, what: &'static str) -> Result<(), ProcessError> {
         let end = Instant::now() + RECOVERY_LIMIT;
         let mut late = None;
-        for (index, node) in self.nodes.iter().enumerate() {
+        for index in 0..self.nodes.len() {
             let mut seen = None;
             while seen.is_none() {
+                // A node that was told to stop before the last fault was over ends only now.
+                self.look_at_processes()?;
+                let node = &self.nodes[index];
                 let ask = |key| request(&format!("/read/{PROBE_ID}"), PROBE_ID, key, false);
                 let node_address = node.caller_address();
                 let limit = Duration::from_secs(3);
@@ -453,6 +456,7 @@
                 seen,
             });
         }
+        Ok(())
     }
 
     /// Tells all nodes to stop and waits for their ends.
