entry: a planned stop waits for the connections that it has accepted

The stop looked at the requests in flight, found none, and waited another 20 ms for the last answers to leave, in which a request came on a connection that was accepted just before. Ruled out: the target (it saw its connection cut), the grace (3.6 s were left). Change: the stop waits until no caller is connected. Connections that wait to be accepted are accepted first; one without a request yet is kept for its first request, whose answer closes it; idle ones end at once.

--- a/entry/src/caller_listener.rs
+++ b/entry/src/caller_listener.rs
@@ -1,5 +1,6 @@
 //! The listeners of a node: callers' requests, readiness, the directory and metrics.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
@@ -10,6 +11,7 @@
 use damaskloom_platform::entry_calls::{
     DIRECTORY_PATH, READY_PATH, asked_data_centre, directory_answer,
 };
+use futures::FutureExt;
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -36,28 +38,51 @@
 pub async fn run_callers(
     state: Rc<EntryState>,
     listener: TcpListener,
-    mut stopped: watch::Receiver<bool>,
+    stopped: watch::Receiver<bool>,
 ) {
+    let serve = |stream| {
+        let connection = CallerConnection::new(&state);
+        tokio::task::spawn_local(serve_caller(connection, stream, stopped.clone()));
+    };
+    let mut stopping = stopped.clone();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stopped| *stopped) => return,
+            _ = stopping.wait_for(|stopped| *stopped) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let state = Rc::clone(&state);
-                tokio::task::spawn_local(serve_caller(state, stream, stopped.clone()));
-            }
+            Ok((stream, _)) => serve(stream),
             Err(error) => {
                 tracing::warn!(%error, "caller not accepted");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    // Callers whose connections stand already may have sent their requests.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        serve(stream);
+    }
+}
+
+/// Counts a caller's connection until it is dropped: a planned stop waits for all of them.
+#[derive(Debug)]
+struct CallerConnection(Rc<EntryState>);
+
+impl CallerConnection {
+    fn new(state: &Rc<EntryState>) -> Self {
+        state.connections.set(state.connections.get() + 1);
+        Self(Rc::clone(state))
+    }
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
 }
 
 async fn serve_caller(
-    state: Rc<EntryState>,
+    counted: CallerConnection,
     stream: TcpStream,
     mut stopped: watch::Receiver<bool>,
 ) {
@@ -65,13 +90,16 @@
         tracing::debug!(%error, "caller left before it was served");
         return;
     }
+    let state = &counted.0;
     let idle = state
         .routing
         .borrow()
         .as_ref()
         .map_or(HELPER_IDLE, |table| table.document().limits.idle_timeout);
+    let has_served = Cell::new(false);
     let service = service_fn(|request| {
-        let state = Rc::clone(&state);
+        has_served.set(true);
+        let state = Rc::clone(state);
         async move {
             let mut response = serve(Rc::clone(&state), request).await;
             if state.is_leaving() {
@@ -91,7 +119,10 @@
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         _ = stopped.wait_for(|stopped| *stopped) => {
-            connection.as_mut().graceful_shutdown();
+            // The answer to the first request of a new connection says that the connection ends.
+            if has_served.get() {
+                connection.as_mut().graceful_shutdown();
+            }
             connection.await
         }
     };
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -96,6 +96,8 @@
     pub meters: EntryMeters,
     /// The requests in flight.
     pub in_flight: Cell<usize>,
+    /// The open connections of callers.
+    pub connections: Cell<usize>,
     traffic: RefCell<TrafficMeter>,
     leaving: Cell<bool>,
 }
@@ -146,6 +148,7 @@
             joined_at: Cell::new(None),
             meters: EntryMeters::new()?,
             in_flight: Cell::new(0),
+            connections: Cell::new(0),
             traffic: RefCell::default(),
             leaving: Cell::new(false),
         }))
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -24,7 +24,7 @@
 const LINGER_PART: f64 = 0.4;
 /// The time before the end of the grace at which the process ends, whatever still runs.
 const END_MARGIN: Duration = Duration::from_millis(300);
-/// The interval at which a stopping node looks whether requests are still in flight.
+/// The interval at which a stopping node looks whether callers are still connected.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
 
 /// Says why the process could not start.
@@ -141,13 +141,16 @@
     let linger = state.directory_lifetime().min(grace.mul_f64(LINGER_PART));
     tokio::time::sleep(linger).await;
     stop.send_replace(true);
-    while state.in_flight.get() > 0 && Instant::now() < end {
+    // Idle connections end at once; on one that was opened just now a request is still to come.
+    while state.connections.get() > 0 && Instant::now() < end {
         tokio::time::sleep(DRAIN_LOOK).await;
     }
     // The last answers leave the socket's buffers.
     tokio::time::sleep(DRAIN_LOOK).await;
     let took_ms = began.elapsed().as_millis() as u64;
-    tracing::info!(in_flight = state.in_flight.get(), took_ms, "stopped");
+    let in_flight = state.in_flight.get();
+    let connections = state.connections.get();
+    tracing::info!(in_flight, connections, took_ms, "stopped");
 }
 
 /// Takes over changed settings, after a signal or when the file has changed.
