metrics: series by route and target, ages, and one registry for both daemons

MeterRegistry holds the exporter for both daemons. Ruled out: sendings by target: a series for each of thousands of targets on every node.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use damaskloom_gateway::clock::MonoClock;
-use damaskloom_gateway::meters::MeterError;
+use damaskloom_gateway::meter_registry::MeterError;
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::crash_guard::{CrashGuard, CrashMessage};
 use damaskloom_lib::entry_members::{EntryMembers, EntryStanding, PresenceNote};
@@ -30,7 +30,7 @@
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::Notify;
 
-use crate::entry_meters::EntryMeters;
+use crate::entry_meters::{EntryMeters, KnownState};
 use crate::settings::EntrySettings;
 use crate::target_pool::TargetPools;
 use crate::wall_clock::unix_ms;
@@ -46,6 +46,10 @@
     pub started_at_ms: u64,
     /// The routing in force; none until the first one was read.
     pub routing: RefCell<Option<Rc<RoutingTable>>>,
+    /// When the routing in force was taken over.
+    pub routing_since: Cell<MonoTime>,
+    /// When this node's copy of the targets was known to be new.
+    pub targets_read_at: Cell<MonoTime>,
     /// The copy of the operators' table.
     pub routing_mirror: RefCell<TableMirror>,
     /// The copy of the targets' table.
@@ -123,6 +127,8 @@
             clock,
             started_at_ms: unix_ms(),
             routing: RefCell::default(),
+            routing_since: Cell::new(clock.now()),
+            targets_read_at: Cell::new(clock.now()),
             routing_mirror: RefCell::default(),
             target_mirror: RefCell::default(),
             targets_known: Cell::new(false),
@@ -270,6 +276,7 @@
         );
         let is_first = self.routing.borrow().is_none();
         *self.routing.borrow_mut() = Some(Rc::new(RoutingTable::from(document)));
+        self.routing_since.set(now);
         if is_first {
             // Other nodes can name this one to callers as soon as it serves.
             self.presence_due.notify_one();
@@ -278,6 +285,7 @@
 
     /// Notes that the targets' table is known.
     pub fn set_targets_known(&self) {
+        self.targets_read_at.set(self.clock.now());
         if !self.targets_known.replace(true) {
             let targets = self.catalog.borrow().len();
             tracing::info!(targets, "targets known");
@@ -432,13 +440,16 @@
     ///
     /// Fails if they cannot be encoded.
     pub fn encode_metrics(&self) -> Result<Vec<u8>, MeterError> {
+        let now = self.clock.now();
         let routing = self.routing.borrow();
-        let version = routing
-            .as_ref()
-            .map_or(0, |table| table.document().version.0);
-        let nodes = self.members.borrow().heard(self.clock.now()).count() + 1;
-        let targets = self.catalog.borrow().len();
-        self.meters.note_known(version, targets, nodes);
+        let version = routing.as_ref().map(|table| table.document().version.0);
+        self.meters.note_known(&KnownState {
+            routing_version: version.unwrap_or(0),
+            routing_age: now.since(self.routing_since.get()),
+            targets_age: now.since(self.targets_read_at.get()),
+            targets: self.catalog.borrow().len(),
+            nodes: self.members.borrow().heard(now).count() + 1,
+        });
         self.meters.encode()
     }
 }
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
-use damaskloom_gateway::meters::MeterError;
+use damaskloom_gateway::meter_registry::MeterError;
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -50,10 +50,7 @@
     in_flight.ended = true;
     let held = in_flight.arrival.elapsed();
     match result {
-        Ok(answer) => {
-            state.meters.answered(answer.status().as_u16(), held);
-            target_answer(answer)
-        }
+        Ok(answer) => target_answer(answer),
         Err(refusal) => {
             note_refusal(&state, &parts, refusal, held);
             refusal_answer(refusal)
@@ -141,6 +138,10 @@
         .borrow_mut()
         .record_request(state.clock.now(), &service);
     let result = delivery.deliver(body).await;
+    if let Ok(answer) = &result {
+        let (route, status) = (admitted.route.id.as_str(), answer.status().as_u16());
+        state.meters.answered(route, status, arrival.elapsed());
+    }
     if result.is_err() && !delivery.may_have_run {
         state.give_back_rate(admitted.customer.as_ref());
     }
@@ -393,7 +394,7 @@
                     state.observe(service, id, TargetSign::Good);
                 }
                 state.with_board(service, |board| board.note_running(taken));
-                state.meters.sent("answered");
+                state.meters.sent();
                 tracing::info!(
                     target: GOOD,
                     request = self.request,
@@ -409,7 +410,7 @@
                 error.label()
             }
         };
-        state.meters.sent(error);
+        state.meters.sending_failed(id.as_str(), error);
         if !matches!(&result.answer, Err(CallError::Stale)) {
             self.tried.push(id.clone());
         }
--- a/entry/tests/test_requests.rs
+++ b/entry/tests/test_requests.rs
@@ -164,3 +164,32 @@
     }
     runs.get() == before
 }
+
+#[tokio::test]
+async fn metrics_tell_routes_targets_and_ages_apart() {
+    let manners = [TargetManner::Good, TargetManner::Fails];
+    with_node(&manners, |_store, node, targets| async move {
+        wait_until("the failing target was tried", async || {
+            node.send("GET", "/read/1", Some("key-1")).await;
+            targets[1].runs.get() > 0
+        })
+        .await;
+        let metrics = node.metrics().await;
+        let line = |name: &str, label: &str| {
+            let mut lines = metrics.lines();
+            lines.any(|line| line.starts_with(name) && line.contains(label))
+        };
+        assert!(line("damaskloom_answers", "route=\"read\""), "{metrics}");
+        assert!(line("damaskloom_request_seconds", "route=\"read\""));
+        assert!(line("damaskloom_target_failures", "target=\"i-1\""));
+        assert!(!line("damaskloom_target_failures", "target=\"i-0\""));
+        for gauge in [
+            "damaskloom_routing_age_seconds",
+            "damaskloom_targets_age_seconds",
+        ] {
+            let age = node.metric(gauge).await.expect("the gauge is there");
+            assert!((0.0..3_600.0).contains(&age), "{gauge}: {age}");
+        }
+    })
+    .await;
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod health_board;
 pub mod hop_headers;
 pub mod key_removal;
+pub mod meter_registry;
 pub mod meters;
 pub mod peer_auth;
 pub mod peer_codec;
--- a/gateway/src/meters.rs
+++ b/gateway/src/meters.rs
@@ -4,34 +4,14 @@
 
 use damaskloom_lib::outcome::Refusal;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider, UpDownCounter};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
-use snafu::{ResultExt, Snafu};
+use opentelemetry::metrics::{Counter, Histogram, UpDownCounter};
 
-/// Says why the metrics could not be set up or read.
-#[derive(Debug, Snafu)]
-pub enum MeterError {
-    /// The exporter could not be made.
-    #[snafu(display("the metrics exporter could not be made: {detail}"))]
-    Exporter {
-        /// What the library said.
-        detail: String,
-    },
-    /// The metrics could not be written as text.
-    #[snafu(display("the metrics could not be encoded"))]
-    Encode {
-        /// What the library said.
-        source: prometheus::Error,
-    },
-}
+use crate::meter_registry::{MeterError, MeterRegistry};
 
 /// The counters of a gateway.
 #[derive(Debug)]
 pub struct GatewayMeters {
-    registry: Registry,
-    // Keeps the instruments connected to the registry.
-    _provider: SdkMeterProvider,
+    registry: MeterRegistry,
     requests: Counter<u64>,
     refusals: Counter<u64>,
     attempts: Counter<u64>,
@@ -46,15 +26,8 @@
     ///
     /// Fails if the exporter cannot be made.
     pub fn new() -> Result<Self, MeterError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|error| MeterError::Exporter {
-                detail: error.to_string(),
-            })?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("damaskloom");
+        let registry = MeterRegistry::new()?;
+        let meter = registry.meter();
         Ok(Self {
             registry,
             requests: meter.u64_counter("damaskloom_requests").build(),
@@ -64,7 +37,6 @@
             connections: meter
                 .i64_up_down_counter("damaskloom_caller_connections")
                 .build(),
-            _provider: provider,
         })
     }
 
@@ -112,11 +84,7 @@
     ///
     /// Fails if the library cannot encode them.
     pub fn encode(&self) -> Result<Vec<u8>, MeterError> {
-        let mut text = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .context(EncodeSnafu)?;
-        Ok(text)
+        self.registry.encode()
     }
 }
 
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -24,7 +24,7 @@
 use crate::control_plane::ControlPlane;
 use crate::fleet_registration::register;
 use crate::gateway::GatewayState;
-use crate::meters::MeterError;
+use crate::meter_registry::MeterError;
 use crate::peer_auth::SharedSecret;
 use crate::peer_link::{PeerError, PeerHandle, PeerInbox, PeerLink};
 use crate::peer_settings::PeerSettings;
