--- a/entry/src/log_lines.rs
+++ b/entry/src/log_lines.rs
@@ -22,8 +22,8 @@
 pub const GOOD: &str = "good";
 /// The lines a second of one kind about requests that went well: enough for a sample.
 const GOOD_LINES_PER_S: f64 = 2.0;
-/// The lines a second of any other kind: refusals, failures and changes of what is believed. Written
-/// by all twenty kinds at once they take some hundredths of a core.
+/// The lines a second of any other kind: refusals, failures and changes of what is believed. About the
+/// requests a second of a node, so that only floods are cut.
 const OTHER_LINES_PER_S: f64 = 25.0;
 /// The lines that wait for the writing thread: some seconds of all kinds.
 const QUEUED_LINES: usize = 4_096;
