--- a/lib/tests/test_fleet_rates.rs
+++ b/lib/tests/test_fleet_rates.rs
@@ -216,8 +216,7 @@
     });
 }
 
-#[test]
-fn keeps_the_limit_when_all_nodes_restart_under_load() {
+fn check_restarts(quiet_start: bool) {
     for down in [6_200, 7_000, 9_300] {
         check(|limit| FleetPlan {
             nodes: 16,
@@ -227,28 +226,21 @@
                 (60_000, 0.0),
             ],
             restart: Some((down, down + 600)),
+            quiet_start,
             length_ms: 16_000,
             ..FleetPlan::default()
         });
     }
 }
 
+#[test]
+fn keeps_the_limit_when_all_nodes_restart_under_load() {
+    check_restarts(false);
+}
+
 #[test]
 fn keeps_the_limit_when_restarted_nodes_are_quiet_until_they_are_asked() {
-    for down in [6_200, 7_000, 9_300] {
-        check(|limit| FleetPlan {
-            nodes: 16,
-            demand: [
-                (0, limit.rate_per_s * 0.6),
-                (5_000, limit.rate_per_s * 2.8),
-                (60_000, 0.0),
-            ],
-            restart: Some((down, down + 600)),
-            quiet_start: true,
-            length_ms: 16_000,
-            ..FleetPlan::default()
-        });
-    }
+    check_restarts(true);
 }
 
 #[test]
