entry: log the steps of a fetch, the first announcement of newer rows, and loop delays

Cause of the change: three hypotheses on late configurations (processor, link or peer, lost announcements) could not be told apart; a failed fetch said only "no answer in time".

Lines: `newer rows announced`, once until the node is current again; connect, head and total time and the step reached for each fetch; `event loop delayed` from 100 ms on. No decision is changed.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -5,6 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use damaskloom_gateway::clock::MonoClock;
 use damaskloom_gateway::meter_registry::MeterError;
@@ -89,6 +90,11 @@
     pub heartbeat_due: Notify,
     /// Wakes the tasks that follow the store when this node's role changes.
     pub role_changed: Notify,
+    /// When this node learnt of rows that it does not have yet; none if it knows of none.
+    pub newer_rows_since: Cell<Option<MonoTime>>,
+    /// How late the last periodic check of running attempts was: the time that a ready task waits
+    /// for the process to run it.
+    pub loop_delay: Cell<Duration>,
     /// Wakes the task that fetches rows from peers: a peer has newer ones.
     pub newer_rows_known: Notify,
     /// Whether the store answers this node's reads of the targets' table.
@@ -148,6 +154,8 @@
             pending_successes: RefCell::default(),
             counts_due: Notify::new(),
             heartbeat_due: Notify::new(),
+            newer_rows_since: Cell::new(None),
+            loop_delay: Cell::new(Duration::ZERO),
             newer_rows_known: Notify::new(),
             role_changed: Notify::new(),
             store_reachable: Cell::new(false),
@@ -450,6 +458,15 @@
         let newer = heartbeat.routing_version > self.routing_mirror.borrow().newest_row_version()
             || heartbeat.targets_version > self.target_mirror.borrow().newest_row_version();
         if newer {
+            if self.newer_rows_since.get().is_none() {
+                self.newer_rows_since.set(Some(self.clock.now()));
+                tracing::info!(
+                    from = %vm,
+                    routing = heartbeat.routing_version,
+                    targets = heartbeat.targets_version,
+                    "newer rows announced"
+                );
+            }
             self.newer_rows_known.notify_one();
         }
         if self.members.borrow_mut().record_heartbeat(vm, heartbeat) {
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -3,9 +3,10 @@
 //! A node that does not read the store learns from heartbeats that a peer has newer rows, and
 //! fetches them over HTTP. Both sides prove that they know the fleet's secret.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use damaskloom_gateway::peer_auth::SharedSecret;
@@ -58,6 +59,57 @@
     }
 }
 
+/// The steps of a fetch, for log lines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FetchStep {
+    Connect,
+    AwaitHead,
+    ReadBody,
+}
+
+/// The progress of a fetch: the step that is under way, and how long each step before it took.
+#[derive(Debug)]
+struct FetchProgress {
+    started_at: Instant,
+    step: Cell<FetchStep>,
+    connect: Cell<Option<Duration>>,
+    head: Cell<Option<Duration>>,
+}
+
+impl FetchProgress {
+    fn start() -> Self {
+        Self {
+            started_at: Instant::now(),
+            step: Cell::new(FetchStep::Connect),
+            connect: Cell::default(),
+            head: Cell::default(),
+        }
+    }
+
+    fn set_connected(&self) {
+        self.connect.set(Some(self.started_at.elapsed()));
+        self.step.set(FetchStep::AwaitHead);
+    }
+
+    fn set_head_received(&self) {
+        self.head.set(Some(self.started_at.elapsed()));
+        self.step.set(FetchStep::ReadBody);
+    }
+
+    fn connect_ms(&self) -> Option<u64> {
+        self.connect.get().map(|period| period.as_millis() as u64)
+    }
+
+    /// The time from the start of the fetch to the head of the answer.
+    fn head_ms(&self) -> Option<u64> {
+        self.head.get().map(|period| period.as_millis() as u64)
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        self.started_at.elapsed().as_millis() as u64
+    }
+}
+
 /// The rows of a peer that are newer than the requested version.
 #[derive(Debug, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -169,6 +221,12 @@
             fetch_newer(&state, TableKind::Routing),
             fetch_newer(&state, TableKind::Targets)
         );
+        let is_current = [TableKind::Routing, TableKind::Targets]
+            .into_iter()
+            .all(|kind| select_newer_peer(&state, kind).is_none());
+        if is_current {
+            state.newer_rows_since.set(None);
+        }
     }
 }
 
@@ -177,13 +235,25 @@
         let Some(peer) = select_newer_peer(state, kind) else {
             return;
         };
-        match fetch(state, kind, peer).await {
+        let progress = FetchProgress::start();
+        match fetch(state, kind, peer, &progress).await {
             // Nothing changed: this node already has the peer's newest rows from a newer read of
             // the table.
             Ok(0) => return,
             Ok(_) => state.heartbeat_due.notify_one(),
             Err(error) => {
-                tracing::warn!(%peer, %error, "failed to fetch rows from peer");
+                tracing::warn!(
+                    %peer,
+                    what = kind.path(),
+                    %error,
+                    step = ?progress.step.get(),
+                    connect_ms = progress.connect_ms(),
+                    head_ms = progress.head_ms(),
+                    taken_ms = progress.elapsed_ms(),
+                    in_flight = state.in_flight.get(),
+                    loop_delay_ms = state.loop_delay.get().as_millis() as u64,
+                    "failed to fetch rows from peer"
+                );
                 let fraction = rand::rng().random_range(0.2..1.0);
                 tokio::time::sleep(MAX_FETCH_BACKOFF.mul_f64(fraction)).await;
             }
@@ -217,7 +287,12 @@
     Some(SocketAddr::new(*ip, settings.peer_port))
 }
 
-async fn fetch(state: &EntryState, kind: TableKind, peer: SocketAddr) -> Result<usize, FetchError> {
+async fn fetch(
+    state: &EntryState,
+    kind: TableKind,
+    peer: SocketAddr,
+    progress: &FetchProgress,
+) -> Result<usize, FetchError> {
     let mirror = match kind {
         TableKind::Routing => &state.routing_mirror,
         TableKind::Targets => &state.target_mirror,
@@ -228,10 +303,26 @@
     };
     let after = mirror.borrow().version();
     let request_target = format!("{}?{after}", kind.path());
-    let answer = tokio::time::timeout(FETCH_TIMEOUT, request_rows(&secret, peer, &request_target));
+    let answer = tokio::time::timeout(
+        FETCH_TIMEOUT,
+        request_rows(&secret, peer, &request_target, progress),
+    );
     let answer = answer.await.context(TimedOutSnafu)??;
     let changed_rows = mirror.borrow_mut().apply(answer.rows, answer.version);
-    tracing::info!(%peer, what = kind.path(), rows = changed_rows.len(), "rows fetched from peer");
+    tracing::info!(
+        %peer,
+        what = kind.path(),
+        rows = changed_rows.len(),
+        connect_ms = progress.connect_ms(),
+        head_ms = progress.head_ms(),
+        taken_ms = progress.elapsed_ms(),
+        known_ms = state.newer_rows_since.get().map(|since| {
+            state.clock.now().since(since).as_millis() as u64
+        }),
+        in_flight = state.in_flight.get(),
+        loop_delay_ms = state.loop_delay.get().as_millis() as u64,
+        "rows fetched from peer"
+    );
     match kind {
         TableKind::Routing => state.apply_routing_rows(&changed_rows),
         TableKind::Targets => {
@@ -251,8 +342,10 @@
     secret: &SharedSecret,
     peer: SocketAddr,
     request_target: &str,
+    progress: &FetchProgress,
 ) -> Result<RowsAnswer, FetchError> {
     let stream = TcpStream::connect(peer).await.context(UnreachableSnafu)?;
+    progress.set_connected();
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.context(BrokenSnafu)?;
     let connection = tokio::task::spawn_local(connection);
@@ -264,6 +357,7 @@
         .body(Empty::<Bytes>::new())
         .expect("the parts of the request are valid");
     let response = sender.send_request(request).await.context(BrokenSnafu)?;
+    progress.set_head_received();
     let status = response.status();
     ensure!(status == StatusCode::OK, BadStatusSnafu { status });
     let (parts, body) = response.into_parts();
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -27,6 +27,8 @@
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval at which running attempts are checked for late answers.
 const LATE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The delay of a periodic check from which on it is logged.
+const LOGGED_LOOP_DELAY: Duration = Duration::from_millis(100);
 /// The interval of counts from a node that does not carry traffic, which may admit single requests.
 const IDLE_COUNTS_INTERVAL: Duration = Duration::from_millis(1_000);
 /// The delay after an error of the socket.
@@ -204,7 +206,9 @@
             self.send_signals(state);
             let next_check = async {
                 if state.in_flight.get() > 0 {
-                    tokio::time::sleep(LATE_CHECK_INTERVAL).await;
+                    let due = Instant::now() + LATE_CHECK_INTERVAL;
+                    tokio::time::sleep_until(due.into()).await;
+                    record_loop_delay(state, due.elapsed());
                 } else {
                     std::future::pending::<()>().await;
                 }
@@ -384,6 +388,19 @@
     }
 }
 
+/// Records how late a periodic check ran, and logs a long delay.
+fn record_loop_delay(state: &EntryState, delay: Duration) {
+    state.loop_delay.set(delay);
+    if delay >= LOGGED_LOOP_DELAY {
+        tracing::warn!(
+            delay_ms = delay.as_millis() as u64,
+            in_flight = state.in_flight.get(),
+            connections = state.connections.get(),
+            "event loop delayed"
+        );
+    }
+}
+
 fn wire_signal(signal: FailureSignal) -> WireSignal {
     match signal {
         FailureSignal::Good => WireSignal::Good,
