--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -224,6 +224,11 @@
         self.settings.vm.as_str()
     }
 
+    /// Returns the node's address.
+    pub fn ip(&self) -> IpAddr {
+        self.settings.ip
+    }
+
     /// Returns where callers connect.
     pub fn caller_address(&self) -> SocketAddr {
         self.settings.caller_listen
--- /dev/null
+++ b/entry/tests/test_row_fetches.rs
@@ -0,0 +1,212 @@
+//! Tests that a node gets newer rows from its peers over slow paths.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use damaskloom_entry::peer_wire::{PeerEnvelope, PeerMessage, encode};
+use damaskloom_gateway::peer_auth::SharedSecret;
+use damaskloom_lib::entry_members::{EntryPhase, NodeHeartbeat};
+use damaskloom_lib::table_mirror::MirrorRow;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, UdpSocket};
+
+use crate::fixture::{EntryNode, PEER_PORT, TargetBehaviour, configuration, wait_until, with_node};
+
+/// The interval of a peer's heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
+/// The number of requests for rows of targets that show that the configuration has waited for a
+/// whole series of them.
+const MAX_TARGET_REQUESTS: u32 = 12;
+/// The capacity of a peer, so large that it is selected to read the store for the others.
+const PEER_MILLICORES: u32 = 100_000_000;
+
+/// A stand-in for a peer that reads the store for the others and announces newer rows.
+#[derive(Debug)]
+struct ReaderPeer {
+    ip: IpAddr,
+    secret: SharedSecret,
+    /// The newest version of the routing and of the targets.
+    versions: Cell<(u64, u64)>,
+    /// The configuration that it serves.
+    configuration: RefCell<Bytes>,
+    /// The delay of its answers, as on a path over a full link.
+    answer_delay: Cell<Duration>,
+    /// Whether it answers requests for rows of targets.
+    answers_targets: Cell<bool>,
+    /// The number of requests for rows of targets.
+    target_requests: Cell<u32>,
+}
+
+impl ReaderPeer {
+    async fn start(secret: SharedSecret, node: IpAddr, last_octet: u8) -> Rc<Self> {
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 78, 0, last_octet));
+        let socket = UdpSocket::bind((ip, 0)).await;
+        let socket = socket.expect("loopback has a free port");
+        let listener = TcpListener::bind((ip, PEER_PORT)).await;
+        let listener = listener.expect("the address is used by this test only");
+        let peer = Rc::new(Self {
+            ip,
+            secret,
+            versions: Cell::new((1, 1)),
+            configuration: RefCell::default(),
+            answer_delay: Cell::new(Duration::ZERO),
+            answers_targets: Cell::new(true),
+            target_requests: Cell::new(0),
+        });
+        let sender = Rc::clone(&peer);
+        tokio::task::spawn_local(async move {
+            for sequence in 1.. {
+                let datagram = sender.heartbeat(sequence);
+                let sent = socket.send_to(&datagram, (node, PEER_PORT)).await;
+                sent.expect("loopback accepts datagrams");
+                tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+            }
+        });
+        let server = Rc::clone(&peer);
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let peer = Rc::clone(&server);
+                tokio::task::spawn_local(async move {
+                    let service = service_fn(|request| {
+                        let peer = Rc::clone(&peer);
+                        async move { Ok::<_, Infallible>(peer.answer(request).await) }
+                    });
+                    // An error means that the node has closed the connection.
+                    let _ = http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        });
+        peer
+    }
+
+    fn heartbeat(&self, sequence: u64) -> Vec<u8> {
+        let (routing_version, targets_version) = self.versions.get();
+        let envelope = PeerEnvelope {
+            from: "vm-reader".parse().expect("a valid name"),
+            started_at_ms: 1,
+            sequence,
+            message: PeerMessage::Heartbeat(NodeHeartbeat {
+                data_centre: "near".parse().expect("a valid name"),
+                caller_address: SocketAddr::new(self.ip, 1),
+                phase: EntryPhase::Serving,
+                carrying: false,
+                cpu_millicores: PEER_MILLICORES,
+                linked: true,
+                routing_version,
+                targets_version,
+            }),
+        };
+        encode(&self.secret, &envelope).expect("the message can be encoded")
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        tokio::time::sleep(self.answer_delay.get()).await;
+        let is_routing = request.uri().path() == "/rows/routing";
+        if !is_routing {
+            self.target_requests.set(self.target_requests.get() + 1);
+        }
+        if !is_routing && !self.answers_targets.get() {
+            std::future::pending::<()>().await;
+        }
+        let (routing_version, targets_version) = self.versions.get();
+        let row = MirrorRow {
+            key: "config".to_owned(),
+            value: Some(self.configuration.borrow().clone()),
+            version: routing_version,
+        };
+        let (rows, version) = match is_routing {
+            true => (vec![row], routing_version),
+            false => (Vec::new(), targets_version),
+        };
+        let body = postcard::to_stdvec(&(rows, version, 0_u64)).expect("rows can be encoded");
+        let mut message = Vec::new();
+        let request_target = request.uri().to_string();
+        for part in [b"answer".as_slice(), request_target.as_bytes(), &body] {
+            message.extend((part.len() as u64).to_be_bytes());
+            message.extend(part);
+        }
+        let proof = self.secret.authenticate(message);
+        let proof: String = proof.iter().map(|byte| format!("{byte:02x}")).collect();
+        Response::builder()
+            .header("damaskloom-proof", proof)
+            .body(Full::new(Bytes::from(body)))
+            .expect("the parts are valid")
+    }
+
+    /// Announces a configuration that only this peer has.
+    fn announce_configuration(&self, version: u64, keys: &[&str]) {
+        self.configuration
+            .replace(Bytes::from(configuration(version, keys)));
+        let (routing_version, targets_version) = self.versions.get();
+        self.versions
+            .set((routing_version + 1_000_000, targets_version));
+    }
+
+    /// Announces changed targets.
+    fn announce_targets(&self) {
+        let (routing_version, targets_version) = self.versions.get();
+        self.versions
+            .set((routing_version, targets_version + 1_000_000));
+    }
+}
+
+async fn wait_until_key_works(node: &EntryNode, key: &str) {
+    wait_until("the announced configuration is applied", async || {
+        node.send("GET", "/read/1", Some(key)).await.status == StatusCode::OK
+    })
+    .await;
+}
+
+/// Guards against a node that never gets a configuration over a slow path, since it abandons each
+/// fetch before the answer can arrive and starts again.
+#[tokio::test]
+async fn a_configuration_arrives_although_every_answer_is_slow() {
+    with_node(
+        &[TargetBehaviour::Succeeds],
+        |store, node, _targets| async move {
+            let secret = store
+                .get("damaskloom", "secret")
+                .expect("the fleet's secret");
+            let peer = ReaderPeer::start(SharedSecret::new(secret), node.ip(), 1).await;
+            peer.answer_delay.set(Duration::from_millis(700));
+            peer.announce_configuration(2, &["key-1", "key-new"]);
+            wait_until_key_works(&node, "key-new").await;
+        },
+    )
+    .await;
+}
+
+/// Guards against a configuration that waits until fetches of another table have ended.
+#[tokio::test]
+async fn a_configuration_arrives_while_a_fetch_of_targets_is_unanswered() {
+    with_node(
+        &[TargetBehaviour::Succeeds],
+        |store, node, _targets| async move {
+            let secret = store
+                .get("damaskloom", "secret")
+                .expect("the fleet's secret");
+            let peer = ReaderPeer::start(SharedSecret::new(secret), node.ip(), 2).await;
+            peer.answers_targets.set(false);
+            peer.announce_targets();
+            wait_until("the node asks for targets", async || {
+                peer.target_requests.get() > 0
+            })
+            .await;
+            peer.announce_configuration(2, &["key-1", "key-new"]);
+            wait_until_key_works(&node, "key-new").await;
+            assert!(peer.target_requests.get() < MAX_TARGET_REQUESTS);
+        },
+    )
+    .await;
+}
--- a/lib/tests/test_entry_nodes.rs
+++ b/lib/tests/test_entry_nodes.rs
@@ -71,6 +71,28 @@
     assert!(select_entries(&large, &data_centre("elsewhere"), REQUIREMENTS).is_empty());
 }
 
+/// Guards against small nodes that are overloaded although the entry nodes together have the required
+/// capacity: callers select evenly among them, whatever their size.
+#[test]
+fn each_entry_can_carry_an_even_share_of_the_traffic() {
+    for (large, small) in [(0, 40), (2, 28), (4, 60), (30, 3)] {
+        let mut all = nodes((large + small) * 2, 100);
+        for node in &mut all[..large * 2] {
+            node.cpu_millicores = 500;
+        }
+        let selected = select_entries(&all, &data_centre("odd"), REQUIREMENTS);
+        let share = REQUIREMENTS.min_cpu_millicores as usize / selected.len();
+        let overloaded: Vec<_> = selected
+            .iter()
+            .filter(|node| (node.cpu_millicores as usize) < share)
+            .collect();
+        assert!(
+            overloaded.is_empty(),
+            "{large} large, {small} small: {overloaded:?}"
+        );
+    }
+}
+
 /// Guards against callers that all move to other nodes when one node is lost.
 #[test]
 fn the_loss_of_a_node_changes_no_other_selection() {
