entry, lib: keep slow fetches of rows, ask further peers beside them, each table for itself

Cause: a fetch takes two round trips (connect, request). Over the full link of the asking node each takes 150 to 290 ms, but the fetch was abandoned after 300 ms and begun anew from the connect, so that it could not end while the link was full. And the fetches of both tables were one round: the routing waited for up to 12 failing fetches of the targets' rows.

Class: a retry that discards progress, with a timeout taken from calm conditions.

Mend: the decisions are a state machine of the library, `RowFetcher`, one for each table. A slow fetch is kept (5 s bound what it holds); each 150 ms without an answer another peer is asked beside it, eight at most; the first answer ends the others. Peers that count as unresponsive are asked when only they have newer rows. What a node lacks is compared with the version that its copy reflects. `VersionLag` holds since when newer rows are known.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -17,7 +17,7 @@
 use damaskloom_lib::ids::{CustomerId, Incarnation, NodeId, RouteId, ServiceId, TargetId, VmId};
 use damaskloom_lib::repeat_budget::RepeatBudget;
 use damaskloom_lib::routing::{RoutingDocument, RoutingTable};
-use damaskloom_lib::table_mirror::{MirrorRow, TableMirror};
+use damaskloom_lib::table_mirror::MirrorRow;
 use damaskloom_lib::target_balancer::{
     ServiceBalancers, SignalOutcome, SuspicionChange, TargetBalancer, TargetCode,
 };
@@ -33,6 +33,7 @@
 
 use crate::entry_meters::{EntryMeters, GaugeValues};
 use crate::settings::EntrySettings;
+use crate::table_copy::{TableCopy, TableKind};
 use crate::target_pool::TargetPools;
 use crate::wall_clock::unix_ms;
 
@@ -52,9 +53,9 @@
     /// When this node's copy of the targets was last known to be current.
     pub targets_read_at: Cell<MonoTime>,
     /// The local copy of the operators' table.
-    pub routing_mirror: RefCell<TableMirror>,
+    pub routing_copy: TableCopy,
     /// The local copy of the targets' table.
-    pub target_mirror: RefCell<TableMirror>,
+    pub targets_copy: TableCopy,
     /// Whether the targets' table was read at least once.
     pub targets_known: Cell<bool>,
     /// The known targets.
@@ -90,13 +91,9 @@
     pub heartbeat_due: Notify,
     /// Wakes the tasks that follow the store when this node's role changes.
     pub role_changed: Notify,
-    /// When this node learnt of rows that it does not have yet; none if it knows of none.
-    pub newer_rows_since: Cell<Option<MonoTime>>,
     /// How late the last periodic check of running attempts was: the time that a ready task waits
     /// for the process to run it.
     pub loop_delay: Cell<Duration>,
-    /// Wakes the task that fetches rows from peers: a peer has newer ones.
-    pub newer_rows_known: Notify,
     /// Whether the store answers this node's reads of the targets' table.
     pub store_reachable: Cell<bool>,
     /// Whether this node is one of the readers, which follow the store on behalf of the others.
@@ -136,8 +133,8 @@
             routing: RefCell::default(),
             routing_since: Cell::new(clock.now()),
             targets_read_at: Cell::new(clock.now()),
-            routing_mirror: RefCell::default(),
-            target_mirror: RefCell::default(),
+            routing_copy: TableCopy::default(),
+            targets_copy: TableCopy::default(),
             targets_known: Cell::new(false),
             catalog: RefCell::default(),
             balancers: RefCell::default(),
@@ -154,9 +151,7 @@
             pending_successes: RefCell::default(),
             counts_due: Notify::new(),
             heartbeat_due: Notify::new(),
-            newer_rows_since: Cell::new(None),
             loop_delay: Cell::new(Duration::ZERO),
-            newer_rows_known: Notify::new(),
             role_changed: Notify::new(),
             store_reachable: Cell::new(false),
             is_reader: Cell::new(false),
@@ -223,6 +218,14 @@
         self.traffic.borrow().is_carrying(self.clock.now())
     }
 
+    /// Returns the local copy of a table.
+    pub fn table_copy(&self, kind: TableKind) -> &TableCopy {
+        match kind {
+            TableKind::Routing => &self.routing_copy,
+            TableKind::Targets => &self.targets_copy,
+        }
+    }
+
     /// Returns the heartbeat that this node sends to others.
     pub fn heartbeat(&self) -> NodeHeartbeat {
         let settings = self.settings();
@@ -240,8 +243,8 @@
             carrying: self.is_carrying(),
             cpu_millicores: settings.machine.cpu_millicores(),
             linked: self.is_reader.get() && self.store_reachable.get(),
-            routing_version: self.routing_mirror.borrow().newest_row_version(),
-            targets_version: self.target_mirror.borrow().newest_row_version(),
+            routing_version: self.routing_copy.mirror.borrow().newest_row_version(),
+            targets_version: self.targets_copy.mirror.borrow().newest_row_version(),
         }
     }
 
@@ -351,7 +354,7 @@
         let catalog = self.catalog.borrow();
         let mut balancers = self.balancers.borrow_mut();
         let known = catalog.get(id);
-        let row = self.target_mirror.borrow().version();
+        let row = self.targets_copy.mirror.borrow().version();
         let Some(target) = known.filter(|target| !target.announcement.leaving) else {
             let why = if known.is_some() { "leaving" } else { "gone" };
             tracing::info!(id = %id, why, row, "target removed");
@@ -455,19 +458,12 @@
 
     /// Applies a peer's heartbeat.
     pub fn receive_heartbeat(&self, vm: &VmId, heartbeat: NodeHeartbeat) {
-        let newer = heartbeat.routing_version > self.routing_mirror.borrow().newest_row_version()
-            || heartbeat.targets_version > self.target_mirror.borrow().newest_row_version();
-        if newer {
-            if self.newer_rows_since.get().is_none() {
-                self.newer_rows_since.set(Some(self.clock.now()));
-                tracing::info!(
-                    from = %vm,
-                    routing = heartbeat.routing_version,
-                    targets = heartbeat.targets_version,
-                    "newer rows announced"
-                );
+        let now = self.clock.now();
+        for kind in [TableKind::Routing, TableKind::Targets] {
+            let version = kind.version(&heartbeat);
+            if self.table_copy(kind).announce(now, version) {
+                tracing::info!(from = %vm, what = kind.path(), version, "newer rows announced");
             }
-            self.newer_rows_known.notify_one();
         }
         if self.members.borrow_mut().record_heartbeat(vm, heartbeat) {
             tracing::debug!(node = %vm, "node discovered");
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -12,7 +12,7 @@
 //! - `store_watch` follows the store and registers the node; `fleet_roles` determines which nodes
 //!   follow the store and which nodes callers are directed to.
 //! - `peer_socket` and `peer_wire` exchange datagrams with other nodes; `peer_rows` fetches rows of
-//!   the store from them.
+//!   the store from them into a `table_copy`.
 //! - `entry_meters`, `log_lines` and `wall_clock` provide metrics, rate-limited log lines and the
 //!   wall clock.
 
@@ -31,6 +31,7 @@
 pub mod request_path;
 pub mod settings;
 pub mod store_watch;
+pub mod table_copy;
 pub mod target_call;
 pub mod target_pool;
 pub mod wall_clock;
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -4,20 +4,24 @@
 //! fetches them over HTTP. Both sides prove that they know the fleet's secret.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use damaskloom_gateway::peer_auth::SharedSecret;
+use damaskloom_lib::ids::VmId;
+use damaskloom_lib::row_fetch::{FETCH_TIMEOUT_MS, FetchEnd, FetchStep, RowFetcher};
 use damaskloom_lib::table_mirror::MirrorRow;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
 use rand::Rng;
-use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use subtle::ConstantTimeEq;
@@ -25,6 +29,7 @@
 
 use crate::caller_listener::serve_auxiliary;
 use crate::entry_state::EntryState;
+use crate::table_copy::TableKind;
 
 /// The delay before a node that follows the store fetches newer rows from a peer: its own feed
 /// normally delivers them within that time.
@@ -32,46 +37,26 @@
 /// The delay between the steps in which a change spreads in a data centre. In each step every node
 /// that has the rows can serve another one; a step is several times as long as a fetch.
 const FETCH_STEP_DELAY: Duration = Duration::from_millis(30);
-/// The maximum delay after a failed fetch; a random fraction of it is used.
-const MAX_FETCH_BACKOFF: Duration = Duration::from_millis(100);
-/// The maximum number of fetches in a row; after that the next heartbeat starts the fetches again.
-const MAX_FETCH_ATTEMPTS: u32 = 12;
 /// The timeout for a fetch from a peer.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(300);
+const FETCH_TIMEOUT: Duration = Duration::from_millis(FETCH_TIMEOUT_MS);
 /// The maximum size of an answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// The header with the authentication code of a request or an answer, in hexadecimal digits.
 const PROOF_HEADER: &str = "damaskloom-proof";
 
-/// The tables whose rows can be fetched.
+/// The phases of a fetch, for log lines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum TableKind {
-    Routing,
-    Targets,
-}
-
-impl TableKind {
-    const fn path(self) -> &'static str {
-        match self {
-            Self::Routing => "/rows/routing",
-            Self::Targets => "/rows/targets",
-        }
-    }
-}
-
-/// The steps of a fetch, for log lines.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum FetchStep {
+enum FetchPhase {
     Connect,
     AwaitHead,
     ReadBody,
 }
 
-/// The progress of a fetch: the step that is under way, and how long each step before it took.
+/// The progress of a fetch: its phase, and how long the phases before it took.
 #[derive(Debug)]
 struct FetchProgress {
     started_at: Instant,
-    step: Cell<FetchStep>,
+    phase: Cell<FetchPhase>,
     connect: Cell<Option<Duration>>,
     head: Cell<Option<Duration>>,
 }
@@ -80,7 +65,7 @@
     fn start() -> Self {
         Self {
             started_at: Instant::now(),
-            step: Cell::new(FetchStep::Connect),
+            phase: Cell::new(FetchPhase::Connect),
             connect: Cell::default(),
             head: Cell::default(),
         }
@@ -88,12 +73,12 @@
 
     fn set_connected(&self) {
         self.connect.set(Some(self.started_at.elapsed()));
-        self.step.set(FetchStep::AwaitHead);
+        self.phase.set(FetchPhase::AwaitHead);
     }
 
     fn set_head_received(&self) {
         self.head.set(Some(self.started_at.elapsed()));
-        self.step.set(FetchStep::ReadBody);
+        self.phase.set(FetchPhase::ReadBody);
     }
 
     fn connect_ms(&self) -> Option<u64> {
@@ -179,8 +164,8 @@
         return refuse(StatusCode::FORBIDDEN);
     }
     let mirror = match request.uri().path() {
-        path if path == TableKind::Routing.path() => &state.routing_mirror,
-        path if path == TableKind::Targets.path() => &state.target_mirror,
+        path if path == TableKind::Routing.path() => &state.routing_copy.mirror,
+        path if path == TableKind::Targets.path() => &state.targets_copy.mirror,
         _ => return refuse(StatusCode::NOT_FOUND),
     };
     let after = request.uri().query().and_then(|query| query.parse().ok());
@@ -204,87 +189,120 @@
     response
 }
 
-/// Fetches rows from peers that have newer ones, until the task is cancelled.
+/// Fetches rows of a table from peers that have newer ones, until the task is cancelled.
 ///
 /// A node that has fetched rows sends a heartbeat to its data centre, so that the next nodes fetch
 /// from it: a change reaches `n` nodes in about `log n` steps, and no node serves many at a time.
-pub async fn run_row_fetches(state: Rc<EntryState>) {
+pub async fn run_row_fetches(state: Rc<EntryState>, kind: TableKind) {
+    let mut fetcher = RowFetcher::default();
+    let mut running = FuturesUnordered::new();
+    let copy = state.table_copy(kind);
     loop {
-        state.newer_rows_known.notified().await;
-        if state.follows_store() {
-            tokio::time::sleep(OWN_FEED_DELAY).await;
+        let newer_peers = newer_peers(&state, kind);
+        let peers: Vec<VmId> = newer_peers.keys().cloned().collect();
+        let initial_delay = if state.follows_store() {
+            OWN_FEED_DELAY
         } else {
-            tokio::time::sleep(FETCH_STEP_DELAY * state.rollout_step()).await;
-        }
-        // Concurrently, so that a failure with one table does not delay the other.
-        tokio::join!(
-            fetch_newer(&state, TableKind::Routing),
-            fetch_newer(&state, TableKind::Targets)
-        );
-        let is_current = [TableKind::Routing, TableKind::Targets]
-            .into_iter()
-            .all(|kind| select_newer_peer(&state, kind).is_none());
-        if is_current {
-            state.newer_rows_since.set(None);
+            FETCH_STEP_DELAY * state.rollout_step()
+        };
+        let seed = rand::rng().random();
+        let step = fetcher.step(state.clock.now(), &peers, initial_delay, seed);
+        let wait = match step {
+            FetchStep::Idle => {
+                running.clear();
+                None
+            }
+            FetchStep::Start(peer) => {
+                let address = newer_peers[&peer];
+                running.push(run_fetch(&state, kind, peer, address));
+                continue;
+            }
+            FetchStep::WaitUntil(due) => Some(due.since(state.clock.now())),
+            FetchStep::AwaitFetch => None,
+        };
+        let due = async {
+            match wait {
+                Some(wait) => tokio::time::sleep(wait).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            Some((peer, end)) = running.next() => {
+                let jitter = rand::rng().random();
+                fetcher.record_end(state.clock.now(), &peer, end, jitter);
+            }
+            () = due => {}
+            () = copy.newer_known.notified() => {}
         }
     }
 }
 
-async fn fetch_newer(state: &EntryState, kind: TableKind) {
-    for _ in 0..MAX_FETCH_ATTEMPTS {
-        let Some(peer) = select_newer_peer(state, kind) else {
-            return;
-        };
-        let progress = FetchProgress::start();
-        match fetch(state, kind, peer, &progress).await {
-            // Nothing changed: this node already has the peer's newest rows from a newer read of
-            // the table.
-            Ok(0) => return,
-            Ok(_) => state.heartbeat_due.notify_one(),
-            Err(error) => {
-                tracing::warn!(
-                    %peer,
-                    what = kind.path(),
-                    %error,
-                    step = ?progress.step.get(),
-                    connect_ms = progress.connect_ms(),
-                    head_ms = progress.head_ms(),
-                    taken_ms = progress.elapsed_ms(),
-                    in_flight = state.in_flight.get(),
-                    loop_delay_ms = state.loop_delay.get().as_millis() as u64,
-                    "failed to fetch rows from peer"
-                );
-                let fraction = rand::rng().random_range(0.2..1.0);
-                tokio::time::sleep(MAX_FETCH_BACKOFF.mul_f64(fraction)).await;
-            }
+/// Fetches rows from a peer, applies them and logs the outcome.
+async fn run_fetch(
+    state: &EntryState,
+    kind: TableKind,
+    peer: VmId,
+    address: SocketAddr,
+) -> (VmId, FetchEnd) {
+    let progress = FetchProgress::start();
+    let end = match fetch(state, kind, address, &progress).await {
+        Ok(0) => FetchEnd::Unchanged,
+        Ok(_) => {
+            state.heartbeat_due.notify_one();
+            FetchEnd::Applied
         }
-    }
+        Err(error) => {
+            tracing::warn!(
+                %peer,
+                what = kind.path(),
+                %error,
+                step = ?progress.phase.get(),
+                connect_ms = progress.connect_ms(),
+                head_ms = progress.head_ms(),
+                taken_ms = progress.elapsed_ms(),
+                in_flight = state.in_flight.get(),
+                loop_delay_ms = state.loop_delay.get().as_millis() as u64,
+                "failed to fetch rows from peer"
+            );
+            FetchEnd::Failed
+        }
+    };
+    (peer, end)
 }
 
-/// Selects a peer that has newer rows, preferably in the same data centre. The selection is random,
-/// so that the nodes do not all fetch from one peer.
-fn select_newer_peer(state: &EntryState, kind: TableKind) -> Option<SocketAddr> {
+/// Returns the peers that have newer rows, with their addresses: responsive ones of the same data
+/// centre, else responsive ones of others, else any.
+fn newer_peers(state: &EntryState, kind: TableKind) -> IndexMap<VmId, SocketAddr> {
     let settings = state.settings();
-    let own_version = match kind {
-        TableKind::Routing => state.routing_mirror.borrow().newest_row_version(),
-        TableKind::Targets => state.target_mirror.borrow().newest_row_version(),
-    };
+    let own_version = state.table_copy(kind).mirror.borrow().version();
+    let now = state.clock.now();
     let members = state.members.borrow();
-    let newer = members
-        .responsive(state.clock.now())
-        .filter_map(|(_, node)| {
+    let mut newer: Vec<(PeerRank, &VmId, IpAddr)> = members
+        .iter()
+        .filter_map(|(vm, node)| {
             let heartbeat = node.heartbeat.as_ref()?;
-            let peer_version = match kind {
-                TableKind::Routing => heartbeat.routing_version,
-                TableKind::Targets => heartbeat.targets_version,
+            let rank = match (node.is_responsive(now), &heartbeat.data_centre) {
+                (true, centre) if *centre == settings.data_centre => PeerRank::Local,
+                (true, _) => PeerRank::Remote,
+                (false, _) => PeerRank::Unresponsive,
             };
-            let local = heartbeat.data_centre == settings.data_centre;
-            (peer_version > own_version).then_some((local, node.ip))
-        });
-    let (local, remote): (Vec<_>, Vec<_>) = newer.partition(|(local, _)| *local);
-    let candidates = if local.is_empty() { remote } else { local };
-    let (_, ip) = candidates.choose(&mut rand::rng())?;
-    Some(SocketAddr::new(*ip, settings.peer_port))
+            (kind.version(heartbeat) > own_version).then_some((rank, vm, node.ip))
+        })
+        .collect();
+    let best = newer.iter().map(|(rank, _, _)| *rank).min();
+    newer.retain(|(rank, _, _)| Some(*rank) == best);
+    let peers = newer.into_iter();
+    peers
+        .map(|(_, vm, ip)| (vm.clone(), SocketAddr::new(ip, settings.peer_port)))
+        .collect()
+}
+
+/// The preference for a peer, best first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum PeerRank {
+    Local,
+    Remote,
+    Unresponsive,
 }
 
 async fn fetch(
@@ -293,22 +311,20 @@
     peer: SocketAddr,
     progress: &FetchProgress,
 ) -> Result<usize, FetchError> {
-    let mirror = match kind {
-        TableKind::Routing => &state.routing_mirror,
-        TableKind::Targets => &state.target_mirror,
-    };
+    let copy = state.table_copy(kind);
     let secret = state.secret.borrow().clone();
     let Some(secret) = secret else {
         return Ok(0);
     };
-    let after = mirror.borrow().version();
+    let after = copy.mirror.borrow().version();
     let request_target = format!("{}?{after}", kind.path());
     let answer = tokio::time::timeout(
         FETCH_TIMEOUT,
         request_rows(&secret, peer, &request_target, progress),
     );
     let answer = answer.await.context(TimedOutSnafu)??;
-    let changed_rows = mirror.borrow_mut().apply(answer.rows, answer.version);
+    let known_ms = copy.lag_ms(state.clock.now());
+    let changed_rows = copy.apply(answer.rows, answer.version);
     tracing::info!(
         %peer,
         what = kind.path(),
@@ -316,9 +332,7 @@
         connect_ms = progress.connect_ms(),
         head_ms = progress.head_ms(),
         taken_ms = progress.elapsed_ms(),
-        known_ms = state.newer_rows_since.get().map(|since| {
-            state.clock.now().since(since).as_millis() as u64
-        }),
+        known_ms,
         in_flight = state.in_flight.get(),
         loop_delay_ms = state.loop_delay.get().as_millis() as u64,
         "rows fetched from peer"
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -17,6 +17,7 @@
 use crate::peer_socket::PeerSocket;
 use crate::settings::EntrySettings;
 use crate::store_watch::{join_fleet, run_target_expiry, watch_routing, watch_targets};
+use crate::table_copy::TableKind;
 
 /// The interval at which the settings file is checked for changes, since it may change without a
 /// signal.
@@ -83,7 +84,8 @@
     tokio::task::spawn_local(serve_directory(Rc::clone(&state), directory));
     tokio::task::spawn_local(serve_metrics(Rc::clone(&state), metrics));
     tokio::task::spawn_local(serve_rows(Rc::clone(&state), rows));
-    tokio::task::spawn_local(run_row_fetches(Rc::clone(&state)));
+    tokio::task::spawn_local(run_row_fetches(Rc::clone(&state), TableKind::Routing));
+    tokio::task::spawn_local(run_row_fetches(Rc::clone(&state), TableKind::Targets));
     tokio::task::spawn_local(join_fleet(Rc::clone(&state)));
     tokio::task::spawn_local(watch_routing(Rc::clone(&state)));
     tokio::task::spawn_local(watch_targets(Rc::clone(&state)));
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -9,13 +9,14 @@
 use damaskloom_lib::entry_members::NodeRegistration;
 use damaskloom_lib::ids::VmId;
 use damaskloom_lib::platform::PlatformError;
-use damaskloom_lib::table_mirror::{MirrorRow, TableMirror};
+use damaskloom_lib::table_mirror::MirrorRow;
 use damaskloom_platform::store_client::{
     CreateOutcome, FeedOutcome, OPERATOR_TABLE, RowBatch, StoreClient, StoreRow, TARGET_TABLE,
 };
 use rand::Rng;
 
 use crate::entry_state::EntryState;
+use crate::table_copy::TableCopy;
 
 /// The timeout of a call to the store, in addition to the requested wait of a feed.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -184,7 +185,7 @@
     let mut feed_status = FeedStatus::new("configuration");
     loop {
         wait_to_follow_store(&state).await;
-        let version = state.routing_mirror.borrow().version();
+        let version = state.routing_copy.mirror.borrow().version();
         // The first read is of the whole table, which may still be empty.
         let read = if version > 0 {
             let feed = client
@@ -196,14 +197,14 @@
                 )
                 .await;
             match feed {
-                Ok(FeedOutcome::Changes(batch)) => Ok(apply_changes(&state.routing_mirror, batch)),
+                Ok(FeedOutcome::Changes(batch)) => Ok(apply_changes(&state.routing_copy, batch)),
                 Ok(FeedOutcome::Forgotten) => {
-                    read_whole_table(&client, OPERATOR_TABLE, &state.routing_mirror).await
+                    read_whole_table(&client, OPERATOR_TABLE, &state.routing_copy).await
                 }
                 Err(error) => Err(error),
             }
         } else {
-            read_whole_table(&client, OPERATOR_TABLE, &state.routing_mirror).await
+            read_whole_table(&client, OPERATOR_TABLE, &state.routing_copy).await
         };
         match read {
             Ok(changed_rows) => {
@@ -211,7 +212,7 @@
                 backoff = Backoff::new();
                 state.apply_routing_rows(&changed_rows);
                 announce_changes(&state, &changed_rows);
-                wait_if_empty(&state.routing_mirror).await;
+                wait_if_empty(&state.routing_copy).await;
             }
             Err(error) => {
                 feed_status.record_failure(&error);
@@ -231,20 +232,20 @@
             state.store_reachable.set(false);
         }
         wait_to_follow_store(&state).await;
-        let version = state.target_mirror.borrow().version();
+        let version = state.targets_copy.mirror.borrow().version();
         let read = if state.targets_known.get() {
             let feed = client
                 .read_feed(TARGET_TABLE, version, feed_status.feed_wait(), CALL_TIMEOUT)
                 .await;
             match feed {
-                Ok(FeedOutcome::Changes(batch)) => Ok(apply_changes(&state.target_mirror, batch)),
+                Ok(FeedOutcome::Changes(batch)) => Ok(apply_changes(&state.targets_copy, batch)),
                 Ok(FeedOutcome::Forgotten) => {
-                    read_whole_table(&client, TARGET_TABLE, &state.target_mirror).await
+                    read_whole_table(&client, TARGET_TABLE, &state.targets_copy).await
                 }
                 Err(error) => Err(error),
             }
         } else {
-            read_whole_table(&client, TARGET_TABLE, &state.target_mirror).await
+            read_whole_table(&client, TARGET_TABLE, &state.targets_copy).await
         };
         let now = state.clock.now();
         match read {
@@ -259,7 +260,7 @@
                 if !changed_rows.is_empty() {
                     tokio::time::sleep(TARGET_FEED_DELAY).await;
                 }
-                wait_if_empty(&state.target_mirror).await;
+                wait_if_empty(&state.targets_copy).await;
             }
             Err(error) => {
                 feed_status.record_failure(&error);
@@ -297,8 +298,8 @@
 }
 
 /// Waits before an empty table is read again: there is no version yet that a feed could start from.
-async fn wait_if_empty(mirror: &std::cell::RefCell<TableMirror>) {
-    if mirror.borrow().version() == 0 {
+async fn wait_if_empty(copy: &TableCopy) {
+    if copy.mirror.borrow().version() == 0 {
         tokio::time::sleep(INITIAL_BACKOFF).await;
     }
 }
@@ -321,16 +322,16 @@
 async fn read_whole_table(
     client: &StoreClient,
     table: &str,
-    mirror: &std::cell::RefCell<TableMirror>,
+    copy: &TableCopy,
 ) -> Result<Vec<MirrorRow>, PlatformError> {
     let batch = client.read_table(table, CALL_TIMEOUT).await?;
     let rows = batch.rows.into_iter().map(mirror_row).collect();
-    Ok(mirror.borrow_mut().replace(rows, batch.version))
+    Ok(copy.replace(rows, batch.version))
 }
 
-fn apply_changes(mirror: &std::cell::RefCell<TableMirror>, batch: RowBatch) -> Vec<MirrorRow> {
+fn apply_changes(copy: &TableCopy, batch: RowBatch) -> Vec<MirrorRow> {
     let rows = batch.rows.into_iter().map(mirror_row).collect();
-    mirror.borrow_mut().apply(rows, batch.version)
+    copy.apply(rows, batch.version)
 }
 
 fn mirror_row(row: StoreRow) -> MirrorRow {
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -113,6 +113,13 @@
     }
 }
 
+impl KnownNode {
+    /// Returns whether a message of the node arrived within the heartbeat timeout.
+    pub fn is_responsive(&self, now: MonoTime) -> bool {
+        now.since(self.last_seen) < Duration::from_millis(HEARTBEAT_TIMEOUT_MS)
+    }
+}
+
 impl EntryMembers {
     /// Records a node's registration.
     pub fn register(&mut self, now: MonoTime, vm: VmId, registration: NodeRegistration) {
@@ -189,10 +196,9 @@
         let timeout = Duration::from_millis(REMOVAL_TIMEOUT_MS);
         self.nodes
             .retain(|_, node| now.since(node.last_seen) < timeout);
-        let timeout = Duration::from_millis(HEARTBEAT_TIMEOUT_MS);
         let mut newly_unresponsive = Vec::new();
         for (vm, node) in &mut self.nodes {
-            let is_unresponsive = now.since(node.last_seen) >= timeout;
+            let is_unresponsive = !node.is_responsive(now);
             let heartbeat = node.heartbeat.as_ref();
             let is_relevant =
                 heartbeat.is_some_and(|heartbeat| heartbeat.carrying || heartbeat.linked);
@@ -211,11 +217,9 @@
 
     /// Returns the responsive nodes that serve callers.
     pub fn serving(&self, now: MonoTime) -> impl Iterator<Item = EntryNode> {
-        let timeout = Duration::from_millis(HEARTBEAT_TIMEOUT_MS);
-        self.nodes.iter().filter_map(move |(vm, node)| {
+        self.responsive(now).filter_map(|(vm, node)| {
             let heartbeat = node.heartbeat.as_ref()?;
-            let is_serving =
-                heartbeat.phase == EntryPhase::Serving && now.since(node.last_seen) < timeout;
+            let is_serving = heartbeat.phase == EntryPhase::Serving;
             is_serving.then(|| EntryNode {
                 vm: vm.clone(),
                 data_centre: heartbeat.data_centre.clone(),
@@ -264,10 +268,9 @@
 
     /// Returns the nodes with a message within the heartbeat timeout.
     pub fn responsive(&self, now: MonoTime) -> impl Iterator<Item = (&VmId, &KnownNode)> {
-        let timeout = Duration::from_millis(HEARTBEAT_TIMEOUT_MS);
         self.nodes
             .iter()
-            .filter(move |(_, node)| now.since(node.last_seen) < timeout)
+            .filter(move |(_, node)| node.is_responsive(now))
     }
 
     /// Returns whether a node that reads the store itself sent a message within `age`.
--- /dev/null
+++ b/lib/src/row_fetch.rs
@@ -0,0 +1,114 @@
+//! Decides when a node fetches newer rows of a table from its peers, and from which of them.
+//!
+//! A fetch takes several round trips, which are slow while a link on the path is full. A slow fetch
+//! is therefore kept and another one is started beside it: a fetch that is abandoned and started
+//! again never ends on such a path. See
+//! [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
+
+use std::time::Duration;
+
+use crate::ids::VmId;
+use crate::time::MonoTime;
+
+/// The time after which a fetch is abandoned, in milliseconds. It only bounds what unanswered
+/// fetches hold.
+pub const FETCH_TIMEOUT_MS: u64 = 5_000;
+/// The maximum number of fetches of a table at the same time: enough to find a peer that answers
+/// although many do not.
+const MAX_CONCURRENT_FETCHES: usize = 8;
+/// The time without an answer after which another peer is asked as well, in milliseconds: several
+/// times a usual fetch.
+const ADDITIONAL_FETCH_DELAY_MS: u64 = 150;
+/// The delay after the first failed fetch and the maximum delay after further ones, in milliseconds.
+const INITIAL_BACKOFF_MS: u64 = 50;
+const MAX_BACKOFF_MS: u64 = 400;
+
+/// What to do next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum FetchStep {
+    /// No peer has newer rows: running fetches are dropped, and the next announcement is awaited.
+    Idle,
+    /// Nothing is due before a time, unless a fetch ends.
+    WaitUntil(MonoTime),
+    /// Nothing is due until a fetch ends.
+    AwaitFetch,
+    /// A fetch from a peer starts.
+    Start(VmId),
+}
+
+/// How a fetch ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FetchEnd {
+    /// It brought newer rows.
+    Applied,
+    /// The peer had nothing newer, contrary to its announcement.
+    Unchanged,
+    /// It failed.
+    Failed,
+}
+
+/// The fetches of one table by one node.
+#[derive(Debug, Default)]
+pub struct RowFetcher {
+    /// Whether peers are known to have newer rows.
+    is_behind: bool,
+    running: Vec<VmId>,
+    /// When the next fetch may start.
+    next_at: MonoTime,
+    failures: u32,
+}
+
+impl RowFetcher {
+    /// Returns the next step, given the peers that have newer rows.
+    ///
+    /// The first fetch starts after `initial_delay`, which spreads the nodes of a fleet over time.
+    /// `seed` selects the peer, so that the nodes do not all ask the same one.
+    pub fn step(
+        &mut self,
+        now: MonoTime,
+        newer_peers: &[VmId],
+        initial_delay: Duration,
+        seed: u64,
+    ) -> FetchStep {
+        if newer_peers.is_empty() {
+            self.is_behind = false;
+            self.running.clear();
+            return FetchStep::Idle;
+        }
+        if !self.is_behind {
+            self.is_behind = true;
+            self.next_at = now + initial_delay;
+        }
+        let idle_peers: Vec<&VmId> = newer_peers
+            .iter()
+            .filter(|peer| !self.running.contains(peer))
+            .collect();
+        if self.running.len() >= MAX_CONCURRENT_FETCHES || idle_peers.is_empty() {
+            return FetchStep::AwaitFetch;
+        }
+        if now < self.next_at {
+            return FetchStep::WaitUntil(self.next_at);
+        }
+        let peer = idle_peers[(seed % idle_peers.len() as u64) as usize].clone();
+        self.running.push(peer.clone());
+        self.next_at = now + Duration::from_millis(ADDITIONAL_FETCH_DELAY_MS);
+        FetchStep::Start(peer)
+    }
+
+    /// Records the end of a fetch; `jitter` from 0 to 1 shortens the delay before the next one.
+    pub fn record_end(&mut self, now: MonoTime, peer: &VmId, end: FetchEnd, jitter: f64) {
+        self.running.retain(|running| running != peer);
+        match end {
+            FetchEnd::Applied => {
+                self.failures = 0;
+                self.next_at = now;
+            }
+            FetchEnd::Unchanged | FetchEnd::Failed => {
+                let backoff_ms = INITIAL_BACKOFF_MS << self.failures.min(8);
+                let backoff = Duration::from_millis(backoff_ms.min(MAX_BACKOFF_MS));
+                self.failures += 1;
+                self.next_at = now + backoff.mul_f64(1.0 - jitter.clamp(0.0, 1.0) / 2.0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/test_row_fetches.rs
@@ -0,0 +1,113 @@
+//! Tests how soon changed rows reach all nodes of a fleet, on virtual time.
+
+use std::time::Duration;
+
+use damaskloom_lib::time::MonoTime;
+use damaskloom_lib::version_lag::VersionLag;
+
+use crate::row_fleet::RowFleet;
+
+/// The time within which a configuration must be in force on every node, in milliseconds: the
+/// smallest one of the deployments.
+const APPLY_BOUND_MS: u64 = 2_000;
+/// The longest delay of a round trip over a full link, in milliseconds: with a longer one, a node
+/// counts as disturbed.
+const FULL_LINK_DELAY_MS: u64 = 500;
+/// The number of simultaneous fetches that the smallest node can serve beside its requests.
+const MAX_SERVED_FETCHES: usize = 10;
+const ROUTING: usize = 0;
+const TARGETS: usize = 1;
+
+/// Changes the targets several times a second until a time.
+fn run_with_target_changes(fleet: &mut RowFleet, end_ms: u64) {
+    let mut version = 1_000_000 + fleet.now_ms();
+    while fleet.now_ms() < end_ms {
+        version += 1;
+        fleet.publish(TARGETS, version);
+        let next_ms = (fleet.now_ms() + 250).min(end_ms);
+        fleet.run_until(next_ms);
+    }
+}
+
+/// Guards against nodes that serve by an old configuration since their link is full: fetches take
+/// longer than usual, and rows of targets are fetched at the same time.
+#[test]
+fn a_configuration_is_in_force_in_time_on_nodes_with_full_links() {
+    for seed in 0..12 {
+        for delay_ms in [0, 60, 170, 300, FULL_LINK_DELAY_MS] {
+            let mut fleet = RowFleet::new(seed, 32);
+            for index in [5, 9, 17, 30] {
+                fleet.nodes[index].link_delay_ms = delay_ms;
+            }
+            run_with_target_changes(&mut fleet, 3_000);
+            for version in [10, 11, 12] {
+                let sent_ms = fleet.now_ms();
+                fleet.publish(ROUTING, version);
+                run_with_target_changes(&mut fleet, sent_ms + APPLY_BOUND_MS);
+                let count = fleet.count_with(ROUTING, version);
+                assert_eq!(
+                    count, 32,
+                    "seed {seed}, delay {delay_ms} ms, version {version}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against a node that keeps asking peers that have stopped answering.
+#[test]
+fn a_configuration_is_in_force_in_time_although_a_third_of_the_peers_is_silent() {
+    for seed in 0..50 {
+        let mut fleet = RowFleet::new(seed, 32);
+        for index in (1..32).step_by(3) {
+            fleet.nodes[index].is_silent = true;
+        }
+        fleet.publish(ROUTING, 10);
+        let end_ms = fleet.now_ms() + APPLY_BOUND_MS;
+        fleet.run_until(end_ms);
+        assert_eq!(fleet.count_with(ROUTING, 10), 32, "seed {seed}");
+    }
+}
+
+/// Guards against a fleet whose nodes all fetch from the same peer.
+#[test]
+fn no_node_serves_many_fetches_at_the_same_time() {
+    for count in [32, 93, 300] {
+        for seed in 0..4 {
+            let mut fleet = RowFleet::new(seed, count);
+            fleet.publish(ROUTING, 10);
+            let end_ms = fleet.now_ms() + APPLY_BOUND_MS;
+            fleet.run_until(end_ms);
+            assert_eq!(fleet.count_with(ROUTING, 10), count);
+            let served = fleet.nodes.iter().map(|node| node.max_serving).max();
+            assert!(
+                served.is_some_and(|served| served <= MAX_SERVED_FETCHES),
+                "{count} nodes, seed {seed}: {served:?}"
+            );
+        }
+    }
+}
+
+/// Guards against a node that seems outdated while it follows a series of changes closely, and
+/// against one that seems current since a newer change came before it had the older one.
+#[test]
+fn the_lag_counts_from_the_oldest_missing_version() {
+    let at = MonoTime::from_millis;
+    let mut lag = VersionLag::default();
+    assert!(lag.announce(at(100), 5));
+    assert!(!lag.announce(at(400), 6));
+    assert!(!lag.announce(at(500), 5));
+    assert_eq!(lag.lag(at(600)), Some(Duration::from_millis(500)));
+    lag.record_reached(5);
+    assert_eq!(lag.lag(at(600)), Some(Duration::from_millis(200)));
+    lag.record_reached(7);
+    assert_eq!(lag.lag(at(600)), None);
+    assert!(!lag.announce(at(700), 7));
+    for version in 10..1_000 {
+        lag.announce(at(800 + version), version);
+    }
+    lag.record_reached(998);
+    assert!(lag.lag(at(2_000)).is_some());
+    lag.record_reached(999);
+    assert_eq!(lag.lag(at(2_000)), None);
+}
