lib, entry: entry nodes that can each carry an even share, by processor and link

What callers saw: late configurations, and late or failed answers, at nodes of 0.1 core and 10 Mbit/s in bursts.

Cause: entry nodes were selected until the sum of their processors met the demand, by a ranking that is only weighted by size; the link did not count at all. Callers choose evenly among the addresses of a directory answer, so a small node got as many as a large one: in khankh 92 requests a second, some 7 KB each way, and twice that in a burst, on a link of 10 Mbit/s.

Class: capacity checked as a sum where the load is divided evenly.

Mend: a selection is valid if each of its nodes has the capacity for an even share; three nodes if possible, else two, else more. A node's capacity is what its processor and its link carry, whichever is less (`link_mbps` in the settings, from the platform's limits).

Ruled out: weights in the directory's answer (callers choose evenly), a random part of the nodes in each answer (callers drop connections to addresses that are missing).

Evidence: each_entry_can_carry_an_even_share_of_the_traffic failed before (known red) and passes.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -241,7 +241,7 @@
             caller_address: settings.caller_listen,
             phase,
             carrying: self.is_carrying(),
-            cpu_millicores: settings.machine.cpu_millicores(),
+            capacity_millicores: settings.machine.capacity_millicores(),
             linked: self.is_reader.get() && self.store_reachable.get(),
             routing_version: self.routing_copy.mirror.borrow().newest_row_version(),
             targets_version: self.targets_copy.mirror.borrow().newest_row_version(),
--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -12,8 +12,11 @@
 use crate::entry_state::EntryState;
 use crate::settings::EntrySettings;
 
-/// The minimum number of entry nodes of a data centre, so that the loss of one leaves others.
-const MIN_ENTRY_NODES: usize = 3;
+/// The number of entry nodes of a data centre if they have the capacity for its traffic.
+const PREFERRED_ENTRY_NODES: usize = 3;
+/// The minimum number of entry nodes of a data centre, so that the loss of one leaves others. Two
+/// large ones are preferred to many small ones.
+const MIN_ENTRY_NODES: usize = 2;
 /// The latency objective of a service that no route names.
 const UNROUTED_LATENCY_OBJECTIVE: Duration = Duration::from_secs(1);
 /// The minimum number of nodes, over all data centres, that follow the store for the others, so
@@ -61,8 +64,9 @@
         let total_demand: f64 = slots.iter().map(demand).sum();
         let centres = self.settings().data_centres.len().max(1);
         EntryRequirements {
+            preferred_nodes: PREFERRED_ENTRY_NODES,
             min_nodes: MIN_ENTRY_NODES,
-            min_cpu_millicores: (total_demand / centres as f64).ceil() as u32,
+            min_capacity_millicores: (total_demand / centres as f64).ceil() as u32,
         }
     }
 
@@ -86,9 +90,11 @@
         drop(members);
         nodes.push(own_node(&settings));
         let centres = settings.data_centres.len().max(1);
+        let reader_count = MIN_READERS.div_ceil(centres);
         let requirements = EntryRequirements {
-            min_nodes: MIN_READERS.div_ceil(centres),
-            min_cpu_millicores: 0,
+            preferred_nodes: reader_count,
+            min_nodes: reader_count,
+            min_capacity_millicores: 0,
         };
         let readers = select_entries(&nodes, &settings.data_centre, requirements);
         let is_reader = !self.is_leaving() && readers.iter().any(|node| node.vm == settings.vm);
@@ -198,6 +204,6 @@
         vm: settings.vm.clone(),
         data_centre: settings.data_centre.clone(),
         address: settings.caller_listen,
-        cpu_millicores: settings.machine.cpu_millicores(),
+        capacity_millicores: settings.machine.capacity_millicores(),
     }
 }
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use damaskloom_gateway::settings::{BadFieldSnafu, SettingsError, parse_document, read_document};
+use damaskloom_lib::entry_nodes::node_capacity;
 use damaskloom_lib::fleet_rate::RateTolerance;
 use damaskloom_lib::ids::{DataCentreId, VmId};
 use damaskloom_lib::repeat_budget::RepeatTerms;
@@ -20,13 +21,26 @@
     pub cpu_share: f64,
     /// The speed of the core, relative to a typical one.
     pub cpu_cores: f64,
+    /// The bandwidth of the VM's link, in megabits per second.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
+}
+
+/// The bandwidth of a VM's link if the settings do not state it, in megabits per second.
+const fn default_link_mbps() -> f64 {
+    1_000.0
 }
 
 impl MachineSize {
-    /// Returns the processor capacity in thousandths of a core.
+    /// Returns the CPU capacity, in thousandths of a core.
     pub fn cpu_millicores(&self) -> u32 {
         (self.cpu_share * self.cpu_cores * 1_000.0) as u32
     }
+
+    /// Returns the capacity for requests, in thousandths of a core.
+    pub fn capacity_millicores(&self) -> u32 {
+        node_capacity(self.cpu_millicores(), self.link_mbps)
+    }
 }
 
 /// The limits that the fleet must keep.
@@ -141,6 +155,10 @@
             self.machine.cpu_millicores() > 0,
             bad("machine", "a positive `cpu_share` and `cpu_cores`")
         );
+        ensure!(
+            self.machine.link_mbps > 0.0,
+            bad("machine.link_mbps", "a positive number")
+        );
         ensure!(
             self.bounds.stop_grace_s >= 1.0,
             bad("bounds.stop_grace_s", "at least 1 second")
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -94,7 +94,7 @@
         started_at_ms: state.started_at_ms,
         data_centre: settings.data_centre.clone(),
         caller_address: settings.caller_listen,
-        cpu_millicores: settings.machine.cpu_millicores(),
+        capacity_millicores: settings.machine.capacity_millicores(),
     };
     if settings.first_start {
         // Each node registers before it reads, so of any two nodes the one that reads later sees
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -47,9 +47,9 @@
     pub phase: EntryPhase,
     /// Whether the node had recent requests.
     pub carrying: bool,
-    /// The CPU capacity of the node, in thousandths of a core.
+    /// The capacity of the node for requests, in thousandths of a core.
     #[serde(rename = "processor_milli")]
-    pub cpu_millicores: u32,
+    pub capacity_millicores: u32,
     /// Whether the node reads the store itself and the store answers.
     pub linked: bool,
     /// The version of the node's copy of the routing.
@@ -68,9 +68,9 @@
     pub data_centre: DataCentreId,
     /// Where callers connect; other nodes reach it at the same IP address.
     pub caller_address: SocketAddr,
-    /// The CPU capacity of the node, in thousandths of a core.
+    /// The capacity of the node for requests, in thousandths of a core.
     #[serde(rename = "processor_milli")]
-    pub cpu_millicores: u32,
+    pub capacity_millicores: u32,
 }
 
 /// The groups of a node's messages that are ordered separately: one may overtake another without harm.
@@ -224,7 +224,7 @@
                 vm: vm.clone(),
                 data_centre: heartbeat.data_centre.clone(),
                 address: heartbeat.caller_address,
-                cpu_millicores: heartbeat.cpu_millicores,
+                capacity_millicores: heartbeat.capacity_millicores,
             })
         })
     }
@@ -238,7 +238,7 @@
                 vm: vm.clone(),
                 data_centre: heartbeat.data_centre.clone(),
                 address: heartbeat.caller_address,
-                cpu_millicores: heartbeat.cpu_millicores,
+                capacity_millicores: heartbeat.capacity_millicores,
             })
         })
     }
@@ -246,22 +246,26 @@
     /// Returns all nodes that may serve callers: known ones that are not leaving, responsive or not.
     pub fn potential(&self) -> impl Iterator<Item = EntryNode> {
         self.nodes.iter().filter_map(|(vm, node)| {
-            let (data_centre, address, cpu_millicores) = match (&node.heartbeat, &node.registration)
-            {
-                (Some(heartbeat), _) if heartbeat.phase == EntryPhase::Leaving => return None,
-                (Some(heartbeat), _) => (
-                    &heartbeat.data_centre,
-                    heartbeat.caller_address,
-                    heartbeat.cpu_millicores,
-                ),
-                (None, Some(own)) => (&own.data_centre, own.caller_address, own.cpu_millicores),
-                (None, None) => return None,
-            };
+            let (data_centre, address, capacity_millicores) =
+                match (&node.heartbeat, &node.registration) {
+                    (Some(heartbeat), _) if heartbeat.phase == EntryPhase::Leaving => return None,
+                    (Some(heartbeat), _) => (
+                        &heartbeat.data_centre,
+                        heartbeat.caller_address,
+                        heartbeat.capacity_millicores,
+                    ),
+                    (None, Some(own)) => (
+                        &own.data_centre,
+                        own.caller_address,
+                        own.capacity_millicores,
+                    ),
+                    (None, None) => return None,
+                };
             Some(EntryNode {
                 vm: vm.clone(),
                 data_centre: data_centre.clone(),
                 address,
-                cpu_millicores,
+                capacity_millicores,
             })
         })
     }
--- a/lib/src/entry_nodes.rs
+++ b/lib/src/entry_nodes.rs
@@ -2,7 +2,8 @@
 //!
 //! A few nodes of each data centre carry its traffic, so that evidence, rates and connections are
 //! concentrated in few places. They are selected by rendezvous hashing over the known nodes, weighted
-//! by CPU capacity, so that all nodes arrive at the same selection without a message. See
+//! by capacity, so that all nodes arrive at the same selection without a message. Callers spread
+//! evenly over the selected nodes, so each of these must have the capacity for an even share. See
 //! [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
 
 use std::net::SocketAddr;
@@ -20,23 +21,29 @@
     pub data_centre: DataCentreId,
     /// Where callers connect.
     pub address: SocketAddr,
-    /// The CPU capacity of the node, in thousandths of a core.
-    pub cpu_millicores: u32,
+    /// The capacity of the node for requests, in thousandths of a core; see [`node_capacity`].
+    pub capacity_millicores: u32,
 }
 
 /// The requirements on the set of nodes that carry a data centre's traffic.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EntryRequirements {
+    /// The number of nodes if they can carry the traffic.
+    pub preferred_nodes: usize,
     /// The minimum number of nodes, so that the loss of one leaves others.
     pub min_nodes: usize,
-    /// The minimum CPU capacity of all of them together, in thousandths of a core.
-    pub min_cpu_millicores: u32,
+    /// The capacity that the traffic needs, in thousandths of a core.
+    pub min_capacity_millicores: u32,
 }
 
 /// The CPU time of one request on a node, in seconds: both connections, routing, selection, logs.
 const CPU_S_PER_REQUEST: f64 = 0.000_5;
 /// The fraction of a node's CPU capacity that requests may use when all slots of the targets are busy.
 const MAX_CPU_UTILISATION: f64 = 0.5;
+/// The bytes of one request on a node's link in the busier direction: a request and an answer.
+const LINK_BYTES_PER_REQUEST: f64 = 8_000.0;
+/// The fraction of a node's link that requests may use when all slots of the targets are busy.
+const MAX_LINK_UTILISATION: f64 = 0.5;
 /// The typical running time as a fraction of the latency objective: objectives leave room for the
 /// slowest of a hundred requests.
 const TYPICAL_RUNNING_FRACTION: f64 = 0.33;
@@ -51,6 +58,15 @@
     requests_per_s * CPU_S_PER_REQUEST / MAX_CPU_UTILISATION * 1_000.0
 }
 
+/// Returns a node's capacity for requests, in thousandths of a core: its CPU capacity, or what its
+/// link can carry if that is less.
+pub fn node_capacity(cpu_millicores: u32, link_mbps: f64) -> u32 {
+    let bytes_per_s = link_mbps * 1e6 / 8.0 * MAX_LINK_UTILISATION;
+    let requests_per_s = bytes_per_s / LINK_BYTES_PER_REQUEST;
+    let link_millicores = requests_per_s * CPU_S_PER_REQUEST / MAX_CPU_UTILISATION * 1_000.0;
+    cpu_millicores.min((link_millicores as u32).max(1))
+}
+
 /// Returns the step of a rollout in which a node fetches a change, by the number of nodes before it in
 /// order. Each step has twice the nodes of the one before, so that every node finds a peer that no
 /// other node fetches from.
@@ -58,35 +74,52 @@
     (before + 1).ilog2()
 }
 
-/// Selects the nodes of one data centre that carry its traffic.
+/// Selects the nodes of one data centre that carry its traffic: few nodes, each of which has the
+/// capacity for an even share.
 pub fn select_entries<'a>(
     nodes: impl IntoIterator<Item = &'a EntryNode>,
     data_centre: &DataCentreId,
     requirements: EntryRequirements,
 ) -> Vec<&'a EntryNode> {
-    let mut ranked: Vec<(f64, &EntryNode)> = nodes
+    let mut ranked: Vec<&EntryNode> = nodes
         .into_iter()
         .filter(|node| node.data_centre == *data_centre)
-        .map(|node| (rank(node), node))
         .collect();
-    ranked.sort_by(|(left, _), (right, _)| right.total_cmp(left));
-    let mut selected = Vec::new();
-    let mut cpu_millicores = 0;
-    for (_, node) in ranked {
-        if selected.len() >= requirements.min_nodes
-            && cpu_millicores >= requirements.min_cpu_millicores
-        {
-            break;
+    ranked.sort_by(|left, right| rank(right).total_cmp(&rank(left)));
+    let select = |count: usize, min_capacity: u32| -> Vec<&EntryNode> {
+        let fitting = ranked
+            .iter()
+            .filter(|node| node.capacity_millicores >= min_capacity);
+        fitting.take(count).copied().collect()
+    };
+    let EntryRequirements {
+        preferred_nodes,
+        min_nodes,
+        min_capacity_millicores,
+    } = requirements;
+    let counts = [preferred_nodes]
+        .into_iter()
+        .chain((min_nodes..preferred_nodes).rev())
+        .chain(preferred_nodes + 1..=ranked.len());
+    for count in counts {
+        let share = min_capacity_millicores.div_ceil(count.max(1) as u32);
+        let selected = select(count, share);
+        if selected.len() == count {
+            return selected;
         }
-        cpu_millicores += node.cpu_millicores;
-        selected.push(node);
     }
-    selected
+    // The nodes cannot carry the traffic: those that can carry the most of it are selected.
+    let mut capacities: Vec<u32> = ranked.iter().map(|node| node.capacity_millicores).collect();
+    capacities.sort_by(|left, right| right.cmp(left));
+    let best = (min_nodes.min(ranked.len())..=ranked.len())
+        .filter(|count| *count > 0)
+        .max_by_key(|count| u64::from(capacities[count - 1]) * *count as u64);
+    best.map_or_else(Vec::new, |count| select(count, capacities[count - 1]))
 }
 
 /// Ranks a node by weighted rendezvous hashing: one of twice the size is twice as likely to be first.
 fn rank(node: &EntryNode) -> f64 {
     let hash = StableHash::of(node.vm.as_bytes()).0;
     let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
-    f64::from(node.cpu_millicores.max(1)) / -uniform.ln()
+    f64::from(node.capacity_millicores.max(1)) / -uniform.ln()
 }
