entry: refuse requests while a newer configuration that peers have cannot be fetched

Cause: a node that knew of a newer configuration and could not get it went on with the old one without a bound, withdrawn keys and dropped routes included.

Change: `TableCopy` joins the copy of a table with its lag. Once the lag of the routing reaches 0.8 of `routing_apply_s` (the platform's config_apply_s) and a responsive peer has the newer version, the node answers 503 with Retry-After and counts as not ready, so that the directory leaves it out. If no peer that answers heartbeats has it, the node serves on, as during an outage of the store. The lag is in `configuration applied` (`known_ms`) and in two gauges; the delay of the event loop in a third.

Ruled out: reading the store at that moment (the store may turn the node away, and a whole table is larger than the changes); refusing for outdated targets (a draining target answers for itself, and no other node need be better off).

Evidence: a_node_refuses_requests_while_it_cannot_get_a_newer_configuration fails without the check (the peer never answers, the old key is served for 20 s of polls).

--- a/entry/src/admission.rs
+++ b/entry/src/admission.rs
@@ -18,6 +18,9 @@
 
 /// The `Retry-After` time of refusals by a node that has no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// The `Retry-After` time of refusals by a node with an outdated configuration: enough for a caller
+/// to reach another node.
+const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Returns the caller's id of the request for log lines; `-` if there is none.
 pub fn request_id(parts: &Parts) -> &str {
@@ -56,6 +59,12 @@
         RefusalReason::NotConfigured,
         UNCONFIGURED_RETRY_AFTER,
     ))?;
+    if state.is_routing_outdated() {
+        return Err(CallerRefusal::after(
+            RefusalReason::OutdatedConfiguration,
+            OUTDATED_RETRY_AFTER,
+        ));
+    }
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or(parts.uri.host()).unwrap_or("");
     let route = table
--- a/entry/src/caller_answer.rs
+++ b/entry/src/caller_answer.rs
@@ -29,6 +29,8 @@
     RateExceeded,
     /// The node has no configuration yet.
     NotConfigured,
+    /// Peers have had a newer configuration for too long.
+    OutdatedConfiguration,
     /// No target accepts requests.
     NoTarget,
     /// The service is too busy to answer the request in time.
@@ -51,6 +53,7 @@
             Self::BodyTooLarge => "body-too-large",
             Self::RateExceeded => "rate-exceeded",
             Self::NotConfigured => "not-configured",
+            Self::OutdatedConfiguration => "outdated-configuration",
             Self::NoTarget => "no-target",
             Self::Overloaded => "overloaded",
             Self::CrashesTargets => "crashes-targets",
@@ -68,9 +71,11 @@
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotConfigured | Self::NoTarget | Self::Overloaded | Self::CrashesTargets => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotConfigured
+            | Self::OutdatedConfiguration
+            | Self::NoTarget
+            | Self::Overloaded
+            | Self::CrashesTargets => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetBroke => StatusCode::BAD_GATEWAY,
             Self::TargetTimeout => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/entry/src/entry_meters.rs
+++ b/entry/src/entry_meters.rs
@@ -54,6 +54,12 @@
     pub routing_age: Duration,
     /// The time since the node's copy of the targets was last known to be current.
     pub targets_age: Duration,
+    /// For how long peers have had a routing that is missing here.
+    pub routing_lag: Duration,
+    /// For how long peers have had rows of targets that are missing here.
+    pub targets_lag: Duration,
+    /// How late the last periodic check of running attempts was.
+    pub loop_delay: Duration,
     /// The number of known targets.
     pub targets: usize,
     /// The number of nodes with a recent heartbeat, including this one.
@@ -76,6 +82,9 @@
     routing_version: Gauge<u64>,
     routing_age: Gauge<f64>,
     targets_age: Gauge<f64>,
+    routing_lag: Gauge<f64>,
+    targets_lag: Gauge<f64>,
+    loop_delay: Gauge<f64>,
     targets: Gauge<u64>,
     nodes: Gauge<u64>,
 }
@@ -103,6 +112,9 @@
             routing_version: meter.u64_gauge("damaskloom_routing_version").build(),
             routing_age: meter.f64_gauge("damaskloom_routing_age_seconds").build(),
             targets_age: meter.f64_gauge("damaskloom_targets_age_seconds").build(),
+            routing_lag: meter.f64_gauge("damaskloom_routing_lag_seconds").build(),
+            targets_lag: meter.f64_gauge("damaskloom_targets_lag_seconds").build(),
+            loop_delay: meter.f64_gauge("damaskloom_loop_delay_seconds").build(),
             targets: meter.u64_gauge("damaskloom_targets").build(),
             nodes: meter.u64_gauge("damaskloom_nodes").build(),
         })
@@ -151,6 +163,11 @@
             .record(known.routing_age.as_secs_f64(), &[]);
         self.targets_age
             .record(known.targets_age.as_secs_f64(), &[]);
+        self.routing_lag
+            .record(known.routing_lag.as_secs_f64(), &[]);
+        self.targets_lag
+            .record(known.targets_lag.as_secs_f64(), &[]);
+        self.loop_delay.record(known.loop_delay.as_secs_f64(), &[]);
         self.targets.record(known.targets as u64, &[]);
         self.nodes.record(known.nodes as u64, &[]);
     }
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -192,7 +192,26 @@
         let has_tables = self.routing.borrow().is_some() && self.targets_known.get();
         // Without the secret no messages of other nodes are accepted, so rates could not be
         // divided.
-        has_tables && !self.is_leaving() && self.secret.borrow().is_some()
+        let has_secret = self.secret.borrow().is_some();
+        has_tables && has_secret && !self.is_leaving() && !self.is_routing_outdated()
+    }
+
+    /// Returns whether this node has known for too long of a routing that it does not have.
+    ///
+    /// Only a routing that a responsive peer has counts, since no node can fetch it otherwise.
+    pub fn is_routing_outdated(&self) -> bool {
+        let now = self.clock.now();
+        let copy = &self.routing_copy;
+        let max_lag = self.settings().bounds.max_routing_lag();
+        if copy.lag(now).is_none_or(|lag| lag < max_lag) {
+            return false;
+        }
+        let own_version = copy.mirror.borrow().version();
+        let members = self.members.borrow();
+        members.responsive(now).any(|(_, node)| {
+            let heartbeat = node.heartbeat.as_ref();
+            heartbeat.is_some_and(|heartbeat| heartbeat.routing_version > own_version)
+        })
     }
 
     /// Records the arrival of a caller's request.
@@ -285,6 +304,7 @@
         tracing::info!(
             version = document.version.0,
             before = previous.map(|previous| previous.version.0),
+            known_ms = self.routing_copy.ended_lag_ms(),
             routes = document.routes.len(),
             keys = document.keys().count(),
             keys_gone = previous.map(|previous| document.removed_keys_since(previous)),
@@ -483,10 +503,14 @@
         let now = self.clock.now();
         let routing = self.routing.borrow();
         let version = routing.as_ref().map(|table| table.document().version.0);
+        let lag = |copy: &TableCopy| copy.lag(now).unwrap_or_default();
         self.meters.record_gauges(&GaugeValues {
             routing_version: version.unwrap_or(0),
             routing_age: now.since(self.routing_since.get()),
             targets_age: now.since(self.targets_read_at.get()),
+            routing_lag: lag(&self.routing_copy),
+            targets_lag: lag(&self.targets_copy),
+            loop_delay: self.loop_delay.get(),
             targets: self.catalog.borrow().len(),
             nodes: self.members.borrow().responsive(now).count() + 1,
         });
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -323,8 +323,7 @@
         request_rows(&secret, peer, &request_target, progress),
     );
     let answer = answer.await.context(TimedOutSnafu)??;
-    let known_ms = copy.lag_ms(state.clock.now());
-    let changed_rows = copy.apply(answer.rows, answer.version);
+    let changed_rows = copy.apply(state.clock.now(), answer.rows, answer.version);
     tracing::info!(
         %peer,
         what = kind.path(),
@@ -332,7 +331,7 @@
         connect_ms = progress.connect_ms(),
         head_ms = progress.head_ms(),
         taken_ms = progress.elapsed_ms(),
-        known_ms,
+        known_ms = copy.ended_lag_ms(),
         in_flight = state.in_flight.get(),
         loop_delay_ms = state.loop_delay.get().as_millis() as u64,
         "rows fetched from peer"
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -51,6 +51,8 @@
     pub stop_grace_s: f64,
     /// The maximum time for which callers may cache a directory answer, in seconds.
     pub max_directory_lifetime_s: f64,
+    /// The time within which a configuration must be in force on every node, in seconds.
+    pub routing_apply_s: f64,
     /// The number of retries allowed per request, over the whole fleet.
     pub repeat_ratio: f64,
     /// The number of further retries allowed in a window, over the whole fleet.
@@ -65,7 +67,16 @@
     pub rate_slack: f64,
 }
 
+/// The fraction of the time for applying a configuration after which a node without it refuses
+/// requests; the rest is for the announcement to arrive.
+const MAX_ROUTING_LAG_RATIO: f64 = 0.8;
+
 impl FleetBounds {
+    /// Returns for how long a node may use its routing once it knows of a newer one.
+    pub fn max_routing_lag(&self) -> Duration {
+        Duration::from_secs_f64(self.routing_apply_s * MAX_ROUTING_LAG_RATIO)
+    }
+
     /// Returns the tolerated excess over a customer's limit.
     pub fn rate_tolerance(&self) -> RateTolerance {
         RateTolerance {
@@ -167,6 +178,10 @@
             self.bounds.max_directory_lifetime_s > 0.0,
             bad("bounds.max_directory_lifetime_s", "a positive number")
         );
+        ensure!(
+            self.bounds.routing_apply_s > 0.0,
+            bad("bounds.routing_apply_s", "a positive number")
+        );
         let windows = [self.bounds.repeat_window_s, self.bounds.rate_window_s];
         let amounts = [
             self.bounds.repeat_ratio,
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -197,14 +197,16 @@
                 )
                 .await;
             match feed {
-                Ok(FeedOutcome::Changes(batch)) => Ok(apply_changes(&state.routing_copy, batch)),
+                Ok(FeedOutcome::Changes(batch)) => {
+                    Ok(apply_changes(&state, &state.routing_copy, batch))
+                }
                 Ok(FeedOutcome::Forgotten) => {
-                    read_whole_table(&client, OPERATOR_TABLE, &state.routing_copy).await
+                    read_whole_table(&state, &client, OPERATOR_TABLE, &state.routing_copy).await
                 }
                 Err(error) => Err(error),
             }
         } else {
-            read_whole_table(&client, OPERATOR_TABLE, &state.routing_copy).await
+            read_whole_table(&state, &client, OPERATOR_TABLE, &state.routing_copy).await
         };
         match read {
             Ok(changed_rows) => {
@@ -238,14 +240,16 @@
                 .read_feed(TARGET_TABLE, version, feed_status.feed_wait(), CALL_TIMEOUT)
                 .await;
             match feed {
-                Ok(FeedOutcome::Changes(batch)) => Ok(apply_changes(&state.targets_copy, batch)),
+                Ok(FeedOutcome::Changes(batch)) => {
+                    Ok(apply_changes(&state, &state.targets_copy, batch))
+                }
                 Ok(FeedOutcome::Forgotten) => {
-                    read_whole_table(&client, TARGET_TABLE, &state.targets_copy).await
+                    read_whole_table(&state, &client, TARGET_TABLE, &state.targets_copy).await
                 }
                 Err(error) => Err(error),
             }
         } else {
-            read_whole_table(&client, TARGET_TABLE, &state.targets_copy).await
+            read_whole_table(&state, &client, TARGET_TABLE, &state.targets_copy).await
         };
         let now = state.clock.now();
         match read {
@@ -320,18 +324,19 @@
 }
 
 async fn read_whole_table(
+    state: &EntryState,
     client: &StoreClient,
     table: &str,
     copy: &TableCopy,
 ) -> Result<Vec<MirrorRow>, PlatformError> {
     let batch = client.read_table(table, CALL_TIMEOUT).await?;
     let rows = batch.rows.into_iter().map(mirror_row).collect();
-    Ok(copy.replace(rows, batch.version))
+    Ok(copy.replace(state.clock.now(), rows, batch.version))
 }
 
-fn apply_changes(copy: &TableCopy, batch: RowBatch) -> Vec<MirrorRow> {
+fn apply_changes(state: &EntryState, copy: &TableCopy, batch: RowBatch) -> Vec<MirrorRow> {
     let rows = batch.rows.into_iter().map(mirror_row).collect();
-    copy.apply(rows, batch.version)
+    copy.apply(state.clock.now(), rows, batch.version)
 }
 
 fn mirror_row(row: StoreRow) -> MirrorRow {
--- a/entry/src/table_copy.rs
+++ b/entry/src/table_copy.rs
@@ -1,6 +1,7 @@
 //! This node's copy of a table of the store, and what it knows of newer versions.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
 
 use damaskloom_lib::entry_members::NodeHeartbeat;
 use damaskloom_lib::table_mirror::{MirrorRow, TableMirror};
@@ -42,6 +43,8 @@
     pub mirror: RefCell<TableMirror>,
     /// For how long peers have had rows that are missing here.
     lag: RefCell<VersionLag>,
+    /// The lag that ended with the last change.
+    ended_lag: Cell<Option<Duration>>,
     /// Wakes the task that fetches rows from peers: a peer has newer ones.
     pub newer_known: Notify,
 }
@@ -57,28 +60,35 @@
     }
 
     /// Applies changes up to a version; returns those that were newer than the copy.
-    pub fn apply(&self, rows: Vec<MirrorRow>, version: u64) -> Vec<MirrorRow> {
+    pub fn apply(&self, now: MonoTime, rows: Vec<MirrorRow>, version: u64) -> Vec<MirrorRow> {
         let changed_rows = self.mirror.borrow_mut().apply(rows, version);
-        self.record_reached();
+        self.record_reached(now);
         changed_rows
     }
 
     /// Replaces the copy by the whole table as of a version; returns the changes.
-    pub fn replace(&self, rows: Vec<MirrorRow>, version: u64) -> Vec<MirrorRow> {
+    pub fn replace(&self, now: MonoTime, rows: Vec<MirrorRow>, version: u64) -> Vec<MirrorRow> {
         let changed_rows = self.mirror.borrow_mut().replace(rows, version);
-        self.record_reached();
+        self.record_reached(now);
         changed_rows
     }
 
-    fn record_reached(&self) {
+    fn record_reached(&self, now: MonoTime) {
         let version = self.mirror.borrow().version();
+        self.ended_lag.set(self.lag(now));
         self.lag.borrow_mut().record_reached(version);
     }
 
-    /// Returns for how long peers have had rows that are missing here, in milliseconds; none if the
-    /// copy has all versions that this node knows of.
-    pub fn lag_ms(&self, now: MonoTime) -> Option<u64> {
-        let lag = self.lag.borrow().lag(now);
+    /// Returns for how long peers have had rows that are missing here; none if the copy has all
+    /// versions that this node knows of.
+    pub fn lag(&self, now: MonoTime) -> Option<Duration> {
+        self.lag.borrow().lag(now)
+    }
+
+    /// Returns for how long peers had the rows of the last change before this node, in milliseconds;
+    /// none if no peer had announced them.
+    pub fn ended_lag_ms(&self) -> Option<u64> {
+        let lag = self.ended_lag.get();
         lag.map(|lag| lag.as_millis() as u64)
     }
 }
--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -202,7 +202,7 @@
         "store": store.address().to_string(),
         "machine": {"cpu_share": 0.2, "cpu_cores": 1},
         "bounds": {
-            "stop_grace_s": 6, "max_directory_lifetime_s": 5, "repeat_ratio": 0.2,
+            "stop_grace_s": 6, "max_directory_lifetime_s": 5, "routing_apply_s": 2, "repeat_ratio": 0.2,
             "repeat_slack": 64, "repeat_window_s": 10, "rate_window_s": 5,
             "rate_excess": 0.1, "rate_slack": 20
         }
--- a/entry/tests/test_row_fetches.rs
+++ b/entry/tests/test_row_fetches.rs
@@ -40,6 +40,8 @@
     configuration: RefCell<Bytes>,
     /// The delay of its answers, as on a path over a full link.
     answer_delay: Cell<Duration>,
+    /// Whether it answers requests.
+    answers: Cell<bool>,
     /// Whether it answers requests for rows of targets.
     answers_targets: Cell<bool>,
     /// The number of requests for rows of targets.
@@ -59,6 +61,7 @@
             versions: Cell::new((1, 1)),
             configuration: RefCell::default(),
             answer_delay: Cell::new(Duration::ZERO),
+            answers: Cell::new(true),
             answers_targets: Cell::new(true),
             target_requests: Cell::new(0),
         });
@@ -116,7 +119,7 @@
         if !is_routing {
             self.target_requests.set(self.target_requests.get() + 1);
         }
-        if !is_routing && !self.answers_targets.get() {
+        if !self.answers.get() || (!is_routing && !self.answers_targets.get()) {
             std::future::pending::<()>().await;
         }
         let (routing_version, targets_version) = self.versions.get();
@@ -210,3 +213,30 @@
     )
     .await;
 }
+
+/// Guards against a node that serves by an old configuration, for instance with a withdrawn key, since
+/// it cannot fetch the newer one that its peers have.
+#[tokio::test]
+async fn a_node_refuses_requests_while_it_cannot_get_a_newer_configuration() {
+    with_node(
+        &[TargetBehaviour::Succeeds],
+        |store, node, _targets| async move {
+            let secret = store
+                .get("damaskloom", "secret")
+                .expect("the fleet's secret");
+            let peer = ReaderPeer::start(SharedSecret::new(secret), node.ip(), 3).await;
+            peer.answers.set(false);
+            peer.announce_configuration(2, &["key-1", "key-new"]);
+            wait_until("the node refuses requests", async || {
+                let answer = node.send("GET", "/read/1", Some("key-1")).await;
+                answer.status == StatusCode::SERVICE_UNAVAILABLE
+                    && answer.headers.contains_key("retry-after")
+                    && answer.body == "outdated-configuration"
+            })
+            .await;
+            peer.answers.set(true);
+            wait_until_key_works(&node, "key-new").await;
+        },
+    )
+    .await;
+}
--- a/entry/tests/test_settings.rs
+++ b/entry/tests/test_settings.rs
@@ -9,7 +9,7 @@
   "directory_listen": "127.0.0.1:8003", "peer_port": 8004, "metrics_port": 8005,
   "store": "127.0.0.1:8006",
   "machine": {"cpu_share": 0.2, "cpu_cores": 1, "link_mbps": 10},
-  "bounds": {"stop_grace_s": 6, "max_directory_lifetime_s": 5, "repeat_ratio": 0.2,
+  "bounds": {"stop_grace_s": 6, "max_directory_lifetime_s": 5, "routing_apply_s": 2, "repeat_ratio": 0.2,
              "repeat_slack": 64, "repeat_window_s": 10, "rate_window_s": 5,
              "rate_excess": 0.1, "rate_slack": 20}
 }"#;
@@ -39,6 +39,7 @@
         error("\"cpu_share\": 0.2", "\"cpu_share\": 0"),
         error("\"link_mbps\": 10", "\"link_mbps\": 0"),
         error("\"stop_grace_s\": 6", "\"stop_grace_s\": 0"),
+        error("\"routing_apply_s\": 2", "\"routing_apply_s\": 0"),
         error("\"rate_window_s\": 5", "\"rate_window_s\": 0"),
         error("\"vm\": \"vm-1\"", "\"vm\": \"vm-1\", \"wm\": 1"),
     ];
--- a/testutils/src/soak_fleet.rs
+++ b/testutils/src/soak_fleet.rs
@@ -98,7 +98,7 @@
             "store": self.store_path.address().to_string(),
             "machine": { "cpu_share": 0.5, "cpu_cores": 1 },
             "bounds": {
-                "stop_grace_s": self.stop_grace_s, "max_directory_lifetime_s": 2,
+                "stop_grace_s": self.stop_grace_s, "max_directory_lifetime_s": 2, "routing_apply_s": 2,
                 "repeat_ratio": 0.2, "repeat_slack": 64, "repeat_window_s": 10,
                 "rate_window_s": 5, "rate_excess": 0.1, "rate_slack": 20
             }
