entry: bound a target's answer without end in bytes and time

What callers would see: a booking that a target had refused as not run was answered 504 at its deadline, which does not say so, while the node kept all bytes of the refusal's body in memory (550 MB in one test); and a long answer that trickles was held open without end.

Cause: two places that waited for a target without a limit of their own. The body of a refusal was collected whole before the refusal was used. A body over 256 KiB was passed on without the deadline that bounds all shorter ones.

Class: a read from an outside system that trusts it to end.

Mend: the body of a refusal is read for at most 8 KiB and 20 ms, only to reuse the connection; the outcome does not depend on it. A body that is passed on while it arrives ends at the request's deadline; the caller's connection closes, so that the answer does not look complete (`StreamedBody`). Heads were bounded before: 64 KiB and the deadline.

Evidence: test_endless_answers, raw targets that send until the node closes (head, one field, no status line, chunks, body until the close, failure, refusal, trickles).

--- a/entry/src/caller_answer.rs
+++ b/entry/src/caller_answer.rs
@@ -9,10 +9,9 @@
 use http::header::{CONTENT_LENGTH, RETRY_AFTER};
 use http::{Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
-use hyper::body::Incoming;
 
+use crate::streamed_body::{StreamError, StreamedBody};
 use crate::target_call::TargetAnswer;
-use crate::target_pool::ConnectionLease;
 
 /// The reasons why a request ends without a target's answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -115,37 +114,28 @@
 pub enum CallerBody {
     /// The complete body.
     Buffered(Option<Bytes>),
-    /// A target's body that is streamed; the connection to the target closes if the body is dropped
-    /// before its end.
-    Stream(Incoming, Option<ConnectionLease>),
+    /// A target's body that is passed on while it arrives.
+    Stream(StreamedBody),
 }
 
 impl Body for CallerBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = StreamError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
         match &mut *self {
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(body, lease) => {
-                let frame = Pin::new(body).poll_frame(cx);
-                if let Poll::Ready(None) = frame
-                    && let Some(lease) = lease.take()
-                {
-                    lease.release(None);
-                }
-                frame
-            }
+            Self::Stream(body) => Pin::new(body).poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(bytes) => bytes.is_none(),
-            Self::Stream(body, _) => body.is_end_stream(),
+            Self::Stream(body) => body.is_end_stream(),
         }
     }
 
@@ -154,7 +144,7 @@
             Self::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Stream(body, _) => body.size_hint(),
+            Self::Stream(body) => body.size_hint(),
         }
     }
 }
@@ -180,8 +170,6 @@
             let body = CallerBody::Buffered((!bytes.is_empty()).then_some(bytes));
             Response::from_parts(parts, body)
         }
-        TargetAnswer::Stream(response, lease) => {
-            response.map(|body| CallerBody::Stream(body, Some(lease)))
-        }
+        TargetAnswer::Stream(response) => response.map(CallerBody::Stream),
     }
 }
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! - `process` starts and stops an entry process, `command` and `settings` read its settings, and
 //!   `entry_state` holds the state that its tasks share.
-//! - `caller_listener`, `admission`, `request_path`, `target_call`, `target_pool` and
+//! - `caller_listener`, `admission`, `request_path`, `target_call`, `target_pool`, `streamed_body` and
 //!   `caller_answer` are the request path, from the caller's connection to the answer.
 //! - `store_watch` follows the store and registers the node; `fleet_roles` determines which nodes
 //!   follow the store and which nodes callers are directed to.
@@ -31,6 +31,7 @@
 pub mod request_path;
 pub mod settings;
 pub mod store_watch;
+pub mod streamed_body;
 pub mod table_copy;
 pub mod target_call;
 pub mod target_pool;
--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -20,12 +20,19 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
+use crate::streamed_body::StreamedBody;
 use crate::target_pool::{ConnectError, ConnectionLease, TargetPool};
 
 /// Answers up to this size are buffered before they are passed on, so that a truncated one can
 /// still be replaced by a retry; larger ones are streamed.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 256 << 10;
 
+/// The maximum size of the body of a target's refusal that is read to reuse the connection, in bytes.
+const MAX_REFUSAL_BODY_BYTES: usize = 8 << 10;
+/// The time in which the body of a target's refusal must arrive for its connection to be reused. The
+/// request waits for it, and the body usually comes with the head.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// The ways in which an attempt fails without an answer that can be passed on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallError {
@@ -75,7 +82,7 @@
     /// The answer is complete.
     Buffered(Response<Bytes>),
     /// The body is read from the connection while it is passed on.
-    Stream(Response<Incoming>, ConnectionLease),
+    Stream(Response<StreamedBody>),
 }
 
 impl TargetAnswer {
@@ -83,7 +90,7 @@
     pub fn status(&self) -> StatusCode {
         match self {
             Self::Buffered(response) => response.status(),
-            Self::Stream(response, _) => response.status(),
+            Self::Stream(response) => response.status(),
         }
     }
 }
@@ -219,19 +226,21 @@
         },
     };
     let load = reported_load(response.headers());
-    (receive_answer(head, response, lease).await, load)
+    (receive_answer(head, response, lease, deadline).await, load)
 }
 
 async fn receive_answer(
     head: &OutgoingHead,
     mut response: Response<Incoming>,
     lease: ConnectionLease,
+    deadline: Instant,
 ) -> Result<TargetAnswer, CallError> {
     let headers = response.headers();
     if let Some(error) = refusal_error(response.status(), headers) {
-        // The body of a refusal is short; once it is read, the connection can be reused.
+        // The connection can be reused once a short body is read; otherwise it closes.
         let idle = idle_time(headers);
-        if response.into_body().collect().await.is_ok() {
+        let body = Limited::new(response.into_body(), MAX_REFUSAL_BODY_BYTES).collect();
+        if let Ok(Ok(_)) = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body).await {
             lease.release(idle);
         }
         return Err(error);
@@ -245,7 +254,8 @@
     remove_hop_headers(response.headers_mut());
     let length = response.body().size_hint().exact();
     if length.is_some_and(|length| length > MAX_BUFFERED_ANSWER_BYTES as u64) {
-        return Ok(TargetAnswer::Stream(response, lease));
+        let stream = response.map(|body| StreamedBody::new(body, lease, deadline));
+        return Ok(TargetAnswer::Stream(stream));
     }
     let (parts, body) = response.into_parts();
     let collected = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES)
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -1,6 +1,7 @@
 //! All tests of the crate, with one module for each subject.
 
 mod fixture;
+mod test_endless_answers;
 mod test_fleet;
 mod test_log_lines;
 mod test_peer_wire;
