lib: a resent claim of a refused attempt is refused again, not granted

What callers saw (known red, a_request_whose_claim_is_not_durable_does_not_run): after a booking was refused as not run, its resends found the id busy for 30 s.

Cause: a gateway resends an unanswered claim every 100 ms; a copy that is not acknowledged fails after 250 ms. On a busy machine the third resend and the refusal fall into one tick. The owner took the resend for a new attempt, made the copy once the path was back and granted it to the attempt that its gateway had given up. Nobody reported a result, so the id stayed busy.

Class: a duplicate that is handled after the answer to its original.

Mend: the owner answers a claim with the ticket that it has refused by another refusal, as `unknown`; only another attempt may claim the id again.

Evidence: a_resent_claim_of_a_refused_attempt_is_not_granted fails before (a copy is made).

--- a/lib/src/claim_entry.rs
+++ b/lib/src/claim_entry.rs
@@ -72,6 +72,10 @@
             _ if self.row.fingerprint != fingerprint => {
                 return Some(vec![duplicate(key, ticket, FirstClaim::Reused)]);
             }
+            // The claim was resent before its refusal arrived, and its holder has given it up by now.
+            EntryState::Failed if is_same => {
+                return Some(vec![unavailable(key, ticket, Execution::Unknown)]);
+            }
             EntryState::Failed if is_young => {
                 self.ticket = ticket.clone();
                 return None;
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -236,6 +236,28 @@
 
 /// Guards against a grant by an owner that has not noticed that a later epoch, with another owner,
 /// has begun.
+/// Guards against an id that stays busy after a refusal: a resent claim of the refused attempt arrives
+/// after the refusal, and is granted although its gateway has given the attempt up.
+#[test]
+fn a_resent_claim_of_a_refused_attempt_is_not_granted() {
+    let (mut log, gateway) = owner();
+    let write = log.handle(NOW, &gateway, claim(1, 0));
+    assert!(matches!(write[..], [ClaimAction::WriteRow { .. }]));
+    log.row_written(NOW, &key(0), RowWrite::Unavailable);
+    let refused = log.tick(later(300));
+    assert_eq!(messages(refused), unavailable(1, Execution::NotRun));
+    let again = log.handle(later(300), &gateway, claim(1, 0));
+    assert_eq!(messages(again), unavailable(1, Execution::Unknown));
+    let next = messages(log.handle(later(400), &gateway, claim(2, 0)));
+    assert!(matches!(next[..], [ClaimMessage::Copy { .. }]), "{next:?}");
+    let ack = ClaimMessage::CopyAck {
+        key: key(0),
+        ticket: ticket(1),
+    };
+    let answer = log.handle(later(410), &node(3, 0), ack);
+    assert_eq!(messages(answer), granted(2));
+}
+
 #[test]
 fn a_copy_holder_of_a_later_epoch_refuses() {
     let (mut log, gateway) = owner();
