soak: series of faults, and targets whose heads or bodies have no end

Faults of nodes, replaced targets and changes come singly or as the first of a series of three to six, one node after the other at gaps of 30 to 800 ms, over whatever else runs. Targets may also send heads or bodies without end.

--- a/testutils/src/soak_plan.rs
+++ b/testutils/src/soak_plan.rs
@@ -41,6 +41,10 @@
     CutsAnswers,
     /// Sends a second answer after the first.
     ExtraAnswers,
+    /// Sends a head without end.
+    EndlessHead,
+    /// Sends a body without a length and without end.
+    EndlessBody,
 }
 
 /// How the store fails.
@@ -117,25 +121,72 @@
 /// The range of fault durations, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 400..4_000;
 
-/// Draws the fault plan of a seed.
+/// The probability that a fault of a node or a change is the first one of a series.
+const SERIES_PROBABILITY: f64 = 0.4;
+/// The number of further faults of a series, and the gap between two of them in milliseconds.
+const SERIES_LENGTH: std::ops::Range<usize> = 2..6;
+const SERIES_GAP_MS: std::ops::Range<u64> = 30..800;
+
+/// Draws the fault plan of a seed, in the order of the starts.
 pub fn plan(seed: u64, size: SoakSize) -> Vec<PlannedFault> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut faults = Vec::new();
     let mut at_ms = 500;
     while at_ms < size.length_ms {
-        faults.push(PlannedFault {
+        let fault = draw(&mut rng, size);
+        let first = PlannedFault {
             from_ms: at_ms,
             for_ms: rng.random_range(LENGTH_MS),
-            fault: draw(&mut rng, size),
-        });
+            fault,
+        };
+        faults.push(first);
+        if next_of_series(fault, size).is_some() && rng.random_bool(SERIES_PROBABILITY) {
+            let length = rng.random_range(SERIES_LENGTH);
+            let gap_ms = rng.random_range(SERIES_GAP_MS);
+            let mut last = first;
+            for _ in 0..length {
+                let Some(fault) = next_of_series(last.fault, size) else {
+                    break;
+                };
+                last = PlannedFault {
+                    from_ms: last.from_ms + gap_ms,
+                    fault,
+                    ..last
+                };
+                faults.push(last);
+            }
+        }
         // A third of the faults start together with the one before.
         if rng.random_bool(0.67) {
             at_ms += rng.random_range(1..MEAN_GAP_MS * 3);
         }
     }
+    faults.sort_by_key(|fault| fault.from_ms);
     faults
 }
 
+/// Returns the fault that follows another one in a series: the same at the next node, or one more
+/// change; none for faults that come singly.
+fn next_of_series(fault: SoakFault, size: SoakSize) -> Option<SoakFault> {
+    let next = |node: usize| (node + 1) % size.nodes;
+    match fault {
+        SoakFault::NodeKilled(node) => Some(SoakFault::NodeKilled(next(node))),
+        SoakFault::NodeStopped(node) => Some(SoakFault::NodeStopped(next(node))),
+        SoakFault::NodePaused(node) => Some(SoakFault::NodePaused(next(node))),
+        SoakFault::NodeReloaded(node) => Some(SoakFault::NodeReloaded(next(node))),
+        SoakFault::TargetReplaced(target) => {
+            Some(SoakFault::TargetReplaced((target + 1) % size.targets))
+        }
+        SoakFault::LimitChanged => Some(SoakFault::LimitChanged),
+        SoakFault::AllKilled
+        | SoakFault::StorePath(..)
+        | SoakFault::Store(_)
+        | SoakFault::TargetPath(..)
+        | SoakFault::Target(..)
+        | SoakFault::KeyWithdrawn => None,
+    }
+}
+
 fn draw(rng: &mut SmallRng, size: SoakSize) -> SoakFault {
     let node = rng.random_range(0..size.nodes);
     let target = rng.random_range(0..size.targets);
@@ -154,6 +205,8 @@
         TargetFault::Mute,
         TargetFault::CutsAnswers,
         TargetFault::ExtraAnswers,
+        TargetFault::EndlessHead,
+        TargetFault::EndlessBody,
     ]
     .choose(rng)
     .expect("the list is not empty");
--- a/testutils/src/soak_target.rs
+++ b/testutils/src/soak_target.rs
@@ -20,6 +20,8 @@
 const RUN_TIME_MS: u64 = 15;
 /// One in this many requests succeeds at a gray target.
 const GRAY_SUCCESS_ONE_IN: u64 = 5;
+/// The interval at which an answer without end goes on.
+const ENDLESS_WRITE_INTERVAL: Duration = Duration::from_micros(200);
 /// The largest request head that is read, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
@@ -180,10 +182,28 @@
             bytes.extend_from_within(..);
             stream.write_all(&bytes).await
         }
+        TargetFault::EndlessHead => {
+            let head = b"HTTP/1.1 200 X\r\n";
+            stream.write_all(head).await?;
+            write_without_end(stream, b"x-filler: aaaaaaaaaaaaaaaaaaaaaaaa\r\n").await
+        }
+        TargetFault::EndlessBody => {
+            let head = format!("HTTP/1.1 200 X\r\nrequest-id: {id}\r\nserver-seal: seal\r\n\r\n");
+            stream.write_all(head.as_bytes()).await?;
+            write_without_end(stream, &body).await
+        }
         TargetFault::None | TargetFault::Gray | TargetFault::Slow => stream.write_all(&bytes).await,
     }
 }
 
+/// Writes the same bytes until the reader closes the connection.
+async fn write_without_end(stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+    loop {
+        stream.write_all(bytes).await?;
+        tokio::time::sleep(ENDLESS_WRITE_INTERVAL).await;
+    }
+}
+
 fn byte_sum(id: &str) -> u64 {
     id.bytes().map(u64::from).sum()
 }
