entry, lib: a node tells all others once more when it concerns them no longer

Cause: nodes that carry traffic, read the store, serve as entries or leave send their heartbeats to all nodes, others to their data centre only.

Ruled out: lost datagrams on full links.

Change: `HeartbeatScope` sends the first heartbeat after that to all as well.

Evidence: all_nodes_hear_that_a_node_concerns_them_no_more (the type is new; without the last heartbeat its fourth and seventh entries are false).

--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use damaskloom_lib::crash_guard::CrashAction;
-use damaskloom_lib::entry_members::{HEARTBEAT_INTERVAL_MS, MessageStream};
+use damaskloom_lib::entry_members::{HEARTBEAT_INTERVAL_MS, HeartbeatScope, MessageStream};
 use damaskloom_lib::entry_nodes::EntryNode;
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::fleet_rate::{RateReport, ReportFilter};
@@ -42,6 +42,7 @@
     socket: UdpSocket,
     port: u16,
     sequence: Cell<u64>,
+    heartbeat_scope: RefCell<HeartbeatScope>,
     local_reports: RefCell<ReportFilter>,
     remote_reports: RefCell<ReportFilter>,
 }
@@ -62,6 +63,7 @@
             socket,
             port,
             sequence: Cell::new(0),
+            heartbeat_scope: RefCell::default(),
             local_reports: RefCell::default(),
             remote_reports: RefCell::default(),
         }
@@ -99,8 +101,9 @@
     /// traffic, serves as an entry or is leaving sends it to all nodes.
     pub fn send_heartbeat(&self, state: &EntryState) {
         let heartbeat = state.heartbeat();
-        let to_all =
+        let concerns_all =
             heartbeat.linked || heartbeat.carrying || state.is_entry() || state.is_leaving();
+        let to_all = self.heartbeat_scope.borrow_mut().includes_all(concerns_all);
         let to: Vec<SocketAddr> = state
             .members
             .borrow()
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -97,6 +97,24 @@
     last_sequences: [u64; 2],
 }
 
+/// Decides whether a heartbeat is sent to all nodes or only to those of the own data centre.
+#[derive(Debug, Default)]
+pub struct HeartbeatScope {
+    reached_all: bool,
+}
+
+impl HeartbeatScope {
+    /// Returns whether the next heartbeat is sent to all nodes, given whether all nodes must know of
+    /// this node.
+    ///
+    /// The first heartbeat after that ends is sent to all as well, so that this node does not seem to
+    /// have failed.
+    pub fn includes_all(&mut self, concerns_all: bool) -> bool {
+        let reached_all = std::mem::replace(&mut self.reached_all, concerns_all);
+        concerns_all || reached_all
+    }
+}
+
 /// All other nodes that a node knows.
 #[derive(Debug, Default)]
 pub struct EntryMembers {
--- a/lib/tests/test_entry_nodes.rs
+++ b/lib/tests/test_entry_nodes.rs
@@ -5,7 +5,7 @@
 
 use damaskloom_lib::config::{Idempotence, RouteAccess};
 use damaskloom_lib::entry_members::{
-    EntryMembers, EntryPhase, MessageStream, NodeHeartbeat, NodeRegistration,
+    EntryMembers, EntryPhase, HeartbeatScope, MessageStream, NodeHeartbeat, NodeRegistration,
 };
 use damaskloom_lib::entry_nodes::{
     EntryNode, EntryRequirements, cpu_demand, rollout_step, select_entries,
@@ -137,6 +137,16 @@
     assert_eq!(members.serving(at(4_100)).count(), 0);
 }
 
+/// Guards against a node that seems to have failed, since it sends no more heartbeats to other data
+/// centres once it carries no traffic.
+#[test]
+fn all_nodes_hear_that_a_node_concerns_them_no_more() {
+    let mut scope = HeartbeatScope::default();
+    let heartbeats = [false, true, true, false, false, true, false];
+    let to_all = heartbeats.map(|concerns_all| scope.includes_all(concerns_all));
+    assert_eq!(to_all, [false, true, true, true, false, true, true]);
+}
+
 /// Guards against counts that are added twice, and against late messages of a process that has been
 /// replaced.
 #[test]
