entry, lib: Retry-After by the expected wait, spread, urgent requests first

Cause: every refusal for lack of capacity told its caller to come back after 200 ms, whatever the wait for a slot was. Callers that were refused together came back together, and too early, in any order; the priority that routes and customers have was read and not used.

Refusals are as immediate as before: nothing is held back.

--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -9,6 +9,7 @@
 use damaskloom_lib::crash_guard::{RequestDigest, RequestFingerprint};
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::ids::{CustomerId, ServiceId, TargetId};
+use damaskloom_lib::return_delay::return_delay;
 use damaskloom_lib::target_balancer::{RunningAttemptId, SelectionRequest, TargetSelection};
 use damaskloom_lib::units::ByteSize;
 use http::request::Parts;
@@ -35,8 +36,8 @@
 /// The fraction of the typical running time that must be left before the deadline for an attempt to
 /// be worthwhile.
 const MIN_RUNNING_TIME_RATIO: f64 = 0.5;
-/// The `Retry-After` time of refusals because no target can answer in time.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// The expected wait of requests that are refused although no target's wait is known.
+const UNKNOWN_WAIT: Duration = Duration::from_millis(200);
 /// The number of attempts of one request that may fail before they reach a target.
 const MAX_UNDELIVERED_ATTEMPTS: u32 = 6;
 
@@ -296,24 +297,26 @@
         let selection =
             balancer.and_then(|balancer| Some((balancer, balancer.select(now, &request)?)));
         let Some((balancer, selection)) = selection else {
-            return Err(self.refuse(RefusalReason::NoTarget));
+            return Err(self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT));
         };
         let min_running_time = balancer
             .typical_running_time()
             .mul_f64(MIN_RUNNING_TIME_RATIO);
         if selection.expected_wait + min_running_time > time_left {
-            return Err(self.refuse(RefusalReason::Overloaded));
+            return Err(self.refuse(RefusalReason::Overloaded, selection.expected_wait));
         }
         Ok(selection)
     }
 
     /// Makes the refusal for a request that is not sent (again). If an earlier attempt may have
     /// run, the refusal does not claim that the request did not run.
-    fn refuse(&self, reason: RefusalReason) -> CallerRefusal {
+    fn refuse(&self, reason: RefusalReason, expected_wait: Duration) -> CallerRefusal {
         if self.may_have_run {
             RefusalReason::TargetBroke.into()
         } else {
-            CallerRefusal::after(reason, BUSY_RETRY_AFTER)
+            let drawn = rand::rng().random();
+            let delay = return_delay(expected_wait, self.admitted.priority, drawn);
+            CallerRefusal::after(reason, delay)
         }
     }
 
@@ -321,9 +324,9 @@
         match error {
             CallError::TimedOut => RefusalReason::TargetTimeout.into(),
             CallError::Broken | CallError::InvalidAnswer => RefusalReason::TargetBroke.into(),
-            CallError::Full => self.refuse(RefusalReason::Overloaded),
+            CallError::Full => self.refuse(RefusalReason::Overloaded, UNKNOWN_WAIT),
             CallError::Connect(_) | CallError::Stale | CallError::WrongTarget => {
-                self.refuse(RefusalReason::NoTarget)
+                self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT)
             }
         }
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -95,6 +95,7 @@
 pub mod repeat_budget;
 pub mod retry_backoff;
 pub mod retry_budget;
+pub mod return_delay;
 pub mod route_table;
 pub mod routing;
 pub mod row_fetch;
