lib, entry: rank nodes once per selection; request id in the line about a broken-off answer

Found on reading the change: `select_entries` ranked nodes within the comparison of the sort and selected anew for each count, which is quadratic for a data centre that cannot carry its traffic. A count suffices if its smallest node has an even share, so the sorted capacities decide. Same selections; small_data_centres_use_what_they_have covers data centres that are too small, and empty ones.

The line `answer broken off at the deadline` now has the request's id, which on-call engineers search by.

--- a/entry/src/streamed_body.rs
+++ b/entry/src/streamed_body.rs
@@ -35,12 +35,19 @@
     body: Incoming,
     lease: Option<ConnectionLease>,
     deadline: Pin<Box<Sleep>>,
+    request_id: String,
 }
 
 impl StreamedBody {
-    /// Wraps a body and the connection that it arrives on.
-    pub fn new(body: Incoming, lease: ConnectionLease, deadline: Instant) -> Self {
+    /// Wraps a body and the connection that it arrives on; `request_id` is for log lines.
+    pub fn new(
+        body: Incoming,
+        lease: ConnectionLease,
+        deadline: Instant,
+        request_id: impl Into<String>,
+    ) -> Self {
         Self {
+            request_id: request_id.into(),
             body,
             lease: Some(lease),
             deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
@@ -59,7 +66,10 @@
         // Checked before the body, which may always have bytes ready.
         if self.deadline.as_mut().poll(cx).is_ready() {
             self.lease = None;
-            tracing::info!("answer broken off at the deadline");
+            tracing::info!(
+                request = self.request_id,
+                "answer broken off at the deadline"
+            );
             return Poll::Ready(Some(Err(StreamError::DeadlinePassed)));
         }
         let frame = Pin::new(&mut self.body).poll_frame(cx);
--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -164,6 +164,12 @@
         request
     }
 
+    /// Returns the caller's id of the request for log lines; `-` if there is none.
+    fn request_id(&self) -> &str {
+        let id = self.headers.get(REQUEST_ID);
+        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
     /// Returns whether an answer echoes this request's id.
     fn is_echoed_by(&self, answer: &HeaderMap) -> bool {
         self.headers.get(REQUEST_ID) == answer.get(REQUEST_ID)
@@ -254,7 +260,8 @@
     remove_hop_headers(response.headers_mut());
     let length = response.body().size_hint().exact();
     if length.is_some_and(|length| length > MAX_BUFFERED_ANSWER_BYTES as u64) {
-        let stream = response.map(|body| StreamedBody::new(body, lease, deadline));
+        let request_id = head.request_id();
+        let stream = response.map(|body| StreamedBody::new(body, lease, deadline, request_id));
         return Ok(TargetAnswer::Stream(stream));
     }
     let (parts, body) = response.into_parts();
--- a/lib/src/entry_nodes.rs
+++ b/lib/src/entry_nodes.rs
@@ -81,40 +81,46 @@
     data_centre: &DataCentreId,
     requirements: EntryRequirements,
 ) -> Vec<&'a EntryNode> {
-    let mut ranked: Vec<&EntryNode> = nodes
+    let mut ranked: Vec<(f64, &EntryNode)> = nodes
         .into_iter()
         .filter(|node| node.data_centre == *data_centre)
+        .map(|node| (rank(node), node))
         .collect();
-    ranked.sort_by(|left, right| rank(right).total_cmp(&rank(left)));
-    let select = |count: usize, min_capacity: u32| -> Vec<&EntryNode> {
-        let fitting = ranked
-            .iter()
-            .filter(|node| node.capacity_millicores >= min_capacity);
-        fitting.take(count).copied().collect()
-    };
+    ranked.sort_by(|(left, _), (right, _)| right.total_cmp(left));
+    let mut capacities: Vec<u32> = ranked
+        .iter()
+        .map(|(_, node)| node.capacity_millicores)
+        .collect();
+    capacities.sort_by(|left, right| right.cmp(left));
     let EntryRequirements {
         preferred_nodes,
         min_nodes,
         min_capacity_millicores,
     } = requirements;
-    let counts = [preferred_nodes]
+    let share = |count: usize| min_capacity_millicores.div_ceil(count as u32);
+    let is_sufficient = |count: &usize| {
+        let smallest = count.checked_sub(1).and_then(|last| capacities.get(last));
+        smallest.is_some_and(|smallest| *smallest >= share(*count))
+    };
+    let sufficient = [preferred_nodes]
         .into_iter()
         .chain((min_nodes..preferred_nodes).rev())
-        .chain(preferred_nodes + 1..=ranked.len());
-    for count in counts {
-        let share = min_capacity_millicores.div_ceil(count.max(1) as u32);
-        let selected = select(count, share);
-        if selected.len() == count {
-            return selected;
+        .chain(preferred_nodes + 1..=ranked.len())
+        .find(is_sufficient);
+    let (count, min_capacity) = match sufficient {
+        Some(count) => (count, share(count)),
+        // The nodes cannot carry the traffic: those that can carry the most of it are selected.
+        None => {
+            let best = (min_nodes.clamp(1, ranked.len().max(1))..=ranked.len())
+                .max_by_key(|count| u64::from(capacities[count - 1]) * *count as u64);
+            best.map_or((0, 0), |count| (count, capacities[count - 1]))
         }
-    }
-    // The nodes cannot carry the traffic: those that can carry the most of it are selected.
-    let mut capacities: Vec<u32> = ranked.iter().map(|node| node.capacity_millicores).collect();
-    capacities.sort_by(|left, right| right.cmp(left));
-    let best = (min_nodes.min(ranked.len())..=ranked.len())
-        .filter(|count| *count > 0)
-        .max_by_key(|count| u64::from(capacities[count - 1]) * *count as u64);
-    best.map_or_else(Vec::new, |count| select(count, capacities[count - 1]))
+    };
+    let fitting = ranked.into_iter().map(|(_, node)| node);
+    fitting
+        .filter(|node| node.capacity_millicores >= min_capacity)
+        .take(count)
+        .collect()
 }
 
 /// Ranks a node by weighted rendezvous hashing: one of twice the size is twice as likely to be first.
--- a/lib/tests/test_entry_nodes.rs
+++ b/lib/tests/test_entry_nodes.rs
@@ -94,6 +94,20 @@
     }
 }
 
+/// Guards against a data centre without entry nodes, or with a single one, since its nodes are too
+/// small or too few for its traffic.
+#[test]
+fn small_data_centres_use_what_they_have() {
+    for count in 0..5 {
+        let mut all = nodes(count * 2, 10);
+        if let Some(first) = all.first_mut() {
+            first.capacity_millicores = 15;
+        }
+        let selected = select_entries(&all, &data_centre("even"), REQUIREMENTS);
+        assert_eq!(selected.len(), count);
+    }
+}
+
 /// Guards against callers that all move to other nodes when one node is lost.
 #[test]
 fn the_loss_of_a_node_changes_no_other_selection() {
