lib: a little more traffic does not move from few large entry nodes to many small ones

A data centre there needs some 926 of the 1,000 that its two large nodes have; when targets are added it needs more, and 13 small nodes were named instead, and back. Each of many nodes sees little of a target, so that sound ones stay unused, and counts go to the square of the nodes.

Mend: before more nodes are named, few may be used up to three quarters instead of half of their processor and link. a_little_more_traffic_does_not_spread_over_many_nodes fails without it.

--- a/lib/src/entry_nodes.rs
+++ b/lib/src/entry_nodes.rs
@@ -44,6 +44,9 @@
 const LINK_BYTES_PER_REQUEST: f64 = 8_000.0;
 /// The fraction of a node's link that requests may use when all slots of the targets are busy.
 const MAX_LINK_UTILISATION: f64 = 0.5;
+/// The fraction of a node's CPU time or link that requests may use where that avoids selecting many
+/// more nodes, which would spread evidence and cost more messages.
+const STRETCHED_UTILISATION: f64 = 0.75;
 /// The typical running time as a fraction of the latency objective: objectives leave room for the
 /// slowest of a hundred requests.
 const TYPICAL_RUNNING_FRACTION: f64 = 0.33;
@@ -98,17 +101,21 @@
         min_capacity_millicores,
     } = requirements;
     let share = |count: usize| min_capacity_millicores.div_ceil(count as u32);
-    let is_sufficient = |count: &usize| {
+    let few = || {
+        [preferred_nodes]
+            .into_iter()
+            .chain((min_nodes..preferred_nodes).rev())
+    };
+    let planned = few().map(|count| (count, share(count)));
+    let stretched = few().map(|count| (count, stretched_capacity(share(count))));
+    let more = (preferred_nodes + 1..=ranked.len()).map(|count| (count, share(count)));
+    let is_sufficient = |(count, min_capacity): &(usize, u32)| {
         let smallest = count.checked_sub(1).and_then(|last| capacities.get(last));
-        smallest.is_some_and(|smallest| *smallest >= share(*count))
+        smallest.is_some_and(|smallest| smallest >= min_capacity)
     };
-    let sufficient = [preferred_nodes]
-        .into_iter()
-        .chain((min_nodes..preferred_nodes).rev())
-        .chain(preferred_nodes + 1..=ranked.len())
-        .find(is_sufficient);
+    let sufficient = planned.chain(stretched).chain(more).find(is_sufficient);
     let (count, min_capacity) = match sufficient {
-        Some(count) => (count, share(count)),
+        Some(sufficient) => sufficient,
         // The nodes cannot carry the traffic: those that can carry the most of it are selected.
         None => {
             let best = (min_nodes.clamp(1, ranked.len().max(1))..=ranked.len())
@@ -123,6 +130,11 @@
         .collect()
 }
 
+/// Returns the capacity that a node needs for a share of the traffic at the stretched utilisation.
+fn stretched_capacity(share: u32) -> u32 {
+    (f64::from(share) * MAX_CPU_UTILISATION / STRETCHED_UTILISATION).ceil() as u32
+}
+
 /// Ranks a node by weighted rendezvous hashing: one of twice the size is twice as likely to be first.
 fn rank(node: &EntryNode) -> f64 {
     let hash = StableHash::of(node.vm.as_bytes()).0;
--- a/lib/tests/test_entry_nodes.rs
+++ b/lib/tests/test_entry_nodes.rs
@@ -94,6 +94,25 @@
     }
 }
 
+/// Guards against traffic that moves from few large nodes to many small ones, and back, since the
+/// number of targets changes a little.
+#[test]
+fn a_little_more_traffic_does_not_spread_over_many_nodes() {
+    let mut all = nodes(60, 100);
+    for node in &mut all[..4] {
+        node.capacity_millicores = 500;
+    }
+    let count = |min_capacity_millicores| {
+        let requirements = EntryRequirements {
+            min_capacity_millicores,
+            ..REQUIREMENTS
+        };
+        select_entries(&all, &data_centre("odd"), requirements).len()
+    };
+    assert_eq!([900, 1_000, 1_100, 1_400].map(count), [2; 4]);
+    assert_eq!(count(1_600), 16);
+}
+
 /// Guards against a data centre without entry nodes, or with a single one, since its nodes are too
 /// small or too few for its traffic.
 #[test]
