entry, lib, platform: read the limits that targets name, and log what is sent to such targets

The logs could not tell whether a limit was noticed, nor how many requests a node sends to a target that names one: lines of single requests are sampled. The header is decoded in platform/, the newest limit of each target is kept, a change is logged, and once a second each node logs its requests to limited targets.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -22,6 +22,7 @@
     ServiceBalancers, SignalOutcome, SuspicionChange, TargetBalancer, TargetCode,
 };
 use damaskloom_lib::target_catalog::{CatalogChange, TargetCatalog};
+use damaskloom_lib::target_limits::{LimitNotice, TargetLimits};
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::traffic_meter::TrafficMeter;
 use damaskloom_lib::weighted_split::WeightedSplit;
@@ -62,6 +63,8 @@
     pub catalog: RefCell<TargetCatalog>,
     /// The load balancers of the services, over the targets that accept requests.
     pub balancers: RefCell<ServiceBalancers>,
+    /// The limits that targets have named.
+    pub limits: RefCell<TargetLimits>,
     /// The connection pools of the targets.
     pub target_pools: TargetPools,
     /// The customers' rate limits.
@@ -138,6 +141,7 @@
             targets_known: Cell::new(false),
             catalog: RefCell::default(),
             balancers: RefCell::default(),
+            limits: RefCell::default(),
             target_pools: TargetPools::default(),
             rates: RefCell::new(rates),
             repeat_budget: RefCell::new(repeat_budget),
@@ -382,6 +386,7 @@
                 .values_mut()
                 .for_each(|balancer| balancer.remove(id));
             self.target_pools.remove(id);
+            self.limits.borrow_mut().remove(id);
             return;
         };
         let announcement = &target.announcement;
@@ -390,6 +395,7 @@
                 .values_mut()
                 .for_each(|balancer| balancer.remove(id));
             self.target_pools.remove(id);
+            self.limits.borrow_mut().remove(id);
         }
         let own = self.settings().data_centre.clone();
         let balancer = balancers
@@ -442,6 +448,30 @@
         }
     }
 
+    /// Records what an attempt shows about its target's limit.
+    pub fn record_limit_notice(&self, target: &TargetId, sent_at: MonoTime, notice: LimitNotice) {
+        let now = self.clock.now();
+        let changed = self
+            .limits
+            .borrow_mut()
+            .record_answer(now, target, sent_at, notice);
+        if changed {
+            tracing::info!(id = %target, limit = ?notice, "target limit changed");
+        }
+    }
+
+    /// Logs the requests that were sent to targets with limits since the last call.
+    pub fn log_limited_requests(&self) {
+        let sent = self.limits.borrow_mut().drain_sent();
+        if !sent.is_empty() {
+            let targets = sent
+                .iter()
+                .map(|(id, rate, sent)| format!("{id}={sent} of {rate}"));
+            let targets = targets.collect::<Vec<_>>().join(", ");
+            tracing::info!(targets, "requests to limited targets");
+        }
+    }
+
     /// Applies a peer's signal about a target.
     pub fn apply_peer_signal(&self, peer: &VmId, target: &TargetId, signal: FailureSignal) {
         let now = self.clock.now();
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -82,6 +82,7 @@
             }
             state.crash_guard.borrow_mut().tick(now);
             state.target_pools.close_idle();
+            state.log_limited_requests();
             let carrying = state.members.borrow().carrying(now).count();
             state
                 .repeat_budget
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -350,11 +350,14 @@
         };
         self.log_selection(selection);
         let running = RunningGuard::begin(state, self.service, id);
+        let sent_at = state.clock.now();
+        state.limits.borrow_mut().record_sent(id);
         let result = call(&target, self.head, body, self.admitted.deadline).await;
-        if result.connected {
+        if result.report.connected {
             state.meters.record_connection();
         }
         let (elapsed, was_late) = running.end();
+        state.record_limit_notice(id, sent_at, result.report.limit);
         self.record_outcome(id, &result, elapsed, was_late);
         result.answer
     }
@@ -400,7 +403,7 @@
     ) {
         let (state, service) = (self.state, self.service);
         let now = state.clock.now();
-        if let Some(load) = result.load {
+        if let Some(load) = result.report.load {
             state.with_balancer(service, |balancer| {
                 balancer.record_load_report(now, id, load)
             });
--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -7,9 +7,10 @@
 use damaskloom_gateway::body_stream::RequestBody;
 use damaskloom_gateway::hop_headers::remove_hop_headers;
 use damaskloom_lib::ids::{CustomerId, TargetId};
+use damaskloom_lib::target_limits::LimitNotice;
 use damaskloom_platform::header_names::{
     ANSWER_SIGNATURE, CUSTOMER, EXPECTED_TARGET, FLEET_FIELDS, NOT_RUN, REQUEST_ID, TIME_LEFT_MS,
-    idle_seconds, reported_load,
+    idle_seconds, named_limit, reported_load,
 };
 use http::header::{
     AUTHORIZATION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderValue,
@@ -100,10 +101,19 @@
 pub struct CallResult {
     /// The answer, or why there is none.
     pub answer: Result<TargetAnswer, CallError>,
-    /// The number of running and waiting requests that the target reported with its answer.
-    pub load: Option<u32>,
+    /// What was learned besides the answer.
+    pub report: CallReport,
+}
+
+/// What an attempt shows besides its answer, as far as it came.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallReport {
     /// Whether a connection was opened for the attempt.
     pub connected: bool,
+    /// The number of running and waiting requests that the target reported with its answer.
+    pub load: Option<u32>,
+    /// What the head of the answer says about the target's limit.
+    pub limit: LimitNotice,
 }
 
 /// The method, path and headers that all attempts of a request share.
@@ -194,45 +204,61 @@
     body: RequestBody,
     deadline: Instant,
 ) -> CallResult {
-    let mut result = CallResult {
-        answer: Err(CallError::TimedOut),
-        load: None,
-        connected: false,
-    };
-    let exchange = exchange(target, head, body, deadline, &mut result.connected);
-    if let Ok((answer, load)) = tokio::time::timeout_at(deadline.into(), exchange).await {
-        result.answer = answer;
-        result.load = load;
+    let mut report = CallReport::default();
+    let exchange = exchange(target, head, body, deadline, &mut report);
+    let answer = tokio::time::timeout_at(deadline.into(), exchange).await;
+    CallResult {
+        answer: answer.unwrap_or(Err(CallError::TimedOut)),
+        report,
     }
-    result
 }
 
-type ExchangeOutcome = (Result<TargetAnswer, CallError>, Option<u32>);
-
 async fn exchange(
     target: &CallTarget<'_>,
     head: &OutgoingHead,
     body: RequestBody,
     deadline: Instant,
-    connected: &mut bool,
-) -> ExchangeOutcome {
+    report: &mut CallReport,
+) -> Result<TargetAnswer, CallError> {
     let time_left = deadline.saturating_duration_since(Instant::now());
-    let mut lease = match target.pool.acquire(target.connections, time_left).await {
-        Ok(lease) => lease,
-        Err(error) => return (Err(CallError::Connect(error)), None),
-    };
-    *connected = lease.is_fresh();
+    let mut lease = target
+        .pool
+        .acquire(target.connections, time_left)
+        .await
+        .map_err(CallError::Connect)?;
+    report.connected = lease.is_fresh();
     let request = head.request(target.id, deadline, body);
-    let response = match lease.sender().try_send_request(request).await {
-        Ok(response) => response,
-        // The library returns the request only if no byte of it was written.
-        Err(mut error) => match error.take_message() {
-            Some(_) => return (Err(CallError::Stale), None),
-            None => return (Err(CallError::Broken), None),
-        },
-    };
-    let load = reported_load(response.headers());
-    (receive_answer(head, response, lease, deadline).await, load)
+    let response = lease.sender().try_send_request(request).await;
+    // The library returns the request only if no byte of it was written.
+    let response = response.map_err(|mut error| match error.take_message() {
+        Some(_) => CallError::Stale,
+        None => CallError::Broken,
+    })?;
+    report.load = reported_load(response.headers());
+    report.limit = limit_notice(head, target.id, &response);
+    receive_answer(head, response, lease, deadline).await
+}
+
+/// Reads what an answer says about its target's limit. Without its signature, an answer may be the
+/// target's and spoilt on the way, so it does not show that there is no limit.
+fn limit_notice(
+    head: &OutgoingHead,
+    target: &TargetId,
+    response: &Response<Incoming>,
+) -> LimitNotice {
+    let headers = response.headers();
+    if response.status() == StatusCode::MISDIRECTED_REQUEST || !head.is_echoed_by(headers) {
+        return LimitNotice::Unknown;
+    }
+    match named_limit(headers) {
+        Ok(Some(rate)) => LimitNotice::Limited(rate),
+        Ok(None) if headers.contains_key(ANSWER_SIGNATURE) => LimitNotice::Unlimited,
+        Ok(None) => LimitNotice::Unknown,
+        Err(error) => {
+            tracing::warn!(id = %target, %error, "invalid limit of a target ignored");
+            LimitNotice::Unknown
+        }
+    }
 }
 
 async fn receive_answer(
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -111,6 +111,7 @@
 pub mod table_mirror;
 pub mod target_balancer;
 pub mod target_catalog;
+pub mod target_limits;
 pub mod target_load;
 pub mod target_picker;
 pub mod target_statistics;
