lib, entry: keep within the limits that targets name, together over the fleet

Ruled out: retries as the cause (138 of 5,119). Change: nodes tell each other of limits; few nodes of the target's data centre share one evenly, hold a request at most, and select other targets when it is used up; at once a refusal where no target is left.

Test: entry test_limited_targets on the commit before: 20 of 20 requests ran at a target that names 0.05 a second; now two may.

--- a/entry/src/caller_answer.rs
+++ b/entry/src/caller_answer.rs
@@ -34,6 +34,8 @@
     NoTarget,
     /// The service is too busy to answer the request in time.
     Overloaded,
+    /// All targets have limits that leave no room for the request soon.
+    TargetsLimited,
     /// The request has crashed several targets.
     CrashesTargets,
     /// The connection to the target or its answer failed; the request may have run.
@@ -55,6 +57,7 @@
             Self::OutdatedConfiguration => "outdated-configuration",
             Self::NoTarget => "no-target",
             Self::Overloaded => "overloaded",
+            Self::TargetsLimited => "targets-limited",
             Self::CrashesTargets => "crashes-targets",
             Self::TargetBroke => "target-broke",
             Self::TargetTimeout => "target-timeout",
@@ -74,6 +77,7 @@
             | Self::OutdatedConfiguration
             | Self::NoTarget
             | Self::Overloaded
+            | Self::TargetsLimited
             | Self::CrashesTargets => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetBroke => StatusCode::BAD_GATEWAY,
             Self::TargetTimeout => StatusCode::GATEWAY_TIMEOUT,
--- a/entry/src/entry_meters.rs
+++ b/entry/src/entry_meters.rs
@@ -62,6 +62,8 @@
     pub loop_delay: Duration,
     /// The number of known targets.
     pub targets: usize,
+    /// The number of targets that name a limit.
+    pub limited_targets: usize,
     /// The number of nodes with a recent heartbeat, including this one.
     pub nodes: usize,
 }
@@ -86,6 +88,7 @@
     targets_lag: Gauge<f64>,
     loop_delay: Gauge<f64>,
     targets: Gauge<u64>,
+    limited_targets: Gauge<u64>,
     nodes: Gauge<u64>,
 }
 
@@ -116,6 +119,7 @@
             targets_lag: meter.f64_gauge("damaskloom_targets_lag_seconds").build(),
             loop_delay: meter.f64_gauge("damaskloom_loop_delay_seconds").build(),
             targets: meter.u64_gauge("damaskloom_targets").build(),
+            limited_targets: meter.u64_gauge("damaskloom_limited_targets").build(),
             nodes: meter.u64_gauge("damaskloom_nodes").build(),
         })
     }
@@ -169,6 +173,8 @@
             .record(known.targets_lag.as_secs_f64(), &[]);
         self.loop_delay.record(known.loop_delay.as_secs_f64(), &[]);
         self.targets.record(known.targets as u64, &[]);
+        self.limited_targets
+            .record(known.limited_targets as u64, &[]);
         self.nodes.record(known.nodes as u64, &[]);
     }
 
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -22,7 +22,7 @@
     ServiceBalancers, SignalOutcome, SuspicionChange, TargetBalancer, TargetCode,
 };
 use damaskloom_lib::target_catalog::{CatalogChange, TargetCatalog};
-use damaskloom_lib::target_limits::{LimitNotice, TargetLimits};
+use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::traffic_meter::TrafficMeter;
 use damaskloom_lib::weighted_split::WeightedSplit;
@@ -123,6 +123,7 @@
         let repeat_budget = RepeatBudget::new(settings.bounds.repeat_terms());
         let clock = MonoClock::start();
         let rates = FleetRates::new(clock.now(), settings.bounds.rate_tolerance());
+        let own = settings.vm.clone();
         let mut crash_guard = CrashGuard::new();
         // Each crash message is sent to all nodes, so the guard needs a single addressee.
         crash_guard.set_peers([NodeId {
@@ -141,7 +142,7 @@
             targets_known: Cell::new(false),
             catalog: RefCell::default(),
             balancers: RefCell::default(),
-            limits: RefCell::default(),
+            limits: RefCell::new(TargetLimits::new(own)),
             target_pools: TargetPools::default(),
             rates: RefCell::new(rates),
             repeat_budget: RefCell::new(repeat_budget),
@@ -448,30 +449,6 @@
         }
     }
 
-    /// Records what an attempt shows about its target's limit.
-    pub fn record_limit_notice(&self, target: &TargetId, sent_at: MonoTime, notice: LimitNotice) {
-        let now = self.clock.now();
-        let changed = self
-            .limits
-            .borrow_mut()
-            .record_answer(now, target, sent_at, notice);
-        if changed {
-            tracing::info!(id = %target, limit = ?notice, "target limit changed");
-        }
-    }
-
-    /// Logs the requests that were sent to targets with limits since the last call.
-    pub fn log_limited_requests(&self) {
-        let sent = self.limits.borrow_mut().drain_sent();
-        if !sent.is_empty() {
-            let targets = sent
-                .iter()
-                .map(|(id, rate, sent)| format!("{id}={sent} of {rate}"));
-            let targets = targets.collect::<Vec<_>>().join(", ");
-            tracing::info!(targets, "requests to limited targets");
-        }
-    }
-
     /// Applies a peer's signal about a target.
     pub fn apply_peer_signal(&self, peer: &VmId, target: &TargetId, signal: FailureSignal) {
         let now = self.clock.now();
@@ -517,6 +494,10 @@
         }
         if self.members.borrow_mut().record_heartbeat(vm, heartbeat) {
             tracing::debug!(node = %vm, "node discovered");
+            if !self.limits.borrow().is_empty() {
+                self.limits.borrow_mut().repeat_soon();
+                self.heartbeat_due.notify_one();
+            }
             if self.is_reader.get() {
                 // The new node can fetch rows as soon as it knows which nodes have them.
                 self.heartbeat_due.notify_one();
@@ -542,6 +523,7 @@
             targets_lag: lag(&self.targets_copy),
             loop_delay: self.loop_delay.get(),
             targets: self.catalog.borrow().len(),
+            limited_targets: self.limits.borrow().limited_count(),
             nodes: self.members.borrow().responsive(now).count() + 1,
         });
         self.meters.encode()
--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -178,18 +178,23 @@
             .collect();
         if selected.is_empty() {
             // No node of the data centre serves, so callers are directed to the other data centres.
-            let centres = self.settings().data_centres.clone();
-            for centre in centres.keys() {
-                selected.extend(
-                    select_entries(&nodes, centre, requirements)
-                        .into_iter()
-                        .cloned(),
-                );
-            }
+            selected = self.all_entries();
         }
         selected
     }
 
+    /// Returns the nodes that callers of all data centres are directed to.
+    pub fn all_entries(&self) -> Vec<EntryNode> {
+        let nodes = self.serving_nodes();
+        let requirements = self.entry_requirements();
+        let settings = self.settings();
+        let centres = settings.data_centres.keys();
+        centres
+            .flat_map(|centre| select_entries(&nodes, centre, requirements))
+            .cloned()
+            .collect()
+    }
+
     /// Returns whether callers of its data centre are directed to this node.
     pub fn is_entry(&self) -> bool {
         let settings = self.settings();
@@ -199,7 +204,7 @@
     }
 }
 
-fn own_node(settings: &EntrySettings) -> EntryNode {
+pub(crate) fn own_node(settings: &EntrySettings) -> EntryNode {
     EntryNode {
         vm: settings.vm.clone(),
         data_centre: settings.data_centre.clone(),
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod entry_meters;
 pub mod entry_state;
 pub mod fleet_roles;
+pub mod limit_sharing;
 pub mod log_lines;
 pub mod peer_rows;
 pub mod peer_socket;
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -10,6 +10,7 @@
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::fleet_rate::{RateReport, ReportFilter};
 use damaskloom_lib::target_balancer::TargetCode;
+use damaskloom_lib::target_limits::LimitStatement;
 use indexmap::IndexSet;
 use tokio::net::UdpSocket;
 
@@ -33,6 +34,8 @@
 const IDLE_COUNTS_INTERVAL: Duration = Duration::from_millis(1_000);
 /// The delay after an error of the socket.
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(250);
+/// The maximum number of limits in a datagram, so that it fits into one packet.
+const MAX_STATEMENTS: usize = 32;
 /// The maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
@@ -82,7 +85,9 @@
             }
             state.crash_guard.borrow_mut().tick(now);
             state.target_pools.close_idle();
-            state.log_limited_requests();
+            state.update_limits();
+            let repeats = state.limits.borrow_mut().due_repeats(now);
+            self.send_limits(state, &repeats);
             let carrying = state.members.borrow().carrying(now).count();
             state
                 .repeat_budget
@@ -126,6 +131,7 @@
     pub async fn run_counts(&self, state: &EntryState) {
         let mut remote_sent_at = Instant::now();
         loop {
+            state.update_limit_senders();
             let starting_up =
                 state.rates.borrow().is_starting_up(state.clock.now()) && state.is_entry();
             self.send_counts(state, CountsScope::Local, starting_up);
@@ -224,7 +230,22 @@
         }
     }
 
+    /// Sends statements about limits to all nodes, since each one may get requests.
+    fn send_limits(&self, state: &EntryState, statements: &[LimitStatement]) {
+        let members = state.members.borrow();
+        let to: Vec<SocketAddr> = members
+            .iter()
+            .map(|(_, node)| SocketAddr::new(node.ip, self.port))
+            .collect();
+        drop(members);
+        for part in statements.chunks(MAX_STATEMENTS) {
+            self.send(state, &to, PeerMessage::Limits(part.to_vec()));
+        }
+    }
+
     fn send_signals(&self, state: &EntryState) {
+        let limits = state.limits.borrow_mut().drain_changes(state.clock.now());
+        self.send_limits(state, &limits);
         let signals = std::mem::take(&mut *state.pending_signals.borrow_mut());
         let crashes = std::mem::take(&mut *state.pending_crash_messages.borrow_mut());
         if signals.is_empty() && crashes.is_empty() {
@@ -362,6 +383,7 @@
                     state.apply_peer_signal(&vm, id, failure_signal(*signal));
                 }
             }
+            PeerMessage::Limits(statements) => state.apply_limit_statements(&vm, &statements),
             PeerMessage::Crash(message) => {
                 let actions = state.crash_guard.borrow_mut().handle_message(now, message);
                 apply_crash_actions(state, actions);
--- a/entry/src/peer_wire.rs
+++ b/entry/src/peer_wire.rs
@@ -5,6 +5,7 @@
 use damaskloom_lib::entry_members::NodeHeartbeat;
 use damaskloom_lib::ids::{CustomerId, TargetId, VmId};
 use damaskloom_lib::target_balancer::TargetCode;
+use damaskloom_lib::target_limits::LimitStatement;
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use subtle::ConstantTimeEq;
@@ -60,6 +61,8 @@
     Signals(Vec<(TargetId, WireSignal)>),
     /// A message about a request that crashes targets.
     Crash(CrashMessage),
+    /// The limits that targets name.
+    Limits(Vec<LimitStatement>),
 }
 
 /// A message with its sender.
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -10,7 +10,10 @@
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::ids::{CustomerId, ServiceId, TargetId};
 use damaskloom_lib::return_delay::return_delay;
-use damaskloom_lib::target_balancer::{RunningAttemptId, SelectionRequest, TargetSelection};
+use damaskloom_lib::target_balancer::{
+    RunningAttemptId, SelectionError, SelectionRequest, TargetSelection,
+};
+use damaskloom_lib::target_limits::LimitPermission;
 use damaskloom_lib::units::ByteSize;
 use http::request::Parts;
 use http::{Request, Response};
@@ -247,20 +250,30 @@
         // The error answer of a target, which is returned to the caller if no retry succeeds.
         let mut failed_answer: Option<TargetAnswer> = None;
         loop {
+            if body.is_none() {
+                return failed_answer.ok_or_else(|| self.final_refusal(CallError::Broken));
+            }
+            let selection = match self.select_target() {
+                Ok(selection) => selection,
+                Err(refusal) => return failed_answer.ok_or(refusal),
+            };
+            let permit = LimitPermit::reserve(self.state, &selection.target);
+            if !selection.permit_wait.is_zero() {
+                tokio::time::sleep(selection.permit_wait).await;
+                if !permit.is_valid(self.service) {
+                    continue;
+                }
+            }
             let (attempt_body, retained) = match body.take() {
                 Some(OutgoingBody::Buffered(bytes)) => (
                     RequestBody::buffered(bytes.clone()),
                     Some(OutgoingBody::Buffered(bytes)),
                 ),
                 Some(OutgoingBody::Stream(stream)) => (stream, None),
-                None => return failed_answer.ok_or_else(|| self.final_refusal(CallError::Broken)),
-            };
-            let selection = match self.select_target() {
-                Ok(selection) => selection,
-                Err(refusal) => return failed_answer.ok_or(refusal),
+                None => unreachable!("the body was checked above"),
             };
             body = retained;
-            let error = match self.send(&selection, attempt_body).await {
+            let error = match self.send(&selection, permit, attempt_body).await {
                 Ok(answer) if answer.status().is_server_error() => {
                     if !self.may_retry(None) {
                         return Ok(answer);
@@ -287,18 +300,25 @@
             .admitted
             .deadline
             .saturating_duration_since(Instant::now());
+        let limits = self.state.limits.borrow();
         let request = SelectionRequest {
             idempotence: self.idempotence(),
             tried: &self.tried,
+            limits: &limits,
             seed: rand::rng().random(),
         };
         let balancers = self.state.balancers.borrow();
-        let balancer = balancers.get(self.service);
-        let selection =
-            balancer.and_then(|balancer| Some((balancer, balancer.select(now, &request)?)));
-        let Some((balancer, selection)) = selection else {
+        let Some(balancer) = balancers.get(self.service) else {
             return Err(self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT));
         };
+        let selection = balancer
+            .select(now, &request)
+            .map_err(|error| match error {
+                SelectionError::NoTarget => self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT),
+                SelectionError::Limited(wait) => {
+                    self.refuse(RefusalReason::TargetsLimited, wait.unwrap_or(UNKNOWN_WAIT))
+                }
+            })?;
         let min_running_time = balancer
             .typical_running_time()
             .mul_f64(MIN_RUNNING_TIME_RATIO);
@@ -334,6 +354,7 @@
     async fn send(
         &mut self,
         selection: &TargetSelection,
+        permit: LimitPermit<'_>,
         body: RequestBody,
     ) -> Result<TargetAnswer, CallError> {
         let id = &selection.target;
@@ -351,12 +372,15 @@
         self.log_selection(selection);
         let running = RunningGuard::begin(state, self.service, id);
         let sent_at = state.clock.now();
-        state.limits.borrow_mut().record_sent(id);
+        permit.spend();
         let result = call(&target, self.head, body, self.admitted.deadline).await;
         if result.report.connected {
             state.meters.record_connection();
         }
         let (elapsed, was_late) = running.end();
+        if let Err(CallError::Connect(_) | CallError::Stale) = result.answer {
+            state.limits.borrow_mut().refund(state.clock.now(), id);
+        }
         state.record_limit_notice(id, sent_at, result.report.limit);
         self.record_outcome(id, &result, elapsed, was_late);
         result.answer
@@ -548,6 +572,49 @@
     }
 }
 
+/// A request's part of this node's share of its target's limit; returned if the request is not sent.
+struct LimitPermit<'a> {
+    state: &'a EntryState,
+    target: TargetId,
+    is_spent: bool,
+}
+
+impl<'a> LimitPermit<'a> {
+    fn reserve(state: &'a EntryState, target: &TargetId) -> Self {
+        let now = state.clock.now();
+        state.limits.borrow_mut().reserve(now, target);
+        Self {
+            state,
+            target: target.clone(),
+            is_spent: false,
+        }
+    }
+
+    /// Returns whether the target still accepts requests, and those of this node.
+    fn is_valid(&self, service: &ServiceId) -> bool {
+        let now = self.state.clock.now();
+        let balancers = self.state.balancers.borrow();
+        let balancer = balancers.get(service);
+        balancer.is_some_and(|balancer| balancer.contains(&self.target))
+            && self.state.limits.borrow().permission(now, &self.target)
+                != LimitPermission::Elsewhere
+    }
+
+    fn spend(mut self) {
+        self.is_spent = true;
+        self.state.limits.borrow_mut().record_sent(&self.target);
+    }
+}
+
+impl Drop for LimitPermit<'_> {
+    fn drop(&mut self) {
+        if !self.is_spent {
+            let now = self.state.clock.now();
+            self.state.limits.borrow_mut().refund(now, &self.target);
+        }
+    }
+}
+
 /// Counts an attempt as running at a target until the guard is dropped.
 struct RunningGuard<'a> {
     state: &'a EntryState,
--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -34,6 +34,8 @@
     Succeeds,
     /// Runs the request and answers 500.
     Fails,
+    /// Runs the request and names a limit of one request in twenty seconds.
+    Limited,
     /// Refuses without running the request.
     Full,
     /// Answers 421: another target was addressed.
@@ -118,6 +120,9 @@
                     .header("server-seal", "seal")
                     .header("request-id", "another"),
                 TargetBehaviour::NoSignature => answer,
+                TargetBehaviour::Limited => answer
+                    .header("server-seal", "seal")
+                    .header("server-limit", "0.05"),
                 TargetBehaviour::Fails => answer.status(500).header("server-seal", "seal"),
                 TargetBehaviour::Full => answer.status(503).header("not-executed", "1"),
                 TargetBehaviour::WrongTarget => answer.status(421),
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -3,6 +3,7 @@
 mod fixture;
 mod test_endless_answers;
 mod test_fleet;
+mod test_limited_targets;
 mod test_log_lines;
 mod test_peer_wire;
 mod test_planned_stop;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,7 +4,7 @@
 //! actions. No module opens a socket, reads a clock, spawns a task or uses a global random source, so
 //! that each can be embedded and tested in virtual time. The daemons in the sibling crates do the I/O.
 //!
-//! - Entry nodes: `target_catalog`, `target_balancer`, `failure_filter`, `fleet_rate`, `routing`,
+//! - Entry nodes: `target_catalog`, `target_balancer`, `target_limits`, `failure_filter`, `fleet_rate`, `routing`,
 //!   `entry_members`, `entry_nodes`, `table_mirror`.
 //! - Configuration: `config`, `key_table`, `plan`, `confirm`, `distribution`, `freshness`.
 //! - Members and shares: `membership`, `directory`, `epoch`, `budget`, `escrow`.
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -4,7 +4,9 @@
 //! price of crossing data centres, each as a fraction of the request's value. The target with the
 //! lowest cost is selected. A failure costs less if the request can be retried, so suspected targets
 //! are mostly tried by such requests. See
-//! [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
+//! [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md). A target that names a limit
+//! is selected only if this node's share of the limit allows a request soon; see
+//! [docs/design/target-limits.md](../../docs/design/target-limits.md).
 
 use std::time::Duration;
 
@@ -15,6 +17,7 @@
 use crate::failure_filter::{FailureFilter, FailureSignal};
 use crate::ids::{DataCentreId, ServiceId, TargetId, VmId};
 use crate::rendezvous::StableHash;
+use crate::target_limits::{LimitPermission, TargetLimits};
 use crate::time::MonoTime;
 
 /// The cost of a failure if the request cannot be retried: its whole value.
@@ -29,6 +32,8 @@
 const CONCURRENCY_COST: f64 = 0.03;
 /// The cost of a target that is still warming up: requests run twice as long there.
 const WARMUP_COST: f64 = 0.12;
+/// The cost of exceeding a target's limit: less than that of a queue as long as a request.
+const BEYOND_LIMIT_COST: f64 = 0.2;
 /// The cost of a target that did not accept a recent connection.
 const UNREACHABLE_COST: f64 = 2.0;
 /// How long a target is avoided after a failed connect, in milliseconds: the time of several connects.
@@ -66,6 +71,8 @@
 const SHARING_FACTOR: f64 = 1.5;
 /// A failure within this fraction of the typical running time came before any work on the request.
 const IMMEDIATE_FAILURE_FRACTION: f64 = 0.1;
+/// The maximum time for which a request waits until the limit of a target allows it, in milliseconds.
+const MAX_PERMIT_WAIT_MS: u64 = 1_000;
 /// The running time that is assumed before the first answer, in milliseconds.
 const INITIAL_RUNNING_MS: f64 = 120.0;
 
@@ -76,6 +83,8 @@
     pub idempotence: Idempotence,
     /// The targets to which the request was already sent.
     pub tried: &'a [TargetId],
+    /// The limits that targets name.
+    pub limits: &'a TargetLimits,
     /// A number that differs between requests, to break ties.
     pub seed: u64,
 }
@@ -85,7 +94,9 @@
 pub struct TargetSelection {
     /// The target.
     pub target: TargetId,
-    /// The expected queueing delay at the target.
+    /// The time until the target's limit allows the request; zero for targets without one.
+    pub permit_wait: Duration,
+    /// The expected wait before the target runs the request: for the permit, then in its queue.
     pub expected_wait: Duration,
     /// The probability that the target is failing.
     pub failing_probability: f64,
@@ -95,6 +106,25 @@
     pub candidates: usize,
 }
 
+/// The reasons why no target can be selected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SelectionError {
+    /// There is no target that the request was not sent to.
+    NoTarget,
+    /// The limits of all such targets are used up. Holds the time until this node's share of one
+    /// allows a request again; none if only other nodes may send to them.
+    Limited(Option<Duration>),
+}
+
+impl SelectionError {
+    fn wait(self) -> Option<Duration> {
+        match self {
+            Self::NoTarget => None,
+            Self::Limited(wait) => wait,
+        }
+    }
+}
+
 /// A transition of a target between suspected and trusted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SuspicionChange {
@@ -301,7 +331,15 @@
     }
 
     /// Selects the target with the lowest cost that the request was not yet sent to.
-    pub fn select(&self, now: MonoTime, request: &SelectionRequest<'_>) -> Option<TargetSelection> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such target, or if their limits allow no request soon.
+    pub fn select(
+        &self,
+        now: MonoTime,
+        request: &SelectionRequest<'_>,
+    ) -> Result<TargetSelection, SelectionError> {
         let terms = match request.idempotence {
             Idempotence::Idempotent => CostTerms {
                 failure_cost: RETRYABLE_FAILURE_COST,
@@ -319,16 +357,37 @@
         };
         let count = self.targets.len();
         let start = usize::try_from(request.seed % count.max(1) as u64).unwrap_or(0);
+        let max_permit_wait = Duration::from_millis(MAX_PERMIT_WAIT_MS);
         let mut best: Option<(f64, TargetSelection)> = None;
+        let mut error = SelectionError::NoTarget;
         for step in 0..count {
-            let (id, target) = self.targets.get_index((start + step) % count)?;
+            let Some((id, target)) = self.targets.get_index((start + step) % count) else {
+                break;
+            };
             if request.tried.contains(id) {
                 continue;
             }
-            let (cost, wait) = self.cost(now, target, terms);
+            let (permit_wait, limit_cost) = match request.limits.permission(now, id) {
+                LimitPermission::Unlimited | LimitPermission::Within => (Duration::ZERO, 0.0),
+                LimitPermission::Beyond(wait) if wait <= max_permit_wait => {
+                    (wait, BEYOND_LIMIT_COST)
+                }
+                LimitPermission::Beyond(wait) => {
+                    let shortest = error.wait().map_or(wait, |held| held.min(wait));
+                    error = SelectionError::Limited(Some(shortest));
+                    continue;
+                }
+                LimitPermission::Elsewhere => {
+                    error = SelectionError::Limited(error.wait());
+                    continue;
+                }
+            };
+            let (target_cost, wait) = self.cost(now, target, permit_wait, terms);
+            let cost = target_cost + limit_cost;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let selection = TargetSelection {
                     target: id.clone(),
+                    permit_wait,
                     expected_wait: wait,
                     failing_probability: target.filter.probability(now),
                     load: target.load(now),
@@ -337,13 +396,23 @@
                 best = Some((cost, selection));
             }
         }
-        best.map(|(_, selection)| selection)
+        best.map(|(_, selection)| selection).ok_or(error)
     }
 
-    fn cost(&self, now: MonoTime, target: &BalancedTarget, terms: CostTerms) -> (f64, Duration) {
+    fn cost(
+        &self,
+        now: MonoTime,
+        target: &BalancedTarget,
+        permit_wait: Duration,
+        terms: CostTerms,
+    ) -> (f64, Duration) {
         let slots = f64::from(target.slots);
         let load = target.load(now);
-        let waiting = (load + 1.0 - slots).max(0.0) / slots;
+        let typical_running_s = self.typical_running_ms / 1_000.0;
+        // The wait in typical running times; requests that run now may end while this one waits for
+        // its permit.
+        let queueing = (load + 1.0 - slots).max(0.0) / slots;
+        let waiting = queueing + permit_wait.as_secs_f64() / typical_running_s;
         let mut cost = waiting * WAIT_COST + load / slots * CONCURRENCY_COST;
         cost += target.filter.probability(now) * terms.failure_cost;
         let failing = target.filter.probability(now);
@@ -361,7 +430,7 @@
         if now < target.avoided_until {
             cost += UNREACHABLE_COST;
         }
-        let wait = Duration::from_secs_f64(waiting * self.typical_running_ms / 1_000.0);
+        let wait = Duration::from_secs_f64(waiting * typical_running_s);
         (cost, wait)
     }
 
--- a/lib/tests/test_target_balancer.rs
+++ b/lib/tests/test_target_balancer.rs
@@ -6,7 +6,10 @@
 use damaskloom_lib::failure_filter::{FailureFilter, FailureSignal};
 use damaskloom_lib::ids::{DataCentreId, ServiceId, TargetId, VmId};
 use damaskloom_lib::repeat_budget::{RepeatBudget, RepeatTerms};
-use damaskloom_lib::target_balancer::{SelectionRequest, TargetBalancer, TargetCode};
+use damaskloom_lib::target_balancer::{
+    SelectionError, SelectionRequest, TargetBalancer, TargetCode,
+};
+use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::time::MonoTime;
 
 const BASELINE_FAILURE_RATE: f64 = 0.012;
@@ -23,6 +26,10 @@
     name.parse().expect("a valid name")
 }
 
+fn no_limits() -> TargetLimits {
+    TargetLimits::new("here".parse().expect("a valid name"))
+}
+
 /// Returns a balancer of a node in data centre `near`; each target has two slots.
 fn balancer(targets: &[(&str, &str)]) -> TargetBalancer {
     let mut balancer = TargetBalancer::new(data_centre("near"));
@@ -47,6 +54,7 @@
     let request = SelectionRequest {
         idempotence,
         tried,
+        limits: &no_limits(),
         seed: 0,
     };
     let choice = balancer.select(at(ms), &request).expect("a target is left");
@@ -106,9 +114,13 @@
     let request = SelectionRequest {
         idempotence: Idempotence::Idempotent,
         tried: &both,
+        limits: &no_limits(),
         seed: 0,
     };
-    assert_eq!(balancer.select(at(10), &request), None);
+    assert_eq!(
+        balancer.select(at(10), &request),
+        Err(SelectionError::NoTarget)
+    );
 }
 
 /// Guards against each node having to lose a request of its own at a failing target.
@@ -246,6 +258,7 @@
         let request = SelectionRequest {
             idempotence: Idempotence::NonIdempotent,
             tried: &[],
+            limits: &no_limits(),
             seed,
         };
         let choice = balancer
