--- a/testutils/src/soak_ledger.rs
+++ b/testutils/src/soak_ledger.rs
@@ -4,6 +4,8 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use crate::soak_plan::NAMED_LIMIT_PER_S;
+
 /// The window over which a customer's rate is counted.
 const RATE_WINDOW: Duration = Duration::from_secs(5);
 /// The excess over the rate that the settings of the nodes tolerate, as a ratio.
@@ -11,6 +13,15 @@
 /// The requests in addition to the excess that the settings of the nodes tolerate.
 const RATE_SLACK: f64 = 20.0;
 
+/// The window in which the requests to a target with a limit are counted, as the platform states it.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// The factor by which a target's limit may be exceeded in a window, and the requests in addition.
+const LIMIT_EXCESS: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+/// How long after a limit was first named, and after a fault or start of the sending node, requests
+/// count against the limit.
+const LIMIT_CONTACT: Duration = Duration::from_secs(3);
+
 /// A customer of a soak.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakCustomer {
@@ -113,6 +124,16 @@
     sent: HashMap<String, SentRequest>,
     runs: Vec<RunRecord>,
     node_faults: Vec<NodeFaultPeriod>,
+    node_starts: Vec<(usize, Instant)>,
+    limits: Vec<LimitPeriod>,
+}
+
+/// A period in which a target named a limit.
+#[derive(Debug)]
+struct LimitPeriod {
+    target: String,
+    from: Instant,
+    to: Option<Instant>,
 }
 
 impl SoakLedger {
@@ -142,6 +163,33 @@
         self.lock().node_faults.push(period);
     }
 
+    /// Records that a node starts again after a planned stop.
+    pub fn record_node_start(&self, node: usize) {
+        self.lock().node_starts.push((node, Instant::now()));
+    }
+
+    /// Records that a target names its limit in an answer.
+    pub fn record_limit_named(&self, target: &str) {
+        let mut content = self.lock();
+        let mut limits = content.limits.iter();
+        if !limits.any(|limit| limit.target == target && limit.to.is_none()) {
+            content.limits.push(LimitPeriod {
+                target: target.to_owned(),
+                from: Instant::now(),
+                to: None,
+            });
+        }
+    }
+
+    /// Records that a target names no limit any more.
+    pub fn record_limit_lifted(&self, target: &str) {
+        let mut content = self.lock();
+        let limits = content.limits.iter_mut();
+        for limit in limits.filter(|limit| limit.target == target) {
+            limit.to.get_or_insert_with(Instant::now);
+        }
+    }
+
     /// Returns the numbers of requests sent, of those answered with success, and of executions.
     pub fn counts(&self) -> (usize, usize, usize) {
         let content = self.lock();
@@ -167,11 +215,48 @@
         for (index, customer) in customers.iter().enumerate() {
             content.check_rate(index, customer, &mut breaches);
         }
+        for limit in &content.limits {
+            content.check_limit(limit, &mut breaches);
+        }
         breaches
     }
 }
 
 impl LedgerContent {
+    /// Checks that the requests to a target stay within its limit in each window, counted over the
+    /// nodes that were left alone from some time before the window.
+    fn check_limit(&self, limit: &LimitPeriod, breaches: &mut Vec<SoakBreach>) {
+        let allowed = NAMED_LIMIT_PER_S * LIMIT_WINDOW.as_secs_f64() * LIMIT_EXCESS + LIMIT_SLACK;
+        let runs: Vec<(Instant, Option<usize>)> = self
+            .runs
+            .iter()
+            .filter(|run| run.target == limit.target)
+            .filter(|run| run.at >= limit.from + LIMIT_CONTACT)
+            .filter(|run| limit.to.is_none_or(|to| run.at <= to))
+            .map(|run| (run.at, self.sent.get(&run.id).map(|request| request.node)))
+            .collect();
+        let mut highest = 0;
+        for (start, _) in &runs {
+            let (from, to) = (*start - LIMIT_CONTACT, *start + LIMIT_WINDOW);
+            let was_left_alone = |node: usize| {
+                let mut faults = self.node_faults.iter();
+                let mut starts = self.node_starts.iter();
+                !faults.any(|period| period.node == node && period.from <= to && period.to >= from)
+                    && !starts.any(|(started, at)| *started == node && (from..to).contains(at))
+            };
+            let counted = runs
+                .iter()
+                .filter(|(at, node)| (*start..to).contains(at) && node.is_some_and(was_left_alone));
+            highest = highest.max(counted.count());
+        }
+        if highest as f64 > allowed {
+            breaches.push(SoakBreach {
+                promise: "no target gets more than the limit that it names, over all nodes",
+                seen: format!("{}: {highest} in a window, {allowed} allowed", limit.target),
+            });
+        }
+    }
+
     fn check_run(
         &self,
         run: &RunRecord,
--- a/testutils/src/soak_plan.rs
+++ b/testutils/src/soak_plan.rs
@@ -45,8 +45,13 @@
     EndlessHead,
     /// Sends a body without a length and without end.
     EndlessBody,
+    /// Names a limit in its answers; see [`NAMED_LIMIT_PER_S`].
+    Limited,
 }
 
+/// The requests a second that a target with [`TargetFault::Limited`] takes from all nodes together.
+pub const NAMED_LIMIT_PER_S: f64 = 2.0;
+
 /// How the store fails.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreFault {
@@ -120,6 +125,8 @@
 const MEAN_GAP_MS: u64 = 700;
 /// The range of fault durations, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 400..4_000;
+/// The range of durations of limits, which are checked some seconds after their naming.
+const LIMIT_LENGTH_MS: std::ops::Range<u64> = 8_000..12_000;
 
 /// The probability that a fault of a node or a change is the first one of a series.
 const SERIES_PROBABILITY: f64 = 0.4;
@@ -136,7 +143,10 @@
         let fault = draw(&mut rng, size);
         let first = PlannedFault {
             from_ms: at_ms,
-            for_ms: rng.random_range(LENGTH_MS),
+            for_ms: rng.random_range(match fault {
+                SoakFault::Target(_, TargetFault::Limited) => LIMIT_LENGTH_MS,
+                _ => LENGTH_MS,
+            }),
             fault,
         };
         faults.push(first);
@@ -207,6 +217,8 @@
         TargetFault::ExtraAnswers,
         TargetFault::EndlessHead,
         TargetFault::EndlessBody,
+        TargetFault::Limited,
+        TargetFault::Limited,
     ]
     .choose(rng)
     .expect("the list is not empty");
--- a/testutils/src/soak_run.rs
+++ b/testutils/src/soak_run.rs
@@ -346,7 +346,9 @@
                 self.targets[target].path.set_fault(PathFault::None);
             }
             SoakFault::Target(target, _) => {
-                self.targets[target].target.set_fault(TargetFault::None);
+                let target = &self.targets[target].target;
+                target.set_fault(TargetFault::None);
+                self.ledger.record_limit_lifted(&target.id);
             }
             SoakFault::KeyWithdrawn => {
                 self.is_key_withdrawn = false;
@@ -395,6 +397,7 @@
                 });
             }
             node.start()?;
+            self.ledger.record_node_start(number);
         }
         Ok(())
     }
@@ -412,6 +415,7 @@
         for proxied in &self.targets {
             proxied.path.set_fault(PathFault::None);
             proxied.target.set_fault(TargetFault::None);
+            self.ledger.record_limit_lifted(&proxied.target.id);
         }
         self.is_key_withdrawn = true;
         self.publish_configuration();
--- a/testutils/src/soak_target.rs
+++ b/testutils/src/soak_target.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinHandle;
 
 use crate::soak_ledger::{RunRecord, SoakLedger};
-use crate::soak_plan::TargetFault;
+use crate::soak_plan::{NAMED_LIMIT_PER_S, TargetFault};
 
 /// The time that a request takes without faults, in milliseconds.
 const RUN_TIME_MS: u64 = 15;
@@ -156,6 +156,9 @@
             is_own_body: request.body.is_empty() || request.body == request_body(&id),
         });
         let fault = *context.fault.borrow();
+        if fault == TargetFault::Limited {
+            context.ledger.record_limit_named(&context.id);
+        }
         let factor = if fault == TargetFault::Slow { 10 } else { 1 };
         tokio::time::sleep(Duration::from_millis(RUN_TIME_MS * factor)).await;
         answer(&mut stream, &id, fault).await?;
@@ -192,6 +195,12 @@
             stream.write_all(head.as_bytes()).await?;
             write_without_end(stream, &body).await
         }
+        TargetFault::Limited => {
+            let fields = format!("server-seal: seal\r\nserver-limit: {NAMED_LIMIT_PER_S}\r\n");
+            let mut bytes = response_head(200, id, &fields, body.len());
+            bytes.extend(&body);
+            stream.write_all(&bytes).await
+        }
         TargetFault::None | TargetFault::Gray | TargetFault::Slow => stream.write_all(&bytes).await,
     }
 }
--- a/testutils/tests/test_soak.rs
+++ b/testutils/tests/test_soak.rs
@@ -260,3 +260,31 @@
     assert_eq!(breaches.len(), 1, "{breaches:?}");
     assert_eq!(breaches[0].seen, "ferries: 30 in a window, 27 allowed");
 }
+
+#[test]
+fn a_target_over_its_limit_is_found_unless_the_node_had_a_fault() {
+    for has_fault in [false, true] {
+        let ledger = SoakLedger::default();
+        ledger.record_limit_named("t-1");
+        // Two a second in four seconds, exceeded by half, and five requests allow 17.
+        for number in 0..18 {
+            let id = number.to_string();
+            ledger.record_sent(&id, sent(Some(0), true, answer(200)));
+            let mut run = run(&id);
+            run.at += Duration::from_millis(3_500 + number * 100);
+            ledger.record_run(run);
+        }
+        if has_fault {
+            let from = Instant::now() + Duration::from_secs(2);
+            ledger.record_node_fault(NodeFaultPeriod {
+                node: 0,
+                from,
+                to: from,
+            });
+        }
+        let breaches = ledger.breaches(&CUSTOMERS);
+        let seen: Vec<&str> = breaches.iter().map(|breach| breach.seen.as_str()).collect();
+        let expected = ["t-1: 18 in a window, 17 allowed"];
+        assert_eq!(seen, if has_fault { &[][..] } else { &expected[..] });
+    }
+}
