platform, lib, entry: read the era of the store, and log when it was restored from a copy

The logs could not tell a store that answers again from one that answers with older rows. Every answer of the store names its era, refusals included; the client decodes it and keeps the newest, rows carry it in their version (StoreVersion, ordered by era first), and the watchers log a change. The stand-in can be restored from a copy of its tables and answers 410 to versions that it does not have.

--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -208,6 +208,7 @@
         } else {
             read_whole_table(&state, &client, OPERATOR_TABLE, &state.routing_copy).await
         };
+        feed_status.record_era(client.era());
         match read {
             Ok(changed_rows) => {
                 feed_status.record_success();
@@ -251,6 +252,7 @@
         } else {
             read_whole_table(&state, &client, TARGET_TABLE, &state.targets_copy).await
         };
+        feed_status.record_era(client.era());
         let now = state.clock.now();
         match read {
             Ok(changed_rows) => {
@@ -331,19 +333,19 @@
 ) -> Result<Vec<MirrorRow>, PlatformError> {
     let batch = client.read_table(table, CALL_TIMEOUT).await?;
     let rows = batch.rows.into_iter().map(mirror_row).collect();
-    Ok(copy.replace(state.clock.now(), rows, batch.version))
+    Ok(copy.replace(state.clock.now(), rows, batch.version.version()))
 }
 
 fn apply_changes(state: &EntryState, copy: &TableCopy, batch: RowBatch) -> Vec<MirrorRow> {
     let rows = batch.rows.into_iter().map(mirror_row).collect();
-    copy.apply(state.clock.now(), rows, batch.version)
+    copy.apply(state.clock.now(), rows, batch.version.version())
 }
 
 fn mirror_row(row: StoreRow) -> MirrorRow {
     MirrorRow {
         key: row.key,
         value: row.value,
-        version: row.version,
+        version: row.version.version(),
     }
 }
 
@@ -351,6 +353,8 @@
 struct FeedStatus {
     what: &'static str,
     is_down: bool,
+    /// The newest era that the store has named; none before the first answer.
+    era: Option<u16>,
 }
 
 impl FeedStatus {
@@ -358,6 +362,7 @@
         Self {
             what,
             is_down: false,
+            era: None,
         }
     }
 
@@ -371,6 +376,18 @@
         }
     }
 
+    fn record_era(&mut self, era: u16) {
+        if self.era.is_some_and(|known| era > known) {
+            tracing::warn!(
+                what = self.what,
+                era,
+                before = self.era,
+                "store restored from a copy"
+            );
+        }
+        self.era = Some(era);
+    }
+
     fn record_success(&mut self) {
         if std::mem::take(&mut self.is_down) {
             tracing::info!(what = self.what, "store answers again");
--- a/testutils/src/platform_server.rs
+++ b/testutils/src/platform_server.rs
@@ -77,9 +77,15 @@
     Conflict { body: Value },
 }
 
+/// A copy of all tables, which the store can be restored from.
+#[derive(Clone, Debug)]
+pub struct TablesCopy(MemoryTables);
+
 #[derive(Debug)]
 struct PlatformState {
     tables: MemoryTables,
+    /// The number of times that the tables were restored from a copy.
+    era: u16,
     objects: IndexMap<String, ValueHistory<Bytes>>,
     faults: PlatformFaults,
     counters: PlatformCounters,
@@ -90,6 +96,7 @@
     fn new() -> Self {
         Self {
             tables: MemoryTables::default(),
+            era: 0,
             objects: IndexMap::new(),
             faults: PlatformFaults::default(),
             counters: PlatformCounters::default(),
@@ -255,6 +262,20 @@
         row.value
     }
 
+    /// Returns a copy of all tables.
+    pub fn copy_tables(&self) -> TablesCopy {
+        TablesCopy(self.shared.lock().tables.clone())
+    }
+
+    /// Restores the tables from a copy: what was written since is lost, its versions are given out
+    /// again, and the era rises by one.
+    pub fn restore_tables(&self, copy: &TablesCopy) {
+        self.shared.update(|state| {
+            state.tables = copy.0.clone();
+            state.era += 1;
+        });
+    }
+
     /// Returns the counters of the calls so far.
     pub fn counters(&self) -> PlatformCounters {
         self.shared.lock().counters.clone()
@@ -305,17 +326,20 @@
     } else {
         serve_platform(shared, request).await
     };
-    match answer {
-        Ok(body) => Ok(response(StatusCode::OK, body)),
-        Err(CallError::AnswerLost) => Err(CallError::AnswerLost),
-        Err(CallError::Refused) => Ok(empty_response(StatusCode::SERVICE_UNAVAILABLE)),
-        Err(CallError::BadBody) => Ok(empty_response(StatusCode::BAD_REQUEST)),
-        Err(CallError::NotFound) => Ok(empty_response(StatusCode::NOT_FOUND)),
-        Err(CallError::HistoryDiscarded) => Ok(empty_response(StatusCode::GONE)),
+    let mut response = match answer {
+        Ok(body) => response(StatusCode::OK, body),
+        Err(CallError::AnswerLost) => return Err(CallError::AnswerLost),
+        Err(CallError::Refused) => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+        Err(CallError::BadBody) => empty_response(StatusCode::BAD_REQUEST),
+        Err(CallError::NotFound) => empty_response(StatusCode::NOT_FOUND),
+        Err(CallError::HistoryDiscarded) => empty_response(StatusCode::GONE),
         Err(CallError::Conflict { body }) => {
-            Ok(response(StatusCode::PRECONDITION_FAILED, to_json(&body)))
+            response(StatusCode::PRECONDITION_FAILED, to_json(&body))
         }
-    }
+    };
+    let era = shared.lock().era;
+    response.headers_mut().insert("store-era", era.into());
+    Ok(response)
 }
 
 fn response(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
@@ -442,7 +466,9 @@
             OutageMode::Refuse => return RefusedSnafu.fail(),
             // The feed is answered after the outage if the caller still waits.
             OutageMode::Hang => {}
-            OutageMode::None if faults.forgetful => return HistoryDiscardedSnafu.fail(),
+            OutageMode::None if faults.forgetful || query.after > version => {
+                return HistoryDiscardedSnafu.fail();
+            }
             OutageMode::None if !rows.is_empty() => {
                 return Ok(to_json(&rows_answer(&query.table, rows, false, version)));
             }
--- a/testutils/src/platform_table.rs
+++ b/testutils/src/platform_table.rs
@@ -94,7 +94,7 @@
 }
 
 /// Tables of versioned rows with atomic conditional transactions.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct MemoryTables {
     rows: BTreeMap<RowName, ValueHistory<RowState>>,
     version: u64,
