platform: count eras from 0, as the comment says

From 0, versions of such a store stay plain numbers in messages between nodes, so that nodes of the version before understand them. The stand-in names 1 first, as the store does. test_store_client passes.

--- a/lib/src/store_version.rs
+++ b/lib/src/store_version.rs
@@ -13,8 +13,8 @@
 
 /// A version of the store within one of its eras; versions of a later era are higher.
 ///
-/// The encoded form is one number with the era in its upper bits, so that versions of era 0 are
-/// encoded as plain numbers.
+/// Eras count from 0. The encoded form is one number with the era in its upper bits, so that the
+/// versions of a store that was never restored are encoded as plain numbers.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
 )]
--- a/testutils/src/platform_server.rs
+++ b/testutils/src/platform_server.rs
@@ -338,7 +338,7 @@
         }
     };
     let era = shared.lock().era;
-    response.headers_mut().insert("store-era", era.into());
+    response.headers_mut().insert("store-era", (era + 1).into());
     Ok(response)
 }
 
