lib, entry: order versions of the store by its era first

Cause: a copy of a table keeps what has the higher version, but a restored store gives out its versions again. Evidence: all nodes read the store again from 17.1 s, get 410 to each feed and discard the whole table that they then read; targets are noticed at 22 s, as the counter has passed by then, the configuration below it never. Change: versions are ordered by era, then number, wherever they are held, sent and compared (copies, heartbeats, fetches, lag). An answer of another era, or a later era in any answer of the store, leads to a read of the whole table; feeds that wait are given up then. A whole table that is older than the copy counts as a failed call, so that there is no loop without pause. Rows of a later era from a peer replace the copy. The document's own version decides what is in force, so that the older configuration of the restored store does not come back.

--- a/entry/src/entry_meters.rs
+++ b/entry/src/entry_meters.rs
@@ -60,6 +60,8 @@
     pub targets_lag: Duration,
     /// How late the last periodic check of running attempts was.
     pub loop_delay: Duration,
+    /// The era of the store that the routing is from.
+    pub store_era: u16,
     /// The number of known targets.
     pub targets: usize,
     /// The number of targets that name a limit.
@@ -89,6 +91,7 @@
     loop_delay: Gauge<f64>,
     targets: Gauge<u64>,
     limited_targets: Gauge<u64>,
+    store_era: Gauge<u64>,
     nodes: Gauge<u64>,
 }
 
@@ -120,6 +123,7 @@
             loop_delay: meter.f64_gauge("damaskloom_loop_delay_seconds").build(),
             targets: meter.u64_gauge("damaskloom_targets").build(),
             limited_targets: meter.u64_gauge("damaskloom_limited_targets").build(),
+            store_era: meter.u64_gauge("damaskloom_store_era").build(),
             nodes: meter.u64_gauge("damaskloom_nodes").build(),
         })
     }
@@ -175,6 +179,7 @@
         self.targets.record(known.targets as u64, &[]);
         self.limited_targets
             .record(known.limited_targets as u64, &[]);
+        self.store_era.record(u64::from(known.store_era), &[]);
         self.nodes.record(known.nodes as u64, &[]);
     }
 
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -379,7 +379,7 @@
         let catalog = self.catalog.borrow();
         let mut balancers = self.balancers.borrow_mut();
         let known = catalog.get(id);
-        let row = self.targets_copy.mirror.borrow().version();
+        let row = self.targets_copy.mirror.borrow().version().version();
         let Some(target) = known.filter(|target| !target.announcement.leaving) else {
             let why = if known.is_some() { "leaving" } else { "gone" };
             tracing::info!(id = %id, why, row, "target removed");
@@ -489,7 +489,13 @@
         for kind in [TableKind::Routing, TableKind::Targets] {
             let version = kind.version(&heartbeat);
             if self.table_copy(kind).announce(now, version) {
-                tracing::info!(from = %vm, what = kind.path(), version, "newer rows announced");
+                tracing::info!(
+                    from = %vm,
+                    what = kind.path(),
+                    version = version.version(),
+                    era = version.era(),
+                    "newer rows announced"
+                );
             }
         }
         if self.members.borrow_mut().record_heartbeat(vm, heartbeat) {
@@ -522,6 +528,7 @@
             routing_lag: lag(&self.routing_copy),
             targets_lag: lag(&self.targets_copy),
             loop_delay: self.loop_delay.get(),
+            store_era: self.routing_copy.mirror.borrow().version().era(),
             targets: self.catalog.borrow().len(),
             limited_targets: self.limits.borrow().limited_count(),
             nodes: self.members.borrow().responsive(now).count() + 1,
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -12,6 +12,7 @@
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::ids::VmId;
 use damaskloom_lib::row_fetch::{FETCH_TIMEOUT_MS, FetchEnd, FetchStep, RowFetcher};
+use damaskloom_lib::store_version::StoreVersion;
 use damaskloom_lib::table_mirror::MirrorRow;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -100,7 +101,7 @@
 #[serde(rename_all = "snake_case")]
 struct RowsAnswer {
     rows: Vec<MirrorRow>,
-    version: u64,
+    version: StoreVersion,
     /// The rest of the grace period of targets whose rows may have expired during an outage of the
     /// store, in milliseconds.
     grace_left_ms: u64,
@@ -169,11 +170,12 @@
         _ => return refuse(StatusCode::NOT_FOUND),
     };
     let after = request.uri().query().and_then(|query| query.parse().ok());
+    let after = StoreVersion::from(after.unwrap_or(0_u64));
     let now = state.clock.now();
     let answer = {
         let mirror = mirror.borrow();
         RowsAnswer {
-            rows: mirror.changes_after(after.unwrap_or(0)),
+            rows: mirror.changes_after(after),
             version: mirror.version(),
             grace_left_ms: state.catalog.borrow().grace_remaining(now).as_millis() as u64,
         }
@@ -316,7 +318,7 @@
     let Some(secret) = secret else {
         return Ok(0);
     };
-    let after = copy.mirror.borrow().version();
+    let after = u64::from(copy.mirror.borrow().version());
     let request_target = format!("{}?{after}", kind.path());
     let answer = tokio::time::timeout(
         FETCH_TIMEOUT,
@@ -343,7 +345,7 @@
             let now = state.clock.now();
             state.catalog.borrow_mut().adopt_grace(now, left);
             state.apply_target_rows(&changed_rows);
-            if answer.version > 0 {
+            if !answer.version.is_zero() {
                 state.set_targets_known();
             }
         }
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use damaskloom_gateway::meter_registry::MeterError;
+use damaskloom_platform::store_client::StoreClient;
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -86,9 +87,11 @@
     tokio::task::spawn_local(serve_rows(Rc::clone(&state), rows));
     tokio::task::spawn_local(run_row_fetches(Rc::clone(&state), TableKind::Routing));
     tokio::task::spawn_local(run_row_fetches(Rc::clone(&state), TableKind::Targets));
-    tokio::task::spawn_local(join_fleet(Rc::clone(&state)));
-    tokio::task::spawn_local(watch_routing(Rc::clone(&state)));
-    tokio::task::spawn_local(watch_targets(Rc::clone(&state)));
+    // One client, so that all its users learn of a restored store from any answer.
+    let client = Rc::new(StoreClient::new(state.settings().store));
+    tokio::task::spawn_local(join_fleet(Rc::clone(&state), Rc::clone(&client)));
+    tokio::task::spawn_local(watch_routing(Rc::clone(&state), Rc::clone(&client)));
+    tokio::task::spawn_local(watch_targets(Rc::clone(&state), client));
     tokio::task::spawn_local(run_target_expiry(Rc::clone(&state)));
     tokio::task::spawn_local(watch_settings(Rc::clone(&state), path, reload));
     spawn_peers(&state, &peers);
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -87,9 +87,8 @@
 }
 
 /// Reads the registrations of the other nodes and registers this one; returns once both are done.
-pub async fn join_fleet(state: Rc<EntryState>) {
+pub async fn join_fleet(state: Rc<EntryState>, client: Rc<StoreClient>) {
     let settings = state.settings();
-    let client = StoreClient::new(settings.store);
     let own = NodeRegistration {
         started_at_ms: state.started_at_ms,
         data_centre: settings.data_centre.clone(),
@@ -179,35 +178,19 @@
 }
 
 /// Follows the operators' table until the task is cancelled.
-pub async fn watch_routing(state: Rc<EntryState>) {
-    let client = StoreClient::new(state.settings().store);
+pub async fn watch_routing(state: Rc<EntryState>, client: Rc<StoreClient>) {
     let mut backoff = Backoff::new();
     let mut feed_status = FeedStatus::new("configuration");
     loop {
         wait_to_follow_store(&state).await;
-        let version = state.routing_copy.mirror.borrow().version();
         // The first read is of the whole table, which may still be empty.
-        let read = if version > 0 {
-            let feed = client
-                .read_feed(
-                    OPERATOR_TABLE,
-                    version,
-                    feed_status.feed_wait(),
-                    CALL_TIMEOUT,
-                )
-                .await;
-            match feed {
-                Ok(FeedOutcome::Changes(batch)) => {
-                    Ok(apply_changes(&state, &state.routing_copy, batch))
-                }
-                Ok(FeedOutcome::Forgotten) => {
-                    read_whole_table(&state, &client, OPERATOR_TABLE, &state.routing_copy).await
-                }
-                Err(error) => Err(error),
-            }
-        } else {
-            read_whole_table(&state, &client, OPERATOR_TABLE, &state.routing_copy).await
+        let is_known = !state.routing_copy.mirror.borrow().version().is_zero();
+        let followed = FollowedTable {
+            table: OPERATOR_TABLE,
+            copy: &state.routing_copy,
+            is_known,
         };
+        let read = read_changes(&state, &client, &followed, feed_status.feed_wait()).await;
         feed_status.record_era(client.era());
         match read {
             Ok(changed_rows) => {
@@ -226,8 +209,7 @@
 }
 
 /// Follows the targets' table until the task is cancelled.
-pub async fn watch_targets(state: Rc<EntryState>) {
-    let client = StoreClient::new(state.settings().store);
+pub async fn watch_targets(state: Rc<EntryState>, client: Rc<StoreClient>) {
     let mut backoff = Backoff::new();
     let mut feed_status = FeedStatus::new("targets");
     loop {
@@ -235,23 +217,12 @@
             state.store_reachable.set(false);
         }
         wait_to_follow_store(&state).await;
-        let version = state.targets_copy.mirror.borrow().version();
-        let read = if state.targets_known.get() {
-            let feed = client
-                .read_feed(TARGET_TABLE, version, feed_status.feed_wait(), CALL_TIMEOUT)
-                .await;
-            match feed {
-                Ok(FeedOutcome::Changes(batch)) => {
-                    Ok(apply_changes(&state, &state.targets_copy, batch))
-                }
-                Ok(FeedOutcome::Forgotten) => {
-                    read_whole_table(&state, &client, TARGET_TABLE, &state.targets_copy).await
-                }
-                Err(error) => Err(error),
-            }
-        } else {
-            read_whole_table(&state, &client, TARGET_TABLE, &state.targets_copy).await
+        let followed = FollowedTable {
+            table: TARGET_TABLE,
+            copy: &state.targets_copy,
+            is_known: state.targets_known.get(),
         };
+        let read = read_changes(&state, &client, &followed, feed_status.feed_wait()).await;
         feed_status.record_era(client.era());
         let now = state.clock.now();
         match read {
@@ -305,7 +276,7 @@
 
 /// Waits before an empty table is read again: there is no version yet that a feed could start from.
 async fn wait_if_empty(copy: &TableCopy) {
-    if copy.mirror.borrow().version() == 0 {
+    if copy.mirror.borrow().version().is_zero() {
         tokio::time::sleep(INITIAL_BACKOFF).await;
     }
 }
@@ -325,27 +296,61 @@
     }
 }
 
-async fn read_whole_table(
+/// A table that is followed, with this node's copy of it.
+struct FollowedTable<'a> {
+    table: &'static str,
+    copy: &'a TableCopy,
+    /// Whether the copy reflects a version of the store, which a feed can continue from.
+    is_known: bool,
+}
+
+/// Waits for changes of a table; returns those that are new to the copy.
+///
+/// If the store was restored from a copy, the whole table is read again: rows may have gone back or
+/// vanished without a change in the feed.
+async fn read_changes(
     state: &EntryState,
     client: &StoreClient,
-    table: &str,
-    copy: &TableCopy,
+    followed: &FollowedTable<'_>,
+    wait: Duration,
 ) -> Result<Vec<MirrorRow>, PlatformError> {
+    let (table, copy) = (followed.table, followed.copy);
+    let version = copy.mirror.borrow().version();
+    if followed.is_known && client.era() <= version.era() {
+        let feed = tokio::select! {
+            feed = client.read_feed(table, version.version(), wait, CALL_TIMEOUT) => feed?,
+            // Another call was answered by a restored store; this one may never be answered.
+            () = client.wait_for_later_era(version.era()) => FeedOutcome::Forgotten,
+        };
+        match feed {
+            FeedOutcome::Changes(batch) if batch.version.era() == version.era() => {
+                return Ok(apply_changes(state, copy, batch));
+            }
+            FeedOutcome::Changes(_) | FeedOutcome::Forgotten => {}
+        }
+    }
     let batch = client.read_table(table, CALL_TIMEOUT).await?;
+    if batch.version < version {
+        let detail = format!(
+            "version {} is older than the copy's {version}",
+            batch.version
+        );
+        return Err(PlatformError::unavailable(detail));
+    }
     let rows = batch.rows.into_iter().map(mirror_row).collect();
-    Ok(copy.replace(state.clock.now(), rows, batch.version.version()))
+    Ok(copy.replace(state.clock.now(), rows, batch.version))
 }
 
 fn apply_changes(state: &EntryState, copy: &TableCopy, batch: RowBatch) -> Vec<MirrorRow> {
     let rows = batch.rows.into_iter().map(mirror_row).collect();
-    copy.apply(state.clock.now(), rows, batch.version.version())
+    copy.apply(state.clock.now(), rows, batch.version)
 }
 
 fn mirror_row(row: StoreRow) -> MirrorRow {
     MirrorRow {
         key: row.key,
         value: row.value,
-        version: row.version.version(),
+        version: row.version,
     }
 }
 
--- a/entry/src/table_copy.rs
+++ b/entry/src/table_copy.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use damaskloom_lib::entry_members::NodeHeartbeat;
+use damaskloom_lib::store_version::StoreVersion;
 use damaskloom_lib::table_mirror::{MirrorRow, TableMirror};
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::version_lag::VersionLag;
@@ -28,7 +29,7 @@
     }
 
     /// Returns the version of the sender's newest row.
-    pub const fn version(self, heartbeat: &NodeHeartbeat) -> u64 {
+    pub const fn version(self, heartbeat: &NodeHeartbeat) -> StoreVersion {
         match self {
             Self::Routing => heartbeat.routing_version,
             Self::Targets => heartbeat.targets_version,
@@ -51,7 +52,7 @@
 
 impl TableCopy {
     /// Records that a peer has a version; returns whether it is the first missing one.
-    pub fn announce(&self, now: MonoTime, version: u64) -> bool {
+    pub fn announce(&self, now: MonoTime, version: StoreVersion) -> bool {
         if version <= self.mirror.borrow().version() {
             return false;
         }
@@ -60,14 +61,24 @@
     }
 
     /// Applies changes up to a version; returns those that were newer than the copy.
-    pub fn apply(&self, now: MonoTime, rows: Vec<MirrorRow>, version: u64) -> Vec<MirrorRow> {
+    pub fn apply(
+        &self,
+        now: MonoTime,
+        rows: Vec<MirrorRow>,
+        version: StoreVersion,
+    ) -> Vec<MirrorRow> {
         let changed_rows = self.mirror.borrow_mut().apply(rows, version);
         self.record_reached(now);
         changed_rows
     }
 
     /// Replaces the copy by the whole table as of a version; returns the changes.
-    pub fn replace(&self, now: MonoTime, rows: Vec<MirrorRow>, version: u64) -> Vec<MirrorRow> {
+    pub fn replace(
+        &self,
+        now: MonoTime,
+        rows: Vec<MirrorRow>,
+        version: StoreVersion,
+    ) -> Vec<MirrorRow> {
         let changed_rows = self.mirror.borrow_mut().replace(rows, version);
         self.record_reached(now);
         changed_rows
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -8,5 +8,6 @@
 mod test_peer_wire;
 mod test_planned_stop;
 mod test_requests;
+mod test_restored_store;
 mod test_row_fetches;
 mod test_settings;
--- /dev/null
+++ b/entry/tests/test_restored_store.rs
@@ -0,0 +1,71 @@
+//! Tests entry nodes while the store comes back from an older copy.
+
+use damaskloom_testutils::platform_faults::PlatformFaults;
+use http::StatusCode;
+
+use crate::fixture::{TargetBehaviour, configuration, wait_until, with_node};
+
+/// The number of rows that are written and then lost.
+const LOST_ROWS: u32 = 20;
+
+/// Guards against a node that ignores a configuration since the store gives out lower versions after a
+/// restore.
+#[tokio::test]
+async fn a_configuration_written_after_a_restore_is_applied() {
+    with_node(
+        &[TargetBehaviour::Succeeds],
+        |store, node, _targets| async move {
+            let is_served = async |key| {
+                let answer = node.send("GET", "/read/1", Some(key)).await;
+                answer.status == StatusCode::OK
+            };
+            let copy = store.copy_tables();
+            for number in 0..LOST_ROWS {
+                store.put("op", &format!("lost-{number}"), "lost");
+            }
+            store.put("op", "config", configuration(5, &["key-1", "key-5"]));
+            wait_until("version 5 is applied", async || is_served("key-5").await).await;
+            store.set_faults(PlatformFaults::refusing());
+            store.restore_tables(&copy);
+            store.set_faults(PlatformFaults::default());
+            wait_until("the node reads the restored store", async || {
+                node.metric("damaskloom_store_era").await == Some(1.0)
+            })
+            .await;
+            // The store holds version 1 now, but what was in force stays in force.
+            for _ in 0..5 {
+                assert!(is_served("key-5").await);
+            }
+            store.put("op", "config", configuration(9, &["key-1", "key-9"]));
+            wait_until("version 9 is applied", async || is_served("key-9").await).await;
+            assert!(!is_served("key-5").await);
+        },
+    )
+    .await;
+}
+
+/// Guards against a row that a restored store has lost and that stays with a node for good, since the
+/// versions have passed the old ones before the node asks again.
+#[tokio::test]
+async fn a_target_that_was_lost_in_a_restore_is_forgotten() {
+    with_node(
+        &[TargetBehaviour::Succeeds],
+        |store, node, targets| async move {
+            let copy = store.copy_tables();
+            store.put("servers", "i-lost", targets[0].row("ready"));
+            let has_targets = async |count| node.metric("damaskloom_targets").await == Some(count);
+            wait_until("the new target is known", async || has_targets(2.0).await).await;
+            store.set_faults(PlatformFaults::refusing());
+            store.restore_tables(&copy);
+            for number in 0..LOST_ROWS {
+                store.put("other", &format!("row-{number}"), "row");
+            }
+            store.set_faults(PlatformFaults::default());
+            wait_until("the lost target is forgotten", async || {
+                has_targets(1.0).await
+            })
+            .await;
+        },
+    )
+    .await;
+}
--- a/entry/tests/test_row_fetches.rs
+++ b/entry/tests/test_row_fetches.rs
@@ -106,8 +106,8 @@
                 carrying: false,
                 capacity_millicores: PEER_MILLICORES,
                 linked: true,
-                routing_version,
-                targets_version,
+                routing_version: routing_version.into(),
+                targets_version: targets_version.into(),
             }),
         };
         encode(&self.secret, &envelope).expect("the message can be encoded")
@@ -126,7 +126,7 @@
         let row = MirrorRow {
             key: "config".to_owned(),
             value: Some(self.configuration.borrow().clone()),
-            version: routing_version,
+            version: routing_version.into(),
         };
         let (rows, version) = match is_routing {
             true => (vec![row], routing_version),
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -10,6 +10,7 @@
 
 use crate::entry_nodes::EntryNode;
 use crate::ids::{DataCentreId, VmId};
+use crate::store_version::StoreVersion;
 use crate::time::MonoTime;
 
 /// The interval of heartbeats, in milliseconds.
@@ -53,9 +54,9 @@
     /// Whether the node reads the store itself and the store answers.
     pub linked: bool,
     /// The version of the node's copy of the routing.
-    pub routing_version: u64,
+    pub routing_version: StoreVersion,
     /// The version of the node's copy of the targets.
-    pub targets_version: u64,
+    pub targets_version: StoreVersion,
 }
 
 /// A node's entry in the store's table of nodes, written at its first start.
--- a/lib/src/table_mirror.rs
+++ b/lib/src/table_mirror.rs
@@ -7,6 +7,8 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::store_version::StoreVersion;
+
 /// A row, or the tombstone of a removed one.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MirrorRow {
@@ -15,30 +17,36 @@
     /// The row's bytes; none if it was removed.
     pub value: Option<Bytes>,
     /// The version at which it was written or removed.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// The copy of one table.
 #[derive(Debug, Default)]
 pub struct TableMirror {
-    rows: IndexMap<String, (Option<Bytes>, u64)>,
-    version: u64,
+    rows: IndexMap<String, (Option<Bytes>, StoreVersion)>,
+    version: StoreVersion,
 }
 
 impl TableMirror {
     /// Returns the newest version that the copy reflects.
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> StoreVersion {
         self.version
     }
 
     /// Returns the version of the newest row or removal.
-    pub fn newest_row_version(&self) -> u64 {
+    pub fn newest_row_version(&self) -> StoreVersion {
         let versions = self.rows.values().map(|(_, version)| *version);
-        versions.max().unwrap_or(0)
+        versions.max().unwrap_or_default()
     }
 
     /// Applies changes up to a version; returns those that were newer than the copy.
-    pub fn apply(&mut self, rows: Vec<MirrorRow>, version: u64) -> Vec<MirrorRow> {
+    ///
+    /// Changes up to a version of a later era must be the whole table: rows that are not among them
+    /// were lost when the store was restored.
+    pub fn apply(&mut self, rows: Vec<MirrorRow>, version: StoreVersion) -> Vec<MirrorRow> {
+        if version.era() > self.version.era() {
+            return self.replace(rows, version);
+        }
         let changes = rows.into_iter().filter(|row| {
             let held = self.rows.get(&row.key);
             if held.is_some_and(|(_, version)| *version >= row.version) {
@@ -55,7 +63,7 @@
     }
 
     /// Replaces the copy by the whole table as of a version; returns the changes, removals included.
-    pub fn replace(&mut self, rows: Vec<MirrorRow>, version: u64) -> Vec<MirrorRow> {
+    pub fn replace(&mut self, rows: Vec<MirrorRow>, version: StoreVersion) -> Vec<MirrorRow> {
         if version < self.version {
             return Vec::new();
         }
@@ -69,13 +77,14 @@
                 version,
             })
             .collect();
+        self.version = version;
         let mut changes = self.apply(rows, version);
         changes.extend(self.apply(missing, version));
         changes
     }
 
     /// Returns the changes after a version.
-    pub fn changes_after(&self, version: u64) -> Vec<MirrorRow> {
+    pub fn changes_after(&self, version: StoreVersion) -> Vec<MirrorRow> {
         self.rows
             .iter()
             .filter(|(_, (_, changed_at))| *changed_at > version)
--- a/lib/src/version_lag.rs
+++ b/lib/src/version_lag.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::store_version::StoreVersion;
 use crate::time::MonoTime;
 
 /// The maximum number of versions whose announcements are kept.
@@ -15,13 +16,13 @@
 #[derive(Debug, Default)]
 pub struct VersionLag {
     /// Increasing versions, with the times of their announcements.
-    pending: VecDeque<(u64, MonoTime)>,
-    reached: u64,
+    pending: VecDeque<(StoreVersion, MonoTime)>,
+    reached: StoreVersion,
 }
 
 impl VersionLag {
     /// Records that a peer has a version; returns whether this node knew of no missing one before.
-    pub fn announce(&mut self, now: MonoTime, version: u64) -> bool {
+    pub fn announce(&mut self, now: MonoTime, version: StoreVersion) -> bool {
         let newest = self
             .pending
             .back()
@@ -40,7 +41,7 @@
     }
 
     /// Records that this node has everything up to a version.
-    pub fn record_reached(&mut self, version: u64) {
+    pub fn record_reached(&mut self, version: StoreVersion) {
         self.reached = self.reached.max(version);
         while self
             .pending
--- a/lib/tests/test_entry_nodes.rs
+++ b/lib/tests/test_entry_nodes.rs
@@ -151,8 +151,8 @@
         carrying: true,
         capacity_millicores: 200,
         linked,
-        routing_version: 1,
-        targets_version: 1,
+        routing_version: 1.into(),
+        targets_version: 1.into(),
     }
 }
 
--- a/lib/tests/test_row_fetches.rs
+++ b/lib/tests/test_row_fetches.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use damaskloom_lib::store_version::StoreVersion;
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::version_lag::VersionLag;
 
@@ -94,20 +95,32 @@
 fn the_lag_counts_from_the_oldest_missing_version() {
     let at = MonoTime::from_millis;
     let mut lag = VersionLag::default();
-    assert!(lag.announce(at(100), 5));
-    assert!(!lag.announce(at(400), 6));
-    assert!(!lag.announce(at(500), 5));
+    assert!(lag.announce(at(100), 5.into()));
+    assert!(!lag.announce(at(400), 6.into()));
+    assert!(!lag.announce(at(500), 5.into()));
     assert_eq!(lag.lag(at(600)), Some(Duration::from_millis(500)));
-    lag.record_reached(5);
+    lag.record_reached(5.into());
     assert_eq!(lag.lag(at(600)), Some(Duration::from_millis(200)));
-    lag.record_reached(7);
+    lag.record_reached(7.into());
     assert_eq!(lag.lag(at(600)), None);
-    assert!(!lag.announce(at(700), 7));
+    assert!(!lag.announce(at(700), 7.into()));
     for version in 10..1_000 {
-        lag.announce(at(800 + version), version);
+        lag.announce(at(800 + version), version.into());
     }
-    lag.record_reached(998);
+    lag.record_reached(998.into());
     assert!(lag.lag(at(2_000)).is_some());
-    lag.record_reached(999);
+    lag.record_reached(999.into());
     assert_eq!(lag.lag(at(2_000)), None);
 }
+
+/// Guards against a node that refuses requests since it waits for a version that a restored store has
+/// lost.
+#[test]
+fn a_version_of_a_later_era_ends_the_wait_for_a_lost_one() {
+    let at = MonoTime::from_millis;
+    let mut lag = VersionLag::default();
+    lag.announce(at(100), 800.into());
+    lag.record_reached(StoreVersion::new(1, 3).expect("a small version"));
+    assert_eq!(lag.lag(at(5_000)), None);
+    assert!(!lag.announce(at(5_000), 801.into()));
+}
--- a/lib/tests/test_target_catalog.rs
+++ b/lib/tests/test_target_catalog.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use damaskloom_lib::ids::TargetId;
+use damaskloom_lib::store_version::StoreVersion;
 use damaskloom_lib::table_mirror::{MirrorRow, TableMirror};
 use damaskloom_lib::target_catalog::{
     Announcement, CatalogChange, REANNOUNCE_GRACE_MS, TargetCatalog,
@@ -116,7 +117,7 @@
     MirrorRow {
         key: key.to_owned(),
         value: value.map(Bytes::from),
-        version,
+        version: version.into(),
     }
 }
 
@@ -124,13 +125,23 @@
 #[test]
 fn a_mirror_returns_changes_and_removals_and_ignores_old_rows() {
     let mut mirror = TableMirror::default();
-    mirror.replace(vec![row("a", Some("1"), 3), row("b", Some("1"), 4)], 5);
-    let changes = mirror.apply(vec![row("a", Some("2"), 7), row("b", None, 8)], 8);
+    mirror.replace(
+        vec![row("a", Some("1"), 3), row("b", Some("1"), 4)],
+        5.into(),
+    );
+    let changes = mirror.apply(vec![row("a", Some("2"), 7), row("b", None, 8)], 8.into());
     assert_eq!(changes.len(), 2);
-    assert!(mirror.apply(vec![row("a", Some("1"), 3)], 3).is_empty());
-    assert_eq!((mirror.version(), mirror.newest_row_version()), (8, 8));
+    assert!(
+        mirror
+            .apply(vec![row("a", Some("1"), 3)], 3.into())
+            .is_empty()
+    );
+    assert_eq!(
+        (mirror.version(), mirror.newest_row_version()),
+        (8.into(), 8.into())
+    );
     assert_eq!(
-        mirror.changes_after(5),
+        mirror.changes_after(5.into()),
         [row("a", Some("2"), 7), row("b", None, 8)]
     );
 }
@@ -140,10 +151,98 @@
 #[test]
 fn replacing_a_table_finds_the_removed_rows() {
     let mut mirror = TableMirror::default();
-    mirror.replace(vec![row("a", Some("1"), 3), row("b", Some("1"), 4)], 5);
-    let changes = mirror.replace(vec![row("a", Some("1"), 3)], 9);
+    mirror.replace(
+        vec![row("a", Some("1"), 3), row("b", Some("1"), 4)],
+        5.into(),
+    );
+    let changes = mirror.replace(vec![row("a", Some("1"), 3)], 9.into());
     assert_eq!(changes, [row("b", None, 9)]);
     // A table version older than the copy changes nothing.
-    assert!(mirror.replace(Vec::new(), 8).is_empty());
-    assert_eq!(mirror.changes_after(0).len(), 2);
+    assert!(mirror.replace(Vec::new(), 8.into()).is_empty());
+    assert_eq!(mirror.changes_after(0.into()).len(), 2);
+}
+
+fn in_era(era: u16, version: u64) -> StoreVersion {
+    StoreVersion::new(era, version).expect("a small version")
+}
+
+fn restored_row(key: &str, value: Option<&'static str>, version: u64) -> MirrorRow {
+    MirrorRow {
+        version: in_era(1, version),
+        ..row(key, value, 0)
+    }
+}
+
+/// Guards against a copy that ignores a restored store until its versions have passed the old ones.
+#[test]
+fn a_mirror_follows_a_restored_store_to_lower_versions() {
+    let mut mirror = TableMirror::default();
+    let rows = vec![
+        row("a", Some("2"), 7),
+        row("b", Some("1"), 8),
+        row("c", Some("1"), 4),
+    ];
+    mirror.replace(rows, 9.into());
+    let restored = || {
+        vec![
+            restored_row("a", Some("1"), 3),
+            restored_row("c", Some("1"), 4),
+        ]
+    };
+    let changes = mirror.replace(restored(), in_era(1, 5));
+    let expected = [
+        restored_row("a", Some("1"), 3),
+        restored_row("c", Some("1"), 4),
+        restored_row("b", None, 5),
+    ];
+    assert_eq!(changes, expected);
+    // A row that is written again below the old version.
+    let changes = mirror.apply(vec![restored_row("a", Some("2"), 6)], in_era(1, 6));
+    assert_eq!(changes.len(), 1);
+    assert_eq!(mirror.version(), in_era(1, 6));
+    // A peer that was cut off still has the rows from before.
+    assert!(
+        mirror
+            .apply(vec![row("b", Some("1"), 8)], 9.into())
+            .is_empty()
+    );
+    assert!(
+        mirror
+            .replace(vec![row("b", Some("1"), 8)], 9.into())
+            .is_empty()
+    );
+}
+
+/// Guards against rows that a restored store has lost and that stay with a node which fetches from a
+/// peer: the peer may never have had them.
+#[test]
+fn rows_of_a_later_era_from_a_peer_replace_the_copy() {
+    let mut reader = TableMirror::default();
+    reader.replace(vec![row("a", Some("1"), 3)], 5.into());
+    let mut follower = TableMirror::default();
+    follower.replace(
+        vec![row("a", Some("1"), 3), row("b", Some("1"), 8)],
+        8.into(),
+    );
+    reader.replace(vec![restored_row("a", Some("1"), 3)], in_era(1, 4));
+    let fetched = reader.changes_after(follower.version());
+    let changes = follower.apply(fetched, reader.version());
+    assert!(changes.contains(&restored_row("b", None, 4)));
+    assert_eq!(
+        follower.changes_after(in_era(0, u64::from(u32::MAX))),
+        changes
+    );
+}
+
+/// Guards against the order of versions by their number alone, and against a message format that nodes
+/// of the version before do not understand.
+#[test]
+fn versions_are_ordered_by_era_first_and_encoded_as_one_number() {
+    assert!(in_era(1, 3) > in_era(0, 800));
+    assert!(in_era(1, 4) > in_era(1, 3));
+    assert_eq!(u64::from(in_era(0, 800)), 800);
+    for version in [in_era(0, 0), in_era(3, 1 << 40), in_era(u16::MAX, 7)] {
+        assert_eq!(StoreVersion::from(u64::from(version)), version);
+    }
+    assert_eq!(StoreVersion::new(0, 1 << 48), None);
 }
--- a/testutils/src/platform_server.rs
+++ b/testutils/src/platform_server.rs
@@ -23,7 +23,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use snafu::{ResultExt, Snafu};
+use snafu::{ResultExt, Snafu, ensure};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
@@ -454,11 +454,14 @@
 
 async fn serve_feed(shared: &SharedPlatform, query: &FeedQuery) -> Result<Bytes, CallError> {
     shared.lock().counters.feeds += 1;
+    let era = shared.lock().era;
     let mut feed = shared.changed.subscribe();
     let end = tokio::time::Instant::now() + query.wait;
     loop {
         let (rows, version, faults) = {
             let state = shared.lock();
+            // Connections do not survive the store that they were made to.
+            ensure!(state.era == era, AnswerLostSnafu);
             let rows = state.tables.changes(&query.table, query.after);
             (rows, state.tables.version(), state.faults.clone())
         };
