lib, entry: targets that leave do not come back by older rows of a restored store

Rows carry the start of the target and the number of its writes; in a restored table, a row that is older than the last one known is ignored, for targets that are gone for two minutes after. Targets whose rows were lost get the grace of an outage to write them again. Test: entry a_draining_target_gets_no_requests_by_a_restored_row on the commit before: 5 of 5 requests ran at the draining target. Two tests of the catalogue.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -334,8 +334,9 @@
         }
     }
 
-    /// Applies changed rows of the targets' table.
-    pub fn apply_target_rows(&self, changed_rows: &[MirrorRow]) {
+    /// Applies changed rows of the targets' table, which may be older than those before if the store
+    /// was restored from a copy.
+    pub fn apply_target_rows(&self, changed_rows: &[MirrorRow], is_restored: bool) {
         let now = self.clock.now();
         for row in changed_rows {
             let Ok(id) = row.key.parse::<TargetId>() else {
@@ -344,6 +345,11 @@
             };
             let read = row.value.as_ref().map(|value| read_announcement(value));
             let change = match read {
+                Some(Ok(announcement)) if is_restored => {
+                    self.catalog
+                        .borrow_mut()
+                        .apply_restored(now, id, announcement)
+                }
                 Some(Ok(announcement)) => {
                     self.catalog
                         .borrow_mut()
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -318,8 +318,8 @@
     let Some(secret) = secret else {
         return Ok(0);
     };
-    let after = u64::from(copy.mirror.borrow().version());
-    let request_target = format!("{}?{after}", kind.path());
+    let before = copy.mirror.borrow().version();
+    let request_target = format!("{}?{}", kind.path(), u64::from(before));
     let answer = tokio::time::timeout(
         FETCH_TIMEOUT,
         request_rows(&secret, peer, &request_target, progress),
@@ -344,7 +344,8 @@
             let left = Duration::from_millis(answer.grace_left_ms);
             let now = state.clock.now();
             state.catalog.borrow_mut().adopt_grace(now, left);
-            state.apply_target_rows(&changed_rows);
+            let is_restored = answer.version.era() > before.era();
+            state.apply_target_rows(&changed_rows, is_restored);
             if !answer.version.is_zero() {
                 state.set_targets_known();
             }
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -217,6 +217,7 @@
             state.store_reachable.set(false);
         }
         wait_to_follow_store(&state).await;
+        let era = state.targets_copy.mirror.borrow().version().era();
         let followed = FollowedTable {
             table: TARGET_TABLE,
             copy: &state.targets_copy,
@@ -231,7 +232,11 @@
                 backoff = Backoff::new();
                 state.catalog.borrow_mut().mark_store_available(now);
                 state.store_reachable.set(true);
-                state.apply_target_rows(&changed_rows);
+                let is_restored = state.targets_copy.mirror.borrow().version().era() > era;
+                if is_restored {
+                    state.catalog.borrow_mut().mark_store_restored(now);
+                }
+                state.apply_target_rows(&changed_rows, is_restored);
                 state.set_targets_known();
                 announce_changes(&state, &changed_rows);
                 if !changed_rows.is_empty() {
--- a/entry/tests/test_restored_store.rs
+++ b/entry/tests/test_restored_store.rs
@@ -69,3 +69,42 @@
     )
     .await;
 }
+
+/// Guards against requests to a target that drains, by the row from before that a restored store holds.
+#[tokio::test]
+async fn a_draining_target_gets_no_requests_by_a_restored_row() {
+    let targets = [TargetBehaviour::Succeeds; 2];
+    with_node(&targets, |store, node, targets| async move {
+        let copy = store.copy_tables();
+        let later = |state| {
+            targets[1]
+                .row(state)
+                .replace("\"sequence\":1", "\"sequence\":2")
+        };
+        store.put("servers", "i-1", later("draining"));
+        wait_until("the target drains", async || {
+            let runs = targets[1].runs.get();
+            for _ in 0..10 {
+                node.send("GET", "/read/1", Some("key-1")).await;
+            }
+            targets[1].runs.get() == runs
+        })
+        .await;
+        store.set_faults(PlatformFaults::refusing());
+        store.restore_tables(&copy);
+        store.put("servers", "i-2", targets[0].row("ready"));
+        store.set_faults(PlatformFaults::default());
+        wait_until("the node reads the restored store", async || {
+            node.metric("damaskloom_targets").await == Some(3.0)
+        })
+        .await;
+        // Requests try every other target that the node knows.
+        targets[0].behaviour.set(TargetBehaviour::Full);
+        let runs = targets[1].runs.get();
+        for _ in 0..5 {
+            node.send("GET", "/read/1", Some("key-1")).await;
+        }
+        assert_eq!(targets[1].runs.get(), runs);
+    })
+    .await;
+}
--- a/lib/src/target_catalog.rs
+++ b/lib/src/target_catalog.rs
@@ -17,6 +17,9 @@
 ///
 /// The platform states two seconds; the rest is for the propagation of the change.
 pub const REANNOUNCE_GRACE_MS: u64 = 2_300;
+/// How long the last announcement of a target that is gone is remembered, in milliseconds: longer than
+/// the age of a copy that the store is restored from.
+const DEPARTED_MS: u64 = 120_000;
 const GRACE: Duration = Duration::from_millis(REANNOUNCE_GRACE_MS);
 
 /// A target's entry in the store, written by the target itself.
@@ -36,8 +39,29 @@
     pub warmup_left: Duration,
     /// The time of the target's start, in Unix milliseconds, which distinguishes two starts.
     pub started_at_ms: Option<u64>,
+    /// The number of times that the target had written its entry since its start.
+    pub writes: u64,
 }
 
+impl Announcement {
+    /// Returns whether the announcement says the same as another one that the target wrote earlier or
+    /// later.
+    fn is_same_as(&self, other: &Self) -> bool {
+        Self {
+            writes: other.writes,
+            ..self.clone()
+        } == *other
+    }
+
+    /// Returns when in the target's life it was written; none if the target's start is unknown.
+    fn stamp(&self) -> Option<AnnouncementStamp> {
+        Some((self.started_at_ms?, self.writes))
+    }
+}
+
+/// The start of a target and the number of its writes since; later announcements have a higher one.
+type AnnouncementStamp = (u64, u64);
+
 /// A target as this node knows it.
 #[derive(Clone, Debug)]
 pub struct KnownTarget {
@@ -64,6 +88,8 @@
 #[derive(Debug, Default)]
 pub struct TargetCatalog {
     targets: IndexMap<TargetId, KnownTarget>,
+    /// The last announcements of targets that are gone, and when they were removed.
+    departed: IndexMap<TargetId, (AnnouncementStamp, MonoTime)>,
     /// When the store last became unavailable; announcements that disappear soon after may have expired.
     unavailable_at: Option<MonoTime>,
     /// When the store became available again after that.
@@ -84,6 +110,12 @@
         }
     }
 
+    /// Records that the store was restored from a copy: targets that announced themselves since the copy
+    /// was made are running, and will do so again.
+    pub fn mark_store_restored(&mut self, now: MonoTime) {
+        (self.unavailable_at, self.available_at) = (Some(now), Some(now));
+    }
+
     /// Returns how long announcements that disappear may still be due to an outage of the store; zero if
     /// their targets are removed at once.
     pub fn grace_remaining(&self, now: MonoTime) -> Duration {
@@ -131,7 +163,8 @@
         };
         let same_start = held.announcement.started_at_ms == known.announcement.started_at_ms
             && held.announcement.address == known.announcement.address;
-        let same = held.announcement == known.announcement && held.missing_since.is_none();
+        let same =
+            held.announcement.is_same_as(&known.announcement) && held.missing_since.is_none();
         *held = known;
         match (same_start, same) {
             (false, _) => Some(CatalogChange::Started(id)),
@@ -140,6 +173,35 @@
         }
     }
 
+    /// Adds or updates a target by its announcement in a store that was restored from a copy; `None` if
+    /// nothing has changed.
+    ///
+    /// The announcement may be older than the last one that was received: a target that has begun to
+    /// leave or is gone since then gets no requests by it.
+    pub fn apply_restored(
+        &mut self,
+        now: MonoTime,
+        id: TargetId,
+        announcement: Announcement,
+    ) -> Option<CatalogChange> {
+        let held = self.targets.get_mut(&id);
+        let newest = match &held {
+            Some(held) => held.announcement.stamp(),
+            None => self.departed.get(&id).map(|(stamp, _)| *stamp),
+        };
+        let is_older = match (announcement.stamp(), newest) {
+            (Some(stamp), Some(newest)) => stamp < newest || (held.is_none() && stamp == newest),
+            _ => false,
+        };
+        if !is_older {
+            return self.apply_announcement(now, id, announcement);
+        }
+        if let Some(held) = held {
+            held.missing_since = None;
+        }
+        None
+    }
+
     /// Handles the disappearance of a target's announcement from the store; `None` if the target is
     /// kept or unknown.
     pub fn remove_announcement(&mut self, now: MonoTime, id: &TargetId) -> Option<CatalogChange> {
@@ -150,12 +212,22 @@
             held.missing_since.get_or_insert(now);
             return None;
         }
-        self.targets.shift_remove(id);
+        self.remove(now, id);
         Some(CatalogChange::Removed(id.clone()))
     }
 
+    fn remove(&mut self, now: MonoTime, id: &TargetId) {
+        let removed = self.targets.shift_remove(id);
+        if let Some(stamp) = removed.and_then(|target| target.announcement.stamp()) {
+            self.departed.insert(id.clone(), (stamp, now));
+        }
+    }
+
     /// Removes targets that did not announce themselves again in time after an outage.
     pub fn tick(&mut self, now: MonoTime) -> Vec<CatalogChange> {
+        let departed_period = Duration::from_millis(DEPARTED_MS);
+        self.departed
+            .retain(|_, (_, removed_at)| now.since(*removed_at) < departed_period);
         if self.grace_ends_at().is_none_or(|end| now < end) {
             return Vec::new();
         }
@@ -168,9 +240,7 @@
             .collect();
         expired
             .into_iter()
-            .inspect(|id| {
-                self.targets.shift_remove(id);
-            })
+            .inspect(|id| self.remove(now, id))
             .map(CatalogChange::Removed)
             .collect()
     }
--- a/lib/tests/test_target_catalog.rs
+++ b/lib/tests/test_target_catalog.rs
@@ -28,6 +28,7 @@
         leaving: false,
         warmup_left: Duration::ZERO,
         started_at_ms: Some(started_at_ms),
+        writes: 1,
     }
 }
 
@@ -113,6 +114,56 @@
     );
 }
 
+/// Guards against requests to targets that have begun to leave or are gone, by rows that a restored
+/// store holds from before.
+#[test]
+fn a_restored_row_does_not_bring_a_leaving_or_departed_target_back() {
+    let written = |writes, leaving| Announcement {
+        writes,
+        leaving,
+        ..announcement(1)
+    };
+    let mut catalog = TargetCatalog::default();
+    for name in ["leaving", "departed", "kept"] {
+        catalog.apply_announcement(at(0), id(name), written(3, false));
+    }
+    catalog.apply_announcement(at(10), id("leaving"), written(4, true));
+    catalog.remove_announcement(at(10), &id("departed"));
+    catalog.mark_store_restored(at(1_000));
+    for name in ["leaving", "departed", "kept"] {
+        let change = catalog.apply_restored(at(1_000), id(name), written(2, false));
+        assert_eq!(change, None, "{name}");
+    }
+    // The last row before a target was removed does not bring it back either.
+    let change = catalog.apply_restored(at(1_000), id("departed"), written(3, false));
+    assert_eq!(change, None);
+    assert!(
+        catalog
+            .get(&id("leaving"))
+            .expect("it is known")
+            .announcement
+            .leaving
+    );
+    assert!(catalog.get(&id("departed")).is_none());
+    // A target that has started again, or writes again, is used.
+    let change = catalog.apply_restored(at(1_000), id("leaving"), announcement(2));
+    assert_eq!(change, Some(CatalogChange::Started(id("leaving"))));
+    let change = catalog.apply_restored(at(1_000), id("departed"), written(4, false));
+    assert_eq!(change, Some(CatalogChange::Started(id("departed"))));
+}
+
+/// Guards against the loss of targets that announced themselves after the copy was made.
+#[test]
+fn a_target_that_a_restored_store_has_lost_is_kept_until_it_may_have_announced_itself() {
+    let mut catalog = TargetCatalog::default();
+    catalog.apply_announcement(at(0), id("a"), announcement(1));
+    catalog.mark_store_restored(at(100));
+    assert_eq!(catalog.remove_announcement(at(100), &id("a")), None);
+    assert!(catalog.tick(at(99 + REANNOUNCE_GRACE_MS)).is_empty());
+    let removed = catalog.tick(at(100 + REANNOUNCE_GRACE_MS));
+    assert_eq!(removed, [CatalogChange::Removed(id("a"))]);
+}
+
 fn row(key: &str, value: Option<&'static str>, version: u64) -> MirrorRow {
     MirrorRow {
         key: key.to_owned(),
