entry: write the fleet's own rows again after a restored store has lost them

If a drill restores a copy from before, a node that starts afterwards makes another secret, and the fleet falls into parts that drop each other's messages. The readers now check these rows when the store names a later era, and write what is missing under the condition that nobody else has; the secret in the store counts, and a node that gets messages under another one reads it again, at most every ten seconds. The code moves to a file of its own.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -79,6 +79,8 @@
     pub members: RefCell<EntryMembers>,
     /// The secret that nodes authenticate to each other with; none until it was read or created.
     pub secret: RefCell<Option<SharedSecret>>,
+    /// Wakes the task that checks the secret: a peer may have another one.
+    pub secret_doubted: Notify,
     /// The signals about targets that are yet to be sent to other nodes.
     pub pending_signals: RefCell<Vec<(TargetId, FailureSignal)>>,
     /// The messages about crashing requests that are yet to be sent to other nodes.
@@ -150,6 +152,7 @@
             splits: RefCell::default(),
             members: RefCell::default(),
             secret: RefCell::default(),
+            secret_doubted: Notify::new(),
             pending_signals: RefCell::default(),
             pending_crash_messages: RefCell::default(),
             updates_due: Notify::new(),
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -9,8 +9,9 @@
 //!   `entry_state` holds the state that its tasks share.
 //! - `caller_listener`, `admission`, `request_path`, `target_call`, `target_pool`, `streamed_body` and
 //!   `caller_answer` are the request path, from the caller's connection to the answer.
-//! - `store_watch` follows the store and registers the node; `fleet_roles` determines which nodes
-//!   follow the store and which nodes callers are directed to.
+//! - `store_watch` follows the store; `fleet_rows` registers the node and keeps the fleet's own rows;
+//!   `fleet_roles` determines which nodes follow the store and which nodes callers are directed to.
+//! - `limit_sharing` applies what answers and other nodes say about targets' limits.
 //! - `peer_socket` and `peer_wire` exchange datagrams with other nodes; `peer_rows` fetches rows of
 //!   the store from them into a `table_copy`.
 //! - `entry_meters`, `log_lines` and `wall_clock` provide metrics, rate-limited log lines and the
@@ -23,6 +24,7 @@
 pub mod entry_meters;
 pub mod entry_state;
 pub mod fleet_roles;
+pub mod fleet_rows;
 pub mod limit_sharing;
 pub mod log_lines;
 pub mod peer_rows;
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -15,7 +15,9 @@
 use tokio::net::UdpSocket;
 
 use crate::entry_state::EntryState;
-use crate::peer_wire::{CustomerCount, PeerEnvelope, PeerMessage, WireSignal, decode, encode};
+use crate::peer_wire::{
+    CustomerCount, PeerEnvelope, PeerMessage, WireError, WireSignal, decode, encode,
+};
 
 /// The interval at which nodes of a data centre that carry traffic send each other counts: similar
 /// to the running time of a request.
@@ -332,6 +334,9 @@
             Ok(envelope) => envelope,
             Err(error) => {
                 tracing::debug!(%from, %error, "datagram dropped");
+                if matches!(error, WireError::BadTag) {
+                    state.secret_doubted.notify_one();
+                }
                 return;
             }
         };
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -14,10 +14,11 @@
 
 use crate::caller_listener::{serve_callers, serve_directory, serve_metrics, serve_readiness};
 use crate::entry_state::EntryState;
+use crate::fleet_rows::{join_fleet, keep_fleet_rows};
 use crate::peer_rows::{run_row_fetches, serve_rows};
 use crate::peer_socket::PeerSocket;
 use crate::settings::EntrySettings;
-use crate::store_watch::{join_fleet, run_target_expiry, watch_routing, watch_targets};
+use crate::store_watch::{run_target_expiry, watch_routing, watch_targets};
 use crate::table_copy::TableKind;
 
 /// The interval at which the settings file is checked for changes, since it may change without a
@@ -90,6 +91,7 @@
     // One client, so that all its users learn of a restored store from any answer.
     let client = Rc::new(StoreClient::new(state.settings().store));
     tokio::task::spawn_local(join_fleet(Rc::clone(&state), Rc::clone(&client)));
+    tokio::task::spawn_local(keep_fleet_rows(Rc::clone(&state), Rc::clone(&client)));
     tokio::task::spawn_local(watch_routing(Rc::clone(&state), Rc::clone(&client)));
     tokio::task::spawn_local(watch_targets(Rc::clone(&state), client));
     tokio::task::spawn_local(run_target_expiry(Rc::clone(&state)));
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -1,17 +1,12 @@
-//! Follows the tables of the store with the routing and the targets, and registers this node.
+//! Follows the tables of the store with the routing and the targets.
 
-use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use damaskloom_gateway::peer_auth::SharedSecret;
-use damaskloom_lib::entry_members::NodeRegistration;
-use damaskloom_lib::ids::VmId;
 use damaskloom_lib::platform::PlatformError;
 use damaskloom_lib::table_mirror::MirrorRow;
 use damaskloom_platform::store_client::{
-    CreateOutcome, FeedOutcome, OPERATOR_TABLE, RowBatch, StoreClient, StoreRow, TARGET_TABLE,
+    FeedOutcome, OPERATOR_TABLE, RowBatch, StoreClient, StoreRow, TARGET_TABLE,
 };
 use rand::Rng;
 
@@ -19,7 +14,7 @@
 use crate::table_copy::TableCopy;
 
 /// The timeout of a call to the store, in addition to the requested wait of a feed.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The time for which a feed call waits for a change; keep-alive probes detect dead connections
 /// sooner.
 const FEED_WAIT: Duration = Duration::from_secs(20);
@@ -36,147 +31,22 @@
 const FOLLOWER_RETRY_DELAY: Duration = Duration::from_millis(2_000);
 /// The interval of checks for expired targets, unless their grace period ends sooner.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(700);
-/// The table with the fleet's own rows.
-const FLEET_TABLE: &str = "damaskloom";
-/// The row with the secret that nodes authenticate to each other with.
-const SECRET_ROW: &str = "secret";
-/// The prefix of the key of a node's registration; the node's name follows.
-const NODE_PREFIX: &str = "node:";
-/// The length of the secret, in bytes.
-const SECRET_BYTES: usize = 32;
 
 /// A delay that doubles while calls fail, with jitter so that nodes do not all call at once.
-struct Backoff(Duration);
+pub(crate) struct Backoff(Duration);
 
 impl Backoff {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self(INITIAL_BACKOFF)
     }
 
-    async fn wait(&mut self) {
+    pub(crate) async fn wait(&mut self) {
         let fraction = rand::rng().random_range(0.5..1.0);
         tokio::time::sleep(self.0.mul_f64(fraction)).await;
         self.0 = (self.0 * 2).min(MAX_BACKOFF);
     }
 }
 
-/// Retries a call until the store answers; logs the first failure and the recovery.
-async fn retry_until_answered<T, F>(what: &'static str, mut call: impl FnMut() -> F) -> T
-where
-    F: Future<Output = Result<T, PlatformError>>,
-{
-    let mut backoff = Backoff::new();
-    let mut failures = 0_u32;
-    loop {
-        match call().await {
-            Ok(value) => {
-                if failures > 0 {
-                    tracing::info!(what, failures, "store answers again");
-                }
-                return value;
-            }
-            Err(error) => {
-                failures += 1;
-                if failures == 1 {
-                    tracing::warn!(what, %error, "store does not answer");
-                }
-                backoff.wait().await;
-            }
-        }
-    }
-}
-
-/// Reads the registrations of the other nodes and registers this one; returns once both are done.
-pub async fn join_fleet(state: Rc<EntryState>, client: Rc<StoreClient>) {
-    let settings = state.settings();
-    let own = NodeRegistration {
-        started_at_ms: state.started_at_ms,
-        data_centre: settings.data_centre.clone(),
-        caller_address: settings.caller_listen,
-        capacity_millicores: settings.machine.capacity_millicores(),
-    };
-    if settings.first_start {
-        // Each node registers before it reads, so of any two nodes the one that reads later sees
-        // the other's registration.
-        register(&client, &settings.vm, &own).await;
-    }
-    let rows = read_fleet(&client).await;
-    apply_registrations(&state, &rows);
-    let find = |name: &str| rows.rows.iter().find(|row| row.key == name);
-    let existing = find(SECRET_ROW).and_then(|row| row.value.clone());
-    let secret = match existing {
-        Some(secret) => secret.to_vec(),
-        None => agree_on_secret(&client).await,
-    };
-    *state.secret.borrow_mut() = Some(SharedSecret::new(secret));
-    state.joined_at.set(Some(state.clock.now()));
-    state.update_role();
-    state.role_changed.notify_waiters();
-    state.heartbeat_due.notify_one();
-    let existing = find(&format!("{NODE_PREFIX}{}", settings.vm));
-    let existing = existing.and_then(read_registration);
-    if !existing.is_some_and(|existing| existing.is_same_node(&own)) {
-        register(&client, &settings.vm, &own).await;
-        // Another new node may have read the table before this node's registration was written.
-        apply_registrations(&state, &read_fleet(&client).await);
-        state.heartbeat_due.notify_one();
-    }
-    let members = state.members.borrow().iter().count();
-    tracing::info!(members, "fleet joined");
-}
-
-async fn register(client: &StoreClient, vm: &VmId, own: &NodeRegistration) {
-    let key = format!("{NODE_PREFIX}{vm}");
-    let value = serde_json::to_vec(own).expect("a registration can be encoded");
-    let value = Bytes::from(value);
-    retry_until_answered("registration", || {
-        client.write_row(FLEET_TABLE, &key, value.clone(), CALL_TIMEOUT)
-    })
-    .await;
-}
-
-fn read_registration(row: &StoreRow) -> Option<NodeRegistration> {
-    serde_json::from_slice(row.value.as_ref()?).ok()
-}
-
-async fn read_fleet(client: &StoreClient) -> RowBatch {
-    retry_until_answered("members", || client.read_table(FLEET_TABLE, CALL_TIMEOUT)).await
-}
-
-fn apply_registrations(state: &EntryState, batch: &RowBatch) {
-    let now = state.clock.now();
-    let own = state.settings().vm.clone();
-    for row in &batch.rows {
-        let Some(name) = row.key.strip_prefix(NODE_PREFIX) else {
-            continue;
-        };
-        match (name.parse::<VmId>(), read_registration(row)) {
-            (Ok(vm), Some(_)) if vm == own => {}
-            (Ok(vm), Some(node)) => {
-                let mut members = state.members.borrow_mut();
-                members.register(now, vm, node);
-            }
-            _ => tracing::warn!(row = %row.key, "invalid registration row"),
-        }
-    }
-}
-
-/// Creates the fleet's secret unless another node has created it; returns the one in the store.
-async fn agree_on_secret(client: &StoreClient) -> Vec<u8> {
-    let mut proposed = [0_u8; SECRET_BYTES];
-    rand::rng().fill(&mut proposed);
-    let proposed = Bytes::copy_from_slice(&proposed);
-    let outcome = retry_until_answered("secret", || {
-        client.create_row(FLEET_TABLE, SECRET_ROW, proposed.clone(), CALL_TIMEOUT)
-    })
-    .await;
-    match outcome {
-        CreateOutcome::Created => proposed.to_vec(),
-        // This node may have created it itself, if the answer of an earlier attempt was lost.
-        CreateOutcome::Exists(secret) => secret.to_vec(),
-    }
-}
-
 /// Follows the operators' table until the task is cancelled.
 pub async fn watch_routing(state: Rc<EntryState>, client: Rc<StoreClient>) {
     let mut backoff = Backoff::new();
--- a/entry/tests/test_restored_store.rs
+++ b/entry/tests/test_restored_store.rs
@@ -1,9 +1,13 @@
 //! Tests entry nodes while the store comes back from an older copy.
 
 use damaskloom_testutils::platform_faults::PlatformFaults;
+use damaskloom_testutils::platform_server::PlatformServer;
 use http::StatusCode;
+use tokio::task::LocalSet;
 
-use crate::fixture::{TargetBehaviour, configuration, wait_until, with_node};
+use crate::fixture::{
+    EntryNode, PEER_PORT, TargetBehaviour, TestTarget, configuration, wait_until, with_node,
+};
 
 /// The number of rows that are written and then lost.
 const LOST_ROWS: u32 = 20;
@@ -108,3 +112,62 @@
     })
     .await;
 }
+
+/// Guards against a fleet that falls apart after a restore that lost its secret and the registrations:
+/// a node that starts then would make another secret and find no other node.
+#[tokio::test]
+async fn a_fleet_writes_its_own_rows_again_after_a_restore() {
+    LocalSet::new()
+        .run_until(async {
+            let store = PlatformServer::start_local().await;
+            let store = store.expect("loopback has a free port");
+            store.put("op", "config", configuration(1, &["key-1"]));
+            let target = TestTarget::start("i-0", TargetBehaviour::Succeeds).await;
+            store.put("servers", "i-0", target.row("ready"));
+            let copy = store.copy_tables();
+            let nodes = [(); 2].map(|()| EntryNode::start(&store, PEER_PORT));
+            let lists = async |node: &EntryNode, count| node.directory().await.len() == count;
+            for node in &nodes {
+                wait_until("both nodes are listed", async || lists(node, 2).await).await;
+            }
+            let secret = store.get("damaskloom", "secret");
+            store.set_faults(PlatformFaults::refusing());
+            store.restore_tables(&copy);
+            store.set_faults(PlatformFaults::default());
+            wait_until("the rows stand in the store again", async || {
+                let names = nodes.iter().map(|node| format!("node:{}", node.name()));
+                let mut rows = names.map(|name| store.get("damaskloom", &name));
+                store.get("damaskloom", "secret") == secret && rows.all(|row| row.is_some())
+            })
+            .await;
+            let third = EntryNode::start(&store, PEER_PORT);
+            for node in [&nodes[0], &nodes[1], &third] {
+                wait_until("all nodes are listed", async || lists(node, 3).await).await;
+            }
+        })
+        .await;
+}
+
+/// Guards against a node that keeps another secret than the rest of the fleet and hears nobody.
+#[tokio::test]
+async fn a_node_adopts_the_secret_in_the_store_once_messages_show_another_one() {
+    LocalSet::new()
+        .run_until(async {
+            let store = PlatformServer::start_local().await;
+            let store = store.expect("loopback has a free port");
+            store.put("op", "config", configuration(1, &["key-1"]));
+            let target = TestTarget::start("i-0", TargetBehaviour::Succeeds).await;
+            store.put("servers", "i-0", target.row("ready"));
+            let first = EntryNode::start(&store, PEER_PORT);
+            first.wait_until_ready().await;
+            store.put("damaskloom", "secret", "another secret");
+            let second = EntryNode::start(&store, PEER_PORT);
+            for node in [&first, &second] {
+                wait_until("both nodes are listed", async || {
+                    node.directory().await.len() == 2
+                })
+                .await;
+            }
+        })
+        .await;
+}
--- a/gateway/src/peer_auth.rs
+++ b/gateway/src/peer_auth.rs
@@ -32,6 +32,11 @@
         Self(raw.into())
     }
 
+    /// Returns the bytes of the secret, for storing it.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
     /// Returns the HMAC-SHA256 of a message under the secret.
     pub fn authenticate(&self, message: impl AsRef<[u8]>) -> [u8; PROOF_BYTES] {
         let mut key = [0_u8; BLOCK_BYTES];
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -262,6 +262,20 @@
         })
     }
 
+    /// Returns the registrations of responsive nodes, as their heartbeats show them.
+    pub fn registrations(&self, now: MonoTime) -> impl Iterator<Item = (VmId, NodeRegistration)> {
+        self.responsive(now).filter_map(|(vm, node)| {
+            let heartbeat = node.heartbeat.as_ref()?;
+            let registration = NodeRegistration {
+                started_at_ms: node.started_at_ms,
+                data_centre: heartbeat.data_centre.clone(),
+                caller_address: heartbeat.caller_address,
+                capacity_millicores: heartbeat.capacity_millicores,
+            };
+            Some((vm.clone(), registration))
+        })
+    }
+
     /// Returns all nodes that may serve callers: known ones that are not leaving, responsive or not.
     pub fn potential(&self) -> impl Iterator<Item = EntryNode> {
         self.nodes.iter().filter_map(|(vm, node)| {
