soak: a store that comes back from an older copy

The soak's store could forget its history, but never lost what it had acknowledged. Two in seven faults of the store now restore it from the copy made at the start of the fault before, which for a first fault is an empty store; operator and targets then write their rows again, targets that drain among them, with their count of writes.

--- a/testutils/src/soak_plan.rs
+++ b/testutils/src/soak_plan.rs
@@ -65,6 +65,8 @@
     LosesAnswers,
     /// Discards its history of changes, so that feeds must read their table again.
     Forgets,
+    /// Is away, and comes back from an older copy; operators and targets write their rows again.
+    Restored,
 }
 
 /// A fault of a process, a network path, a target or the store, or a change that the fleet must
@@ -228,6 +230,8 @@
         StoreFault::Slow,
         StoreFault::LosesAnswers,
         StoreFault::Forgets,
+        StoreFault::Restored,
+        StoreFault::Restored,
     ]
     .choose(rng)
     .expect("the list is not empty");
--- a/testutils/src/soak_run.rs
+++ b/testutils/src/soak_run.rs
@@ -11,7 +11,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::platform_faults::{OutageMode, PlatformFaults};
-use crate::platform_server::{PlatformServer, ServerError};
+use crate::platform_server::{PlatformServer, ServerError, TablesCopy};
 use crate::soak_caller::{CallerPlan, query_directory, request, run_caller, send_once};
 use crate::soak_fleet::{ProcessError, SoakNode};
 use crate::soak_ledger::{NodeFaultPeriod, SentRequest, SoakBreach, SoakCustomer, SoakLedger};
@@ -113,6 +113,8 @@
     target_count: usize,
     is_key_withdrawn: bool,
     ferries_rate: f64,
+    /// Copies of the store from the starts of the last two faults, the older one first.
+    copies: [TablesCopy; 2],
 }
 
 /// Runs the soak of a seed; the logs of the processes go to `folder`.
@@ -168,8 +170,10 @@
         size: SoakSize,
     ) -> Result<Self, SoakError> {
         let store = PlatformServer::start_local().await?;
+        let copies = [store.copy_tables(), store.copy_tables()];
         let mut soak = Self {
             store,
+            copies,
             nodes: Vec::new(),
             targets: Vec::new(),
             draining: Vec::new(),
@@ -216,7 +220,7 @@
         let target = target.context(ListenSnafu)?;
         let path = PathProxy::start(target.address()).await;
         let path = path.context(ListenSnafu)?;
-        let row = target.row(path.address(), "ready");
+        let row = target.next_row(path.address(), "ready");
         self.store.put("servers", &target.id, row);
         Ok(ProxiedTarget { target, path })
     }
@@ -266,6 +270,8 @@
                 && now >= start + Duration::from_millis(next.from_ms)
             {
                 started += 1;
+                self.copies.swap(0, 1);
+                self.copies[1] = self.store.copy_tables();
                 tracing::info!(?next, "fault begins");
                 self.start_fault(next.fault).await?;
                 running.push((now, *next));
@@ -305,7 +311,7 @@
                 let service = self.targets[target].target.service;
                 let new = self.start_target(service).await?;
                 let old = std::mem::replace(&mut self.targets[target], new);
-                let row = old.target.row(old.path.address(), "draining");
+                let row = old.target.next_row(old.path.address(), "draining");
                 self.store.put("servers", &old.target.id, row);
                 self.draining.push(old);
             }
@@ -341,7 +347,12 @@
             SoakFault::StorePath(node, _) => {
                 self.nodes[node].store_path.set_fault(PathFault::None);
             }
-            SoakFault::Store(_) => self.store.set_faults(PlatformFaults::default()),
+            SoakFault::Store(fault) => {
+                if fault == StoreFault::Restored {
+                    self.restore_store();
+                }
+                self.store.set_faults(PlatformFaults::default());
+            }
             SoakFault::TargetPath(target, _) => {
                 self.targets[target].path.set_fault(PathFault::None);
             }
@@ -362,6 +373,21 @@
         Ok(())
     }
 
+    /// Restores the store from the older copy; operators and targets write their rows again.
+    fn restore_store(&mut self) {
+        self.store.restore_tables(&self.copies[0]);
+        self.publish_configuration();
+        for (proxied, state) in self
+            .targets
+            .iter()
+            .map(|proxied| (proxied, "ready"))
+            .chain(self.draining.iter().map(|proxied| (proxied, "draining")))
+        {
+            let row = proxied.target.next_row(proxied.path.address(), state);
+            self.store.put("servers", &proxied.target.id, row);
+        }
+    }
+
     fn kill(&mut self, node: usize) -> Result<(), ProcessError> {
         // The restart records the whole period.
         self.record_node_fault(Instant::now(), node);
@@ -502,7 +528,7 @@
 fn store_faults(fault: StoreFault) -> PlatformFaults {
     let no_faults = PlatformFaults::default();
     match fault {
-        StoreFault::Refuses => PlatformFaults::refusing(),
+        StoreFault::Refuses | StoreFault::Restored => PlatformFaults::refusing(),
         StoreFault::Hangs => PlatformFaults {
             outage: OutageMode::Hang,
             ..no_faults
--- a/testutils/src/soak_target.rs
+++ b/testutils/src/soak_target.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -44,6 +45,8 @@
     pub service: &'static str,
     address: SocketAddr,
     fault: watch::Sender<TargetFault>,
+    /// The number of rows that were made for the store.
+    writes: AtomicU64,
     task: JoinHandle<()>,
 }
 
@@ -95,6 +98,7 @@
             service,
             address,
             fault,
+            writes: AtomicU64::new(1),
             task,
         })
     }
@@ -109,12 +113,13 @@
         self.fault.send_replace(fault);
     }
 
-    /// Returns the target's row for the store; nodes reach the target at `address`.
-    pub fn row(&self, address: SocketAddr, state: &str) -> String {
+    /// Returns the target's next row for the store; nodes reach the target at `address`.
+    pub fn next_row(&self, address: SocketAddr, state: &str) -> String {
+        let writes = self.writes.fetch_add(1, Ordering::Relaxed);
         json!({
             "service": self.service, "address": address.to_string(), "zone": "near",
             "version": "v1", "concurrency": 4, "state": state, "warmup_left_s": 0,
-            "sequence": 1, "born": 1
+            "sequence": writes, "born": 1
         })
         .to_string()
     }
