entry: notice feeds on connections that have gone silent

Cause: a feed waited for up to 20 s, and its answer for 1.5 s more, and nothing else shows that a connection is dead while its other end acknowledges keep-alive. Change: a feed waits for 0.45 of the time for applying a configuration, and its answer must come within a quarter of it after that; after a failure the call does not wait and has the full time, so that a slow store can answer.

--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -13,11 +13,13 @@
 use crate::entry_state::EntryState;
 use crate::table_copy::TableCopy;
 
-/// The timeout of a call to the store, in addition to the requested wait of a feed.
+/// The timeout of a call to the store; a feed that waits has a shorter one.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The time for which a feed call waits for a change; keep-alive probes detect dead connections
-/// sooner.
-const FEED_WAIT: Duration = Duration::from_secs(20);
+/// The time for which a feed call waits for a change, and the time in which its answer must then
+/// arrive, as fractions of the time for applying a configuration: a connection that has gone silent
+/// shows only by a missing answer, and a change must still be applied in time after that.
+const FEED_WAIT_RATIO: f64 = 0.45;
+const FEED_ANSWER_RATIO: f64 = 0.25;
 /// The delay after changes of targets, so that the changes of one event arrive together.
 const TARGET_FEED_DELAY: Duration = Duration::from_millis(250);
 /// The first and the maximum delay after a failed call.
@@ -60,7 +62,7 @@
             copy: &state.routing_copy,
             is_known,
         };
-        let read = read_changes(&state, &client, &followed, feed_status.feed_wait()).await;
+        let read = read_changes(&state, &client, &followed, feed_status.feed_times(&state)).await;
         feed_status.record_era(client.era());
         match read {
             Ok(changed_rows) => {
@@ -93,7 +95,7 @@
             copy: &state.targets_copy,
             is_known: state.targets_known.get(),
         };
-        let read = read_changes(&state, &client, &followed, feed_status.feed_wait()).await;
+        let read = read_changes(&state, &client, &followed, feed_status.feed_times(&state)).await;
         feed_status.record_era(client.era());
         let now = state.clock.now();
         match read {
@@ -179,6 +181,13 @@
     is_known: bool,
 }
 
+/// How long a feed call waits for a change, and how long its answer may take in addition.
+#[derive(Clone, Copy, Debug)]
+struct FeedTimes {
+    wait: Duration,
+    timeout: Duration,
+}
+
 /// Waits for changes of a table; returns those that are new to the copy.
 ///
 /// If the store was restored from a copy, the whole table is read again: rows may have gone back or
@@ -187,13 +196,13 @@
     state: &EntryState,
     client: &StoreClient,
     followed: &FollowedTable<'_>,
-    wait: Duration,
+    FeedTimes { wait, timeout }: FeedTimes,
 ) -> Result<Vec<MirrorRow>, PlatformError> {
     let (table, copy) = (followed.table, followed.copy);
     let version = copy.mirror.borrow().version();
     if followed.is_known && client.era() <= version.era() {
         let feed = tokio::select! {
-            feed = client.read_feed(table, version.version(), wait, CALL_TIMEOUT) => feed?,
+            feed = client.read_feed(table, version.version(), wait, timeout) => feed?,
             // Another call was answered by a restored store; this one may never be answered.
             () = client.wait_for_later_era(version.era()) => FeedOutcome::Forgotten,
         };
@@ -246,13 +255,20 @@
         }
     }
 
-    /// Returns the wait of the next feed call: zero after a failure, so that the recovery is
-    /// noticed at once and not with the next change.
-    fn feed_wait(&self) -> Duration {
+    /// Returns the times of the next feed call. After a failure it does not wait, so that the recovery
+    /// is noticed at once and not with the next change, and a slow store has the time to answer.
+    fn feed_times(&self, state: &EntryState) -> FeedTimes {
+        let apply_time = Duration::from_secs_f64(state.settings().bounds.routing_apply_s);
         if self.is_down {
-            Duration::ZERO
+            FeedTimes {
+                wait: Duration::ZERO,
+                timeout: CALL_TIMEOUT,
+            }
         } else {
-            FEED_WAIT
+            FeedTimes {
+                wait: apply_time.mul_f64(FEED_WAIT_RATIO),
+                timeout: apply_time.mul_f64(FEED_ANSWER_RATIO).min(CALL_TIMEOUT),
+            }
         }
     }
 
--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -194,7 +194,7 @@
 }
 
 /// Returns the settings of a node on a loopback address of its own.
-pub fn node_settings(store: &PlatformServer, peer_port: u16) -> Value {
+pub fn node_settings(store: SocketAddr, peer_port: u16) -> Value {
     let number = NEXT_NODE.fetch_add(1, Ordering::Relaxed);
     // Each node has its own address, so that no outgoing connection takes the port of a listener.
     let ip = IpAddr::V4(Ipv4Addr::new(127, 77, 0, number));
@@ -204,7 +204,7 @@
         "data_centres": {"near": "region"}, "ip": ip.to_string(),
         "caller_listen": listen(), "ready_listen": listen(), "directory_listen": listen(),
         "peer_port": peer_port, "metrics_port": free_port(ip),
-        "store": store.address().to_string(),
+        "store": store.to_string(),
         "machine": {"cpu_share": 0.2, "cpu_cores": 1},
         "bounds": {
             "stop_grace_s": 6, "max_directory_lifetime_s": 5, "routing_apply_s": 2, "repeat_ratio": 0.2,
@@ -217,6 +217,11 @@
 impl EntryNode {
     /// Starts a node on its own loopback address; all nodes of a fleet have the same peer port.
     pub fn start(store: &PlatformServer, peer_port: u16) -> Self {
+        Self::start_with_store(store.address(), peer_port)
+    }
+
+    /// Starts a node that reaches the store at an address.
+    pub fn start_with_store(store: SocketAddr, peer_port: u16) -> Self {
         let settings = node_settings(store, peer_port);
         let settings = EntrySettings::parse(settings.to_string(), "test").expect("valid settings");
         let process = run(PathBuf::from("test"), settings.clone());
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -11,3 +11,4 @@
 mod test_restored_store;
 mod test_row_fetches;
 mod test_settings;
+mod test_silent_feeds;
--- a/entry/tests/test_planned_stop.rs
+++ b/entry/tests/test_planned_stop.rs
@@ -34,7 +34,7 @@
             store.put("op", "config", configuration(1, &["key-1"]));
             let target = TestTarget::start("i-0", TargetBehaviour::Succeeds).await;
             store.put("servers", "i-0", target.row("ready"));
-            let mut settings = node_settings(&store, PEER_PORT);
+            let mut settings = node_settings(store.address(), PEER_PORT);
             settings["bounds"]["stop_grace_s"] = 60.into();
             settings["bounds"]["max_directory_lifetime_s"] = 0.2.into();
             let folder = std::env::temp_dir().join(format!("planned-stop-{}", std::process::id()));
--- /dev/null
+++ b/entry/tests/test_silent_feeds.rs
@@ -0,0 +1,53 @@
+//! Tests entry nodes whose connections to the store go silent without an error.
+
+use std::time::Duration;
+
+use damaskloom_testutils::platform_server::PlatformServer;
+use damaskloom_testutils::soak_plan::PathFault;
+use damaskloom_testutils::soak_proxy::PathProxy;
+use http::StatusCode;
+use tokio::task::LocalSet;
+
+use crate::fixture::{
+    EntryNode, PEER_PORT, TargetBehaviour, TestTarget, configuration, wait_until,
+};
+
+/// The time in which the answer to the feed is lost.
+const SILENT_PERIOD: Duration = Duration::from_millis(300);
+
+/// Guards against a configuration that is not applied since the feeds wait on connections that have
+/// gone silent: they neither end nor fail, while new connections work.
+#[tokio::test]
+async fn a_configuration_is_applied_although_open_connections_to_the_store_go_silent() {
+    LocalSet::new()
+        .run_until(async {
+            let store = PlatformServer::start_local().await;
+            let store = store.expect("loopback has a free port");
+            store.put("op", "config", configuration(1, &["key-1"]));
+            let target = TestTarget::start("i-0", TargetBehaviour::Succeeds).await;
+            store.put("servers", "i-0", target.row("ready"));
+            let path = PathProxy::start(store.address()).await;
+            let path = path.expect("loopback has a free port");
+            let node = EntryNode::start_with_store(path.address(), PEER_PORT);
+            node.wait_until_ready().await;
+            let serves = async |key| {
+                let answer = node.send("GET", "/read/1", Some(key)).await;
+                answer.status == StatusCode::OK
+            };
+            store.put("op", "config", configuration(2, &["key-1", "key-2"]));
+            wait_until("the first change is applied", async || {
+                serves("key-2").await
+            })
+            .await;
+            // A connection that carried bytes during the fault stays silent; new ones work.
+            path.set_fault(PathFault::Silent);
+            store.put("op", "config", configuration(3, &["key-1", "key-3"]));
+            tokio::time::sleep(SILENT_PERIOD).await;
+            path.set_fault(PathFault::None);
+            wait_until("the second change is applied", async || {
+                serves("key-3").await
+            })
+            .await;
+        })
+        .await;
+}
