--- a/entry/src/fleet_rows.rs
+++ b/entry/src/fleet_rows.rs
@@ -13,9 +13,8 @@
 use damaskloom_lib::entry_members::NodeRegistration;
 use damaskloom_lib::ids::VmId;
 use damaskloom_lib::platform::PlatformError;
-use damaskloom_platform::store_client::{
-    CreateOutcome, RowBatch, RowTransaction, StoreClient, StoreRow,
-};
+use damaskloom_lib::store_rows::{CreateOutcome, RowBatch, RowTransaction, StoreRow};
+use damaskloom_platform::store_client::StoreClient;
 use rand::Rng;
 
 use crate::entry_state::EntryState;
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -133,7 +133,6 @@
     pub async fn run_counts(&self, state: &EntryState) {
         let mut remote_sent_at = Instant::now();
         loop {
-            state.update_limit_senders();
             let starting_up =
                 state.rates.borrow().is_starting_up(state.clock.now()) && state.is_entry();
             self.send_counts(state, CountsScope::Local, starting_up);
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use damaskloom_lib::platform::PlatformError;
+use damaskloom_lib::store_rows::{FeedOutcome, RowBatch, StoreRow};
 use damaskloom_lib::table_mirror::MirrorRow;
-use damaskloom_platform::store_client::{
-    FeedOutcome, OPERATOR_TABLE, RowBatch, StoreClient, StoreRow, TARGET_TABLE,
-};
+use damaskloom_platform::store_client::{OPERATOR_TABLE, StoreClient, TARGET_TABLE};
 use rand::Rng;
 
 use crate::entry_state::EntryState;
