entry tests: the draining target of the restored store is known to drain first

Cause, in the test: requests mostly go to the other target, so ten requests without a run at the draining one did not show that the node knew of the draining; restored before that, the row is not older than what the node knows, and its target is rightly used. The other target now refuses all requests from the start, so that one request shows it.

--- a/entry/tests/test_restored_store.rs
+++ b/entry/tests/test_restored_store.rs
@@ -85,12 +85,12 @@
                 .row(state)
                 .replace("\"sequence\":1", "\"sequence\":2")
         };
+        // Requests try every other target that the node knows.
+        targets[0].behaviour.set(TargetBehaviour::Full);
         store.put("servers", "i-1", later("draining"));
-        wait_until("the target drains", async || {
+        wait_until("the node knows that the target drains", async || {
             let runs = targets[1].runs.get();
-            for _ in 0..10 {
-                node.send("GET", "/read/1", Some("key-1")).await;
-            }
+            node.send("GET", "/read/1", Some("key-1")).await;
             targets[1].runs.get() == runs
         })
         .await;
@@ -102,8 +102,6 @@
             node.metric("damaskloom_targets").await == Some(3.0)
         })
         .await;
-        // Requests try every other target that the node knows.
-        targets[0].behaviour.set(TargetBehaviour::Full);
         let runs = targets[1].runs.get();
         for _ in 0..5 {
             node.send("GET", "/read/1", Some("key-1")).await;
