entry, lib: guards of an attempt and the selection's types get files of their own

The guards of an attempt (running, limit) move to attempt_guards, the request, outcome and error of a selection to target_selection; the tests of restored stores, silent feeds and limited targets share their setup.

--- /dev/null
+++ b/entry/src/attempt_guards.rs
@@ -0,0 +1,98 @@
+//! Guards that hold for one attempt of a request and release what they hold when dropped.
+
+use std::time::Duration;
+
+use damaskloom_lib::ids::{ServiceId, TargetId};
+use damaskloom_lib::target_balancer::RunningAttemptId;
+use damaskloom_lib::target_limits::LimitPermission;
+
+use crate::entry_state::EntryState;
+
+/// A request's part of this node's share of its target's limit; returned if the request is not sent.
+pub struct LimitPermit<'a> {
+    state: &'a EntryState,
+    target: TargetId,
+    is_spent: bool,
+}
+
+impl<'a> LimitPermit<'a> {
+    /// Takes a request out of this node's share of the target's limit, if the target names one.
+    pub fn reserve(state: &'a EntryState, target: &TargetId) -> Self {
+        let now = state.clock.now();
+        state.limits.borrow_mut().reserve(now, target);
+        Self {
+            state,
+            target: target.clone(),
+            is_spent: false,
+        }
+    }
+
+    /// Returns whether the target still accepts requests, and those of this node.
+    pub fn is_valid(&self, service: &ServiceId) -> bool {
+        let now = self.state.clock.now();
+        let balancers = self.state.balancers.borrow();
+        let balancer = balancers.get(service);
+        balancer.is_some_and(|balancer| balancer.contains(&self.target))
+            && self.state.limits.borrow().permission(now, &self.target)
+                != LimitPermission::Elsewhere
+    }
+
+    /// Keeps the permit, since the request is sent now.
+    pub fn spend(mut self) {
+        self.is_spent = true;
+        self.state.limits.borrow_mut().record_sent(&self.target);
+    }
+}
+
+impl Drop for LimitPermit<'_> {
+    fn drop(&mut self) {
+        if !self.is_spent {
+            let now = self.state.clock.now();
+            self.state.limits.borrow_mut().refund(now, &self.target);
+        }
+    }
+}
+
+/// Counts an attempt as running at a target until the guard is dropped.
+pub struct RunningGuard<'a> {
+    state: &'a EntryState,
+    service: &'a ServiceId,
+    target: TargetId,
+    running: Option<RunningAttemptId>,
+}
+
+impl<'a> RunningGuard<'a> {
+    /// Counts the attempt from now on.
+    pub fn begin(state: &'a EntryState, service: &'a ServiceId, target: &TargetId) -> Self {
+        let now = state.clock.now();
+        let running = state.with_balancer(service, |balancer| balancer.start_attempt(now, target));
+        Self {
+            state,
+            service,
+            target: target.clone(),
+            running,
+        }
+    }
+
+    /// Ends the attempt; returns how long it ran, and whether it was already counted as late.
+    pub fn end(mut self) -> (Duration, bool) {
+        self.finish()
+    }
+
+    fn finish(&mut self) -> (Duration, bool) {
+        let Some(running) = self.running.take() else {
+            return (Duration::ZERO, false);
+        };
+        let now = self.state.clock.now();
+        let ended = self.state.with_balancer(self.service, |balancer| {
+            balancer.finish_attempt(now, &self.target, running)
+        });
+        ended.unwrap_or_default()
+    }
+}
+
+impl Drop for RunningGuard<'_> {
+    fn drop(&mut self) {
+        self.finish();
+    }
+}
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -7,8 +7,9 @@
 //!
 //! - `process` starts and stops an entry process, `command` and `settings` read its settings, and
 //!   `entry_state` holds the state that its tasks share.
-//! - `caller_listener`, `admission`, `request_path`, `target_call`, `target_pool`, `streamed_body` and
-//!   `caller_answer` are the request path, from the caller's connection to the answer.
+//! - `caller_listener`, `admission`, `request_path`, `attempt_guards`, `target_call`, `target_pool`,
+//!   `streamed_body` and `caller_answer` are the request path, from the caller's connection to the
+//!   answer.
 //! - `store_watch` follows the store; `fleet_rows` registers the node and keeps the fleet's own rows;
 //!   `fleet_roles` determines which nodes follow the store and which nodes callers are directed to.
 //! - `limit_sharing` applies what answers and other nodes say about targets' limits.
@@ -18,6 +19,7 @@
 //!   wall clock.
 
 pub mod admission;
+pub mod attempt_guards;
 pub mod caller_answer;
 pub mod caller_listener;
 pub mod command;
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -10,10 +10,7 @@
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::ids::{CustomerId, ServiceId, TargetId};
 use damaskloom_lib::return_delay::return_delay;
-use damaskloom_lib::target_balancer::{
-    RunningAttemptId, SelectionError, SelectionRequest, TargetSelection,
-};
-use damaskloom_lib::target_limits::LimitPermission;
+use damaskloom_lib::target_selection::{SelectionError, SelectionRequest, TargetSelection};
 use damaskloom_lib::units::ByteSize;
 use http::request::Parts;
 use http::{Request, Response};
@@ -24,6 +21,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::admission::{AdmittedRequest, admit, request_id};
+use crate::attempt_guards::{LimitPermit, RunningGuard};
 use crate::caller_answer::{
     CallerBody, CallerRefusal, RefusalReason, refusal_answer, target_answer,
 };
@@ -571,89 +569,3 @@
         allowed
     }
 }
-
-/// A request's part of this node's share of its target's limit; returned if the request is not sent.
-struct LimitPermit<'a> {
-    state: &'a EntryState,
-    target: TargetId,
-    is_spent: bool,
-}
-
-impl<'a> LimitPermit<'a> {
-    fn reserve(state: &'a EntryState, target: &TargetId) -> Self {
-        let now = state.clock.now();
-        state.limits.borrow_mut().reserve(now, target);
-        Self {
-            state,
-            target: target.clone(),
-            is_spent: false,
-        }
-    }
-
-    /// Returns whether the target still accepts requests, and those of this node.
-    fn is_valid(&self, service: &ServiceId) -> bool {
-        let now = self.state.clock.now();
-        let balancers = self.state.balancers.borrow();
-        let balancer = balancers.get(service);
-        balancer.is_some_and(|balancer| balancer.contains(&self.target))
-            && self.state.limits.borrow().permission(now, &self.target)
-                != LimitPermission::Elsewhere
-    }
-
-    fn spend(mut self) {
-        self.is_spent = true;
-        self.state.limits.borrow_mut().record_sent(&self.target);
-    }
-}
-
-impl Drop for LimitPermit<'_> {
-    fn drop(&mut self) {
-        if !self.is_spent {
-            let now = self.state.clock.now();
-            self.state.limits.borrow_mut().refund(now, &self.target);
-        }
-    }
-}
-
-/// Counts an attempt as running at a target until the guard is dropped.
-struct RunningGuard<'a> {
-    state: &'a EntryState,
-    service: &'a ServiceId,
-    target: TargetId,
-    running: Option<RunningAttemptId>,
-}
-
-impl<'a> RunningGuard<'a> {
-    fn begin(state: &'a EntryState, service: &'a ServiceId, target: &TargetId) -> Self {
-        let now = state.clock.now();
-        let running = state.with_balancer(service, |balancer| balancer.start_attempt(now, target));
-        Self {
-            state,
-            service,
-            target: target.clone(),
-            running,
-        }
-    }
-
-    /// Ends the attempt; returns how long it ran, and whether it was already counted as late.
-    fn end(mut self) -> (Duration, bool) {
-        self.finish()
-    }
-
-    fn finish(&mut self) -> (Duration, bool) {
-        let Some(running) = self.running.take() else {
-            return (Duration::ZERO, false);
-        };
-        let now = self.state.clock.now();
-        let ended = self.state.with_balancer(self.service, |balancer| {
-            balancer.finish_attempt(now, &self.target, running)
-        });
-        ended.unwrap_or_default()
-    }
-}
-
-impl Drop for RunningGuard<'_> {
-    fn drop(&mut self) {
-        self.finish();
-    }
-}
--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -335,6 +335,17 @@
     }
 }
 
+/// Starts a store that holds a configuration and one target, in the current local task set.
+pub async fn start_store(behaviour: TargetBehaviour) -> (PlatformServer, Rc<TestTarget>) {
+    let store = PlatformServer::start_local()
+        .await
+        .expect("loopback has a free port");
+    store.put("op", "config", configuration(1, &["key-1"]));
+    let target = TestTarget::start("i-0", behaviour).await;
+    store.put("servers", &target.id, target.row("ready"));
+    (store, target)
+}
+
 /// Runs a test with a store that holds a configuration, one node, and targets of the given
 /// behaviours.
 pub async fn with_node<F: Future<Output = ()>>(
--- a/entry/tests/test_limited_targets.rs
+++ b/entry/tests/test_limited_targets.rs
@@ -2,13 +2,10 @@
 
 use std::time::Instant;
 
-use damaskloom_testutils::platform_server::PlatformServer;
 use http::StatusCode;
 use tokio::task::LocalSet;
 
-use crate::fixture::{
-    EntryNode, PEER_PORT, TargetBehaviour, TestTarget, configuration, wait_until, with_node,
-};
+use crate::fixture::{EntryNode, PEER_PORT, TargetBehaviour, start_store, wait_until, with_node};
 
 /// The number of requests that callers send.
 const REQUESTS: u32 = 20;
@@ -48,11 +45,7 @@
     let local = LocalSet::new();
     local
         .run_until(async {
-            let store = PlatformServer::start_local().await;
-            let store = store.expect("loopback has a free port");
-            store.put("op", "config", configuration(1, &["key-1"]));
-            let target = TestTarget::start("i-0", TargetBehaviour::Limited).await;
-            store.put("servers", "i-0", target.row("ready"));
+            let (store, target) = start_store(TargetBehaviour::Limited).await;
             let nodes = [(); 3].map(|()| EntryNode::start(&store, PEER_PORT));
             for node in &nodes {
                 node.wait_until_ready().await;
--- a/entry/tests/test_restored_store.rs
+++ b/entry/tests/test_restored_store.rs
@@ -1,12 +1,11 @@
 //! Tests entry nodes while the store comes back from an older copy.
 
 use damaskloom_testutils::platform_faults::PlatformFaults;
-use damaskloom_testutils::platform_server::PlatformServer;
 use http::StatusCode;
 use tokio::task::LocalSet;
 
 use crate::fixture::{
-    EntryNode, PEER_PORT, TargetBehaviour, TestTarget, configuration, wait_until, with_node,
+    EntryNode, PEER_PORT, TargetBehaviour, configuration, start_store, wait_until, with_node,
 };
 
 /// The number of rows that are written and then lost.
@@ -117,11 +116,7 @@
 async fn a_fleet_writes_its_own_rows_again_after_a_restore() {
     LocalSet::new()
         .run_until(async {
-            let store = PlatformServer::start_local().await;
-            let store = store.expect("loopback has a free port");
-            store.put("op", "config", configuration(1, &["key-1"]));
-            let target = TestTarget::start("i-0", TargetBehaviour::Succeeds).await;
-            store.put("servers", "i-0", target.row("ready"));
+            let (store, _target) = start_store(TargetBehaviour::Succeeds).await;
             let copy = store.copy_tables();
             let nodes = [(); 2].map(|()| EntryNode::start(&store, PEER_PORT));
             let lists = async |node: &EntryNode, count| node.directory().await.len() == count;
@@ -151,11 +146,7 @@
 async fn a_node_adopts_the_secret_in_the_store_once_messages_show_another_one() {
     LocalSet::new()
         .run_until(async {
-            let store = PlatformServer::start_local().await;
-            let store = store.expect("loopback has a free port");
-            store.put("op", "config", configuration(1, &["key-1"]));
-            let target = TestTarget::start("i-0", TargetBehaviour::Succeeds).await;
-            store.put("servers", "i-0", target.row("ready"));
+            let (store, _target) = start_store(TargetBehaviour::Succeeds).await;
             let first = EntryNode::start(&store, PEER_PORT);
             first.wait_until_ready().await;
             store.put("damaskloom", "secret", "another secret");
--- a/entry/tests/test_silent_feeds.rs
+++ b/entry/tests/test_silent_feeds.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
-use damaskloom_testutils::platform_server::PlatformServer;
 use damaskloom_testutils::soak_plan::PathFault;
 use damaskloom_testutils::soak_proxy::PathProxy;
 use http::StatusCode;
 use tokio::task::LocalSet;
 
 use crate::fixture::{
-    EntryNode, PEER_PORT, TargetBehaviour, TestTarget, configuration, wait_until,
+    EntryNode, PEER_PORT, TargetBehaviour, configuration, start_store, wait_until,
 };
 
 /// The time in which the answer to the feed is lost.
@@ -21,11 +20,7 @@
 async fn a_configuration_is_applied_although_open_connections_to_the_store_go_silent() {
     LocalSet::new()
         .run_until(async {
-            let store = PlatformServer::start_local().await;
-            let store = store.expect("loopback has a free port");
-            store.put("op", "config", configuration(1, &["key-1"]));
-            let target = TestTarget::start("i-0", TargetBehaviour::Succeeds).await;
-            store.put("servers", "i-0", target.row("ready"));
+            let (store, _target) = start_store(TargetBehaviour::Succeeds).await;
             let path = PathProxy::start(store.address()).await;
             let path = path.expect("loopback has a free port");
             let node = EntryNode::start_with_store(path.address(), PEER_PORT);
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -17,7 +17,8 @@
 use crate::failure_filter::{FailureFilter, FailureSignal};
 use crate::ids::{DataCentreId, ServiceId, TargetId, VmId};
 use crate::rendezvous::StableHash;
-use crate::target_limits::{LimitPermission, TargetLimits};
+use crate::target_limits::LimitPermission;
+use crate::target_selection::{SelectionError, SelectionRequest, TargetSelection};
 use crate::time::MonoTime;
 
 /// The cost of a failure if the request cannot be retried: its whole value.
@@ -76,55 +77,6 @@
 /// The running time that is assumed before the first answer, in milliseconds.
 const INITIAL_RUNNING_MS: f64 = 120.0;
 
-/// The request that a target is selected for.
-#[derive(Clone, Copy, Debug)]
-pub struct SelectionRequest<'a> {
-    /// Whether the request may be retried.
-    pub idempotence: Idempotence,
-    /// The targets to which the request was already sent.
-    pub tried: &'a [TargetId],
-    /// The limits that targets name.
-    pub limits: &'a TargetLimits,
-    /// A number that differs between requests, to break ties.
-    pub seed: u64,
-}
-
-/// The target that was selected for a request.
-#[derive(Clone, Debug, PartialEq)]
-pub struct TargetSelection {
-    /// The target.
-    pub target: TargetId,
-    /// The time until the target's limit allows the request; zero for targets without one.
-    pub permit_wait: Duration,
-    /// The expected wait before the target runs the request: for the permit, then in its queue.
-    pub expected_wait: Duration,
-    /// The probability that the target is failing.
-    pub failing_probability: f64,
-    /// The estimated number of requests that run there.
-    pub load: f64,
-    /// The number of the service's targets.
-    pub candidates: usize,
-}
-
-/// The reasons why no target can be selected.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum SelectionError {
-    /// There is no target that the request was not sent to.
-    NoTarget,
-    /// The limits of all such targets are used up. Holds the time until this node's share of one
-    /// allows a request again; none if only other nodes may send to them.
-    Limited(Option<Duration>),
-}
-
-impl SelectionError {
-    fn wait(self) -> Option<Duration> {
-        match self {
-            Self::NoTarget => None,
-            Self::Limited(wait) => wait,
-        }
-    }
-}
-
 /// A transition of a target between suspected and trusted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SuspicionChange {
--- /dev/null
+++ b/lib/src/target_selection.rs
@@ -0,0 +1,57 @@
+//! The selection of a target for a request: what is asked, and its outcome.
+
+use std::time::Duration;
+
+use crate::config::Idempotence;
+use crate::ids::TargetId;
+use crate::target_limits::TargetLimits;
+
+/// The request that a target is selected for.
+#[derive(Clone, Copy, Debug)]
+pub struct SelectionRequest<'a> {
+    /// Whether the request may be retried.
+    pub idempotence: Idempotence,
+    /// The targets to which the request was already sent.
+    pub tried: &'a [TargetId],
+    /// The limits that targets name.
+    pub limits: &'a TargetLimits,
+    /// A number that differs between requests, to break ties.
+    pub seed: u64,
+}
+
+/// The target that was selected for a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetSelection {
+    /// The target.
+    pub target: TargetId,
+    /// The time until the target's limit allows the request; zero for targets without one.
+    pub permit_wait: Duration,
+    /// The expected wait before the target runs the request: for the permit, then in its queue.
+    pub expected_wait: Duration,
+    /// The probability that the target is failing.
+    pub failing_probability: f64,
+    /// The estimated number of requests that run there.
+    pub load: f64,
+    /// The number of the service's targets.
+    pub candidates: usize,
+}
+
+/// The reasons why no target can be selected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SelectionError {
+    /// There is no target that the request was not sent to.
+    NoTarget,
+    /// The limits of all such targets are used up. Holds the time until this node's share of one
+    /// allows a request again; none if only other nodes may send to them.
+    Limited(Option<Duration>),
+}
+
+impl SelectionError {
+    /// Returns the time until this node's share of a limit allows a request, if that is known.
+    pub fn wait(self) -> Option<Duration> {
+        match self {
+            Self::NoTarget => None,
+            Self::Limited(wait) => wait,
+        }
+    }
+}
--- a/lib/tests/test_target_balancer.rs
+++ b/lib/tests/test_target_balancer.rs
@@ -6,10 +6,9 @@
 use damaskloom_lib::failure_filter::{FailureFilter, FailureSignal};
 use damaskloom_lib::ids::{DataCentreId, ServiceId, TargetId, VmId};
 use damaskloom_lib::repeat_budget::{RepeatBudget, RepeatTerms};
-use damaskloom_lib::target_balancer::{
-    SelectionError, SelectionRequest, TargetBalancer, TargetCode,
-};
+use damaskloom_lib::target_balancer::{TargetBalancer, TargetCode};
 use damaskloom_lib::target_limits::TargetLimits;
+use damaskloom_lib::target_selection::{SelectionError, SelectionRequest};
 use damaskloom_lib::time::MonoTime;
 
 const BASELINE_FAILURE_RATE: f64 = 0.012;
--- a/lib/tests/test_target_limits.rs
+++ b/lib/tests/test_target_limits.rs
@@ -4,10 +4,11 @@
 
 use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::ids::{DataCentreId, TargetId};
-use damaskloom_lib::target_balancer::{SelectionError, SelectionRequest, TargetBalancer};
+use damaskloom_lib::target_balancer::TargetBalancer;
 use damaskloom_lib::target_limits::{
     LimitNotice, LimitPermission, LimitSender, LimitStatement, TargetLimits,
 };
+use damaskloom_lib::target_selection::{SelectionError, SelectionRequest};
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::units::RequestRate;
 
