soak: a fault that replaces a limit ends it

Traced in the nodes' logs: at 7.5 s of the plan the fault ExtraAnswers replaced the limit on the same target, its answers named none any more, a node found it lifted by one of them (17:50:23.4) and told the others, rightly. The ledger went on counting until the end of the first fault. Now any fault that begins at a target ends its period, as it ends the naming; windows within a period are checked as before.

--- a/testutils/src/soak_run.rs
+++ b/testutils/src/soak_run.rs
@@ -306,7 +306,12 @@
             SoakFault::StorePath(node, path) => self.nodes[node].store_path.set_fault(path),
             SoakFault::Store(fault) => self.store.set_faults(store_faults(fault)),
             SoakFault::TargetPath(target, path) => self.targets[target].path.set_fault(path),
-            SoakFault::Target(target, fault) => self.targets[target].target.set_fault(fault),
+            SoakFault::Target(target, fault) => {
+                let target = &self.targets[target].target;
+                // A fault replaces an earlier one, so that the target stops naming its limit.
+                self.ledger.record_limit_lifted(&target.id);
+                target.set_fault(fault);
+            }
             SoakFault::TargetReplaced(target) => {
                 let service = self.targets[target].target.service;
                 let new = self.start_target(service).await?;
