entry tests: endless answers have a deadline that no machine reaches before the maximum size

Cause: the answer has to fill 256 KiB in chunks of 16 bytes, 16,384 of them, before the deadline of 700 ms; what comes first, the maximum size (502) or the deadline (504), depends on the machine's speed. Trace: with a long deadline the node closes after 360,576 bytes sent, and the cases take 0.15 to 1.02 s on this machine without optimisation ('chunks' 1.02 s, 'a body until the close' 0.89 s, 'a failure' 0.89 s), 0.25 s and less with it. Ruled out: a limit that is not kept on arm64; the bytes are those of x86-64 but for socket buffers.

Change: these cases have a deadline of 120 s and a route timeout to match, so that only the maximum size can end them; without that size they now end with 504 after 120 s. Status, body and bytes are checked as before. The cases that end at the deadline keep 700 ms.

Processor time of an answer in the smallest pieces: 0.25 s of one core, target included, for the largest answer that is buffered; the bound on bytes bounds it. A bound on the number of pieces was not added: a sound answer may come in small ones.

--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -147,15 +147,20 @@
 
 /// Returns a configuration with a safe, an unsafe and a public route to one service.
 pub fn configuration(version: u64, keys: &[&str]) -> String {
+    configuration_with_timeout(version, keys, 10)
+}
+
+/// Returns the configuration with another timeout of all routes, in seconds.
+pub fn configuration_with_timeout(version: u64, keys: &[&str], timeout_s: u64) -> String {
     json!({
         "version": version,
         "routes": {
             "columns": ["name", "host", "prefix", "kind", "timeout_s", "target_latency_s",
                         "priority", "service", "max_attempts", "public"],
             "rows": [
-                ["read", "a.example", "/read/", "safe", 10, 0.4, 1, "desk", 3, false],
-                ["book", "a.example", "/book/", "unsafe", 10, 0.4, 1, "desk", 3, false],
-                ["open", "a.example", "/open/", "safe", 10, 0.4, 1, "desk", 3, true]
+                ["read", "a.example", "/read/", "safe", timeout_s, 0.4, 1, "desk", 3, false],
+                ["book", "a.example", "/book/", "unsafe", timeout_s, 0.4, 1, "desk", 3, false],
+                ["open", "a.example", "/open/", "safe", timeout_s, 0.4, 1, "desk", 3, true]
             ]
         },
         "services": { "columns": ["name", "max_conns"], "rows": [["desk", 400]] },
--- a/entry/tests/test_endless_answers.rs
+++ b/entry/tests/test_endless_answers.rs
@@ -13,15 +13,18 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
 
-use crate::fixture::{EntryNode, PEER_PORT, configuration, wait_until};
+use crate::fixture::{EntryNode, PEER_PORT, configuration_with_timeout, wait_until};
 
 /// The maximum number of bytes of one answer that may be read: what a node buffers, and what socket
 /// buffers on loopback hold.
 const MAX_READ_BYTES: usize = 16 << 20;
-/// The time after which an answer counts as endless for the caller; far above its deadline.
-const MAX_WAIT: Duration = Duration::from_secs(20);
-/// The caller's deadline in these tests, in milliseconds.
-const DEADLINE_MS: u64 = 700;
+/// The time after which an answer counts as endless for the caller; far above all deadlines.
+const MAX_WAIT: Duration = Duration::from_secs(300);
+/// The caller's deadline in tests of answers that end at the deadline, in milliseconds.
+const SHORT_DEADLINE_MS: u64 = 700;
+/// The deadline in tests of answers that end at the maximum size, in milliseconds: no machine takes so
+/// long to send that size in the smallest pieces.
+const LONG_DEADLINE_MS: u64 = 120_000;
 
 /// A target that sends a fixed start of an answer, then a piece again and again until the node closes
 /// the connection.
@@ -81,16 +84,18 @@
     }
 }
 
-/// Sends a booking to a node with an endless target. Returns the status, the body if it was complete,
+/// Sends a booking with a deadline to a node with an endless target. Returns the status, the body if it was complete,
 /// and the target, once the node has closed its connection to the target.
 async fn book(
     start: String,
     piece: &'static str,
     interval: Option<Duration>,
+    deadline_ms: u64,
 ) -> (u16, Option<String>, Rc<EndlessTarget>) {
     let store = PlatformServer::start_local().await;
     let store = store.expect("loopback has a free port");
-    store.put("op", "config", configuration(1, &["key-1"]));
+    let routing = configuration_with_timeout(1, &["key-1"], LONG_DEADLINE_MS / 1_000);
+    store.put("op", "config", routing);
     let target = EndlessTarget::start(start, piece, interval).await;
     let row = json!({
         "service": "desk", "address": target.address.to_string(), "zone": "near",
@@ -110,7 +115,7 @@
         .uri("/book/1")
         .header("host", "a.example")
         .header("request-id", "id-1")
-        .header("deadline-ms", DEADLINE_MS.to_string())
+        .header("deadline-ms", deadline_ms.to_string())
         .header("authorization", "Bearer key-1")
         .body(Empty::<bytes::Bytes>::new())
         .expect("the parts are valid");
@@ -158,7 +163,7 @@
     LocalSet::new()
         .run_until(async {
             for (case, start, piece) in cases {
-                let (status, body, target) = book(start, piece, None).await;
+                let (status, body, target) = book(start, piece, None, LONG_DEADLINE_MS).await;
                 assert_eq!(status, 502, "{case}");
                 assert_eq!(body.as_deref(), Some("target-broke"), "{case}");
                 assert!(target.sent_bytes.get() < MAX_READ_BYTES, "{case}");
@@ -176,7 +181,8 @@
         .run_until(async {
             let cases = [None, Some(Duration::from_millis(5))];
             for interval in cases {
-                let (status, _, target) = book(head.to_owned(), "aaaaaaaa", interval).await;
+                let booked = book(head.to_owned(), "aaaaaaaa", interval, SHORT_DEADLINE_MS);
+                let (status, _, target) = booked.await;
                 assert_eq!(status, 503, "{interval:?}");
                 assert!(target.sent_bytes.get() < MAX_READ_BYTES, "{interval:?}");
             }
@@ -191,13 +197,13 @@
     LocalSet::new()
         .run_until(async {
             let head = "HTTP/1.1 200 OK\r\n".to_owned();
-            let (status, _, _) = book(head, "x-filler: a\r\n", interval).await;
+            let (status, _, _) = book(head, "x-filler: a\r\n", interval, SHORT_DEADLINE_MS).await;
             assert_eq!(status, 504, "a head");
-            let (status, _, _) = book(good_head(""), "a", interval).await;
+            let (status, _, _) = book(good_head(""), "a", interval, SHORT_DEADLINE_MS).await;
             assert_eq!(status, 504, "a body");
             // A long answer is passed on while it arrives; its end is missing.
             let long = good_head("content-length: 10000000\r\n");
-            let (status, body, _) = book(long, "a", interval).await;
+            let (status, body, _) = book(long, "a", interval, SHORT_DEADLINE_MS).await;
             assert_eq!((status, body), (200, None), "a long answer");
         })
         .await;
