entry, lib: log how many repeats a node sends

A node now logs each second what it sent to a service and how many of the attempts reached a target after an earlier attempt of the same request had. Summed over nodes and windows the line gives the share of the budget that is used. No decision changes.

--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -95,6 +95,7 @@
                 .repeat_budget
                 .borrow_mut()
                 .set_node_count(carrying + 1);
+            log_repeats(state);
             tokio::time::sleep(MIN_HEARTBEAT_INTERVAL).await;
             tokio::select! {
                 () = state.heartbeat_due.notified() => {}
@@ -418,6 +419,14 @@
     }
 }
 
+/// Logs the repeats since the last call, for the share of the budget that the fleet uses.
+fn log_repeats(state: &EntryState) {
+    for (service, usage) in state.repeat_budget.borrow_mut().drain_usage() {
+        let (requests, repeats) = (usage.requests, usage.repeats);
+        tracing::info!(%service, requests, repeats, "repeats sent");
+    }
+}
+
 /// Records how late a periodic check ran, and logs a long delay.
 fn record_loop_delay(state: &EntryState, delay: Duration) {
     state.loop_delay.set(delay);
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -135,6 +135,7 @@
         fingerprint,
         request_id: request_id(parts),
         tried: Vec::new(),
+        arrivals: 0,
         delivered: 0,
         undelivered: 0,
         may_have_run: false,
@@ -234,7 +235,9 @@
     fingerprint: Option<RequestFingerprint>,
     request_id: &'a str,
     tried: Vec<TargetId>,
-    /// The number of attempts that reached a target.
+    /// The number of attempts that reached a target, which may have been another one than expected.
+    arrivals: u32,
+    /// The number of attempts that reached the expected target.
     delivered: u32,
     /// The number of attempts that failed before they reached a target.
     undelivered: u32,
@@ -430,6 +433,15 @@
                 balancer.record_load_report(now, id, load)
             });
         }
+        if !matches!(
+            &result.answer,
+            Err(CallError::Connect(_) | CallError::Stale)
+        ) {
+            self.arrivals += 1;
+            if self.arrivals > 1 {
+                state.repeat_budget.borrow_mut().record_repeat(now, service);
+            }
+        }
         let error = match &result.answer {
             Ok(answer) if answer.status().is_server_error() => {
                 self.delivered += 1;
--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -59,6 +59,8 @@
     pub behaviour: Cell<TargetBehaviour>,
     /// The number of requests that it ran.
     pub runs: Cell<u32>,
+    /// The number of requests that reached it.
+    pub arrivals: Cell<u32>,
     /// The header fields of the last request.
     pub last_headers: RefCell<HeaderMap>,
 }
@@ -73,6 +75,7 @@
             address: listener.local_addr().expect("a bound address"),
             behaviour: Cell::new(behaviour),
             runs: Cell::new(0),
+            arrivals: Cell::new(0),
             last_headers: RefCell::default(),
         });
         let shared = Rc::clone(&target);
@@ -99,6 +102,7 @@
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<Full<Bytes>>> + use<> {
         self.last_headers.replace(request.headers().clone());
+        self.arrivals.set(self.arrivals.get() + 1);
         let behaviour = self.behaviour.get();
         if !matches!(
             behaviour,
--- a/lib/src/repeat_budget.rs
+++ b/lib/src/repeat_budget.rs
@@ -27,10 +27,20 @@
     pub window: Duration,
 }
 
+/// What a node sent to a service since its usage was last drained.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RepeatUsage {
+    /// The number of callers' requests.
+    pub requests: u64,
+    /// The number of attempts that reached a target after an earlier attempt of the same request had.
+    pub repeats: u64,
+}
+
 #[derive(Debug)]
 struct ServiceAccount {
     tokens: f64,
     refilled_at: MonoTime,
+    usage: RepeatUsage,
 }
 
 /// The accounts of all services on one node.
@@ -66,6 +76,7 @@
         let earned = self.terms.ratio * USED_FRACTION;
         let account = self.account(now, service);
         account.tokens += earned;
+        account.usage.requests += 1;
     }
 
     /// Spends a repeat of the service if there is one; returns whether the repeat may be sent.
@@ -78,6 +89,21 @@
         allowed
     }
 
+    /// Records that an attempt reached a target after an earlier attempt of the same request had.
+    pub fn record_repeat(&mut self, now: MonoTime, service: &ServiceId) {
+        self.account(now, service).usage.repeats += 1;
+    }
+
+    /// Returns the usage of each service with repeats since the last call.
+    pub fn drain_usage(&mut self) -> Vec<(ServiceId, RepeatUsage)> {
+        let accounts = self.accounts.iter_mut();
+        let usages = accounts.map(|(id, account)| (id, std::mem::take(&mut account.usage)));
+        usages
+            .filter(|(_, usage)| usage.repeats > 0)
+            .map(|(id, usage)| (id.clone(), usage))
+            .collect()
+    }
+
     fn account(&mut self, now: MonoTime, service: &ServiceId) -> &mut ServiceAccount {
         // Half of the allowance can be saved up and half refills over a window, so that no window
         // sees more than all of it.
@@ -89,6 +115,7 @@
             .or_insert(ServiceAccount {
                 tokens: half,
                 refilled_at: now,
+                usage: RepeatUsage::default(),
             });
         let elapsed = now.since(account.refilled_at).as_secs_f64();
         account.refilled_at = now;
