--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_log_lines;
 mod test_peer_wire;
 mod test_planned_stop;
+mod test_repeat_budget;
 mod test_requests;
 mod test_restored_store;
 mod test_row_fetches;
