lib, entry: an attempt that reaches a wrong target counts against attempts and the repeat budget

Cause: WrongTarget counted as not delivered, so that up to six attempts followed free of the budget and of the route's attempts. The comment held for attempts that reach no target, which a 421 is not. Class: a counter that is asked whether a request arrived answers whether it ran. The four answers (arrived, may have run, counts against attempts, draws on the budget) came from is_not_run, delivered, undelivered and two match expressions.

Change: one table in the library, AttemptFailure, tested row by row; delivery, retries, refund of limits and the log go by it. What arrived counts against the route's attempts and the next attempt draws on the budget.

--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use damaskloom_gateway::body_stream::RequestBody;
+use damaskloom_lib::attempt_failure::AttemptFailure;
 use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::crash_guard::{RequestDigest, RequestFingerprint};
 use damaskloom_lib::failure_filter::FailureSignal;
@@ -28,8 +29,7 @@
 use crate::entry_state::EntryState;
 use crate::log_lines::SUCCESS_TARGET;
 use crate::peer_socket::apply_crash_actions;
-use crate::target_call::{CallError, CallResult, CallTarget, OutgoingHead, TargetAnswer, call};
-use crate::target_pool::ConnectError;
+use crate::target_call::{CallResult, CallTarget, OutgoingHead, TargetAnswer, call};
 
 /// Bodies with a declared length up to this size are buffered, so that the request can be retried;
 /// bodies without a declared length are buffered up to eight times this size.
@@ -136,7 +136,6 @@
         request_id: request_id(parts),
         tried: Vec::new(),
         arrivals: 0,
-        delivered: 0,
         undelivered: 0,
         may_have_run: false,
     };
@@ -235,10 +234,8 @@
     fingerprint: Option<RequestFingerprint>,
     request_id: &'a str,
     tried: Vec<TargetId>,
-    /// The number of attempts that reached a target, which may have been another one than expected.
+    /// The number of attempts that reached a target, the expected one or another.
     arrivals: u32,
-    /// The number of attempts that reached the expected target.
-    delivered: u32,
     /// The number of attempts that failed before they reached a target.
     undelivered: u32,
     /// Whether an attempt may have run the request.
@@ -252,7 +249,7 @@
         let mut failed_answer: Option<TargetAnswer> = None;
         loop {
             if body.is_none() {
-                return failed_answer.ok_or_else(|| self.final_refusal(CallError::Broken));
+                return failed_answer.ok_or_else(|| self.final_refusal(AttemptFailure::Broken));
             }
             let selection = match self.select_target() {
                 Ok(selection) => selection,
@@ -274,19 +271,19 @@
                 None => unreachable!("the body was checked above"),
             };
             body = retained;
-            let error = match self.send(&selection, permit, attempt_body).await {
+            let failure = match self.send(&selection, permit, attempt_body).await {
                 Ok(answer) if answer.status().is_server_error() => {
-                    if !self.may_retry(None) {
+                    if !self.may_retry(AttemptFailure::ServerError) {
                         return Ok(answer);
                     }
                     failed_answer = Some(answer);
                     continue;
                 }
                 Ok(answer) => return Ok(answer),
-                Err(error) => error,
+                Err(failure) => failure,
             };
-            if !self.may_retry(Some(error)) {
-                return failed_answer.ok_or_else(|| self.final_refusal(error));
+            if !self.may_retry(failure) {
+                return failed_answer.ok_or_else(|| self.final_refusal(failure));
             }
         }
     }
@@ -341,14 +338,17 @@
         }
     }
 
-    fn final_refusal(&self, error: CallError) -> CallerRefusal {
-        match error {
-            CallError::TimedOut => RefusalReason::TargetTimeout.into(),
-            CallError::Broken | CallError::InvalidAnswer => RefusalReason::TargetBroke.into(),
-            CallError::Full => self.refuse(RefusalReason::Overloaded, UNKNOWN_WAIT),
-            CallError::Connect(_) | CallError::Stale | CallError::WrongTarget => {
-                self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT)
-            }
+    fn final_refusal(&self, failure: AttemptFailure) -> CallerRefusal {
+        match failure {
+            AttemptFailure::TimedOut => RefusalReason::TargetTimeout.into(),
+            AttemptFailure::Broken
+            | AttemptFailure::InvalidAnswer
+            | AttemptFailure::ServerError => RefusalReason::TargetBroke.into(),
+            AttemptFailure::Full => self.refuse(RefusalReason::Overloaded, UNKNOWN_WAIT),
+            AttemptFailure::NoConnection
+            | AttemptFailure::Unreachable
+            | AttemptFailure::Stale
+            | AttemptFailure::WrongTarget => self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT),
         }
     }
 
@@ -357,7 +357,7 @@
         selection: &TargetSelection,
         permit: LimitPermit<'_>,
         body: RequestBody,
-    ) -> Result<TargetAnswer, CallError> {
+    ) -> Result<TargetAnswer, AttemptFailure> {
         let id = &selection.target;
         let state = self.state;
         let address = {
@@ -379,7 +379,11 @@
             state.meters.record_connection();
         }
         let (elapsed, was_late) = running.end();
-        if let Err(CallError::Connect(_) | CallError::Stale) = result.answer {
+        if result
+            .answer
+            .as_ref()
+            .is_err_and(|failure| !failure.is_arrival())
+        {
             state.limits.borrow_mut().refund(state.clock.now(), id);
         }
         state.record_limit_notice(id, sent_at, result.report.limit);
@@ -433,23 +437,10 @@
                 balancer.record_load_report(now, id, load)
             });
         }
-        if !matches!(
-            &result.answer,
-            Err(CallError::Connect(_) | CallError::Stale)
-        ) {
-            self.arrivals += 1;
-            if self.arrivals > 1 {
-                state.repeat_budget.borrow_mut().record_repeat(now, service);
-            }
-        }
-        let error = match &result.answer {
-            Ok(answer) if answer.status().is_server_error() => {
-                self.delivered += 1;
-                self.may_have_run = true;
-                self.record_failure(id, elapsed);
-                "server-error"
-            }
+        let failure = match &result.answer {
+            Ok(answer) if answer.status().is_server_error() => AttemptFailure::ServerError,
             Ok(answer) => {
+                self.record_arrival();
                 self.record_completion();
                 if !was_late {
                     state.apply_signal(service, id, FailureSignal::Good);
@@ -466,13 +457,18 @@
                 );
                 return;
             }
-            Err(error) => {
-                self.record_error(id, *error, elapsed, was_late);
-                error.label()
-            }
+            Err(failure) => *failure,
         };
+        if failure.is_arrival() {
+            self.record_arrival();
+        } else {
+            self.undelivered += 1;
+        }
+        self.may_have_run |= failure.may_have_run();
+        self.record_evidence(id, failure, elapsed, was_late);
+        let error = failure.label();
         state.meters.record_failed_attempt(id.as_str(), error);
-        if !matches!(&result.answer, Err(CallError::Stale)) {
+        if failure != AttemptFailure::Stale {
             self.tried.push(id.clone());
         }
         tracing::info!(
@@ -484,40 +480,48 @@
         );
     }
 
-    fn record_error(&mut self, id: &TargetId, error: CallError, elapsed: Duration, was_late: bool) {
+    fn record_arrival(&mut self) {
+        self.arrivals += 1;
+        if self.arrivals > 1 {
+            let now = self.state.clock.now();
+            let mut budget = self.state.repeat_budget.borrow_mut();
+            budget.record_repeat(now, self.service);
+        }
+    }
+
+    /// Records what a failure shows about the target.
+    fn record_evidence(
+        &self,
+        id: &TargetId,
+        failure: AttemptFailure,
+        elapsed: Duration,
+        was_late: bool,
+    ) {
         let (state, service) = (self.state, self.service);
         let now = state.clock.now();
-        match error {
-            CallError::Connect(ConnectError::Unreachable) => {
-                self.undelivered += 1;
+        match failure {
+            AttemptFailure::NoConnection | AttemptFailure::Stale => {}
+            AttemptFailure::Unreachable => {
                 state.with_balancer(service, |balancer| balancer.mark_unreachable(now, id));
                 let actions = state.crash_guard.borrow_mut().record_unreachable(now, id);
                 apply_crash_actions(state, actions);
             }
-            CallError::Connect(ConnectError::LimitReached) | CallError::Stale => {
-                self.undelivered += 1;
-            }
-            CallError::WrongTarget => {
-                self.undelivered += 1;
+            AttemptFailure::WrongTarget => {
                 state.with_balancer(service, |balancer| balancer.mark_unreachable(now, id));
             }
-            CallError::Full => {
-                self.delivered += 1;
+            AttemptFailure::Full => {
                 state.with_balancer(service, |balancer| balancer.mark_full(now, id));
             }
-            CallError::Broken | CallError::InvalidAnswer | CallError::TimedOut => {
-                self.delivered += 1;
-                self.may_have_run = true;
+            AttemptFailure::ServerError => self.record_failure(id, elapsed),
+            AttemptFailure::Broken | AttemptFailure::InvalidAnswer | AttemptFailure::TimedOut => {
                 if !was_late {
                     self.record_failure(id, elapsed);
                 }
-                if error == CallError::Broken
+                if failure == AttemptFailure::Broken
                     && let Some(fingerprint) = &self.fingerprint
                 {
-                    state
-                        .crash_guard
-                        .borrow_mut()
-                        .record_lost_connection(now, fingerprint, id);
+                    let mut guard = state.crash_guard.borrow_mut();
+                    guard.record_lost_connection(now, fingerprint, id);
                 }
             }
         }
@@ -544,22 +548,20 @@
         }
     }
 
-    /// Decides whether the request is retried after an error, or after a 5xx answer if `error` is
-    /// none.
-    fn may_retry(&mut self, error: Option<CallError>) -> bool {
-        let not_run = error.is_some_and(CallError::is_not_run);
+    /// Decides whether the request is retried after a failure.
+    fn may_retry(&mut self, failure: AttemptFailure) -> bool {
         let idempotent = self.idempotence() == Idempotence::Idempotent;
-        if !(not_run || idempotent) || Instant::now() >= self.admitted.deadline {
+        if (failure.may_have_run() && !idempotent) || Instant::now() >= self.admitted.deadline {
             return false;
         }
         if self.undelivered >= MAX_UNDELIVERED_ATTEMPTS
-            || self.delivered >= self.admitted.route.max_attempts
+            || self.arrivals >= self.admitted.route.max_attempts
         {
             return false;
         }
         // The retry budget bounds extra load on targets; attempts that reached no target cause
         // none.
-        if self.delivered == 0 {
+        if self.arrivals == 0 {
             return true;
         }
         let now = self.state.clock.now();
@@ -573,8 +575,8 @@
         }
         tracing::info!(
             request = self.request_id,
-            sent = self.delivered,
-            error = error.map_or("server-error", CallError::label),
+            sent = self.arrivals,
+            error = failure.label(),
             allowed,
             "retry decided"
         );
--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use damaskloom_gateway::body_stream::RequestBody;
 use damaskloom_gateway::hop_headers::remove_hop_headers;
+use damaskloom_lib::attempt_failure::AttemptFailure;
 use damaskloom_lib::ids::{CustomerId, TargetId};
 use damaskloom_lib::target_limits::LimitNotice;
 use damaskloom_platform::header_names::{
@@ -22,7 +23,7 @@
 use hyper::body::Incoming;
 
 use crate::streamed_body::StreamedBody;
-use crate::target_pool::{ConnectError, ConnectionLease, TargetPool};
+use crate::target_pool::{ConnectionLease, TargetPool};
 
 /// Answers up to this size are buffered before they are passed on, so that a truncated one can
 /// still be replaced by a retry; larger ones are streamed.
@@ -34,49 +35,6 @@
 /// request waits for it, and the body usually comes with the head.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// The ways in which an attempt fails without an answer that can be passed on.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CallError {
-    /// No connection was available.
-    Connect(ConnectError),
-    /// A reused connection had closed before anything was sent.
-    Stale,
-    /// The target refused the request because it has no free capacity.
-    Full,
-    /// Another target listens at the address.
-    WrongTarget,
-    /// The connection or the answer ended early.
-    Broken,
-    /// The answer is not the target's unmodified answer to this request.
-    InvalidAnswer,
-    /// No answer arrived before the deadline.
-    TimedOut,
-}
-
-impl CallError {
-    /// Returns whether it is certain that the target did not run the request.
-    pub const fn is_not_run(self) -> bool {
-        match self {
-            Self::Connect(_) | Self::Stale | Self::Full | Self::WrongTarget => true,
-            Self::Broken | Self::InvalidAnswer | Self::TimedOut => false,
-        }
-    }
-
-    /// Returns the name of the error in log lines and metrics.
-    pub const fn label(self) -> &'static str {
-        match self {
-            Self::Connect(ConnectError::LimitReached) => "no-connection",
-            Self::Connect(ConnectError::Unreachable) => "unreachable",
-            Self::Stale => "stale-connection",
-            Self::Full => "target-full",
-            Self::WrongTarget => "wrong-target",
-            Self::Broken => "broken",
-            Self::InvalidAnswer => "spoilt",
-            Self::TimedOut => "timed-out",
-        }
-    }
-}
-
 /// A target's answer: buffered if it is small, otherwise streamed.
 #[derive(Debug)]
 pub enum TargetAnswer {
@@ -100,7 +58,7 @@
 #[derive(Debug)]
 pub struct CallResult {
     /// The answer, or why there is none.
-    pub answer: Result<TargetAnswer, CallError>,
+    pub answer: Result<TargetAnswer, AttemptFailure>,
     /// What was learned besides the answer.
     pub report: CallReport,
 }
@@ -208,7 +166,7 @@
     let exchange = exchange(target, head, body, deadline, &mut report);
     let answer = tokio::time::timeout_at(deadline.into(), exchange).await;
     CallResult {
-        answer: answer.unwrap_or(Err(CallError::TimedOut)),
+        answer: answer.unwrap_or(Err(AttemptFailure::TimedOut)),
         report,
     }
 }
@@ -219,20 +177,20 @@
     body: RequestBody,
     deadline: Instant,
     report: &mut CallReport,
-) -> Result<TargetAnswer, CallError> {
+) -> Result<TargetAnswer, AttemptFailure> {
     let time_left = deadline.saturating_duration_since(Instant::now());
     let mut lease = target
         .pool
         .acquire(target.connections, time_left)
         .await
-        .map_err(CallError::Connect)?;
+        .map_err(AttemptFailure::from)?;
     report.connected = lease.is_fresh();
     let request = head.request(target.id, deadline, body);
     let response = lease.sender().try_send_request(request).await;
     // The library returns the request only if no byte of it was written.
     let response = response.map_err(|mut error| match error.take_message() {
-        Some(_) => CallError::Stale,
-        None => CallError::Broken,
+        Some(_) => AttemptFailure::Stale,
+        None => AttemptFailure::Broken,
     })?;
     report.load = reported_load(response.headers());
     report.limit = limit_notice(head, target.id, &response);
@@ -266,7 +224,7 @@
     mut response: Response<Incoming>,
     lease: ConnectionLease,
     deadline: Instant,
-) -> Result<TargetAnswer, CallError> {
+) -> Result<TargetAnswer, AttemptFailure> {
     let headers = response.headers();
     if let Some(error) = refusal_error(response.status(), headers) {
         // The connection can be reused once a short body is read; otherwise it closes.
@@ -280,7 +238,7 @@
     let is_invalid = response.status().is_success()
         && (!headers.contains_key(ANSWER_SIGNATURE) || headers.contains_key(CONTENT_ENCODING));
     if is_invalid || !head.is_echoed_by(headers) {
-        return Err(CallError::InvalidAnswer);
+        return Err(AttemptFailure::InvalidAnswer);
     }
     let idle = idle_time(headers);
     remove_hop_headers(response.headers_mut());
@@ -294,15 +252,15 @@
     let collected = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES)
         .collect()
         .await;
-    let bytes = collected.map_err(|_| CallError::Broken)?.to_bytes();
+    let bytes = collected.map_err(|_| AttemptFailure::Broken)?.to_bytes();
     lease.release(idle);
     Ok(TargetAnswer::Buffered(Response::from_parts(parts, bytes)))
 }
 
-fn refusal_error(status: StatusCode, headers: &HeaderMap) -> Option<CallError> {
+fn refusal_error(status: StatusCode, headers: &HeaderMap) -> Option<AttemptFailure> {
     match status {
-        StatusCode::MISDIRECTED_REQUEST => Some(CallError::WrongTarget),
-        _ if headers.contains_key(NOT_RUN) => Some(CallError::Full),
+        StatusCode::MISDIRECTED_REQUEST => Some(AttemptFailure::WrongTarget),
+        _ if headers.contains_key(NOT_RUN) => Some(AttemptFailure::Full),
         _ => None,
     }
 }
--- a/entry/src/target_pool.rs
+++ b/entry/src/target_pool.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use damaskloom_gateway::body_stream::RequestBody;
+use damaskloom_lib::attempt_failure::AttemptFailure;
 use damaskloom_lib::ids::TargetId;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -41,6 +42,15 @@
     Unreachable,
 }
 
+impl From<ConnectError> for AttemptFailure {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::LimitReached => Self::NoConnection,
+            ConnectError::Unreachable => Self::Unreachable,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<RequestBody>,
--- /dev/null
+++ b/lib/src/attempt_failure.rs
@@ -0,0 +1,83 @@
+//! The ways in which an attempt of a request fails, and what each of them proves.
+//!
+//! Retries, the repeat budget, limits, rates and the evidence about targets all go by this one table.
+//! See [docs/design/attempts.md](../../docs/design/attempts.md).
+
+/// The ways in which an attempt fails.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptFailure {
+    /// This node has as many connections to the target as it may open.
+    NoConnection,
+    /// The target did not accept a connection in time.
+    Unreachable,
+    /// A reused connection had closed before anything was sent.
+    Stale,
+    /// Another target listens at the address.
+    WrongTarget,
+    /// The target refused the request because it has no free capacity.
+    Full,
+    /// The connection or the answer ended early.
+    Broken,
+    /// The answer is not the target's unmodified answer to this request.
+    InvalidAnswer,
+    /// No answer arrived before the deadline.
+    TimedOut,
+    /// The target answered that it failed.
+    ServerError,
+}
+
+impl AttemptFailure {
+    /// All failures.
+    pub const ALL: [Self; 9] = [
+        Self::NoConnection,
+        Self::Unreachable,
+        Self::Stale,
+        Self::WrongTarget,
+        Self::Full,
+        Self::Broken,
+        Self::InvalidAnswer,
+        Self::TimedOut,
+        Self::ServerError,
+    ];
+
+    /// Returns whether the request may have reached a target, the expected one or another. Such an
+    /// attempt counts against the route's attempts, and the next one draws on the repeat budget.
+    pub const fn is_arrival(self) -> bool {
+        match self {
+            Self::NoConnection | Self::Unreachable | Self::Stale => false,
+            Self::WrongTarget
+            | Self::Full
+            | Self::Broken
+            | Self::InvalidAnswer
+            | Self::TimedOut
+            | Self::ServerError => true,
+        }
+    }
+
+    /// Returns whether a target may have run the request.
+    pub const fn may_have_run(self) -> bool {
+        match self {
+            Self::NoConnection
+            | Self::Unreachable
+            | Self::Stale
+            | Self::WrongTarget
+            | Self::Full => false,
+            Self::Broken | Self::InvalidAnswer | Self::TimedOut | Self::ServerError => true,
+        }
+    }
+
+    /// Returns the name of the failure in log lines and metrics.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::NoConnection => "no-connection",
+            Self::Unreachable => "unreachable",
+            Self::Stale => "stale-connection",
+            Self::WrongTarget => "wrong-target",
+            Self::Full => "target-full",
+            Self::Broken => "broken",
+            Self::InvalidAnswer => "spoilt",
+            Self::TimedOut => "timed-out",
+            Self::ServerError => "server-error",
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -16,6 +16,7 @@
 //! See [docs/architecture.md](../../docs/architecture.md).
 
 pub mod adaptive_policy;
+pub mod attempt_failure;
 pub mod avoidance_list;
 pub mod baseline_policy;
 pub mod budget;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -21,6 +21,7 @@
 #[allow(dead_code)]
 #[path = "../benches/support/mod.rs"]
 mod support;
+mod test_attempt_failure;
 mod test_claims;
 mod test_configuration;
 mod test_crash_guard;
--- /dev/null
+++ b/lib/tests/test_attempt_failure.rs
@@ -0,0 +1,46 @@
+//! Tests what each failure of an attempt proves.
+
+use damaskloom_lib::attempt_failure::AttemptFailure;
+
+/// Guards against counters that confuse whether an attempt reached a target with whether it ran.
+#[test]
+fn each_failure_says_whether_it_arrived_and_may_have_run() {
+    let table: String = AttemptFailure::ALL
+        .into_iter()
+        .map(|failure| {
+            let arrived = if failure.is_arrival() {
+                "arrived"
+            } else {
+                "not sent"
+            };
+            let run = if failure.may_have_run() {
+                "may have run"
+            } else {
+                "not run"
+            };
+            format!("{}: {arrived}, {run}\n", failure.label())
+        })
+        .collect();
+    insta::assert_snapshot!(table, @r"
+    no-connection: not sent, not run
+    unreachable: not sent, not run
+    stale-connection: not sent, not run
+    wrong-target: arrived, not run
+    target-full: arrived, not run
+    broken: arrived, may have run
+    spoilt: arrived, may have run
+    timed-out: arrived, may have run
+    server-error: arrived, may have run
+    ");
+}
+
+/// Guards against a failure that may have run although nothing was sent.
+#[test]
+fn what_may_have_run_has_arrived() {
+    for failure in AttemptFailure::ALL {
+        assert!(
+            failure.is_arrival() || !failure.may_have_run(),
+            "{failure:?}"
+        );
+    }
+}
