lib, entry: a 421 ends requests to the address at all nodes

Callers were refused for seconds while sound targets had room: each node asked each address whose row was out of date, and asked again after 1.5 s.

Cause: a 421 was evidence for one node, for 1.5 s, and only a cost in the selection; with most rows out of date the targets that hold lost against nothing but other penalties. Ruled out: that paying for them is enough.

Change: the catalogue takes a target whose address is another one's out of use until it announces itself again or for ten seconds; the node tells all others, naming target, start and address. A later announcement of the same address proves the same. A gauge and a log line show it.

Four tests of the catalogue.

--- a/entry/src/entry_meters.rs
+++ b/entry/src/entry_meters.rs
@@ -66,6 +66,8 @@
     pub targets: usize,
     /// The number of targets that name a limit.
     pub limited_targets: usize,
+    /// The number of targets whose addresses other targets have by now.
+    pub outdated_targets: usize,
     /// The number of nodes with a recent heartbeat, including this one.
     pub nodes: usize,
 }
@@ -91,6 +93,7 @@
     loop_delay: Gauge<f64>,
     targets: Gauge<u64>,
     limited_targets: Gauge<u64>,
+    outdated_targets: Gauge<u64>,
     store_era: Gauge<u64>,
     nodes: Gauge<u64>,
 }
@@ -123,6 +126,7 @@
             loop_delay: meter.f64_gauge("damaskloom_loop_delay_seconds").build(),
             targets: meter.u64_gauge("damaskloom_targets").build(),
             limited_targets: meter.u64_gauge("damaskloom_limited_targets").build(),
+            outdated_targets: meter.u64_gauge("damaskloom_outdated_targets").build(),
             store_era: meter.u64_gauge("damaskloom_store_era").build(),
             nodes: meter.u64_gauge("damaskloom_nodes").build(),
         })
@@ -179,6 +183,8 @@
         self.targets.record(known.targets as u64, &[]);
         self.limited_targets
             .record(known.limited_targets as u64, &[]);
+        self.outdated_targets
+            .record(known.outdated_targets as u64, &[]);
         self.store_era.record(u64::from(known.store_era), &[]);
         self.nodes.record(known.nodes as u64, &[]);
     }
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -21,7 +21,7 @@
 use damaskloom_lib::target_balancer::{
     ServiceBalancers, SignalOutcome, SuspicionChange, TargetBalancer, TargetCode,
 };
-use damaskloom_lib::target_catalog::{CatalogChange, TargetCatalog};
+use damaskloom_lib::target_catalog::{CatalogChange, OutdatedAddress, TargetCatalog};
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::traffic_meter::TrafficMeter;
@@ -85,7 +85,9 @@
     pub pending_signals: RefCell<Vec<(TargetId, FailureSignal)>>,
     /// The messages about crashing requests that are yet to be sent to other nodes.
     pub pending_crash_messages: RefCell<Vec<CrashMessage>>,
-    /// Wakes the task that sends signals and crash messages.
+    /// The outdated addresses of targets that are yet to be sent to other nodes.
+    pub pending_outdated: RefCell<Vec<OutdatedAddress>>,
+    /// Wakes the task that sends signals, crash messages and outdated addresses.
     pub updates_due: Notify,
     /// The targets that answered successfully since the last message to the nodes of the data
     /// centre.
@@ -155,6 +157,7 @@
             secret_doubted: Notify::new(),
             pending_signals: RefCell::default(),
             pending_crash_messages: RefCell::default(),
+            pending_outdated: RefCell::default(),
             updates_due: Notify::new(),
             pending_successes: RefCell::default(),
             counts_due: Notify::new(),
@@ -366,10 +369,38 @@
             };
             if let Some(change) = change {
                 self.apply_catalog_change(now, &change);
+                if let CatalogChange::Started(id) = &change {
+                    let outdated = self.catalog.borrow_mut().claim_address(id);
+                    if let Some(outdated) = outdated {
+                        self.apply_outdated(&outdated, None);
+                    }
+                }
             }
         }
     }
 
+    /// Records that another target answered at a target's address, and tells the other nodes.
+    pub fn record_wrong_target(&self, outdated: OutdatedAddress) {
+        if self.apply_outdated(&outdated, None) {
+            self.pending_outdated.borrow_mut().push(outdated);
+            self.updates_due.notify_one();
+        }
+    }
+
+    /// Stops requests to a target whose address is another one's by now; `from` is the peer that found
+    /// it, or none for this node. Returns whether that was news.
+    pub fn apply_outdated(&self, outdated: &OutdatedAddress, from: Option<&VmId>) -> bool {
+        let now = self.clock.now();
+        let is_news = self.catalog.borrow_mut().mark_outdated(now, outdated);
+        if is_news {
+            let from = from.map_or("here", |vm| vm.as_str());
+            tracing::info!(id = %outdated.target, address = %outdated.address, from, "target address outdated");
+            let change = CatalogChange::Updated(outdated.target.clone());
+            self.apply_catalog_change(now, &change);
+        }
+        is_news
+    }
+
     /// Removes targets that did not announce themselves again after an outage of the store.
     pub fn remove_expired_targets(&self) {
         let now = self.clock.now();
@@ -389,8 +420,12 @@
         let mut balancers = self.balancers.borrow_mut();
         let known = catalog.get(id);
         let row = self.targets_copy.mirror.borrow().version().version();
-        let Some(target) = known.filter(|target| !target.announcement.leaving) else {
-            let why = if known.is_some() { "leaving" } else { "gone" };
+        let Some(target) = known.filter(|target| target.is_usable()) else {
+            let why = match known {
+                Some(target) if target.announcement.leaving => "leaving",
+                Some(_) => "outdated",
+                None => "gone",
+            };
             tracing::info!(id = %id, why, row, "target removed");
             balancers
                 .values_mut()
@@ -540,6 +575,7 @@
             store_era: self.routing_copy.mirror.borrow().version().era(),
             targets: self.catalog.borrow().len(),
             limited_targets: self.limits.borrow().limited_count(),
+            outdated_targets: self.catalog.borrow().outdated_count(),
             nodes: self.members.borrow().responsive(now).count() + 1,
         });
         self.meters.encode()
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -36,7 +36,7 @@
 const IDLE_COUNTS_INTERVAL: Duration = Duration::from_millis(1_000);
 /// The delay after an error of the socket.
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(250);
-/// The maximum number of limits in a datagram, so that it fits into one packet.
+/// The maximum number of statements about targets in a datagram, so that it fits into one packet.
 const MAX_STATEMENTS: usize = 32;
 /// The maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
@@ -232,14 +232,17 @@
         }
     }
 
-    /// Sends statements about limits to all nodes, since each one may get requests.
-    fn send_limits(&self, state: &EntryState, statements: &[LimitStatement]) {
+    fn all_nodes(&self, state: &EntryState) -> Vec<SocketAddr> {
         let members = state.members.borrow();
-        let to: Vec<SocketAddr> = members
-            .iter()
+        let nodes = members.iter();
+        nodes
             .map(|(_, node)| SocketAddr::new(node.ip, self.port))
-            .collect();
-        drop(members);
+            .collect()
+    }
+
+    /// Sends statements about limits to all nodes, since each one may get requests.
+    fn send_limits(&self, state: &EntryState, statements: &[LimitStatement]) {
+        let to = self.all_nodes(state);
         for part in statements.chunks(MAX_STATEMENTS) {
             self.send(state, &to, PeerMessage::Limits(part.to_vec()));
         }
@@ -248,6 +251,11 @@
     fn send_signals(&self, state: &EntryState) {
         let limits = state.limits.borrow_mut().drain_changes(state.clock.now());
         self.send_limits(state, &limits);
+        let outdated = std::mem::take(&mut *state.pending_outdated.borrow_mut());
+        for part in outdated.chunks(MAX_STATEMENTS) {
+            let message = PeerMessage::Outdated(part.to_vec());
+            self.send(state, &self.all_nodes(state), message);
+        }
         let signals = std::mem::take(&mut *state.pending_signals.borrow_mut());
         let crashes = std::mem::take(&mut *state.pending_crash_messages.borrow_mut());
         if signals.is_empty() && crashes.is_empty() {
@@ -383,6 +391,11 @@
                     rates.record_report(now, &vm, &count.customer, report);
                 }
             }
+            PeerMessage::Outdated(outdated) => {
+                for outdated in &outdated {
+                    state.apply_outdated(outdated, Some(&vm));
+                }
+            }
             PeerMessage::Signals(signals) => {
                 for (id, signal) in &signals {
                     state.apply_peer_signal(&vm, id, failure_signal(*signal));
--- a/entry/src/peer_wire.rs
+++ b/entry/src/peer_wire.rs
@@ -5,6 +5,7 @@
 use damaskloom_lib::entry_members::NodeHeartbeat;
 use damaskloom_lib::ids::{CustomerId, TargetId, VmId};
 use damaskloom_lib::target_balancer::TargetCode;
+use damaskloom_lib::target_catalog::OutdatedAddress;
 use damaskloom_lib::target_limits::LimitStatement;
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
@@ -63,6 +64,8 @@
     Crash(CrashMessage),
     /// The limits that targets name.
     Limits(Vec<LimitStatement>),
+    /// The targets at whose addresses other targets answered.
+    Outdated(Vec<OutdatedAddress>),
 }
 
 /// A message with its sender.
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -11,6 +11,7 @@
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::ids::{CustomerId, ServiceId, TargetId};
 use damaskloom_lib::return_delay::return_delay;
+use damaskloom_lib::target_catalog::OutdatedAddress;
 use damaskloom_lib::target_selection::{SelectionError, SelectionRequest, TargetSelection};
 use damaskloom_lib::units::ByteSize;
 use http::request::Parts;
@@ -360,10 +361,11 @@
     ) -> Result<TargetAnswer, AttemptFailure> {
         let id = &selection.target;
         let state = self.state;
-        let address = {
+        let (address, started_at_ms) = {
             let catalog = state.catalog.borrow();
             let target = catalog.get(id).expect("balancers hold known targets only");
-            target.announcement.address
+            let announcement = &target.announcement;
+            (announcement.address, announcement.started_at_ms)
         };
         let target = CallTarget {
             id,
@@ -387,6 +389,13 @@
             state.limits.borrow_mut().refund(state.clock.now(), id);
         }
         state.record_limit_notice(id, sent_at, result.report.limit);
+        if matches!(result.answer, Err(AttemptFailure::WrongTarget)) {
+            state.record_wrong_target(OutdatedAddress {
+                target: id.clone(),
+                started_at_ms,
+                address,
+            });
+        }
         self.record_outcome(id, &result, elapsed, was_late);
         result.answer
     }
@@ -500,15 +509,13 @@
         let (state, service) = (self.state, self.service);
         let now = state.clock.now();
         match failure {
-            AttemptFailure::NoConnection | AttemptFailure::Stale => {}
+            // A wrong target was recorded with the address that the request was sent to.
+            AttemptFailure::NoConnection | AttemptFailure::Stale | AttemptFailure::WrongTarget => {}
             AttemptFailure::Unreachable => {
                 state.with_balancer(service, |balancer| balancer.mark_unreachable(now, id));
                 let actions = state.crash_guard.borrow_mut().record_unreachable(now, id);
                 apply_crash_actions(state, actions);
             }
-            AttemptFailure::WrongTarget => {
-                state.with_balancer(service, |balancer| balancer.mark_unreachable(now, id));
-            }
             AttemptFailure::Full => {
                 state.with_balancer(service, |balancer| balancer.mark_full(now, id));
             }
--- a/lib/src/target_catalog.rs
+++ b/lib/src/target_catalog.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::ids::{DataCentreId, ServiceId, TargetId};
 use crate::time::MonoTime;
@@ -20,6 +21,9 @@
 /// How long the last announcement of a target that is gone is remembered, in milliseconds: longer than
 /// the age of a copy that the store is restored from.
 const DEPARTED_MS: u64 = 120_000;
+/// How long a target whose announcement was found outdated gets no requests unless it announces itself
+/// again, in milliseconds: several times as long as announcements of a target that is gone stay valid.
+const OUTDATED_MS: u64 = 10_000;
 const GRACE: Duration = Duration::from_millis(REANNOUNCE_GRACE_MS);
 
 /// A target's entry in the store, written by the target itself.
@@ -71,6 +75,28 @@
     pub announced_at: MonoTime,
     /// When the announcement disappeared, if it did during or right after an outage of the store.
     missing_since: Option<MonoTime>,
+    /// Until when the target gets no requests, since another one was found at its address.
+    outdated_until: Option<MonoTime>,
+}
+
+impl KnownTarget {
+    /// Returns whether the target may get requests: it is not leaving, and its address is its own as
+    /// far as is known.
+    pub fn is_usable(&self) -> bool {
+        !self.announcement.leaving && self.outdated_until.is_none()
+    }
+}
+
+/// The part of an announcement that another target's answer at the address proves wrong.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct OutdatedAddress {
+    /// The target.
+    pub target: TargetId,
+    /// The start of the target that had announced the address.
+    pub started_at_ms: Option<u64>,
+    /// The address.
+    pub address: SocketAddr,
 }
 
 /// A change of one target in the catalogue.
@@ -78,7 +104,7 @@
 pub enum CatalogChange {
     /// The target is new or has restarted under the same name.
     Started(TargetId),
-    /// The target changed its announcement.
+    /// The target changed its announcement, or became usable or unusable.
     Updated(TargetId),
     /// The target was removed.
     Removed(TargetId),
@@ -88,6 +114,8 @@
 #[derive(Debug, Default)]
 pub struct TargetCatalog {
     targets: IndexMap<TargetId, KnownTarget>,
+    /// The target that started last of those that announced an address.
+    addresses: IndexMap<SocketAddr, TargetId>,
     /// The last announcements of targets that are gone, and when they were removed.
     departed: IndexMap<TargetId, (AnnouncementStamp, MonoTime)>,
     /// When the store last became unavailable; announcements that disappear soon after may have expired.
@@ -152,19 +180,26 @@
         id: TargetId,
         announcement: Announcement,
     ) -> Option<CatalogChange> {
-        let known = KnownTarget {
+        let mut known = KnownTarget {
             announcement,
             announced_at: now,
             missing_since: None,
+            outdated_until: None,
         };
         let Some(held) = self.targets.get_mut(&id) else {
             self.targets.insert(id.clone(), known);
             return Some(CatalogChange::Started(id));
         };
+        let was_usable = held.is_usable();
         let same_start = held.announcement.started_at_ms == known.announcement.started_at_ms
             && held.announcement.address == known.announcement.address;
-        let same =
-            held.announcement.is_same_as(&known.announcement) && held.missing_since.is_none();
+        if same_start && known.announcement.writes <= held.announcement.writes {
+            // The announcement is not newer than the one that was found outdated.
+            known.outdated_until = held.outdated_until;
+        }
+        let same = held.announcement.is_same_as(&known.announcement)
+            && held.missing_since.is_none()
+            && was_usable == known.is_usable();
         *held = known;
         match (same_start, same) {
             (false, _) => Some(CatalogChange::Started(id)),
@@ -173,6 +208,50 @@
         }
     }
 
+    /// Records that another target answered at a target's address; returns whether that was news.
+    ///
+    /// The target gets no requests until it announces itself again, or for [`OUTDATED_MS`].
+    pub fn mark_outdated(&mut self, now: MonoTime, outdated: &OutdatedAddress) -> bool {
+        let Some(held) = self.targets.get_mut(&outdated.target) else {
+            return false;
+        };
+        let announcement = &held.announcement;
+        let is_current = announcement.started_at_ms == outdated.started_at_ms
+            && announcement.address == outdated.address;
+        if !is_current || held.outdated_until.is_some() {
+            return false;
+        }
+        held.outdated_until = Some(now + Duration::from_millis(OUTDATED_MS));
+        true
+    }
+
+    /// Records which target announced an address last, and returns another target whose announcement
+    /// of the same address is thereby outdated.
+    pub fn claim_address(&mut self, id: &TargetId) -> Option<OutdatedAddress> {
+        let claimed = &self.targets.get(id)?.announcement;
+        let (address, started_at_ms) = (claimed.address, claimed.started_at_ms);
+        let holder = self.addresses.get(&address).filter(|holder| *holder != id);
+        let holder = holder.and_then(|holder| Some((holder.clone(), self.targets.get(holder)?)));
+        let Some((holder, held)) = holder.filter(|(_, held)| held.announcement.address == address)
+        else {
+            self.addresses.insert(address, id.clone());
+            return None;
+        };
+        let held_since = held.announcement.started_at_ms;
+        // Without both starts, only an answer from the address tells whose it is.
+        let (newer, older) = match (started_at_ms?, held_since?) {
+            (own, held) if own > held => (id, (holder, held_since)),
+            (own, held) if own < held => (&holder, (id.clone(), started_at_ms)),
+            _ => return None,
+        };
+        self.addresses.insert(address, newer.clone());
+        Some(OutdatedAddress {
+            target: older.0,
+            started_at_ms: older.1,
+            address,
+        })
+    }
+
     /// Adds or updates a target by its announcement in a store that was restored from a copy; `None` if
     /// nothing has changed.
     ///
@@ -218,13 +297,37 @@
 
     fn remove(&mut self, now: MonoTime, id: &TargetId) {
         let removed = self.targets.shift_remove(id);
+        if let Some(target) = &removed {
+            let address = target.announcement.address;
+            if self.addresses.get(&address) == Some(id) {
+                self.addresses.swap_remove(&address);
+            }
+        }
         if let Some(stamp) = removed.and_then(|target| target.announcement.stamp()) {
             self.departed.insert(id.clone(), (stamp, now));
         }
     }
 
-    /// Removes targets that did not announce themselves again in time after an outage.
+    /// Removes targets that did not announce themselves again in time after an outage, and makes
+    /// targets usable again whose announcements were found outdated long ago.
     pub fn tick(&mut self, now: MonoTime) -> Vec<CatalogChange> {
+        let mut changes = self.end_outdated(now);
+        changes.extend(self.remove_missing(now));
+        changes
+    }
+
+    fn end_outdated(&mut self, now: MonoTime) -> Vec<CatalogChange> {
+        let mut changes = Vec::new();
+        for (id, target) in &mut self.targets {
+            if target.outdated_until.is_some_and(|until| now >= until) {
+                target.outdated_until = None;
+                changes.push(CatalogChange::Updated(id.clone()));
+            }
+        }
+        changes
+    }
+
+    fn remove_missing(&mut self, now: MonoTime) -> Vec<CatalogChange> {
         let departed_period = Duration::from_millis(DEPARTED_MS);
         self.departed
             .retain(|_, (_, removed_at)| now.since(*removed_at) < departed_period);
@@ -255,6 +358,14 @@
         self.targets.iter()
     }
 
+    /// Returns the number of targets whose announcements were found outdated.
+    pub fn outdated_count(&self) -> usize {
+        let targets = self.targets.values();
+        targets
+            .filter(|target| target.outdated_until.is_some())
+            .count()
+    }
+
     /// Returns the number of targets.
     pub fn len(&self) -> usize {
         self.targets.len()
--- a/lib/tests/test_target_catalog.rs
+++ b/lib/tests/test_target_catalog.rs
@@ -7,7 +7,7 @@
 use damaskloom_lib::store_version::StoreVersion;
 use damaskloom_lib::table_mirror::{MirrorRow, TableMirror};
 use damaskloom_lib::target_catalog::{
-    Announcement, CatalogChange, REANNOUNCE_GRACE_MS, TargetCatalog,
+    Announcement, CatalogChange, OutdatedAddress, REANNOUNCE_GRACE_MS, TargetCatalog,
 };
 use damaskloom_lib::time::MonoTime;
 
@@ -297,3 +297,79 @@
     }
     assert_eq!(StoreVersion::new(0, 1 << 48), None);
 }
+
+fn outdated(name: &str, started_at_ms: u64) -> OutdatedAddress {
+    OutdatedAddress {
+        target: id(name),
+        started_at_ms: Some(started_at_ms),
+        address: announcement(started_at_ms).address,
+    }
+}
+
+/// Guards against requests that go on to an address after another target has answered there, and
+/// against a target that is given up for good although it announces itself again.
+#[test]
+fn a_target_with_an_outdated_address_is_unusable_until_it_announces_itself_again() {
+    let mut catalog = TargetCatalog::default();
+    catalog.apply_announcement(at(0), id("a"), announcement(1));
+    assert!(catalog.mark_outdated(at(10), &outdated("a", 1)));
+    assert!(!catalog.mark_outdated(at(20), &outdated("a", 1)));
+    assert!(!catalog.get(&id("a")).expect("it is known").is_usable());
+    // The same announcement, as a table that is read again has it, is no news.
+    catalog.apply_announcement(at(30), id("a"), announcement(1));
+    assert!(!catalog.get(&id("a")).expect("it is known").is_usable());
+    let mut renewed = announcement(1);
+    renewed.writes = 2;
+    let change = catalog.apply_announcement(at(40), id("a"), renewed);
+    assert_eq!(change, Some(CatalogChange::Updated(id("a"))));
+    assert!(catalog.get(&id("a")).expect("it is known").is_usable());
+}
+
+/// Guards against a sound target that never gets requests again because of one wrong answer.
+#[test]
+fn a_target_with_an_outdated_address_is_tried_again_after_some_time() {
+    let mut catalog = TargetCatalog::default();
+    catalog.apply_announcement(at(0), id("a"), announcement(1));
+    catalog.mark_outdated(at(10), &outdated("a", 1));
+    assert_eq!(catalog.tick(at(9_000)), []);
+    assert_eq!(catalog.tick(at(10_010)), [CatalogChange::Updated(id("a"))]);
+    assert!(catalog.get(&id("a")).expect("it is known").is_usable());
+}
+
+/// Guards against a late message that makes a restarted target unusable.
+#[test]
+fn an_outdated_address_of_an_earlier_start_is_ignored() {
+    let mut catalog = TargetCatalog::default();
+    catalog.apply_announcement(at(0), id("a"), announcement(1));
+    catalog.mark_outdated(at(10), &outdated("a", 1));
+    let change = catalog.apply_announcement(at(20), id("a"), announcement(2));
+    assert_eq!(change, Some(CatalogChange::Started(id("a"))));
+    assert!(!catalog.mark_outdated(at(30), &outdated("a", 1)));
+    assert!(catalog.get(&id("a")).expect("it is known").is_usable());
+}
+
+/// Guards against requests to a target that has ended, while the row of the target that started
+/// later at the same address is known already.
+#[test]
+fn the_later_of_two_targets_at_an_address_has_it() {
+    for order in [["old", "new"], ["new", "old"]] {
+        let mut catalog = TargetCatalog::default();
+        let mut found = Vec::new();
+        for name in order {
+            let started_at_ms = if name == "old" { 1 } else { 2 };
+            catalog.apply_announcement(at(0), id(name), announcement(started_at_ms));
+            found.extend(catalog.claim_address(&id(name)));
+        }
+        assert_eq!(found, [outdated("old", 1)], "{order:?}");
+    }
+    // A target that moved away keeps no claim to its former address.
+    let mut catalog = TargetCatalog::default();
+    catalog.apply_announcement(at(0), id("a"), announcement(1));
+    catalog.claim_address(&id("a"));
+    let mut moved = announcement(1);
+    moved.address = "10.0.0.2:80".parse().expect("an address");
+    catalog.apply_announcement(at(10), id("a"), moved);
+    catalog.claim_address(&id("a"));
+    catalog.apply_announcement(at(20), id("b"), announcement(2));
+    assert_eq!(catalog.claim_address(&id("b")), None);
+}
