lib, entry: the shares of the repeat allowance add up to the allowance

On the code before, 48 nodes of which 12 carry traffic send 192 repeats where 164 are allowed, and 12 nodes that start together 328 where 202 are (tests nodes_that_carry_no_traffic_add_nothing_to_the_allowance, nodes_that_restart_together_keep_within_the_repeat_budget).

Change: a node that neither carries traffic nor is expected to has no part; one of the others has one of as many as carry traffic or are expected to, and none before it knows which these are. Its requests earn repeats all the same.

Two tests that fail before and pass now; the third moved here unchanged in what it checks.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -327,6 +327,7 @@
         if is_first {
             // Other nodes can list this one in the directory as soon as it serves.
             self.heartbeat_due.notify_one();
+            self.update_repeat_share();
         }
     }
 
@@ -337,6 +338,7 @@
             let targets = self.catalog.borrow().len();
             tracing::info!(targets, "targets known");
             self.heartbeat_due.notify_one();
+            self.update_repeat_share();
         }
     }
 
--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -7,6 +7,7 @@
     EntryNode, EntryRequirements, cpu_demand, rollout_step, select_entries,
 };
 use damaskloom_lib::ids::{DataCentreId, ServiceId};
+use damaskloom_lib::repeat_budget::AllowanceShare;
 use indexmap::IndexMap;
 
 use crate::entry_state::EntryState;
@@ -104,6 +105,20 @@
         }
     }
 
+    /// Updates this node's part of the allowance of repeats: one of the nodes that carry traffic, or are
+    /// expected to, has an even part.
+    pub fn update_repeat_share(&self) {
+        let share = if self.is_carrying() || self.is_entry() {
+            let now = self.clock.now();
+            let carrying = self.members.borrow().carrying(now).count();
+            let expected = self.expected_entry_nodes().len();
+            AllowanceShare::OneOf(carrying.max(expected) + 1)
+        } else {
+            AllowanceShare::None
+        };
+        self.repeat_budget.borrow_mut().set_share(share);
+    }
+
     /// Returns whether this node follows the store: as a reader for others, or because it receives
     /// no heartbeat from a reader.
     ///
--- a/entry/src/fleet_rows.rs
+++ b/entry/src/fleet_rows.rs
@@ -79,6 +79,7 @@
     *state.secret.borrow_mut() = Some(SharedSecret::new(secret));
     state.joined_at.set(Some(state.clock.now()));
     state.update_role();
+    state.update_repeat_share();
     state.role_changed.notify_waiters();
     state.heartbeat_due.notify_one();
     let existing = find(&format!("{NODE_PREFIX}{}", settings.vm));
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -90,11 +90,7 @@
             state.update_limits();
             let repeats = state.limits.borrow_mut().due_repeats(now);
             self.send_limits(state, &repeats);
-            let carrying = state.members.borrow().carrying(now).count();
-            state
-                .repeat_budget
-                .borrow_mut()
-                .set_node_count(carrying + 1);
+            state.update_repeat_share();
             log_repeats(state);
             tokio::time::sleep(MIN_HEARTBEAT_INTERVAL).await;
             tokio::select! {
--- a/lib/src/repeat_budget.rs
+++ b/lib/src/repeat_budget.rs
@@ -2,8 +2,7 @@
 //!
 //! In each window, the fleet may send a service repeats up to a fraction of its requests, plus a fixed
 //! allowance. Requests of this node earn the fraction, the allowance is divided over the nodes that
-//! carry traffic. See
-//! [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
+//! carry traffic or are expected to. A process has no part of it before it knows of the others. See [docs/design/attempts.md](../../docs/design/attempts.md).
 
 use std::time::Duration;
 
@@ -36,9 +35,20 @@
     pub repeats: u64,
 }
 
+/// A node's part of the fixed allowance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AllowanceShare {
+    /// The node carries no traffic; its requests earn repeats all the same.
+    None,
+    /// The node is one of so many that carry traffic or are expected to.
+    OneOf(usize),
+}
+
 #[derive(Debug)]
 struct ServiceAccount {
     tokens: f64,
+    /// Whether the account has had the part of the allowance that can be saved up.
+    is_endowed: bool,
     refilled_at: MonoTime,
     usage: RepeatUsage,
 }
@@ -47,16 +57,17 @@
 #[derive(Debug)]
 pub struct RepeatBudget {
     terms: RepeatTerms,
-    node_count: f64,
+    /// The fraction of the allowance that is this node's.
+    share: f64,
     accounts: IndexMap<ServiceId, ServiceAccount>,
 }
 
 impl RepeatBudget {
-    /// Creates a budget that this node does not share with others.
+    /// Creates a budget without a share of the allowance.
     pub fn new(terms: RepeatTerms) -> Self {
         Self {
             terms,
-            node_count: 1.0,
+            share: 0.0,
             accounts: IndexMap::new(),
         }
     }
@@ -66,9 +77,12 @@
         self.terms = terms;
     }
 
-    /// Sets the number of nodes that share the fixed allowance.
-    pub fn set_node_count(&mut self, nodes: usize) {
-        self.node_count = nodes.max(1) as f64;
+    /// Sets this node's part of the fixed allowance.
+    pub fn set_share(&mut self, share: AllowanceShare) {
+        self.share = match share {
+            AllowanceShare::None => 0.0,
+            AllowanceShare::OneOf(nodes) => 1.0 / nodes.max(1) as f64,
+        };
     }
 
     /// Records a request for a service, which earns a fraction of a repeat.
@@ -107,16 +121,21 @@
     fn account(&mut self, now: MonoTime, service: &ServiceId) -> &mut ServiceAccount {
         // Half of the allowance can be saved up and half refills over a window, so that no window
         // sees more than all of it.
-        let half = self.terms.slack * USED_FRACTION / self.node_count / 2.0;
+        let half = self.terms.slack * USED_FRACTION * self.share / 2.0;
         let per_second = half / self.terms.window.as_secs_f64().max(1.0);
         let account = self
             .accounts
             .entry(service.clone())
             .or_insert(ServiceAccount {
-                tokens: half,
+                tokens: 0.0,
+                is_endowed: false,
                 refilled_at: now,
                 usage: RepeatUsage::default(),
             });
+        if !account.is_endowed && half > 0.0 {
+            account.is_endowed = true;
+            account.tokens += half;
+        }
         let elapsed = now.since(account.refilled_at).as_secs_f64();
         account.refilled_at = now;
         account.tokens = (account.tokens + elapsed * per_second).min(half.max(1.0));
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -40,6 +40,7 @@
 mod test_membership;
 mod test_picker;
 mod test_rate_limits;
+mod test_repeat_budget;
 mod test_return_delay;
 mod test_row_fetches;
 mod test_scenarios;
--- /dev/null
+++ b/lib/tests/test_repeat_budget.rs
@@ -0,0 +1,124 @@
+//! Tests that the nodes' shares of the repeat budget add up to no more than the budget.
+
+use std::time::Duration;
+
+use damaskloom_lib::ids::ServiceId;
+use damaskloom_lib::repeat_budget::{AllowanceShare, RepeatBudget, RepeatTerms};
+use damaskloom_lib::time::MonoTime;
+
+const TERMS: RepeatTerms = RepeatTerms {
+    ratio: 0.2,
+    slack: 64.0,
+    window: Duration::from_secs(10),
+};
+const WINDOW_MS: u64 = 10_000;
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from_millis(100_000 + ms)
+}
+
+/// A fleet in which each request demands a repeat, and the repeats that it sent.
+struct RepeatFleet {
+    budgets: Vec<RepeatBudget>,
+    service: ServiceId,
+    requests: Vec<u64>,
+    repeats: Vec<u64>,
+}
+
+impl RepeatFleet {
+    fn new(nodes: usize) -> Self {
+        Self {
+            budgets: (0..nodes).map(|_| RepeatBudget::new(TERMS)).collect(),
+            service: "desk".parse().expect("a valid name"),
+            requests: Vec::new(),
+            repeats: Vec::new(),
+        }
+    }
+
+    fn request(&mut self, ms: u64, node: usize) {
+        let budget = &mut self.budgets[node];
+        budget.record_request(at(ms), &self.service);
+        self.requests.push(ms);
+        if budget.try_spend(at(ms), &self.service) {
+            self.repeats.push(ms);
+        }
+    }
+
+    fn count(times: &[u64], from: u64) -> f64 {
+        let window = from..from + WINDOW_MS;
+        times.iter().filter(|at| window.contains(*at)).count() as f64
+    }
+
+    /// Checks the limit in each window.
+    fn check(&self, until_ms: u64) {
+        for from in (0..until_ms - WINDOW_MS).step_by(100) {
+            let allowed = Self::count(&self.requests, from) * TERMS.ratio + TERMS.slack;
+            let repeats = Self::count(&self.repeats, from);
+            assert!(
+                repeats <= allowed,
+                "{repeats} repeats from {from} ms, {allowed} allowed"
+            );
+        }
+    }
+}
+
+/// Guards against repeats that exceed the limit of the fleet, since every node spends a budget of
+/// its own.
+#[test]
+fn the_fleet_keeps_within_its_repeat_budget() {
+    let nodes = 12;
+    let mut fleet = RepeatFleet::new(nodes);
+    for budget in &mut fleet.budgets {
+        budget.set_share(AllowanceShare::OneOf(nodes));
+    }
+    for step in 0..6_000_u64 {
+        fleet.request(step * 5, step as usize % nodes);
+    }
+    fleet.check(30_000);
+    assert!(fleet.repeats.len() > 100, "too few repeats were allowed");
+}
+
+/// Guards against processes that each take the whole allowance when all nodes start at once, before
+/// they know of each other, although the processes before them may have spent it.
+#[test]
+fn nodes_that_restart_together_keep_within_the_repeat_budget() {
+    let nodes = 12;
+    let mut fleet = RepeatFleet::new(nodes);
+    // Single requests, but many at once after each start, as callers come back.
+    for ms in 0..30_000_u64 {
+        let since_start = ms % WINDOW_MS;
+        if since_start == 0 {
+            for budget in &mut fleet.budgets {
+                *budget = RepeatBudget::new(TERMS);
+            }
+        }
+        if since_start == 500 {
+            for budget in &mut fleet.budgets {
+                budget.set_share(AllowanceShare::OneOf(nodes));
+            }
+        }
+        if since_start < 500 || ms % 50 == 0 {
+            fleet.request(ms, ms as usize % nodes);
+        }
+    }
+    fleet.check(30_000);
+}
+
+/// Guards against an allowance that grows with the nodes outside the directory, each of which gets
+/// single requests.
+#[test]
+fn nodes_that_carry_no_traffic_add_nothing_to_the_allowance() {
+    let (nodes, carrying) = (48, 12);
+    let mut fleet = RepeatFleet::new(nodes);
+    for (node, budget) in fleet.budgets.iter_mut().enumerate() {
+        budget.set_share(if node < carrying {
+            AllowanceShare::OneOf(carrying)
+        } else {
+            AllowanceShare::None
+        });
+    }
+    for step in 0..1_500_u64 {
+        fleet.request(step * 20, step as usize % nodes);
+    }
+    fleet.check(30_000);
+}
--- a/lib/tests/test_target_balancer.rs
+++ b/lib/tests/test_target_balancer.rs
@@ -1,11 +1,10 @@
-//! Tests target selection: the failure filter, the target balancer and the repeat budget.
+//! Tests target selection: the failure filter and the target balancer.
 
 use std::time::Duration;
 
 use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::failure_filter::{FailureFilter, FailureSignal};
-use damaskloom_lib::ids::{DataCentreId, ServiceId, TargetId, VmId};
-use damaskloom_lib::repeat_budget::{RepeatBudget, RepeatTerms};
+use damaskloom_lib::ids::{DataCentreId, TargetId, VmId};
 use damaskloom_lib::target_balancer::{TargetBalancer, TargetCode};
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_selection::{SelectionError, SelectionRequest};
@@ -204,48 +203,6 @@
     assert!(balancer.failing_probability(at(10), &target("a")) < before);
 }
 
-/// Guards against repeats that exceed the limit of the fleet, since every node spends a budget of
-/// its own.
-#[test]
-fn the_fleet_keeps_within_its_repeat_budget() {
-    let terms = RepeatTerms {
-        ratio: 0.2,
-        slack: 64.0,
-        window: Duration::from_secs(10),
-    };
-    let service: ServiceId = "desk".parse().expect("a valid name");
-    let nodes = 12;
-    let mut budgets: Vec<RepeatBudget> = (0..nodes)
-        .map(|_| {
-            let mut budget = RepeatBudget::new(terms);
-            budget.set_node_count(nodes);
-            budget
-        })
-        .collect();
-    // Each request demands a repeat; the requests go to the nodes in turn.
-    let mut repeats = Vec::new();
-    for ms in 0..30_000_u64 {
-        if ms % 5 != 0 {
-            continue;
-        }
-        let budget = &mut budgets[(ms / 5) as usize % nodes];
-        budget.record_request(at(ms), &service);
-        if budget.try_spend(at(ms), &service) {
-            repeats.push(ms);
-        }
-    }
-    let requests_in_window = 2_000.0;
-    let allowed = requests_in_window * terms.ratio + terms.slack;
-    for from in (0..20_000).step_by(100) {
-        let inside = repeats
-            .iter()
-            .filter(|at| (from..from + 10_000).contains(*at))
-            .count();
-        assert!(inside as f64 <= allowed, "{inside} from {from} ms");
-    }
-    assert!(repeats.len() > 100, "too few repeats were allowed");
-}
-
 /// Guards against requests to a target in unknown state although peers know another one to work.
 #[test]
 fn successes_of_local_peers_lower_the_failing_probability() {
