--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -35,7 +35,7 @@
 use crate::entry_meters::{EntryMeters, GaugeValues};
 use crate::settings::EntrySettings;
 use crate::table_copy::{TableCopy, TableKind};
-use crate::target_pool::TargetPools;
+use crate::target_pool::{TargetNetwork, TargetPools};
 use crate::wall_clock::unix_ms;
 
 /// The state that the tasks of one entry process read and change.
@@ -123,7 +123,10 @@
     /// # Errors
     ///
     /// Fails if the metrics cannot be set up.
-    pub fn new(settings: EntrySettings) -> Result<Rc<Self>, MeterError> {
+    pub fn new(
+        settings: EntrySettings,
+        network: Rc<dyn TargetNetwork>,
+    ) -> Result<Rc<Self>, MeterError> {
         let repeat_budget = RepeatBudget::new(settings.bounds.repeat_terms());
         let clock = MonoClock::start();
         let rates = FleetRates::new(clock.now(), settings.bounds.rate_tolerance());
@@ -147,7 +150,7 @@
             catalog: RefCell::default(),
             balancers: RefCell::default(),
             limits: RefCell::new(TargetLimits::new(own)),
-            target_pools: TargetPools::default(),
+            target_pools: TargetPools::new(network),
             rates: RefCell::new(rates),
             repeat_budget: RefCell::new(repeat_budget),
             crash_guard: RefCell::new(crash_guard),
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -20,6 +20,7 @@
 use crate::settings::EntrySettings;
 use crate::store_watch::{run_target_expiry, watch_routing, watch_targets};
 use crate::table_copy::TableKind;
+use crate::target_pool::{SystemNetwork, TargetNetwork};
 
 /// The interval at which the settings file is checked for changes, since it may change without a
 /// signal.
@@ -64,6 +65,19 @@
 /// Fails if an address is in use, the metrics cannot be set up or signal handlers cannot be
 /// installed.
 pub async fn run(path: PathBuf, settings: EntrySettings) -> Result<(), StartError> {
+    run_on(path, settings, Rc::new(SystemNetwork)).await
+}
+
+/// Runs an entry process that reaches targets over a given network; see [`run`].
+///
+/// # Errors
+///
+/// As [`run`].
+pub async fn run_on(
+    path: PathBuf,
+    settings: EntrySettings,
+    network: Rc<dyn TargetNetwork>,
+) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
     let reload = signal(SignalKind::hangup()).context(SignalsSnafu)?;
@@ -79,7 +93,7 @@
     let peers = Rc::new(PeerSocket::new(socket, settings.peer_port));
     let metrics_address = SocketAddr::new(settings.ip, settings.metrics_port);
     let metrics = listen(metrics_address).await?;
-    let state = EntryState::new(settings).context(MetersSnafu)?;
+    let state = EntryState::new(settings, network).context(MetersSnafu)?;
     let (stop, stopped) = watch::channel(false);
     let callers = tokio::task::spawn_local(serve_callers(Rc::clone(&state), callers, stopped));
     tokio::task::spawn_local(serve_readiness(Rc::clone(&state), ready));
--- a/entry/src/target_pool.rs
+++ b/entry/src/target_pool.rs
@@ -1,6 +1,7 @@
 //! The pools of HTTP/1.1 connections from this node to targets.
 
 use std::cell::{Cell, RefCell};
+use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -8,6 +9,7 @@
 use damaskloom_gateway::body_stream::RequestBody;
 use damaskloom_lib::attempt_failure::AttemptFailure;
 use damaskloom_lib::ids::TargetId;
+use futures::future::LocalBoxFuture;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
@@ -42,6 +44,22 @@
     Unreachable,
 }
 
+/// The network between this node and the targets; tests replace it by one that fails.
+pub trait TargetNetwork: Debug {
+    /// Opens a connection.
+    fn connect(&self, address: SocketAddr) -> LocalBoxFuture<'static, std::io::Result<TcpStream>>;
+}
+
+/// The network of the system.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemNetwork;
+
+impl TargetNetwork for SystemNetwork {
+    fn connect(&self, address: SocketAddr) -> LocalBoxFuture<'static, std::io::Result<TcpStream>> {
+        Box::pin(TcpStream::connect(address))
+    }
+}
+
 impl From<ConnectError> for AttemptFailure {
     fn from(error: ConnectError) -> Self {
         match error {
@@ -61,6 +79,7 @@
 #[derive(Debug)]
 pub struct TargetPool {
     address: SocketAddr,
+    network: Rc<dyn TargetNetwork>,
     idle: RefCell<Vec<IdleConnection>>,
     open: Cell<u32>,
 }
@@ -108,7 +127,7 @@
 
     async fn connect(&self, timeout: Duration) -> Option<SendRequest<RequestBody>> {
         let timeout = timeout.min(CONNECT_TIMEOUT);
-        let stream = tokio::time::timeout(timeout, TcpStream::connect(self.address)).await;
+        let stream = tokio::time::timeout(timeout, self.network.connect(self.address)).await;
         let stream = stream.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let socket = SockRef::from(&stream);
@@ -206,12 +225,21 @@
 }
 
 /// The connection pools of all targets.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TargetPools {
+    network: Rc<dyn TargetNetwork>,
     pools: RefCell<IndexMap<TargetId, Rc<TargetPool>>>,
 }
 
 impl TargetPools {
+    /// Creates pools that connect over a network.
+    pub fn new(network: Rc<dyn TargetNetwork>) -> Self {
+        Self {
+            network,
+            pools: RefCell::default(),
+        }
+    }
+
     /// Returns the pool of a target; a changed address starts a new pool.
     pub fn pool(&self, id: &TargetId, address: SocketAddr) -> Rc<TargetPool> {
         let mut pools = self.pools.borrow_mut();
@@ -220,6 +248,7 @@
             _ => {
                 let pool = Rc::new(TargetPool {
                     address,
+                    network: Rc::clone(&self.network),
                     idle: RefCell::default(),
                     open: Cell::new(0),
                 });
--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -9,8 +9,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use damaskloom_entry::process::run;
+use damaskloom_entry::process::{run, run_on};
 use damaskloom_entry::settings::EntrySettings;
+use damaskloom_entry::target_pool::TargetNetwork;
 use damaskloom_testutils::platform_server::PlatformServer;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -229,6 +230,15 @@
         Self::start_with_store(store.address(), peer_port)
     }
 
+    /// Starts a node that reaches targets over a network.
+    pub fn start_on(store: &PlatformServer, network: Rc<dyn TargetNetwork>) -> Self {
+        let settings = node_settings(store.address(), PEER_PORT);
+        let settings = EntrySettings::parse(settings.to_string(), "test").expect("valid settings");
+        let process = run_on(PathBuf::from("test"), settings.clone(), network);
+        tokio::task::spawn_local(async move { process.await.expect("the node runs") });
+        Self { settings }
+    }
+
     /// Starts a node that reaches the store at an address.
     pub fn start_with_store(store: SocketAddr, peer_port: u16) -> Self {
         let settings = node_settings(store, peer_port);
@@ -304,7 +314,13 @@
     panic!("timed out waiting until {what}");
 }
 
-async fn send(address: SocketAddr, method: &str, path: &str, key: Option<&str>) -> CallerAnswer {
+/// Sends a request to an address on a new connection; waits until the address accepts one.
+pub async fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    key: Option<&str>,
+) -> CallerAnswer {
     for _ in 0..MAX_POLLS {
         if let Ok(stream) = TcpStream::connect(address).await {
             return exchange(stream, method, path, key).await;
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -1,6 +1,8 @@
 //! All tests of the crate, with one module for each subject.
 
+mod cut_network;
 mod fixture;
+mod test_cut_off_nodes;
 mod test_endless_answers;
 mod test_fleet;
 mod test_limited_targets;
--- /dev/null
+++ b/entry/tests/test_cut_off_nodes.rs
@@ -0,0 +1,157 @@
+//! Tests nodes that are cut off from all targets while callers and other nodes reach them.
+
+use std::rc::Rc;
+
+use damaskloom_testutils::platform_server::PlatformServer;
+use http::StatusCode;
+use tokio::task::LocalSet;
+
+use crate::cut_network::{CutNetwork, NetworkCut};
+use crate::fixture::{
+    EntryNode, PEER_PORT, TargetBehaviour, TestTarget, configuration, wait_until,
+};
+
+/// The requests that a caller sends to the cut node in a test.
+const REQUESTS: u32 = 60;
+
+/// A fleet of two nodes, of which one can be cut off, with eight targets.
+struct CutFleet {
+    cut_node: EntryNode,
+    network: Rc<CutNetwork>,
+    sound_node: EntryNode,
+    targets: Vec<Rc<TestTarget>>,
+    _store: PlatformServer,
+}
+
+impl CutFleet {
+    async fn start() -> Self {
+        let store = PlatformServer::start_local().await;
+        let store = store.expect("loopback has a free port");
+        store.put("op", "config", configuration(1, &["key-1"]));
+        let mut targets = Vec::new();
+        for index in 0..8 {
+            let id = format!("i-{index}");
+            let target = TestTarget::start(&id, TargetBehaviour::Succeeds).await;
+            store.put("servers", &target.id, target.row("ready"));
+            targets.push(target);
+        }
+        let network = CutNetwork::new();
+        let cut_node = EntryNode::start_on(&store, Rc::clone(&network) as _);
+        let sound_node = EntryNode::start(&store, PEER_PORT);
+        cut_node.wait_until_ready().await;
+        sound_node.wait_until_ready().await;
+        wait_until("the directory names both nodes", async || {
+            cut_node.directory().await.len() == 2 && sound_node.directory().await.len() == 2
+        })
+        .await;
+        Self {
+            cut_node,
+            network,
+            sound_node,
+            targets,
+            _store: store,
+        }
+    }
+
+    async fn book(&self) -> StatusCode {
+        let answer = self.cut_node.send("POST", "/book/1", Some("key-1"));
+        answer.await.status
+    }
+
+    fn runs(&self) -> u32 {
+        self.targets.iter().map(|target| target.runs.get()).sum()
+    }
+}
+
+/// Guards against callers of a cut node that are refused although other nodes reach the targets: they
+/// keep coming while they hold an earlier answer of the directory.
+#[tokio::test]
+async fn callers_of_a_node_that_is_cut_off_are_served() {
+    LocalSet::new()
+        .run_until(async {
+            for cut in [
+                NetworkCut::Reset,
+                NetworkCut::Silent,
+                NetworkCut::RefusesNew,
+            ] {
+                let fleet = CutFleet::start().await;
+                fleet.network.set(cut);
+                let mut served = 0;
+                for _ in 0..REQUESTS {
+                    served += u32::from(fleet.book().await == StatusCode::OK);
+                }
+                assert_eq!(served, REQUESTS, "{cut:?}");
+                assert_eq!(fleet.runs(), REQUESTS, "{cut:?}");
+            }
+        })
+        .await;
+}
+
+/// Guards against callers that are sent to a node without a path to any target, and against a node
+/// that stays out of the directory after the cut.
+#[tokio::test]
+async fn the_directory_names_a_node_only_while_it_reaches_targets() {
+    LocalSet::new()
+        .run_until(async {
+            let fleet = CutFleet::start().await;
+            fleet.network.set(NetworkCut::Reset);
+            for _ in 0..4 {
+                fleet.book().await;
+            }
+            let sound = [fleet.sound_node.caller_address().to_string()];
+            for node in [&fleet.sound_node, &fleet.cut_node] {
+                wait_until("the directory names the sound node alone", async || {
+                    node.directory().await == sound
+                })
+                .await;
+            }
+            fleet.network.set(NetworkCut::None);
+            for node in [&fleet.sound_node, &fleet.cut_node] {
+                wait_until("the directory names both nodes again", async || {
+                    node.directory().await.len() == 2
+                })
+                .await;
+            }
+        })
+        .await;
+}
+
+/// Guards against sound targets that the whole fleet takes for failing, and against ordinary requests
+/// that it takes for crashing, by the failures of a node that is cut off.
+#[tokio::test]
+async fn the_failures_of_a_node_that_is_cut_off_are_no_evidence() {
+    LocalSet::new()
+        .run_until(async {
+            let fleet = CutFleet::start().await;
+            // Requests hold connections to all targets when the cut comes.
+            for target in &fleet.targets {
+                target.behaviour.set(TargetBehaviour::NeverAnswers);
+            }
+            let held: Vec<_> = (0..8)
+                .map(|_| {
+                    let address = fleet.cut_node.caller_address();
+                    tokio::task::spawn_local(crate::fixture::send(
+                        address,
+                        "GET",
+                        "/read/1",
+                        Some("key-1"),
+                    ))
+                })
+                .collect();
+            wait_until("requests run", async || fleet.runs() >= 8).await;
+            for target in &fleet.targets {
+                target.behaviour.set(TargetBehaviour::Succeeds);
+            }
+            fleet.network.set(NetworkCut::Reset);
+            for request in held {
+                request.await.expect("the request ends");
+            }
+            for _ in 0..REQUESTS {
+                let answer = fleet.sound_node.send("GET", "/read/1", Some("key-1"));
+                assert_eq!(answer.await.status, StatusCode::OK);
+                let answer = fleet.cut_node.send("GET", "/read/1", Some("key-1"));
+                assert_eq!(answer.await.status, StatusCode::OK);
+            }
+        })
+        .await;
+}
