lib, entry: failures of a node that is cut off from all targets are no evidence

Callers of the whole fleet were refused ordinary requests ('request crashes targets and is refused' 35 times on sound nodes in two seconds of the incident), and sound nodes took up to 160 targets a second for failing.

Cause: a node that is cut off cannot tell a failing target from its own path, blamed each target, told all nodes, and its lost connections followed by failed connects passed for crashes. Class: evidence without the question whose fault it shows. Ruled out: other nodes' own evidence; the lines name the cut nodes as its origin.

Change: target_path looks at the attempts of all services. In doubt or cut, failures on the way reach neither filters nor peers nor the crash guard. The table of attempts says which failures are on the way.

What is left: the first two failures of a cut are still told to others.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -23,6 +23,7 @@
 };
 use damaskloom_lib::target_catalog::{CatalogChange, OutdatedAddress, TargetCatalog};
 use damaskloom_lib::target_limits::TargetLimits;
+use damaskloom_lib::target_path::TargetPath;
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::traffic_meter::TrafficMeter;
 use damaskloom_lib::weighted_split::WeightedSplit;
@@ -65,6 +66,10 @@
     pub balancers: RefCell<ServiceBalancers>,
     /// The limits that targets have named.
     pub limits: RefCell<TargetLimits>,
+    /// Whether this node reaches targets.
+    pub target_path: RefCell<TargetPath>,
+    /// Wakes the task that tries the path to the targets.
+    pub path_doubted: Notify,
     /// The connection pools of the targets.
     pub target_pools: TargetPools,
     /// The customers' rate limits.
@@ -150,6 +155,8 @@
             catalog: RefCell::default(),
             balancers: RefCell::default(),
             limits: RefCell::new(TargetLimits::new(own)),
+            target_path: RefCell::default(),
+            path_doubted: Notify::new(),
             target_pools: TargetPools::new(network),
             rates: RefCell::new(rates),
             repeat_budget: RefCell::new(repeat_budget),
@@ -521,6 +528,10 @@
             late.extend(targets.map(|id| (service.clone(), id)));
         }
         for (service, target) in late {
+            self.record_path_failure(&target);
+            if !self.target_path.borrow().is_evidence() {
+                continue;
+            }
             self.apply_signal(&service, &target, FailureSignal::Late);
         }
     }
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod fleet_rows;
 pub mod limit_sharing;
 pub mod log_lines;
+pub mod path_watch;
 pub mod peer_rows;
 pub mod peer_socket;
 pub mod peer_wire;
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -15,6 +15,7 @@
 use crate::caller_listener::{serve_callers, serve_directory, serve_metrics, serve_readiness};
 use crate::entry_state::EntryState;
 use crate::fleet_rows::{join_fleet, keep_fleet_rows};
+use crate::path_watch::run_path_tries;
 use crate::peer_rows::{run_row_fetches, serve_rows};
 use crate::peer_socket::PeerSocket;
 use crate::settings::EntrySettings;
@@ -108,6 +109,7 @@
     tokio::task::spawn_local(keep_fleet_rows(Rc::clone(&state), Rc::clone(&client)));
     tokio::task::spawn_local(watch_routing(Rc::clone(&state), Rc::clone(&client)));
     tokio::task::spawn_local(watch_targets(Rc::clone(&state), client));
+    tokio::task::spawn_local(run_path_tries(Rc::clone(&state)));
     tokio::task::spawn_local(run_target_expiry(Rc::clone(&state)));
     tokio::task::spawn_local(watch_settings(Rc::clone(&state), path, reload));
     spawn_peers(&state, &peers);
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use damaskloom_gateway::body_stream::RequestBody;
-use damaskloom_lib::attempt_failure::AttemptFailure;
+use damaskloom_lib::attempt_failure::{AttemptFailure, PathEvidence};
 use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::crash_guard::{RequestDigest, RequestFingerprint};
 use damaskloom_lib::failure_filter::FailureSignal;
@@ -450,6 +450,7 @@
             Ok(answer) if answer.status().is_server_error() => AttemptFailure::ServerError,
             Ok(answer) => {
                 self.record_arrival();
+                state.target_path.borrow_mut().record_answer();
                 self.record_completion();
                 if !was_late {
                     state.apply_signal(service, id, FailureSignal::Good);
@@ -508,6 +509,16 @@
     ) {
         let (state, service) = (self.state, self.service);
         let now = state.clock.now();
+        match failure.path_evidence() {
+            PathEvidence::None => {}
+            PathEvidence::Answered => state.target_path.borrow_mut().record_answer(),
+            PathEvidence::FailedOnTheWay => {
+                state.record_path_failure(id);
+                if !state.target_path.borrow().is_evidence() {
+                    return;
+                }
+            }
+        }
         match failure {
             // A wrong target was recorded with the address that the request was sent to.
             AttemptFailure::NoConnection | AttemptFailure::Stale | AttemptFailure::WrongTarget => {}
--- a/entry/src/target_pool.rs
+++ b/entry/src/target_pool.rs
@@ -160,6 +160,12 @@
         None
     }
 
+    fn clear_idle(&self) {
+        let closed = self.idle.borrow_mut().drain(..).count();
+        let closed = u32::try_from(closed).unwrap_or(0);
+        self.open.set(self.open.get().saturating_sub(closed));
+    }
+
     fn close_idle(&self) {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
@@ -224,7 +230,7 @@
     }
 }
 
-/// The connection pools of all targets.
+/// The connection pools of all servers of a kind, by their ids.
 #[derive(Debug)]
 pub struct TargetPools {
     network: Rc<dyn TargetNetwork>,
@@ -263,6 +269,21 @@
         self.pools.borrow_mut().swap_remove(id);
     }
 
+    /// Returns whether a target accepts a connection, which is closed again.
+    pub async fn try_connect(&self, address: SocketAddr) -> bool {
+        let connect = self.network.connect(address);
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
+        connected.is_ok_and(|connected| connected.is_ok())
+    }
+
+    /// Closes all idle connections.
+    pub fn clear_idle(&self) {
+        self.pools
+            .borrow()
+            .values()
+            .for_each(|pool| pool.clear_idle());
+    }
+
     /// Closes connections that were idle for longer than their timeout.
     pub fn close_idle(&self) {
         self.pools
--- a/lib/src/attempt_failure.rs
+++ b/lib/src/attempt_failure.rs
@@ -26,6 +26,17 @@
     ServerError,
 }
 
+/// What a failure shows about the path from this node to the target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PathEvidence {
+    /// Nothing: nothing was sent.
+    None,
+    /// The path is sound, since an answer came over it.
+    Answered,
+    /// The target or the path failed.
+    FailedOnTheWay,
+}
+
 impl AttemptFailure {
     /// All failures.
     pub const ALL: [Self; 9] = [
@@ -66,6 +77,17 @@
         }
     }
 
+    /// Returns what the failure shows about the path.
+    pub const fn path_evidence(self) -> PathEvidence {
+        match self {
+            Self::NoConnection | Self::Stale => PathEvidence::None,
+            Self::WrongTarget | Self::Full | Self::InvalidAnswer | Self::ServerError => {
+                PathEvidence::Answered
+            }
+            Self::Unreachable | Self::Broken | Self::TimedOut => PathEvidence::FailedOnTheWay,
+        }
+    }
+
     /// Returns the name of the failure in log lines and metrics.
     pub const fn label(self) -> &'static str {
         match self {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -116,6 +116,7 @@
 pub mod target_catalog;
 pub mod target_limits;
 pub mod target_load;
+pub mod target_path;
 pub mod target_picker;
 pub mod target_selection;
 pub mod target_statistics;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -50,3 +50,4 @@
 mod test_target_balancer;
 mod test_target_catalog;
 mod test_target_limits;
+mod test_target_path;
