lib, entry: the directory names no node that is cut off from all targets

Callers were sent to nodes that reach no target, to the end of the cut.

Cause: a node is named by its heartbeats, which said nothing of targets. Change: a phase of its own, CutOff, which is not named while any node serves. If none does, the cut ones are named, so that callers keep asking.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -271,6 +271,8 @@
         let settings = self.settings();
         let phase = if self.is_leaving() {
             EntryPhase::Leaving
+        } else if self.is_ready() && self.is_cut_off() {
+            EntryPhase::CutOff
         } else if self.is_ready() {
             EntryPhase::Serving
         } else {
--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use damaskloom_lib::entry_members::EntryPhase;
 use damaskloom_lib::entry_nodes::{
     EntryNode, EntryRequirements, cpu_demand, rollout_step, select_entries,
 };
@@ -38,11 +39,22 @@
         Duration::from_secs_f64(bound.min(DIRECTORY_LIFETIME_S))
     }
 
-    /// Returns all nodes that serve callers, including this one if it does.
+    /// Returns all nodes that serve callers, including this one if it does. If no node reaches a
+    /// target, those that could serve otherwise are returned, so that callers keep asking them.
     pub fn serving_nodes(&self) -> Vec<EntryNode> {
+        let serving = self.ready_nodes(EntryPhase::Serving);
+        if serving.is_empty() {
+            self.ready_nodes(EntryPhase::CutOff)
+        } else {
+            serving
+        }
+    }
+
+    fn ready_nodes(&self, phase: EntryPhase) -> Vec<EntryNode> {
         let now = self.clock.now();
-        let mut nodes: Vec<EntryNode> = self.members.borrow().serving(now).collect();
-        if self.is_ready() {
+        let mut nodes: Vec<EntryNode> = self.members.borrow().in_phase(now, phase).collect();
+        let is_cut_off = phase == EntryPhase::CutOff;
+        if self.is_ready() && self.is_cut_off() == is_cut_off {
             nodes.push(own_node(&self.settings()));
         }
         nodes
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -33,6 +33,8 @@
     Serving,
     /// The node is in a planned stop.
     Leaving,
+    /// The node could serve callers, but reaches no target.
+    CutOff,
 }
 
 /// The state that a node sends to all others at an interval.
@@ -236,10 +238,14 @@
 
     /// Returns the responsive nodes that serve callers.
     pub fn serving(&self, now: MonoTime) -> impl Iterator<Item = EntryNode> {
-        self.responsive(now).filter_map(|(vm, node)| {
+        self.in_phase(now, EntryPhase::Serving)
+    }
+
+    /// Returns the responsive nodes in a phase.
+    pub fn in_phase(&self, now: MonoTime, phase: EntryPhase) -> impl Iterator<Item = EntryNode> {
+        self.responsive(now).filter_map(move |(vm, node)| {
             let heartbeat = node.heartbeat.as_ref()?;
-            let is_serving = heartbeat.phase == EntryPhase::Serving;
-            is_serving.then(|| EntryNode {
+            (heartbeat.phase == phase).then(|| EntryNode {
                 vm: vm.clone(),
                 data_centre: heartbeat.data_centre.clone(),
                 address: heartbeat.caller_address,
