entry: a node that is cut off from all targets hands requests on to one that reaches them

Cause: no request could leave a node but to a target.

Only what has reached no target is handed on. While open connections live on and new ones are refused, the single request decides after two targets that accept none. A planned stop waits for such requests too.

Two more: nobody outside can pose as a node; a fleet that is cut off refuses as not run and comes back.

--- a/entry/src/caller_listener.rs
+++ b/entry/src/caller_listener.rs
@@ -23,6 +23,7 @@
 use tokio::sync::watch;
 
 use crate::entry_state::EntryState;
+use crate::hand_on::RequestOrigin;
 use crate::request_path::serve;
 
 /// The idle timeout of connections for the directory, readiness, metrics and peers' rows, and of
@@ -33,7 +34,10 @@
 /// The delay after a failed accept, for instance when file descriptors run out.
 const ACCEPT_ERROR_DELAY: Duration = Duration::from_millis(50);
 /// The read buffer of a caller's connection, in bytes: enough for a head and a typical body.
-const CALLER_BUFFER_BYTES: usize = 32 << 10;
+pub const CALLER_BUFFER_BYTES: usize = 32 << 10;
+
+/// The read buffer of other connections, in bytes.
+const AUXILIARY_BUFFER_BYTES: usize = 8 << 10;
 
 /// Serves callers until `stopped` becomes true; then connections close after their current request.
 pub async fn serve_callers(
@@ -104,7 +108,7 @@
         has_served.set(true);
         let state = Rc::clone(state);
         async move {
-            let mut response = serve(Rc::clone(&state), request).await;
+            let mut response = serve(Rc::clone(&state), request, RequestOrigin::Caller).await;
             if state.is_leaving() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
@@ -136,7 +140,7 @@
 
 /// Serves the platform's readiness checks.
 pub async fn serve_readiness(state: Rc<EntryState>, listener: TcpListener) {
-    serve_auxiliary(listener, move |request| {
+    serve_auxiliary(listener, AUXILIARY_BUFFER_BYTES, move |request| {
         let (status, text) = match (request.uri().path(), state.is_ready()) {
             (READY_PATH, true) => (StatusCode::OK, "ready"),
             (READY_PATH, false) => (StatusCode::SERVICE_UNAVAILABLE, "not ready"),
@@ -149,7 +153,7 @@
 
 /// Serves the directory, from which callers learn where to connect.
 pub async fn serve_directory(state: Rc<EntryState>, listener: TcpListener) {
-    serve_auxiliary(listener, move |request| {
+    serve_auxiliary(listener, AUXILIARY_BUFFER_BYTES, move |request| {
         std::future::ready(answer_directory(&state, &request))
     })
     .await;
@@ -157,7 +161,7 @@
 
 /// Serves the metrics.
 pub async fn serve_metrics(state: Rc<EntryState>, listener: TcpListener) {
-    serve_auxiliary(listener, move |request| {
+    serve_auxiliary(listener, AUXILIARY_BUFFER_BYTES, move |request| {
         let answer = match (request.uri().path(), state.encode_metrics()) {
             (METRICS_PATH, Ok(text)) => Response::new(Full::new(Bytes::from(text))),
             (METRICS_PATH, Err(error)) => {
@@ -199,6 +203,7 @@
 /// Serves a listener for auxiliary calls with short answers.
 pub async fn serve_auxiliary<F, B>(
     listener: TcpListener,
+    max_buffer_bytes: usize,
     answer: impl Fn(Request<Incoming>) -> F + 'static,
 ) where
     F: Future<Output = Response<B>> + 'static,
@@ -225,7 +230,7 @@
             let served = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(AUXILIARY_IDLE_TIMEOUT)
-                .max_buf_size(8 << 10)
+                .max_buf_size(max_buffer_bytes)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
             if let Err(error) = served {
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -36,7 +36,7 @@
 use crate::entry_meters::{EntryMeters, GaugeValues};
 use crate::settings::EntrySettings;
 use crate::table_copy::{TableCopy, TableKind};
-use crate::target_pool::{TargetNetwork, TargetPools};
+use crate::target_pool::{HelperPools, SystemNetwork, TargetNetwork, TargetPools};
 use crate::wall_clock::unix_ms;
 
 /// The state that the tasks of one entry process read and change.
@@ -72,6 +72,8 @@
     pub path_doubted: Notify,
     /// The connection pools of the targets.
     pub target_pools: TargetPools,
+    /// The connection pools of the nodes that requests are handed on to.
+    pub helper_pools: HelperPools,
     /// The customers' rate limits.
     pub rates: RefCell<FleetRates>,
     /// The budget for retries.
@@ -158,6 +160,7 @@
             target_path: RefCell::default(),
             path_doubted: Notify::new(),
             target_pools: TargetPools::new(network),
+            helper_pools: HelperPools::new(Rc::new(SystemNetwork)),
             rates: RefCell::new(rates),
             repeat_budget: RefCell::new(repeat_budget),
             crash_guard: RefCell::new(crash_guard),
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod entry_state;
 pub mod fleet_roles;
 pub mod fleet_rows;
+pub mod hand_on;
 pub mod limit_sharing;
 pub mod log_lines;
 pub mod path_watch;
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -16,8 +16,9 @@
 use damaskloom_lib::table_mirror::MirrorRow;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use http::header::HeaderName;
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Empty, Full, Limited};
+use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -28,8 +29,11 @@
 use subtle::ConstantTimeEq;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::caller_listener::serve_auxiliary;
+use crate::caller_answer::CallerBody;
+use crate::caller_listener::{CALLER_BUFFER_BYTES, serve_auxiliary};
 use crate::entry_state::EntryState;
+use crate::hand_on::{HAND_ON_HEADER, RequestOrigin, is_handed_on};
+use crate::request_path::serve;
 use crate::table_copy::TableKind;
 
 /// The delay before a node that follows the store fetches newer rows from a peer: its own feed
@@ -43,7 +47,7 @@
 /// The maximum size of an answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// The header with the authentication code of a request or an answer, in hexadecimal digits.
-const PROOF_HEADER: &str = "damaskloom-proof";
+const PROOF_HEADER: HeaderName = HeaderName::from_static("damaskloom-proof");
 
 /// The phases of a fetch, for log lines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -126,7 +130,8 @@
     TimedOut { source: tokio::time::error::Elapsed },
 }
 
-fn proof(secret: &SharedSecret, parts: [&[u8]; 3]) -> String {
+/// Returns the authentication code of a message in three parts.
+pub fn proof(secret: &SharedSecret, parts: [&[u8]; 3]) -> String {
     let mut message = Vec::new();
     for part in parts {
         message.extend((part.len() as u64).to_be_bytes());
@@ -136,22 +141,46 @@
     digest.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-fn has_proof(headers: &http::HeaderMap, expected: &str) -> bool {
-    let proof_value = headers.get(PROOF_HEADER);
+/// Returns whether a header holds the expected authentication code.
+pub fn has_proof(headers: &http::HeaderMap, name: &HeaderName, expected: &str) -> bool {
+    let proof_value = headers.get(name);
     proof_value.is_some_and(|proof_value| proof_value.as_bytes().ct_eq(expected.as_bytes()).into())
 }
 
-/// Serves rows to peers until the task is cancelled.
-pub async fn serve_rows(state: Rc<EntryState>, listener: TcpListener) {
-    serve_auxiliary(listener, move |request| {
-        std::future::ready(answer_rows(&state, &request))
+/// Serves rows to peers, and the requests that they hand on, until the task is cancelled.
+pub async fn serve_peers(state: Rc<EntryState>, listener: TcpListener) {
+    serve_auxiliary(listener, CALLER_BUFFER_BYTES, move |request| {
+        let state = Rc::clone(&state);
+        async move {
+            if request.headers().contains_key(HAND_ON_HEADER) {
+                answer_handed_on(state, request).await
+            } else {
+                let (parts, body) = answer_rows(&state, &request).into_parts();
+                Response::from_parts(parts, CallerBody::Buffered(Some(body)))
+            }
+        }
     })
     .await;
 }
 
-fn answer_rows(state: &EntryState, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+async fn answer_handed_on(
+    state: Rc<EntryState>,
+    request: Request<Incoming>,
+) -> Response<CallerBody> {
+    let (parts, body) = request.into_parts();
+    let secret = state.secret.borrow().clone();
+    if !secret.is_some_and(|secret| is_handed_on(&secret, &parts)) {
+        tracing::warn!("request without a valid code of a node refused");
+        let mut response = Response::new(CallerBody::Buffered(None));
+        *response.status_mut() = StatusCode::FORBIDDEN;
+        return response;
+    }
+    serve(state, Request::from_parts(parts, body), RequestOrigin::Peer).await
+}
+
+fn answer_rows(state: &EntryState, request: &Request<Incoming>) -> Response<Bytes> {
     let refuse = |status| {
-        let mut response = Response::new(Full::default());
+        let mut response = Response::new(Bytes::new());
         *response.status_mut() = status;
         response
     };
@@ -161,7 +190,7 @@
     };
     let request_target = request.uri().to_string();
     let expected = proof(&secret, [b"ask", request_target.as_bytes(), b""]);
-    if !has_proof(request.headers(), &expected) {
+    if !has_proof(request.headers(), &PROOF_HEADER, &expected) {
         return refuse(StatusCode::FORBIDDEN);
     }
     let mirror = match request.uri().path() {
@@ -184,7 +213,7 @@
         return refuse(StatusCode::INTERNAL_SERVER_ERROR);
     };
     let proof_value = proof(&secret, [b"answer", request_target.as_bytes(), &body]);
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let mut response = Response::new(Bytes::from(body));
     let proof_value =
         header::HeaderValue::from_str(&proof_value).expect("digits are a valid header value");
     response.headers_mut().insert(PROOF_HEADER, proof_value);
@@ -381,6 +410,9 @@
     let body = body.ok().context(BadBodySnafu)?.to_bytes();
     connection.abort();
     let expected = proof(secret, [b"answer", request_target.as_bytes(), &body]);
-    ensure!(has_proof(&parts.headers, &expected), BadProofSnafu);
+    ensure!(
+        has_proof(&parts.headers, &PROOF_HEADER, &expected),
+        BadProofSnafu
+    );
     postcard::from_bytes(&body).context(BadContentSnafu)
 }
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -87,6 +87,7 @@
             }
             state.crash_guard.borrow_mut().tick(now);
             state.target_pools.close_idle();
+            state.helper_pools.close_idle();
             state.update_limits();
             let repeats = state.limits.borrow_mut().due_repeats(now);
             self.send_limits(state, &repeats);
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -16,7 +16,7 @@
 use crate::entry_state::EntryState;
 use crate::fleet_rows::{join_fleet, keep_fleet_rows};
 use crate::path_watch::run_path_tries;
-use crate::peer_rows::{run_row_fetches, serve_rows};
+use crate::peer_rows::{run_row_fetches, serve_peers};
 use crate::peer_socket::PeerSocket;
 use crate::settings::EntrySettings;
 use crate::store_watch::{run_target_expiry, watch_routing, watch_targets};
@@ -100,7 +100,7 @@
     tokio::task::spawn_local(serve_readiness(Rc::clone(&state), ready));
     tokio::task::spawn_local(serve_directory(Rc::clone(&state), directory));
     tokio::task::spawn_local(serve_metrics(Rc::clone(&state), metrics));
-    tokio::task::spawn_local(serve_rows(Rc::clone(&state), rows));
+    tokio::task::spawn_local(serve_peers(Rc::clone(&state), rows));
     tokio::task::spawn_local(run_row_fetches(Rc::clone(&state), TableKind::Routing));
     tokio::task::spawn_local(run_row_fetches(Rc::clone(&state), TableKind::Targets));
     // One client, so that all its users learn of a restored store from any answer.
@@ -169,7 +169,9 @@
     tokio::time::sleep(linger).await;
     stop.send_replace(true);
     // Idle connections close at once; a request may still arrive on one that was just opened.
-    while state.connections.get() > 0 && Instant::now() < end {
+    // Requests that other nodes have handed on are waited for too.
+    let is_busy = || state.connections.get() > 0 || state.in_flight.get() > 0;
+    while is_busy() && Instant::now() < end {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
     // Lets the last answers leave the socket buffers.
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -28,6 +28,7 @@
     CallerBody, CallerRefusal, RefusalReason, refusal_answer, target_answer,
 };
 use crate::entry_state::EntryState;
+use crate::hand_on::{HandedRequest, RequestOrigin};
 use crate::log_lines::SUCCESS_TARGET;
 use crate::peer_socket::apply_crash_actions;
 use crate::target_call::{CallResult, CallTarget, OutgoingHead, TargetAnswer, call};
@@ -42,17 +43,23 @@
 const UNKNOWN_WAIT: Duration = Duration::from_millis(200);
 /// The number of attempts of one request that may fail before they reach a target.
 const MAX_UNDELIVERED_ATTEMPTS: u32 = 6;
+/// The number of targets that accept no connection for a request before it is handed on.
+const UNREACHABLE_TO_HAND_ON: u32 = 2;
 
 /// Stands for the customer in fingerprints of requests without one.
 static OPEN_CUSTOMER: std::sync::LazyLock<CustomerId> =
     std::sync::LazyLock::new(|| "open".parse().expect("the name is a valid identifier"));
 
-/// Serves one request of a caller.
-pub async fn serve(state: Rc<EntryState>, request: Request<Incoming>) -> Response<CallerBody> {
+/// Serves one request of a caller, which may have come by way of another node.
+pub async fn serve(
+    state: Rc<EntryState>,
+    request: Request<Incoming>,
+    origin: RequestOrigin,
+) -> Response<CallerBody> {
     state.record_request();
     let (parts, body) = request.into_parts();
     let mut in_flight = InFlightGuard::new(&state, request_id(&parts));
-    let result = run(&state, &parts, body, in_flight.arrival).await;
+    let result = run(&state, &parts, body, in_flight.arrival, origin).await;
     in_flight.ended = true;
     let elapsed = in_flight.arrival.elapsed();
     match result {
@@ -113,6 +120,7 @@
     parts: &Parts,
     body: Incoming,
     arrival: Instant,
+    origin: RequestOrigin,
 ) -> Result<TargetAnswer, CallerRefusal> {
     let admitted = admit(state, parts, arrival)?;
     let body = receive_body(state, body, admitted.deadline).await?;
@@ -133,11 +141,19 @@
         admitted: &admitted,
         service: &service,
         head: &head,
+        handed: HandedRequest {
+            parts,
+            request_id: request_id(parts),
+            deadline: admitted.deadline,
+        },
+        origin,
         fingerprint,
         request_id: request_id(parts),
         tried: Vec::new(),
         arrivals: 0,
         undelivered: 0,
+        unreachable: 0,
+        is_handed_on: false,
         may_have_run: false,
     };
     state
@@ -149,7 +165,8 @@
         let (route, status) = (admitted.route.id.as_str(), answer.status().as_u16());
         state.meters.record_answer(route, status, arrival.elapsed());
     }
-    if result.is_err() && !delivery.may_have_run {
+    // The helper counts a request that was handed on.
+    if delivery.is_handed_on || (result.is_err() && !delivery.may_have_run) {
         state.refund_rate(admitted.customer.as_ref());
     }
     result
@@ -163,6 +180,27 @@
     Stream(RequestBody),
 }
 
+impl OutgoingBody {
+    /// Splits the body into one to send, and one to send again if that is possible.
+    fn split(self) -> (RequestBody, Option<Self>) {
+        match self {
+            Self::Buffered(bytes) => (
+                RequestBody::buffered(bytes.clone()),
+                Some(Self::Buffered(bytes)),
+            ),
+            Self::Stream(stream) => (stream, None),
+        }
+    }
+}
+
+/// The result of the question whether to hand a request on.
+enum HandOn {
+    /// The request is sent to targets by this node.
+    NotNeeded(OutgoingBody),
+    /// The request has ended with another node's answer, or is refused.
+    Answered(Result<TargetAnswer, CallerRefusal>),
+}
+
 async fn receive_body(
     state: &EntryState,
     body: Incoming,
@@ -232,6 +270,8 @@
     admitted: &'a AdmittedRequest,
     service: &'a ServiceId,
     head: &'a OutgoingHead,
+    handed: HandedRequest<'a>,
+    origin: RequestOrigin,
     fingerprint: Option<RequestFingerprint>,
     request_id: &'a str,
     tried: Vec<TargetId>,
@@ -239,6 +279,10 @@
     arrivals: u32,
     /// The number of attempts that failed before they reached a target.
     undelivered: u32,
+    /// The number of targets that accepted no connection.
+    unreachable: u32,
+    /// Whether the request was handed on to another node.
+    is_handed_on: bool,
     /// Whether an attempt may have run the request.
     may_have_run: bool,
 }
@@ -249,9 +293,13 @@
         // The error answer of a target, which is returned to the caller if no retry succeeds.
         let mut failed_answer: Option<TargetAnswer> = None;
         loop {
-            if body.is_none() {
+            let Some(unsent) = body.take() else {
                 return failed_answer.ok_or_else(|| self.final_refusal(AttemptFailure::Broken));
-            }
+            };
+            body = match self.hand_on(unsent).await {
+                HandOn::Answered(result) => return result,
+                HandOn::NotNeeded(unsent) => Some(unsent),
+            };
             let selection = match self.select_target() {
                 Ok(selection) => selection,
                 Err(refusal) => return failed_answer.ok_or(refusal),
@@ -263,14 +311,8 @@
                     continue;
                 }
             }
-            let (attempt_body, retained) = match body.take() {
-                Some(OutgoingBody::Buffered(bytes)) => (
-                    RequestBody::buffered(bytes.clone()),
-                    Some(OutgoingBody::Buffered(bytes)),
-                ),
-                Some(OutgoingBody::Stream(stream)) => (stream, None),
-                None => unreachable!("the body was checked above"),
-            };
+            let unsent = body.take().expect("the body was put back above");
+            let (attempt_body, retained) = unsent.split();
             body = retained;
             let failure = match self.send(&selection, permit, attempt_body).await {
                 Ok(answer) if answer.status().is_server_error() => {
@@ -289,6 +331,30 @@
         }
     }
 
+    /// Hands the request on to another node if this node reaches no target, or as it seems to this
+    /// request none. Nothing has reached a target then.
+    async fn hand_on(&mut self, body: OutgoingBody) -> HandOn {
+        let is_cut_off = self.state.is_cut_off();
+        let is_needed = is_cut_off || self.unreachable >= UNREACHABLE_TO_HAND_ON;
+        if !is_needed || self.arrivals > 0 || self.origin == RequestOrigin::Peer {
+            return HandOn::NotNeeded(body);
+        }
+        let (outgoing, retained) = body.split();
+        match self.state.hand_on(&self.handed, outgoing).await {
+            Some(answer) => {
+                self.is_handed_on = true;
+                HandOn::Answered(answer.map_err(|failure| {
+                    self.may_have_run |= failure.may_have_run();
+                    self.final_refusal(failure)
+                }))
+            }
+            None => match retained {
+                Some(body) if !is_cut_off => HandOn::NotNeeded(body),
+                _ => HandOn::Answered(Err(self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT))),
+            },
+        }
+    }
+
     fn idempotence(&self) -> Idempotence {
         self.admitted.route.idempotence
     }
@@ -474,6 +540,9 @@
         } else {
             self.undelivered += 1;
         }
+        if failure == AttemptFailure::Unreachable {
+            self.unreachable += 1;
+        }
         self.may_have_run |= failure.may_have_run();
         self.record_evidence(id, failure, elapsed, was_late);
         let error = failure.label();
--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -22,6 +22,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
+use crate::hand_on::HAND_ON_HEADER;
 use crate::streamed_body::StreamedBody;
 use crate::target_pool::{ConnectionLease, TargetPool};
 
@@ -91,6 +92,7 @@
         for name in [AUTHORIZATION, CONTENT_LENGTH, EXPECT] {
             headers.remove(name);
         }
+        headers.remove(HAND_ON_HEADER);
         for name in FLEET_FIELDS {
             headers.remove(name);
         }
@@ -221,7 +223,7 @@
 
 async fn receive_answer(
     head: &OutgoingHead,
-    mut response: Response<Incoming>,
+    response: Response<Incoming>,
     lease: ConnectionLease,
     deadline: Instant,
 ) -> Result<TargetAnswer, AttemptFailure> {
@@ -240,11 +242,24 @@
     if is_invalid || !head.is_echoed_by(headers) {
         return Err(AttemptFailure::InvalidAnswer);
     }
-    let idle = idle_time(headers);
+    receive_body(head.request_id(), response, lease, deadline).await
+}
+
+/// Receives the body of an answer: small ones completely, larger ones are streamed.
+///
+/// # Errors
+///
+/// Fails if the body ends early, or has no length and is too large.
+pub async fn receive_body(
+    request_id: &str,
+    mut response: Response<Incoming>,
+    lease: ConnectionLease,
+    deadline: Instant,
+) -> Result<TargetAnswer, AttemptFailure> {
+    let idle = idle_time(response.headers());
     remove_hop_headers(response.headers_mut());
     let length = response.body().size_hint().exact();
     if length.is_some_and(|length| length > MAX_BUFFERED_ANSWER_BYTES as u64) {
-        let request_id = head.request_id();
         let stream = response.map(|body| StreamedBody::new(body, lease, deadline, request_id));
         return Ok(TargetAnswer::Stream(stream));
     }
--- a/entry/src/target_pool.rs
+++ b/entry/src/target_pool.rs
@@ -2,13 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::fmt::Debug;
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use damaskloom_gateway::body_stream::RequestBody;
 use damaskloom_lib::attempt_failure::AttemptFailure;
-use damaskloom_lib::ids::TargetId;
+use damaskloom_lib::ids::{TargetId, VmId};
 use futures::future::LocalBoxFuture;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -232,12 +233,17 @@
 
 /// The connection pools of all servers of a kind, by their ids.
 #[derive(Debug)]
-pub struct TargetPools {
+pub struct ConnectionPools<K> {
     network: Rc<dyn TargetNetwork>,
-    pools: RefCell<IndexMap<TargetId, Rc<TargetPool>>>,
+    pools: RefCell<IndexMap<K, Rc<TargetPool>>>,
 }
 
-impl TargetPools {
+/// The connection pools of all targets.
+pub type TargetPools = ConnectionPools<TargetId>;
+/// The connection pools of the nodes that requests are handed on to.
+pub type HelperPools = ConnectionPools<VmId>;
+
+impl<K: Clone + Eq + Hash> ConnectionPools<K> {
     /// Creates pools that connect over a network.
     pub fn new(network: Rc<dyn TargetNetwork>) -> Self {
         Self {
@@ -246,8 +252,8 @@
         }
     }
 
-    /// Returns the pool of a target; a changed address starts a new pool.
-    pub fn pool(&self, id: &TargetId, address: SocketAddr) -> Rc<TargetPool> {
+    /// Returns the pool of a server; a changed address starts a new pool.
+    pub fn pool(&self, id: &K, address: SocketAddr) -> Rc<TargetPool> {
         let mut pools = self.pools.borrow_mut();
         match pools.get(id) {
             Some(pool) if pool.address == address => Rc::clone(pool),
@@ -265,7 +271,7 @@
     }
 
     /// Closes the idle connections of a target that gets no more requests.
-    pub fn remove(&self, id: &TargetId) {
+    pub fn remove(&self, id: &K) {
         self.pools.borrow_mut().swap_remove(id);
     }
 
--- a/entry/tests/test_cut_off_nodes.rs
+++ b/entry/tests/test_cut_off_nodes.rs
@@ -2,8 +2,12 @@
 
 use std::rc::Rc;
 
+use bytes::Bytes;
 use damaskloom_testutils::platform_server::PlatformServer;
-use http::StatusCode;
+use http::{Request, StatusCode};
+use http_body_util::Empty;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 
 use crate::cut_network::{CutNetwork, NetworkCut};
@@ -18,6 +22,8 @@
 struct CutFleet {
     cut_node: EntryNode,
     network: Rc<CutNetwork>,
+    /// The network of the other node, if it can be cut off too.
+    other_network: Option<Rc<CutNetwork>>,
     sound_node: EntryNode,
     targets: Vec<Rc<TestTarget>>,
     _store: PlatformServer,
@@ -25,6 +31,15 @@
 
 impl CutFleet {
     async fn start() -> Self {
+        Self::start_on(None).await
+    }
+
+    /// Starts a fleet of which the other node can be cut off too.
+    async fn start_with(other_network: Rc<CutNetwork>) -> Self {
+        Self::start_on(Some(other_network)).await
+    }
+
+    async fn start_on(other_network: Option<Rc<CutNetwork>>) -> Self {
         let store = PlatformServer::start_local().await;
         let store = store.expect("loopback has a free port");
         store.put("op", "config", configuration(1, &["key-1"]));
@@ -37,7 +52,10 @@
         }
         let network = CutNetwork::new();
         let cut_node = EntryNode::start_on(&store, Rc::clone(&network) as _);
-        let sound_node = EntryNode::start(&store, PEER_PORT);
+        let sound_node = match &other_network {
+            Some(other) => EntryNode::start_on(&store, Rc::clone(other) as _),
+            None => EntryNode::start(&store, PEER_PORT),
+        };
         cut_node.wait_until_ready().await;
         sound_node.wait_until_ready().await;
         wait_until("the directory names both nodes", async || {
@@ -47,6 +65,7 @@
         Self {
             cut_node,
             network,
+            other_network,
             sound_node,
             targets,
             _store: store,
@@ -155,3 +174,65 @@
         })
         .await;
 }
+
+/// Guards against strangers that pose as a node of the fleet at the listener between nodes.
+#[tokio::test]
+async fn a_request_without_a_code_of_the_fleet_is_not_served_as_handed_on() {
+    LocalSet::new()
+        .run_until(async {
+            let fleet = CutFleet::start().await;
+            let stream = TcpStream::connect((fleet.sound_node.ip(), PEER_PORT)).await;
+            let stream = stream.expect("the node listens for peers");
+            let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+            let (mut sender, connection) = handshake.expect("a connection");
+            tokio::task::spawn_local(connection);
+            let request = Request::builder()
+                .method("POST")
+                .uri("/book/1")
+                .header("host", "a.example")
+                .header("request-id", "id-1")
+                .header("deadline-ms", "8000")
+                .header("authorization", "Bearer key-1")
+                .header("damaskloom-hand-on", "00")
+                .body(Empty::<Bytes>::new())
+                .expect("valid parts");
+            let response = sender.send_request(request).await.expect("an answer");
+            assert_eq!(response.status(), StatusCode::FORBIDDEN);
+            assert_eq!(fleet.runs(), 0);
+        })
+        .await;
+}
+
+/// Guards against two cut nodes that hand a request to and fro, and against requests that are tried in
+/// vain or wait while no node reaches a target; the fleet serves again once one does.
+#[tokio::test]
+async fn a_fleet_that_is_cut_off_refuses_requests_as_not_run() {
+    LocalSet::new()
+        .run_until(async {
+            let fleet = CutFleet::start_with(CutNetwork::new()).await;
+            let networks = [&fleet.network, fleet.other_network.as_ref().expect("given")];
+            let nodes = [&fleet.cut_node, &fleet.sound_node];
+            for network in networks {
+                network.set(NetworkCut::Reset);
+            }
+            for _ in 0..REQUESTS {
+                for node in nodes {
+                    let answer = node.send("POST", "/book/1", Some("key-1")).await;
+                    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+                    assert!(answer.headers.contains_key("retry-after"));
+                }
+            }
+            assert_eq!(fleet.runs(), 0);
+            for network in networks {
+                network.set(NetworkCut::None);
+            }
+            for node in nodes {
+                wait_until("the node serves again", async || {
+                    let answer = node.send("POST", "/book/1", Some("key-1")).await;
+                    answer.status == StatusCode::OK
+                })
+                .await;
+            }
+        })
+        .await;
+}
--- a/lib/tests/test_attempt_failure.rs
+++ b/lib/tests/test_attempt_failure.rs
@@ -27,15 +27,15 @@
         })
         .collect();
     insta::assert_snapshot!(table, @r"
-    no-connection: not sent, not run
-    unreachable: not sent, not run
-    stale-connection: not sent, not run
-    wrong-target: arrived, not run
-    target-full: arrived, not run
-    broken: arrived, may have run
-    spoilt: arrived, may have run
-    timed-out: arrived, may have run
-    server-error: arrived, may have run
+    no-connection: not sent, not run, no evidence
+    unreachable: not sent, not run, failed on the way
+    stale-connection: not sent, not run, no evidence
+    wrong-target: arrived, not run, path sound
+    target-full: arrived, not run, path sound
+    broken: arrived, may have run, failed on the way
+    spoilt: arrived, may have run, path sound
+    timed-out: arrived, may have run, failed on the way
+    server-error: arrived, may have run, path sound
     ");
 }
 
