--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -23,7 +23,7 @@
 };
 use damaskloom_lib::target_catalog::{CatalogChange, OutdatedAddress, TargetCatalog};
 use damaskloom_lib::target_limits::TargetLimits;
-use damaskloom_lib::target_path::TargetPath;
+use damaskloom_lib::target_path::TargetPaths;
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::traffic_meter::TrafficMeter;
 use damaskloom_lib::weighted_split::WeightedSplit;
@@ -66,8 +66,8 @@
     pub balancers: RefCell<ServiceBalancers>,
     /// The limits that targets have named.
     pub limits: RefCell<TargetLimits>,
-    /// Whether this node reaches targets.
-    pub target_path: RefCell<TargetPath>,
+    /// Whether this node reaches the targets of each service.
+    pub target_paths: RefCell<TargetPaths>,
     /// Wakes the task that tries the path to the targets.
     pub path_doubted: Notify,
     /// The connection pools of the targets.
@@ -157,7 +157,7 @@
             catalog: RefCell::default(),
             balancers: RefCell::default(),
             limits: RefCell::new(TargetLimits::new(own)),
-            target_path: RefCell::default(),
+            target_paths: RefCell::default(),
             path_doubted: Notify::new(),
             target_pools: TargetPools::new(network),
             helper_pools: HelperPools::new(Rc::new(SystemNetwork)),
@@ -533,8 +533,8 @@
             late.extend(targets.map(|id| (service.clone(), id)));
         }
         for (service, target) in late {
-            self.record_path_failure(&target);
-            if !self.target_path.borrow().is_evidence() {
+            self.record_path_failure(&service, &target);
+            if !self.is_path_evidence(&service) {
                 continue;
             }
             self.apply_signal(&service, &target, FailureSignal::Late);
@@ -563,6 +563,7 @@
                 );
             }
         }
+        self.doubt_paths_like(vm, &heartbeat);
         if self.members.borrow_mut().record_heartbeat(vm, heartbeat) {
             tracing::debug!(node = %vm, "node discovered");
             if !self.limits.borrow().is_empty() {
--- a/entry/src/hand_on.rs
+++ b/entry/src/hand_on.rs
@@ -15,15 +15,19 @@
 use damaskloom_platform::header_names::{REQUEST_ID, TIME_LEFT_MS, time_left_ms};
 use http::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue};
 use http::request::Parts;
-use http::{Request, Uri, Version};
+use http::{Request, Response, Uri, Version};
+use hyper::body::Incoming;
 use rand::seq::SliceRandom;
 
+use crate::caller_answer::CallerBody;
 use crate::entry_state::EntryState;
 use crate::peer_rows::{has_proof, proof};
 use crate::target_call::{TargetAnswer, receive_body};
 
 /// The header with the authentication code of a request that is handed on, in hexadecimal digits.
 pub const HAND_ON_HEADER: HeaderName = HeaderName::from_static("damaskloom-hand-on");
+/// The value of the header in a helper's refusal that says that it reaches no target either.
+const CUT_OFF_MARK: &str = "cut-off";
 /// The maximum number of helpers that are tried for a request.
 const MAX_HELPERS: usize = 3;
 /// The number of connections that a node may open to a helper: more than the requests that an entry
@@ -95,8 +99,8 @@
         helpers
     }
 
-    /// Hands a request on to a node that reaches targets. Returns none, and sent nothing, if there is no
-    /// such node.
+    /// Hands a request on to a node that reaches targets; `next_body` returns the body for each helper
+    /// as long as it can be sent. Returns none if there is no such node; no target was reached then.
     ///
     /// # Errors
     ///
@@ -105,9 +109,10 @@
     pub async fn hand_on(
         &self,
         request: &HandedRequest<'_>,
-        mut body: RequestBody,
+        mut next_body: impl FnMut() -> Option<RequestBody>,
     ) -> Option<Result<TargetAnswer, AttemptFailure>> {
         let secret = self.secret.borrow().clone()?;
+        let mut unsent: Option<RequestBody> = None;
         for (helper, address) in self.helpers() {
             let pool = self.helper_pools.pool(&helper, address);
             let left = request.deadline.saturating_duration_since(Instant::now());
@@ -115,20 +120,25 @@
                 tracing::info!(request = request.request_id, %helper, "helper not reached");
                 continue;
             };
+            let body = unsent.take().or_else(&mut next_body)?;
             let outgoing = outgoing_request(&secret, request, body);
             let exchange = lease.sender().try_send_request(outgoing);
             let response = match tokio::time::timeout_at(request.deadline.into(), exchange).await {
                 Ok(Ok(response)) => response,
                 Ok(Err(mut error)) => match error.take_message() {
                     // No byte of the request was written.
-                    Some(unsent) => {
-                        body = unsent.into_body();
+                    Some(message) => {
+                        unsent = Some(message.into_body());
                         continue;
                     }
                     None => return Some(Err(AttemptFailure::Broken)),
                 },
                 Err(_) => return Some(Err(AttemptFailure::TimedOut)),
             };
+            if is_helper_cut_off(&response) {
+                tracing::info!(request = request.request_id, %helper, "helper is cut off too");
+                continue;
+            }
             tracing::info!(
                 request = request.request_id,
                 %helper,
@@ -143,6 +153,17 @@
     }
 }
 
+/// Marks the refusal of a request that was handed on as one by a node that reaches no target either.
+pub fn mark_cut_off(response: &mut Response<CallerBody>) {
+    let mark = HeaderValue::from_static(CUT_OFF_MARK);
+    response.headers_mut().insert(HAND_ON_HEADER, mark);
+}
+
+fn is_helper_cut_off(response: &Response<Incoming>) -> bool {
+    let mark = response.headers().get(HAND_ON_HEADER);
+    mark.is_some_and(|mark| mark == CUT_OFF_MARK)
+}
+
 fn outgoing_request(
     secret: &SharedSecret,
     request: &HandedRequest<'_>,
--- a/entry/src/path_watch.rs
+++ b/entry/src/path_watch.rs
@@ -5,76 +5,143 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use damaskloom_lib::ids::TargetId;
+use damaskloom_lib::entry_members::{EntryPhase, NodeHeartbeat};
+use damaskloom_lib::ids::{ServiceId, TargetId, VmId};
 use damaskloom_lib::target_path::PathState;
 use futures::StreamExt;
+use futures::future::join_all;
 use futures::stream::FuturesUnordered;
 use rand::seq::IteratorRandom;
 
 use crate::entry_state::EntryState;
 
-/// The number of targets that are tried when the path is in doubt.
+/// The number of targets of a service that are tried when the path is in doubt.
 const TARGETS_IN_DOUBT: usize = 6;
-/// The number of targets that are tried at each interval while the path is cut.
+/// The number of services that are tried because another node is cut off.
+const SERVICES_IN_DOUBT: usize = 3;
+/// The number of targets of a service that are tried at each interval while the path is cut.
 const TARGETS_IN_CUT: usize = 2;
-/// The interval between tries while the path is cut.
-const TRY_INTERVAL: Duration = Duration::from_millis(250);
+/// The interval between tries while a path is cut.
+const TRY_INTERVAL: Duration = Duration::from_millis(400);
 
 impl EntryState {
-    /// Returns whether this node reaches no target.
+    /// Returns whether this node reaches no target of any service.
     pub fn is_cut_off(&self) -> bool {
-        self.target_path.borrow().state() == PathState::Cut
+        self.target_paths.borrow().are_all_cut()
     }
 
-    /// Records that an attempt at a target failed on the way to it.
-    pub fn record_path_failure(&self, target: &TargetId) {
-        if self.target_path.borrow_mut().record_failure(target) {
-            tracing::info!(id = %target, "path to the targets in doubt");
+    /// Returns whether this node reaches no target of a service.
+    pub fn is_cut_off_from(&self, service: &ServiceId) -> bool {
+        self.target_paths.borrow().state(service) == PathState::Cut
+    }
+
+    /// Returns whether failures on the way to targets of a service are evidence against these.
+    pub fn is_path_evidence(&self, service: &ServiceId) -> bool {
+        self.target_paths.borrow().state(service) == PathState::Sound
+    }
+
+    /// Records that a target of a service answered.
+    pub fn record_path_answer(&self, service: &ServiceId) {
+        let mut paths = self.target_paths.borrow_mut();
+        paths.path_mut(service).record_answer();
+    }
+
+    /// Records that an attempt at a target of a service failed on the way to it.
+    pub fn record_path_failure(&self, service: &ServiceId, target: &TargetId) {
+        let mut paths = self.target_paths.borrow_mut();
+        if paths.path_mut(service).record_failure(target) {
+            tracing::info!(%service, id = %target, "path to the targets in doubt");
             self.path_doubted.notify_one();
         }
     }
 
-    fn record_path_try(&self, tried: usize, has_connected: bool) {
-        let mut path = self.target_path.borrow_mut();
-        if !path.record_try(has_connected) {
+    /// Puts the paths of this node in doubt if another node of its data centre is newly cut off: this
+    /// node may be the next that callers are directed to, and does not notice a cut without requests.
+    pub fn doubt_paths_like(&self, peer: &VmId, heartbeat: &NodeHeartbeat) {
+        let is_local = heartbeat.data_centre == self.settings().data_centre;
+        if heartbeat.phase != EntryPhase::CutOff || !is_local {
+            return;
+        }
+        let members = self.members.borrow();
+        let known = members.iter().find(|(vm, _)| *vm == peer);
+        let before = known.and_then(|(_, node)| node.heartbeat.as_ref());
+        if before.is_some_and(|before| before.phase == EntryPhase::CutOff) {
             return;
         }
-        let state = path.state();
-        drop(path);
-        if state == PathState::Cut {
-            tracing::warn!(tried, "cut off from all targets; requests are handed on");
+        drop(members);
+        let balancers = self.balancers.borrow();
+        let services = balancers
+            .keys()
+            .choose_multiple(&mut rand::rng(), SERVICES_IN_DOUBT);
+        let mut paths = self.target_paths.borrow_mut();
+        for service in services {
+            paths.path_mut(service).doubt();
+        }
+        self.path_doubted.notify_one();
+    }
+
+    fn record_path_try(&self, service: &ServiceId, tried: usize, has_connected: bool) {
+        let mut paths = self.target_paths.borrow_mut();
+        if !paths.path_mut(service).record_try(has_connected) {
+            return;
+        }
+        if paths.state(service) == PathState::Cut {
+            paths.doubt_all();
+            tracing::warn!(%service, tried, "cut off from all targets; requests are handed on");
             // Connections from before the cut may have lost bytes.
-            self.target_pools.clear_idle();
+            self.close_idle_connections(service);
         } else {
-            tracing::info!(tried, "path to the targets is sound");
+            tracing::info!(%service, tried, "path to the targets is sound");
         }
+        drop(paths);
         self.heartbeat_due.notify_one();
     }
+
+    fn close_idle_connections(&self, service: &ServiceId) {
+        let catalog = self.catalog.borrow();
+        let targets = catalog.iter();
+        targets
+            .filter(|(_, target)| target.announcement.service == *service)
+            .for_each(|(id, _)| self.target_pools.clear_idle(id));
+    }
 }
 
-/// Tries the path to the targets whenever it is in doubt, until the task is cancelled.
+/// Tries the paths that are not sound, until the task is cancelled.
 pub async fn run_path_tries(state: Rc<EntryState>) {
     loop {
         state.path_doubted.notified().await;
         loop {
-            let max_targets = match state.target_path.borrow().state() {
-                PathState::Sound => break,
-                PathState::Doubtful => TARGETS_IN_DOUBT,
-                PathState::Cut => TARGETS_IN_CUT,
-            };
-            let targets = draw_targets(&state, max_targets);
-            let has_connected = connects_to_any(&state, &targets).await;
-            state.record_path_try(targets.len(), has_connected);
-            if state.is_cut_off() {
+            let unsound = state.target_paths.borrow().unsound();
+            if unsound.is_empty() {
+                break;
+            }
+            let tries = unsound
+                .iter()
+                .map(|(service, path)| try_path(&state, service, *path));
+            join_all(tries).await;
+            let unsound = state.target_paths.borrow().unsound();
+            if unsound.iter().all(|(_, path)| *path == PathState::Cut) {
                 tokio::time::sleep(TRY_INTERVAL).await;
             }
         }
     }
 }
 
-fn draw_targets(state: &EntryState, count: usize) -> Vec<SocketAddr> {
+async fn try_path(state: &EntryState, service: &ServiceId, path: PathState) {
+    let max_targets = match path {
+        PathState::Cut => TARGETS_IN_CUT,
+        PathState::Sound | PathState::Doubtful => TARGETS_IN_DOUBT,
+    };
+    let targets = draw_targets(state, service, max_targets);
+    let has_connected = connects_to_any(state, &targets).await;
+    state.record_path_try(service, targets.len(), has_connected);
+}
+
+fn draw_targets(state: &EntryState, service: &ServiceId, count: usize) -> Vec<SocketAddr> {
     let catalog = state.catalog.borrow();
-    let usable = catalog.iter().filter(|(_, target)| target.is_usable());
+    let usable = catalog
+        .iter()
+        .filter(|(_, target)| target.is_usable() && target.announcement.service == *service);
     let addresses = usable.map(|(_, target)| target.announcement.address);
     addresses.choose_multiple(&mut rand::rng(), count)
 }
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -28,7 +28,7 @@
     CallerBody, CallerRefusal, RefusalReason, refusal_answer, target_answer,
 };
 use crate::entry_state::EntryState;
-use crate::hand_on::{HandedRequest, RequestOrigin};
+use crate::hand_on::{HandedRequest, RequestOrigin, mark_cut_off};
 use crate::log_lines::SUCCESS_TARGET;
 use crate::peer_socket::apply_crash_actions;
 use crate::target_call::{CallResult, CallTarget, OutgoingHead, TargetAnswer, call};
@@ -66,7 +66,11 @@
         Ok(answer) => target_answer(answer),
         Err(refusal) => {
             record_refusal(&state, &parts, refusal, elapsed);
-            refusal_answer(refusal)
+            let mut answer = refusal_answer(refusal);
+            if origin == RequestOrigin::Peer && refusal.reason == RefusalReason::NoTarget {
+                mark_cut_off(&mut answer);
+            }
+            answer
         }
     }
 }
@@ -334,13 +338,23 @@
     /// Hands the request on to another node if this node reaches no target, or as it seems to this
     /// request none. Nothing has reached a target then.
     async fn hand_on(&mut self, body: OutgoingBody) -> HandOn {
-        let is_cut_off = self.state.is_cut_off();
+        let is_cut_off = self.state.is_cut_off_from(self.service);
         let is_needed = is_cut_off || self.unreachable >= UNREACHABLE_TO_HAND_ON;
-        if !is_needed || self.arrivals > 0 || self.origin == RequestOrigin::Peer {
+        if !is_needed || self.arrivals > 0 {
             return HandOn::NotNeeded(body);
         }
-        let (outgoing, retained) = body.split();
-        match self.state.hand_on(&self.handed, outgoing).await {
+        if self.origin == RequestOrigin::Peer {
+            // The node that handed the request on has other helpers to ask.
+            let refusal = self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT);
+            return HandOn::Answered(Err(refusal));
+        }
+        let mut retained = Some(body);
+        let next_body = || {
+            let (outgoing, rest) = retained.take()?.split();
+            retained = rest;
+            Some(outgoing)
+        };
+        match self.state.hand_on(&self.handed, next_body).await {
             Some(answer) => {
                 self.is_handed_on = true;
                 HandOn::Answered(answer.map_err(|failure| {
@@ -516,7 +530,7 @@
             Ok(answer) if answer.status().is_server_error() => AttemptFailure::ServerError,
             Ok(answer) => {
                 self.record_arrival();
-                state.target_path.borrow_mut().record_answer();
+                state.record_path_answer(service);
                 self.record_completion();
                 if !was_late {
                     state.apply_signal(service, id, FailureSignal::Good);
@@ -580,10 +594,10 @@
         let now = state.clock.now();
         match failure.path_evidence() {
             PathEvidence::None => {}
-            PathEvidence::Answered => state.target_path.borrow_mut().record_answer(),
+            PathEvidence::Answered => state.record_path_answer(service),
             PathEvidence::FailedOnTheWay => {
-                state.record_path_failure(id);
-                if !state.target_path.borrow().is_evidence() {
+                state.record_path_failure(service, id);
+                if !state.is_path_evidence(service) {
                     return;
                 }
             }
--- a/entry/src/target_pool.rs
+++ b/entry/src/target_pool.rs
@@ -282,12 +282,11 @@
         connected.is_ok_and(|connected| connected.is_ok())
     }
 
-    /// Closes all idle connections.
-    pub fn clear_idle(&self) {
-        self.pools
-            .borrow()
-            .values()
-            .for_each(|pool| pool.clear_idle());
+    /// Closes all idle connections to a server.
+    pub fn clear_idle(&self, id: &K) {
+        if let Some(pool) = self.pools.borrow().get(id) {
+            pool.clear_idle();
+        }
     }
 
     /// Closes connections that were idle for longer than their timeout.
--- a/entry/tests/test_cut_off_nodes.rs
+++ b/entry/tests/test_cut_off_nodes.rs
@@ -26,7 +26,7 @@
     other_network: Option<Rc<CutNetwork>>,
     sound_node: EntryNode,
     targets: Vec<Rc<TestTarget>>,
-    _store: PlatformServer,
+    store: PlatformServer,
 }
 
 impl CutFleet {
@@ -68,7 +68,7 @@
             other_network,
             sound_node,
             targets,
-            _store: store,
+            store: store,
         }
     }
 
@@ -236,3 +236,27 @@
         })
         .await;
 }
+
+/// Guards against callers that are refused since the node that their request was handed on to is cut off
+/// as well and has not noticed yet, while a third one reaches the targets.
+#[tokio::test]
+async fn a_request_goes_to_the_next_helper_if_one_is_cut_off_too() {
+    LocalSet::new()
+        .run_until(async {
+            let fleet = CutFleet::start_with(CutNetwork::new()).await;
+            let third = EntryNode::start(&fleet.store, PEER_PORT);
+            third.wait_until_ready().await;
+            wait_until("the directory names all nodes", async || {
+                fleet.cut_node.directory().await.len() == 3
+            })
+            .await;
+            fleet.network.set(NetworkCut::Reset);
+            let other_network = fleet.other_network.as_ref().expect("given");
+            other_network.set(NetworkCut::Reset);
+            for _ in 0..REQUESTS {
+                assert_eq!(fleet.book().await, StatusCode::OK);
+            }
+            assert_eq!(fleet.runs(), REQUESTS);
+        })
+        .await;
+}
--- a/lib/src/target_path.rs
+++ b/lib/src/target_path.rs
@@ -1,12 +1,12 @@
-//! Notices that this node is cut off from all targets.
+//! Notices that this node is cut off from all targets, or from those of a service.
 //!
-//! A node cannot tell a failing target from a broken path by one target. Failures at several targets
-//! with no answer from any of them put the path in doubt; connects to further targets then decide. See
-//! [docs/design/cut-off-nodes.md](../../docs/design/cut-off-nodes.md).
+//! A node cannot tell a failing target from a broken path by one target. Failures at several targets of
+//! a service with no answer from any of them put the path in doubt; connects to further targets then
+//! decide. See [docs/design/cut-off-nodes.md](../../docs/design/cut-off-nodes.md).
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 
-use crate::ids::TargetId;
+use crate::ids::{ServiceId, TargetId};
 
 /// The number of different targets that fail on the way, with no answer between, before the path is in
 /// doubt.
@@ -15,7 +15,7 @@
 /// that comes and goes does not bring callers back each time.
 const TRIES_TO_RETURN: u32 = 3;
 
-/// The state of the path from this node to the targets.
+/// The state of the path from this node to the targets of a service.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum PathState {
     /// Targets answer, or nothing is known.
@@ -27,7 +27,7 @@
     Cut,
 }
 
-/// Tracks the path from this node to all targets.
+/// Tracks the path from this node to the targets of a service.
 #[derive(Debug, Default)]
 pub struct TargetPath {
     state: PathState,
@@ -71,6 +71,13 @@
         true
     }
 
+    /// Puts a sound path in doubt.
+    pub fn doubt(&mut self) {
+        if self.state == PathState::Sound {
+            self.state = PathState::Doubtful;
+        }
+    }
+
     /// Records whether any of the targets that were tried for the sake of the path accepted a
     /// connection; returns whether the state changed.
     pub fn record_try(&mut self, has_connected: bool) -> bool {
@@ -91,3 +98,48 @@
         self.state != before
     }
 }
+
+/// The paths from this node to the targets of all services that it has sent requests to.
+#[derive(Debug, Default)]
+pub struct TargetPaths {
+    paths: IndexMap<ServiceId, TargetPath>,
+}
+
+impl TargetPaths {
+    /// Returns the path to the targets of a service.
+    pub fn path_mut(&mut self, service: &ServiceId) -> &mut TargetPath {
+        if !self.paths.contains_key(service) {
+            self.paths.insert(service.clone(), TargetPath::default());
+        }
+        &mut self.paths[service]
+    }
+
+    /// Returns the state of the path to the targets of a service.
+    pub fn state(&self, service: &ServiceId) -> PathState {
+        self.paths
+            .get(service)
+            .map_or(PathState::Sound, TargetPath::state)
+    }
+
+    /// Puts all sound paths in doubt, since another one was found cut.
+    pub fn doubt_all(&mut self) {
+        for path in self.paths.values_mut() {
+            path.doubt();
+        }
+    }
+
+    /// Returns the services whose paths are not sound, with their states.
+    pub fn unsound(&self) -> Vec<(ServiceId, PathState)> {
+        self.paths
+            .iter()
+            .filter(|(_, path)| path.state() != PathState::Sound)
+            .map(|(service, path)| (service.clone(), path.state()))
+            .collect()
+    }
+
+    /// Returns whether the paths to all services are cut; false before the first request.
+    pub fn are_all_cut(&self) -> bool {
+        let mut paths = self.paths.values();
+        !self.paths.is_empty() && paths.all(|path| path.state() == PathState::Cut)
+    }
+}
--- a/lib/tests/test_target_path.rs
+++ b/lib/tests/test_target_path.rs
@@ -1,7 +1,7 @@
 //! Tests how a node notices that it is cut off from all targets.
 
-use damaskloom_lib::ids::TargetId;
-use damaskloom_lib::target_path::{PathState, TargetPath};
+use damaskloom_lib::ids::{ServiceId, TargetId};
+use damaskloom_lib::target_path::{PathState, TargetPath, TargetPaths};
 
 fn target(index: usize) -> TargetId {
     format!("i-{index}").parse().expect("a valid name")
@@ -71,3 +71,33 @@
     // Failures from before the cut do not count after it.
     assert!(!path.record_failure(&target(7)));
 }
+
+/// Guards against a node that takes itself for reachable, since it had answers of a service that it has
+/// not sent requests to of late, and against one that leaves the directory although it reaches a service.
+#[test]
+fn a_cut_path_puts_those_of_other_services_in_doubt() {
+    let service = |name: &str| -> ServiceId { name.parse().expect("a valid name") };
+    let (desk, dispatch) = (service("desk"), service("dispatch"));
+    let mut paths = TargetPaths::default();
+    assert!(!paths.are_all_cut());
+    paths.path_mut(&dispatch).record_answer();
+    for index in 0..3 {
+        paths.path_mut(&desk).record_failure(&target(index));
+    }
+    paths.path_mut(&desk).record_try(false);
+    paths.doubt_all();
+    assert_eq!(
+        paths.unsound(),
+        [
+            (dispatch.clone(), PathState::Doubtful),
+            (desk.clone(), PathState::Cut)
+        ]
+    );
+    assert!(!paths.are_all_cut());
+    paths.path_mut(&dispatch).record_try(true);
+    assert!(!paths.are_all_cut());
+    assert_eq!(paths.state(&desk), PathState::Cut);
+    paths.doubt_all();
+    paths.path_mut(&dispatch).record_try(false);
+    assert!(paths.are_all_cut());
+}
