entry: a refusal of an earlier request is not believed of the next one

Report of other operators, shown here: a faulty target writes an earlier refusal once more on a kept connection; the caller of the next request was told 'not run', while the target ran it (REFUSED), and a booking could run at a second target (TWICE).

Cause: receive_answer tested for 421 and for the header of refusals before it compared the id that the answer echoes. Change: the id comes first; an answer with another id proves nothing about this request, so it may have run.

Test: a_refusal_of_an_earlier_request_is_not_believed, with 503, 429 and 421, in place of the answer and before it: 503 before, 502 now.

The second report, a head that ends early, cannot happen here: an_answer_whose_head_ends_early_is_broken cuts the head at each byte, for four framings, buffered and streamed; the caller gets a whole 502 each time, on the code before as well.

--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -228,6 +228,10 @@
     deadline: Instant,
 ) -> Result<TargetAnswer, AttemptFailure> {
     let headers = response.headers();
+    // A faulty target may repeat its refusal of an earlier request.
+    if !head.is_echoed_by(headers) {
+        return Err(AttemptFailure::InvalidAnswer);
+    }
     if let Some(error) = refusal_error(response.status(), headers) {
         // The connection can be reused once a short body is read; otherwise it closes.
         let idle = idle_time(headers);
@@ -239,7 +243,7 @@
     }
     let is_invalid = response.status().is_success()
         && (!headers.contains_key(ANSWER_SIGNATURE) || headers.contains_key(CONTENT_ENCODING));
-    if is_invalid || !head.is_echoed_by(headers) {
+    if is_invalid {
         return Err(AttemptFailure::InvalidAnswer);
     }
     receive_body(head.request_id(), response, lease, deadline).await
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -2,8 +2,10 @@
 
 mod cut_network;
 mod fixture;
+mod scripted_target;
 mod test_cut_off_nodes;
 mod test_endless_answers;
+mod test_faulty_answers;
 mod test_fleet;
 mod test_limited_targets;
 mod test_log_lines;
