soak, entry: nodes that are cut off from all targets, and addresses that lead to other targets

Cuts of one node, half of them and all reset their connections to all targets (each process connects from an address of its own, setting target_source, which operators of VMs with several addresses need too); the promise is the users': callers of cut nodes are served at least two thirds as often as the others, or fail at most 10 and 1 in 50. A third of the callers keep the address that they got. Addresses lead to another target for a while; arrivals beyond the first stay within the budget.

A try of the path now counts a connection that is reset within 20 ms as none, as something on a broken path may do.

Tests: callers_of_cut_nodes_that_are_served_far_worse_are_found, repeats_beyond_the_budget_are_found.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -161,7 +161,7 @@
             target_paths: RefCell::default(),
             path_doubted: Notify::new(),
             target_pools: TargetPools::new(network),
-            helper_pools: HelperPools::new(Rc::new(SystemNetwork)),
+            helper_pools: HelperPools::new(Rc::new(SystemNetwork::default())),
             rates: RefCell::new(rates),
             repeat_budget: RefCell::new(repeat_budget),
             crash_guard: RefCell::new(crash_guard),
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -67,7 +67,10 @@
 /// Fails if an address is in use, the metrics cannot be set up or signal handlers cannot be
 /// installed.
 pub async fn run(path: PathBuf, settings: EntrySettings) -> Result<(), StartError> {
-    run_on(path, settings, Rc::new(SystemNetwork)).await
+    let network = SystemNetwork {
+        source: settings.target_source,
+    };
+    run_on(path, settings, Rc::new(network)).await
 }
 
 /// Runs an entry process that reaches targets over a given network; see [`run`].
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -120,6 +120,10 @@
     pub metrics_port: u16,
     /// The address of the platform's store.
     pub store: SocketAddr,
+    /// The address that connections to targets come from, on a VM with several; the system chooses it
+    /// if there is none. Read at the start only.
+    #[serde(default)]
+    pub target_source: Option<IpAddr>,
     /// Whether the whole fleet starts for the first time, so that no node has registered yet.
     #[serde(default)]
     pub first_start: bool,
--- a/entry/src/target_pool.rs
+++ b/entry/src/target_pool.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::fmt::Debug;
 use std::hash::Hash;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -15,7 +15,8 @@
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// The timeout for connecting to a target: well above the round-trip time between data centres, so
 /// that a distant target is not taken for an unreachable one.
@@ -23,6 +24,8 @@
 /// The time for which sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`) before the path
 /// counts as broken and the connection is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(700);
+/// The time in which a new connection may be reset for the target to count as unreachable.
+const EARLY_RESET_TIMEOUT: Duration = Duration::from_millis(20);
 /// The idle time before the first keep-alive probe and between probes; the socket option takes
 /// whole seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -53,11 +56,24 @@
 
 /// The network of the system.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct SystemNetwork;
+pub struct SystemNetwork {
+    /// The address that connections come from; the system chooses it if there is none.
+    pub source: Option<IpAddr>,
+}
 
 impl TargetNetwork for SystemNetwork {
     fn connect(&self, address: SocketAddr) -> LocalBoxFuture<'static, std::io::Result<TcpStream>> {
-        Box::pin(TcpStream::connect(address))
+        let Some(source) = self.source else {
+            return Box::pin(TcpStream::connect(address));
+        };
+        Box::pin(async move {
+            let socket = match source {
+                IpAddr::V4(_) => TcpSocket::new_v4(),
+                IpAddr::V6(_) => TcpSocket::new_v6(),
+            }?;
+            socket.bind(SocketAddr::new(source, 0))?;
+            socket.connect(address).await
+        })
     }
 }
 
@@ -275,11 +291,17 @@
         self.pools.borrow_mut().swap_remove(id);
     }
 
-    /// Returns whether a target accepts a connection, which is closed again.
+    /// Returns whether a target accepts a connection and does not reset it at once, as something on a
+    /// broken path may; the connection is closed again.
     pub async fn try_connect(&self, address: SocketAddr) -> bool {
         let connect = self.network.connect(address);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
-        connected.is_ok_and(|connected| connected.is_ok())
+        let Ok(Ok(mut stream)) = connected else {
+            return false;
+        };
+        // Targets write nothing before a request.
+        let ended = tokio::time::timeout(EARLY_RESET_TIMEOUT, stream.read_u8()).await;
+        ended.is_err()
     }
 
     /// Closes all idle connections to a server.
--- a/entry/tests/test_cut_off_nodes.rs
+++ b/entry/tests/test_cut_off_nodes.rs
@@ -68,7 +68,7 @@
             other_network,
             sound_node,
             targets,
-            store: store,
+            store,
         }
     }
 
--- a/testutils/src/bin/damaskloom-soak.rs
+++ b/testutils/src/bin/damaskloom-soak.rs
@@ -3,14 +3,14 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use damaskloom_testutils::soak_plan::SoakSize;
+use damaskloom_testutils::soak_plan::{FaultScope, SoakSize};
 use damaskloom_testutils::soak_run::{SoakError, run_soak};
 
 const HELP: &str = "\
 Runs entry processes on loopback under random faults and checks the promises to callers and targets.
 
 Usage: damaskloom-soak [--program FILE] [--seeds FIRST..END] [--seconds N] [--nodes N]
-                       [--targets N] [--callers N] [--logs FOLDER]
+                       [--targets N] [--callers N] [--faults SET] [--logs FOLDER]
 
 Options:
   --program FILE      the entry program; default: damaskloom-entry beside this one
@@ -19,6 +19,8 @@
   --nodes N           the number of entry processes; default: 6
   --targets N         the number of targets; default: 9
   --callers N         the number of callers that send at the same time; default: 24
+  --faults SET        all, or processes-run: none that ends or pauses a process, so that what callers get
+                      during cuts from the targets is checked; default: all
   --logs FOLDER       the folder for logs of seeds that broke a promise; default: target/soak
   --help              print this help
   --version           print the version
@@ -44,6 +46,18 @@
         println!("damaskloom-soak {}", env!("CARGO_PKG_VERSION"));
         return Ok(None);
     }
+    let scope: Option<String> = arguments
+        .opt_value_from_str("--faults")
+        .map_err(|error| error.to_string())?;
+    let scope = match scope.as_deref() {
+        None | Some("all") => FaultScope::All,
+        Some("processes-run") => FaultScope::ProcessesRun,
+        Some(other) => {
+            return Err(format!(
+                "--faults takes all or processes-run, not {other:?}"
+            ));
+        }
+    };
     let wrong = |error: pico_args::Error| error.to_string();
     let mut number = |name: &'static str, default: u64| {
         let given = arguments.opt_value_from_str(name).map_err(wrong)?;
@@ -54,6 +68,7 @@
         targets: number("--targets", 9)? as usize,
         callers: number("--callers", 24)? as usize,
         length_ms: number("--seconds", 10)? * 1_000,
+        scope,
     };
     let seeds: Option<String> = arguments.opt_value_from_str("--seeds").map_err(wrong)?;
     let seeds = seeds.unwrap_or_else(|| "1..2".to_owned());
@@ -112,6 +127,13 @@
             report.plan.len(),
             report.breaches.len()
         );
+        for cut in &report.cuts {
+            let (served, sent) = (cut.served, cut.sent);
+            let (cut_served, cut_sent) = (cut.cut_served, cut.cut_sent);
+            println!(
+                "  cut: {cut_served} of {cut_sent} served at cut nodes, {served} of {sent} elsewhere"
+            );
+        }
         if report.breaches.is_empty() {
             // Logs are kept only for seeds that broke a promise.
             let _ = std::fs::remove_dir_all(&folder);
--- a/testutils/src/soak_caller.rs
+++ b/testutils/src/soak_caller.rs
@@ -27,6 +27,8 @@
 const MAX_REQUEST_INTERVAL_MS: u64 = 120;
 /// One in this many requests opens a new connection although one is open.
 const NEW_CONNECTION_ONE_IN: u32 = 12;
+/// One in this many callers keeps the address that it got from the directory.
+const KEPT_ADDRESS_ONE_IN: usize = 3;
 /// One in this many requests carries a key that no customer ever had.
 const UNKNOWN_KEY_ONE_IN: u32 = 40;
 /// In one of this many requests the caller disconnects long before the deadline.
@@ -56,6 +58,7 @@
 
 struct CallerConnection {
     node: usize,
+    address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
 }
 
@@ -63,6 +66,9 @@
 pub async fn run_caller(plan: Arc<CallerPlan>, seed: u64, caller: usize) {
     let mut random = SmallRng::seed_from_u64(seed ^ (caller as u64) << 32);
     let mut idle: Option<CallerConnection> = None;
+    // Some callers hold an old answer of the directory, as long as the node accepts connections.
+    let keeps_address = caller.is_multiple_of(KEPT_ADDRESS_ONE_IN);
+    let mut kept: Option<(usize, SocketAddr)> = None;
     let mut number = 0;
     while !plan.stopped.load(Ordering::Relaxed) {
         number += 1;
@@ -72,8 +78,11 @@
             .filter(|reused| !opens_new && !reused.sender.is_closed());
         let connection = match reused {
             Some(reused) => Some(reused),
-            None => connect(&plan, &mut random).await,
+            None => connect(&plan, kept, &mut random).await,
         };
+        if keeps_address {
+            kept = connection.as_ref().map(|open| (open.node, open.address));
+        }
         if let Some(connection) = connection {
             let id = format!("s{seed}-{caller}-{number}");
             idle = send_on(&plan, connection, &id, &mut random).await;
@@ -83,7 +92,18 @@
     }
 }
 
-async fn connect(plan: &CallerPlan, random: &mut SmallRng) -> Option<CallerConnection> {
+async fn connect(
+    plan: &CallerPlan,
+    kept: Option<(usize, SocketAddr)>,
+    random: &mut SmallRng,
+) -> Option<CallerConnection> {
+    if let Some((node, address)) = kept {
+        return Some(CallerConnection {
+            node,
+            address,
+            sender: open(address).await?,
+        });
+    }
     let directory = *plan.directories.choose(random)?;
     let addresses = tokio::time::timeout(CONNECT_TIMEOUT, query_directory(directory)).await;
     let addresses = addresses.ok()??;
@@ -91,6 +111,7 @@
     let node = plan.nodes.iter().position(|node| *node == address)?;
     Some(CallerConnection {
         node,
+        address,
         sender: open(address).await?,
     })
 }
--- a/testutils/src/soak_fleet.rs
+++ b/testutils/src/soak_fleet.rs
@@ -86,6 +86,11 @@
         SocketAddr::new(self.ip, CALLER_PORT + 2)
     }
 
+    /// Returns the node's address, from which its connections to targets come.
+    pub const fn ip(&self) -> IpAddr {
+        self.ip
+    }
+
     fn settings(&self) -> Value {
         let listen = |offset: u16| format!("{}:{}", self.ip, CALLER_PORT + offset);
         json!({
@@ -95,6 +100,7 @@
             "ip": self.ip.to_string(),
             "caller_listen": listen(0), "ready_listen": listen(1), "directory_listen": listen(2),
             "peer_port": PEER_PORT, "metrics_port": CALLER_PORT + 3,
+            "target_source": self.ip.to_string(),
             "store": self.store_path.address().to_string(),
             "machine": { "cpu_share": 0.5, "cpu_cores": 1 },
             "bounds": {
--- a/testutils/src/soak_ledger.rs
+++ b/testutils/src/soak_ledger.rs
@@ -22,6 +22,22 @@
 /// count against the limit.
 const LIMIT_CONTACT: Duration = Duration::from_secs(3);
 
+/// How long after the start of a cut the requests at cut nodes count, as the platform states it.
+const CUT_CONTACT: Duration = Duration::from_secs(3);
+/// The share at which cut nodes must serve in relation to the others, and the failures there that are
+/// tolerated, as a number and as a fraction of all requests.
+const CUT_SERVED_RATIO: f64 = 2.0 / 3.0;
+const CUT_FAILURES: f64 = 10.0;
+const CUT_FAILURE_RATIO: f64 = 0.02;
+
+/// The id of the requests by which the soak itself waits until the fleet serves.
+pub const PROBE_ID: &str = "probe";
+
+/// The window of the budget of repeats, and what the settings of the nodes allow in it.
+const REPEAT_WINDOW: Duration = Duration::from_secs(10);
+const REPEAT_RATIO: f64 = 0.2;
+const REPEAT_SLACK: f64 = 64.0;
+
 /// A customer of a soak.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakCustomer {
@@ -126,6 +142,29 @@
     node_faults: Vec<NodeFaultPeriod>,
     node_starts: Vec<(usize, Instant)>,
     limits: Vec<LimitPeriod>,
+    arrivals: Vec<(String, &'static str, Instant)>,
+    cuts: Vec<CutPeriod>,
+}
+
+/// The requests at cut nodes and at the others during a cut, and how many of them were served.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CutCounts {
+    /// The requests that the other nodes served.
+    pub served: u32,
+    /// The requests at the other nodes.
+    pub sent: u32,
+    /// The requests that the cut nodes served.
+    pub cut_served: u32,
+    /// The requests at the cut nodes.
+    pub cut_sent: u32,
+}
+
+/// A period in which nodes were cut off from all targets.
+#[derive(Debug)]
+struct CutPeriod {
+    nodes: Vec<usize>,
+    from: Instant,
+    to: Option<Instant>,
 }
 
 /// A period in which a target named a limit.
@@ -199,6 +238,37 @@
         (content.sent.len(), served.count(), content.runs.len())
     }
 
+    /// Records that a request reached a target, whether or not it runs there.
+    pub fn record_arrival(&self, id: &str, service: &'static str, at: Instant) {
+        let arrival = (id.to_owned(), service, at);
+        self.lock().arrivals.push(arrival);
+    }
+
+    /// Records that nodes are cut off from all targets, in place of those that were.
+    pub fn record_cut(&self, nodes: &[usize], at: Instant) {
+        self.record_cut_end(at);
+        self.lock().cuts.push(CutPeriod {
+            nodes: nodes.to_vec(),
+            from: at,
+            to: None,
+        });
+    }
+
+    /// Records that no node is cut off any more.
+    pub fn record_cut_end(&self, at: Instant) {
+        let mut content = self.lock();
+        if let Some(last) = content.cuts.last_mut() {
+            last.to.get_or_insert(at);
+        }
+    }
+
+    /// Returns the counts of each cut that is checked.
+    pub fn cut_counts(&self) -> Vec<CutCounts> {
+        let content = self.lock();
+        let cuts = content.cuts.iter();
+        cuts.filter_map(|cut| content.cut_counts(cut)).collect()
+    }
+
     /// Returns all promises that were broken.
     pub fn breaches(&self, customers: &[SoakCustomer]) -> Vec<SoakBreach> {
         let content = self.lock();
@@ -218,11 +288,126 @@
         for limit in &content.limits {
             content.check_limit(limit, &mut breaches);
         }
+        for cut in &content.cuts {
+            content.check_cut(cut, &mut breaches);
+        }
+        for service in ["desk", "berth"] {
+            content.check_repeats(service, &mut breaches);
+        }
         breaches
     }
 }
 
 impl LedgerContent {
+    /// Counts the requests at cut nodes and at the others, from some time after the start of the cut. Cuts during which a node had another fault or started are left out, since any node may be the
+    /// helper, and so are cuts of all nodes.
+    fn cut_counts(&self, cut: &CutPeriod) -> Option<CutCounts> {
+        let from = cut.from + CUT_CONTACT;
+        let to = cut.to.unwrap_or_else(Instant::now);
+        let had_fault = self
+            .node_faults
+            .iter()
+            .any(|period| period.from <= to && period.to >= cut.from)
+            || self
+                .node_starts
+                .iter()
+                .any(|(_, at)| (cut.from..to).contains(at));
+        let mut counts = [(0_u32, 0_u32); 2];
+        for request in self.sent.values() {
+            let is_counted = (from..to).contains(&request.sent_at) && request.customer.is_some();
+            let status = match &request.end {
+                Some((
+                    SeenEnd::Answer { status: 429, .. } | SeenEnd::Left | SeenEnd::NotSent,
+                    _,
+                )) => continue,
+                Some((SeenEnd::Answer { status, .. }, _)) => *status,
+                Some((SeenEnd::Broken, _)) => 0,
+                None => continue,
+            };
+            if is_counted {
+                let (served, sent) = &mut counts[usize::from(cut.nodes.contains(&request.node))];
+                *sent += 1;
+                *served += u32::from(status == 200);
+            }
+        }
+        let [(served, sent), (cut_served, cut_sent)] = counts;
+        (!had_fault && sent > 0 && cut_sent > 0).then_some(CutCounts {
+            served,
+            sent,
+            cut_served,
+            cut_sent,
+        })
+    }
+
+    /// Checks that callers of cut nodes are served as well as the others.
+    fn check_cut(&self, cut: &CutPeriod, breaches: &mut Vec<SoakBreach>) {
+        let Some(counts) = self.cut_counts(cut) else {
+            return;
+        };
+        let CutCounts {
+            served,
+            sent,
+            cut_served,
+            cut_sent,
+        } = counts;
+        let share = |served: u32, sent: u32| f64::from(served) / f64::from(sent);
+        let is_far_worse = share(cut_served, cut_sent) < share(served, sent) * CUT_SERVED_RATIO;
+        let failed = cut_sent - cut_served;
+        let tolerated = CUT_FAILURES + f64::from(sent + cut_sent) * CUT_FAILURE_RATIO;
+        if is_far_worse && f64::from(failed) > tolerated {
+            breaches.push(SoakBreach {
+                promise: "callers of nodes that are cut off from all targets are served like the others",
+                seen: format!("cut nodes {:?}: {cut_served} of {cut_sent}, others {served} of {sent}", cut.nodes),
+            });
+        }
+    }
+
+    /// Checks that the arrivals beyond the first of each request stay within the budget in each window.
+    fn check_repeats(&self, service: &str, breaches: &mut Vec<SoakBreach>) {
+        let mut seen: HashMap<&str, ()> = HashMap::new();
+        let arrivals = self
+            .arrivals
+            .iter()
+            .filter(|(id, at_service, _)| *at_service == service && id != PROBE_ID);
+        let repeats: Vec<Instant> = arrivals
+            .filter(|(id, _, _)| seen.insert(id, ()).is_some())
+            .map(|(_, _, at)| *at)
+            .collect();
+        let sent: Vec<Instant> = self
+            .sent
+            .values()
+            .filter(|request| request.service == service)
+            .map(|request| request.sent_at)
+            .collect();
+        let count = |times: &[Instant], from: Instant| {
+            times
+                .iter()
+                .filter(|at| (from..from + REPEAT_WINDOW).contains(*at))
+                .count()
+        };
+        for from in &repeats {
+            let earlier = [
+                Some(*from),
+                from.checked_sub(REPEAT_WINDOW / 2),
+                from.checked_sub(REPEAT_WINDOW),
+            ];
+            let requests = earlier
+                .into_iter()
+                .flatten()
+                .map(|from| count(&sent, from))
+                .max();
+            let allowed = requests.unwrap_or(0) as f64 * REPEAT_RATIO + REPEAT_SLACK;
+            let repeats = count(&repeats, *from);
+            if repeats as f64 > allowed {
+                breaches.push(SoakBreach {
+                    promise: "no service gets more repeats than the budget, over all nodes",
+                    seen: format!("{service}: {repeats} in a window, {allowed:.0} allowed"),
+                });
+                return;
+            }
+        }
+    }
+
     /// Checks that the requests to a target stay within its limit in each window, counted over the
     /// nodes that were left alone from some time before the window.
     fn check_limit(&self, limit: &LimitPeriod, breaches: &mut Vec<SoakBreach>) {
--- a/testutils/src/soak_plan.rs
+++ b/testutils/src/soak_plan.rs
@@ -89,6 +89,15 @@
     Store(StoreFault),
     /// The path from all nodes to a target fails.
     TargetPath(usize, PathFault),
+    /// Some nodes, from the first one on, lose their paths to all targets.
+    NodesCutOff {
+        /// The first node.
+        first: usize,
+        /// The number of nodes.
+        count: usize,
+    },
+    /// The address of a target leads to another target.
+    AddressReused(usize),
     /// A target misbehaves.
     Target(usize, TargetFault),
     /// A target announces that it drains, and another one replaces it.
@@ -121,6 +130,38 @@
     pub callers: usize,
     /// The time in which faults start, in milliseconds.
     pub length_ms: u64,
+    /// The faults that are drawn.
+    pub scope: FaultScope,
+}
+
+/// The faults of a soak.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum FaultScope {
+    /// All faults.
+    #[default]
+    All,
+    /// All but those of processes, so that what holds only while these run is checked.
+    ProcessesRun,
+}
+
+impl SoakFault {
+    const fn stops_processes(self) -> bool {
+        match self {
+            Self::NodeKilled(_) | Self::NodeStopped(_) | Self::NodePaused(_) | Self::AllKilled => {
+                true
+            }
+            Self::NodeReloaded(_)
+            | Self::StorePath(..)
+            | Self::Store(_)
+            | Self::TargetPath(..)
+            | Self::NodesCutOff { .. }
+            | Self::AddressReused(_)
+            | Self::Target(..)
+            | Self::TargetReplaced(_)
+            | Self::LimitChanged
+            | Self::KeyWithdrawn => false,
+        }
+    }
 }
 
 /// The mean time between the starts of two faults, in milliseconds.
@@ -130,6 +171,11 @@
 /// The range of durations of limits, which are checked some seconds after their naming.
 const LIMIT_LENGTH_MS: std::ops::Range<u64> = 8_000..12_000;
 
+/// The range of durations of cuts, whose effect is checked some seconds after their start.
+const CUT_LENGTH_MS: std::ops::Range<u64> = 5_000..9_000;
+/// Separates the numbers of the faults that were added later.
+const LATER_FAULTS_SEED: u64 = 0x6375_7473;
+
 /// The probability that a fault of a node or a change is the first one of a series.
 const SERIES_PROBABILITY: f64 = 0.4;
 /// The number of further faults of a series, and the gap between two of them in milliseconds.
@@ -173,10 +219,52 @@
             at_ms += rng.random_range(1..MEAN_GAP_MS * 3);
         }
     }
+    faults.extend(draw_later_faults(seed, size));
+    if size.scope == FaultScope::ProcessesRun {
+        faults.retain(|planned| !planned.fault.stops_processes());
+    }
     faults.sort_by_key(|fault| fault.from_ms);
     faults
 }
 
+/// Draws the faults that were added after seeds had been recorded, from numbers of their own, so that the
+/// other faults of these seeds stay as they are.
+fn draw_later_faults(seed: u64, size: SoakSize) -> Vec<PlannedFault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ LATER_FAULTS_SEED);
+    let mut faults = Vec::new();
+    // Cuts follow each other, since one replaces another.
+    let mut at_ms = rng.random_range(500..MEAN_GAP_MS * 4);
+    while at_ms < size.length_ms {
+        let count = *[
+            1,
+            size.nodes.div_ceil(2),
+            size.nodes.div_ceil(2),
+            size.nodes,
+        ]
+        .choose(&mut rng)
+        .expect("the list is not empty");
+        let for_ms = rng.random_range(CUT_LENGTH_MS);
+        let first = rng.random_range(0..size.nodes);
+        faults.push(PlannedFault {
+            from_ms: at_ms,
+            for_ms,
+            fault: SoakFault::NodesCutOff { first, count },
+        });
+        at_ms += for_ms + rng.random_range(1..MEAN_GAP_MS * 3);
+    }
+    let mut at_ms = rng.random_range(500..MEAN_GAP_MS * 4);
+    while at_ms < size.length_ms {
+        let target = rng.random_range(0..size.targets);
+        faults.push(PlannedFault {
+            from_ms: at_ms,
+            for_ms: rng.random_range(LENGTH_MS),
+            fault: SoakFault::AddressReused(target),
+        });
+        at_ms += rng.random_range(1..MEAN_GAP_MS * 6);
+    }
+    faults
+}
+
 /// Returns the fault that follows another one in a series: the same at the next node, or one more
 /// change; none for faults that come singly.
 fn next_of_series(fault: SoakFault, size: SoakSize) -> Option<SoakFault> {
@@ -194,6 +282,8 @@
         | SoakFault::StorePath(..)
         | SoakFault::Store(_)
         | SoakFault::TargetPath(..)
+        | SoakFault::NodesCutOff { .. }
+        | SoakFault::AddressReused(_)
         | SoakFault::Target(..)
         | SoakFault::KeyWithdrawn => None,
     }
--- a/testutils/src/soak_proxy.rs
+++ b/testutils/src/soak_proxy.rs
@@ -1,6 +1,6 @@
 //! A loopback proxy that delays or resets connections, or discards what they carry.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::os::fd::AsFd;
 use std::time::Duration;
 
@@ -23,11 +23,30 @@
     ToCaller,
 }
 
+/// What a proxy does.
+#[derive(Clone, Debug)]
+struct ProxyState {
+    fault: PathFault,
+    /// The sources whose connections are reset.
+    cut_sources: Vec<IpAddr>,
+    /// The server that connections lead to.
+    server: SocketAddr,
+}
+
+impl ProxyState {
+    fn fault_of(&self, source: IpAddr) -> PathFault {
+        match self.cut_sources.contains(&source) {
+            true => PathFault::Reset,
+            false => self.fault,
+        }
+    }
+}
+
 /// A running proxy; dropping it closes its connections.
 #[derive(Debug)]
 pub struct PathProxy {
     address: SocketAddr,
-    fault: watch::Sender<PathFault>,
+    state: watch::Sender<ProxyState>,
     task: JoinHandle<()>,
 }
 
@@ -46,11 +65,15 @@
     pub async fn start(server: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
-        let (fault, faults) = watch::channel(PathFault::None);
-        let task = tokio::spawn(accept(listener, server, faults));
+        let (state, states) = watch::channel(ProxyState {
+            fault: PathFault::None,
+            cut_sources: Vec::new(),
+            server,
+        });
+        let task = tokio::spawn(accept(listener, states));
         Ok(Self {
             address,
-            fault,
+            state,
             task,
         })
     }
@@ -62,28 +85,40 @@
 
     /// Sets the fault of open and new connections.
     pub fn set_fault(&self, fault: PathFault) {
-        self.fault.send_replace(fault);
+        self.state.send_modify(|state| state.fault = fault);
+    }
+
+    /// Resets the connections of some sources, and no others.
+    pub fn cut_sources(&self, sources: &[IpAddr]) {
+        let sources = sources.to_vec();
+        self.state.send_modify(|state| state.cut_sources = sources);
+    }
+
+    /// Leads new connections to another server.
+    pub fn set_server(&self, server: SocketAddr) {
+        self.state.send_modify(|state| state.server = server);
     }
 }
 
-async fn accept(listener: TcpListener, server: SocketAddr, faults: watch::Receiver<PathFault>) {
-    while let Ok((caller, _)) = listener.accept().await {
-        let faults = faults.clone();
+async fn accept(listener: TcpListener, states: watch::Receiver<ProxyState>) {
+    while let Ok((caller, source)) = listener.accept().await {
+        let states = states.clone();
         tokio::spawn(async move {
             // Broken connections are expected: the proxy breaks them on purpose.
-            let _ = relay(caller, server, faults).await;
+            let _ = relay(caller, source.ip(), states).await;
         });
     }
 }
 
 async fn relay(
     caller: TcpStream,
-    server: SocketAddr,
-    mut faults: watch::Receiver<PathFault>,
+    source: IpAddr,
+    mut states: watch::Receiver<ProxyState>,
 ) -> std::io::Result<()> {
-    if *faults.borrow() == PathFault::Reset {
+    if states.borrow().fault_of(source) == PathFault::Reset {
         return reset(&caller);
     }
+    let server = states.borrow().server;
     let server = TcpStream::connect(server).await?;
     caller.set_nodelay(true)?;
     server.set_nodelay(true)?;
@@ -91,11 +126,11 @@
     let socket = Socket::from(caller.as_fd().try_clone_to_owned()?);
     let (from_caller, to_caller) = caller.into_split();
     let (from_server, to_server) = server.into_split();
-    let to_server = copy(from_caller, to_server, Direction::ToServer, faults.clone());
-    let to_caller = copy(from_server, to_caller, Direction::ToCaller, faults.clone());
+    let to_server = copy(from_caller, to_server, Direction::ToServer, states.clone());
+    let to_caller = copy(from_server, to_caller, Direction::ToCaller, states.clone());
     tokio::select! {
         ended = async { tokio::try_join!(to_server, to_caller) } => ended.map(|_| ()),
-        _ = faults.wait_for(|fault| *fault == PathFault::Reset) => {
+        _ = states.wait_for(|state| state.fault_of(source) == PathFault::Reset) => {
             socket.set_linger(Some(Duration::ZERO))
         }
     }
@@ -109,7 +144,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     direction: Direction,
-    faults: watch::Receiver<PathFault>,
+    states: watch::Receiver<ProxyState>,
 ) -> std::io::Result<()> {
     let mut buffer = vec![0; CHUNK_BYTES];
     loop {
@@ -117,7 +152,7 @@
         if length == 0 {
             return to.shutdown().await;
         }
-        let fault = *faults.borrow();
+        let fault = states.borrow().fault;
         let is_discarded = match fault {
             PathFault::Silent => true,
             PathFault::CutToServer => direction == Direction::ToServer,
--- a/testutils/src/soak_run.rs
+++ b/testutils/src/soak_run.rs
@@ -1,6 +1,7 @@
 //! Runs a soak: real processes under external faults, with the promises to callers and targets
 //! checked.
 
+use std::net::IpAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -14,7 +15,9 @@
 use crate::platform_server::{PlatformServer, ServerError, TablesCopy};
 use crate::soak_caller::{CallerPlan, query_directory, request, run_caller, send_once};
 use crate::soak_fleet::{ProcessError, SoakNode};
-use crate::soak_ledger::{NodeFaultPeriod, SentRequest, SoakBreach, SoakCustomer, SoakLedger};
+use crate::soak_ledger::{
+    CutCounts, NodeFaultPeriod, PROBE_ID, SentRequest, SoakBreach, SoakCustomer, SoakLedger,
+};
 use crate::soak_plan::{
     PathFault, PlannedFault, SoakFault, SoakSize, StoreFault, TargetFault, plan,
 };
@@ -31,9 +34,6 @@
 /// The time after a fault in which callers may still see its effects; above their deadline.
 const FAULT_EFFECT_MARGIN: Duration = Duration::from_secs(2);
 
-/// The id of the requests that check whether a node serves; they may run more than once.
-const PROBE_ID: &str = "probe";
-
 /// The customers of every soak, with the highest limit that any configuration sets.
 pub const CUSTOMERS: [SoakCustomer; 3] = [
     SoakCustomer {
@@ -93,6 +93,8 @@
     pub counts: (usize, usize, usize),
     /// The promises that were broken.
     pub breaches: Vec<SoakBreach>,
+    /// What callers got during each cut that was checked.
+    pub cuts: Vec<CutCounts>,
 }
 
 struct ProxiedTarget {
@@ -158,6 +160,7 @@
     Ok(SoakReport {
         plan: faults,
         counts: soak.ledger.counts(),
+        cuts: soak.ledger.cut_counts(),
         breaches,
     })
 }
@@ -306,6 +309,22 @@
             SoakFault::StorePath(node, path) => self.nodes[node].store_path.set_fault(path),
             SoakFault::Store(fault) => self.store.set_faults(store_faults(fault)),
             SoakFault::TargetPath(target, path) => self.targets[target].path.set_fault(path),
+            SoakFault::NodesCutOff { first, count } => {
+                let nodes = self.cut_off(first, count);
+                let sources: Vec<IpAddr> =
+                    nodes.iter().map(|node| self.nodes[*node].ip()).collect();
+                self.cut_sources(&sources);
+                self.ledger.record_cut(&nodes, Instant::now());
+            }
+            SoakFault::AddressReused(target) => {
+                let other = (target + 1) % self.targets.len();
+                let address = self.targets[other].target.address();
+                self.targets[target].path.set_server(address);
+                // Connections to the earlier target end with it.
+                self.targets[target].path.set_fault(PathFault::Reset);
+                tokio::task::yield_now().await;
+                self.targets[target].path.set_fault(PathFault::None);
+            }
             SoakFault::Target(target, fault) => {
                 let target = &self.targets[target].target;
                 // A fault replaces an earlier one, so that the target stops naming its limit.
@@ -361,6 +380,17 @@
             SoakFault::TargetPath(target, _) => {
                 self.targets[target].path.set_fault(PathFault::None);
             }
+            SoakFault::NodesCutOff { .. } => {
+                self.cut_sources(&[]);
+                self.ledger.record_cut_end(Instant::now());
+            }
+            SoakFault::AddressReused(target) => {
+                let proxied = &self.targets[target];
+                proxied.path.set_server(proxied.target.address());
+                // The target is back and announces itself again.
+                let row = proxied.target.next_row(proxied.path.address(), "ready");
+                self.store.put("servers", &proxied.target.id, row);
+            }
             SoakFault::Target(target, _) => {
                 let target = &self.targets[target].target;
                 target.set_fault(TargetFault::None);
@@ -379,6 +409,18 @@
     }
 
     /// Restores the store from the older copy; operators and targets write their rows again.
+    /// Returns the nodes of a cut.
+    fn cut_off(&self, first: usize, count: usize) -> Vec<usize> {
+        let nodes = self.nodes.len();
+        (first..first + count).map(|node| node % nodes).collect()
+    }
+
+    fn cut_sources(&self, sources: &[IpAddr]) {
+        for proxied in self.targets.iter().chain(&self.draining) {
+            proxied.path.cut_sources(sources);
+        }
+    }
+
     fn restore_store(&mut self) {
         self.store.restore_tables(&self.copies[0]);
         self.publish_configuration();
@@ -443,8 +485,11 @@
                 node.start()?;
             }
         }
+        self.cut_sources(&[]);
+        self.ledger.record_cut_end(Instant::now());
         for proxied in &self.targets {
             proxied.path.set_fault(PathFault::None);
+            proxied.path.set_server(proxied.target.address());
             proxied.target.set_fault(TargetFault::None);
             self.ledger.record_limit_lifted(&proxied.target.id);
         }
--- a/testutils/src/soak_target.rs
+++ b/testutils/src/soak_target.rs
@@ -146,6 +146,9 @@
                 .await?;
             continue;
         };
+        context
+            .ledger
+            .record_arrival(&id, context.service, Instant::now());
         if header("expect-instance").is_some_and(|expected| expected != context.id) {
             stream.write_all(&response_head(421, &id, "", 0)).await?;
             continue;
--- a/testutils/tests/test_soak.rs
+++ b/testutils/tests/test_soak.rs
@@ -8,7 +8,7 @@
 use damaskloom_testutils::soak_ledger::{
     NodeFaultPeriod, RunRecord, SeenEnd, SentRequest, SoakCustomer, SoakLedger,
 };
-use damaskloom_testutils::soak_plan::{PathFault, SoakFault, SoakSize, plan};
+use damaskloom_testutils::soak_plan::{FaultScope, PathFault, SoakFault, SoakSize, plan};
 use damaskloom_testutils::soak_proxy::PathProxy;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,6 +18,7 @@
     targets: 6,
     callers: 1,
     length_ms: 20_000,
+    scope: FaultScope::All,
 };
 
 /// The timeout for what must happen, generous since the machine may be busy.
@@ -40,7 +41,7 @@
 
 fn fault_name(fault: SoakFault) -> String {
     let text = format!("{fault:?}");
-    text.split('(').next().unwrap_or_default().to_owned()
+    text.split(['(', ' ']).next().unwrap_or_default().to_owned()
 }
 
 #[test]
@@ -50,7 +51,7 @@
     let all = (0..30).flat_map(|seed| plan(seed, SIZE));
     let fault_names: BTreeSet<String> = all.map(|planned| fault_name(planned.fault)).collect();
     let fault_names: Vec<String> = fault_names.into_iter().collect();
-    insta::assert_snapshot!(fault_names.join(" "), @"AllKilled KeyWithdrawn LimitChanged NodeKilled NodePaused NodeReloaded NodeStopped Store StorePath Target TargetPath TargetReplaced");
+    insta::assert_snapshot!(fault_names.join(" "), @"AddressReused AllKilled KeyWithdrawn LimitChanged NodeKilled NodePaused NodeReloaded NodeStopped NodesCutOff Store StorePath Target TargetPath TargetReplaced");
 }
 
 /// Starts a proxy for a server that echoes what it receives.
@@ -288,3 +289,86 @@
         assert_eq!(seen, if has_fault { &[][..] } else { &expected[..] });
     }
 }
+
+/// Records a request of a caller at a node, and its end.
+fn record_request(ledger: &SoakLedger, id: &str, node: usize, at: Instant, status: u16) {
+    ledger.record_sent(
+        id,
+        SentRequest {
+            customer: Some(0),
+            service: "desk",
+            once: false,
+            path: format!("/read/{id}"),
+            node,
+            sent_at: at,
+            end: None,
+        },
+    );
+    ledger.record_end(
+        id,
+        SeenEnd::Answer {
+            status,
+            has_receipt: status == 200,
+            is_own_body: status == 200,
+        },
+    );
+}
+
+fn has_breach(ledger: &SoakLedger, promise: &str) -> bool {
+    let breaches = ledger.breaches(&CUSTOMERS);
+    breaches
+        .iter()
+        .any(|breach| breach.promise.contains(promise))
+}
+
+/// Guards against a soak that does not notice callers of cut nodes that are refused, and against one that
+/// reports what is borne: the first seconds of a cut, a few failures, a node with another fault.
+#[test]
+fn callers_of_cut_nodes_that_are_served_far_worse_are_found() {
+    let promise = "cut off from all targets";
+    let start = Instant::now();
+    let cut_ledger = |from_s: u64, cut_status: u16, requests: usize| {
+        let ledger = SoakLedger::default();
+        ledger.record_cut(&[0], start);
+        for index in 0..requests {
+            let at = start + Duration::from_secs(from_s) + Duration::from_millis(index as u64);
+            record_request(&ledger, &format!("cut-{index}"), 0, at, cut_status);
+            record_request(&ledger, &format!("other-{index}"), 1, at, 200);
+        }
+        ledger.record_cut_end(start + Duration::from_secs(8));
+        ledger
+    };
+    assert!(has_breach(&cut_ledger(4, 503, 50), promise));
+    assert!(!has_breach(&cut_ledger(4, 200, 50), promise));
+    assert!(!has_breach(&cut_ledger(1, 503, 50), promise));
+    assert!(!has_breach(&cut_ledger(4, 503, 10), promise));
+    let ledger = cut_ledger(4, 503, 50);
+    ledger.record_node_fault(NodeFaultPeriod {
+        node: 1,
+        from: start,
+        to: start + Duration::from_secs(1),
+    });
+    assert!(!has_breach(&ledger, promise));
+}
+
+/// Guards against a soak that does not notice repeats beyond the budget, or counts first arrivals.
+#[test]
+fn repeats_beyond_the_budget_are_found() {
+    let promise = "repeats than the budget";
+    let start = Instant::now();
+    let repeat_ledger = |repeats: usize| {
+        let ledger = SoakLedger::default();
+        for index in 0..100 {
+            let id = format!("s1-{index}");
+            record_request(&ledger, &id, 0, start, 503);
+            ledger.record_arrival(&id, "desk", start);
+            if index < repeats {
+                ledger.record_arrival(&id, "desk", start + Duration::from_millis(5));
+            }
+        }
+        ledger
+    };
+    // A fifth of the requests and 64 may be repeats.
+    assert!(!has_breach(&repeat_ledger(84), promise));
+    assert!(has_breach(&repeat_ledger(85), promise));
+}
