--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -120,10 +120,15 @@
     /// Updates this node's part of the allowance of repeats: one of the nodes that carry traffic, or are
     /// expected to, has an even part.
     pub fn update_repeat_share(&self) {
+        self.set_repeat_share(self.expected_entry_nodes().len());
+    }
+
+    /// Updates this node's part of the allowance of repeats, given the number of other nodes that
+    /// callers may be directed to.
+    pub fn set_repeat_share(&self, expected: usize) {
         let share = if self.is_carrying() || self.is_entry() {
             let now = self.clock.now();
             let carrying = self.members.borrow().carrying(now).count();
-            let expected = self.expected_entry_nodes().len();
             AllowanceShare::OneOf(carrying.max(expected) + 1)
         } else {
             AllowanceShare::None
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -91,7 +91,7 @@
             state.update_limits();
             let repeats = state.limits.borrow_mut().due_repeats(now);
             self.send_limits(state, &repeats);
-            state.update_repeat_share();
+            state.set_repeat_share(entries);
             log_repeats(state);
             tokio::time::sleep(MIN_HEARTBEAT_INTERVAL).await;
             tokio::select! {
