entry: the delivery of a request gets a file of its own

Code moved, nothing changed: Delivery::new in place of a literal. The head of lib.rs names the new modules.

--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -7,9 +7,11 @@
 //!
 //! - `process` starts and stops an entry process, `command` and `settings` read its settings, and
 //!   `entry_state` holds the state that its tasks share.
-//! - `caller_listener`, `admission`, `request_path`, `attempt_guards`, `target_call`, `target_pool`,
-//!   `streamed_body` and `caller_answer` are the request path, from the caller's connection to the
-//!   answer.
+//! - `caller_listener`, `admission`, `request_path`, `delivery`, `attempt_guards`, `target_call`,
+//!   `target_pool`, `streamed_body` and `caller_answer` are the request path, from the caller's
+//!   connection to the answer.
+//! - `path_watch` notices when this node reaches no target, and `hand_on` passes requests to nodes that
+//!   do.
 //! - `store_watch` follows the store; `fleet_rows` registers the node and keeps the fleet's own rows;
 //!   `fleet_roles` determines which nodes follow the store and which nodes callers are directed to.
 //! - `limit_sharing` applies what answers and other nodes say about targets' limits.
@@ -23,6 +25,7 @@
 pub mod caller_answer;
 pub mod caller_listener;
 pub mod command;
+pub mod delivery;
 pub mod entry_meters;
 pub mod entry_state;
 pub mod fleet_roles;
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -1,50 +1,32 @@
-//! Serves one request: admission, body, selection of a target, attempts, answer.
+//! Serves one request: admission, body, delivery, answer.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use damaskloom_gateway::body_stream::RequestBody;
-use damaskloom_lib::attempt_failure::{AttemptFailure, PathEvidence};
-use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::crash_guard::{RequestDigest, RequestFingerprint};
-use damaskloom_lib::failure_filter::FailureSignal;
-use damaskloom_lib::ids::{CustomerId, ServiceId, TargetId};
-use damaskloom_lib::return_delay::return_delay;
-use damaskloom_lib::target_catalog::OutdatedAddress;
-use damaskloom_lib::target_selection::{SelectionError, SelectionRequest, TargetSelection};
+use damaskloom_lib::ids::{CustomerId, ServiceId};
 use damaskloom_lib::units::ByteSize;
 use http::request::Parts;
 use http::{Request, Response};
 use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use rand::Rng;
 use sha2::{Digest, Sha256};
 
 use crate::admission::{AdmittedRequest, admit, request_id};
-use crate::attempt_guards::{LimitPermit, RunningGuard};
 use crate::caller_answer::{
     CallerBody, CallerRefusal, RefusalReason, refusal_answer, target_answer,
 };
+use crate::delivery::{Delivery, DeliveryRequest, OutgoingBody};
 use crate::entry_state::EntryState;
-use crate::hand_on::{HandedRequest, RequestOrigin, mark_cut_off};
-use crate::log_lines::SUCCESS_TARGET;
-use crate::peer_socket::apply_crash_actions;
-use crate::target_call::{CallResult, CallTarget, OutgoingHead, TargetAnswer, call};
+use crate::hand_on::{RequestOrigin, mark_cut_off};
+use crate::target_call::{OutgoingHead, TargetAnswer};
 
 /// Bodies with a declared length up to this size are buffered, so that the request can be retried;
 /// bodies without a declared length are buffered up to eight times this size.
 const MAX_BUFFERED_BODY_BYTES: u64 = 1 << 20;
-/// The fraction of the typical running time that must be left before the deadline for an attempt to
-/// be worthwhile.
-const MIN_RUNNING_TIME_RATIO: f64 = 0.5;
-/// The expected wait of requests that are refused although no target's wait is known.
-const UNKNOWN_WAIT: Duration = Duration::from_millis(200);
-/// The number of attempts of one request that may fail before they reach a target.
-const MAX_UNDELIVERED_ATTEMPTS: u32 = 6;
-/// The number of targets that accept no connection for a request before it is handed on.
-const UNREACHABLE_TO_HAND_ON: u32 = 2;
 
 /// Stands for the customer in fingerprints of requests without one.
 static OPEN_CUSTOMER: std::sync::LazyLock<CustomerId> =
@@ -140,26 +122,15 @@
         }
     }
     let head = OutgoingHead::new(parts, admitted.customer.as_ref());
-    let mut delivery = Delivery {
-        state,
+    let request = DeliveryRequest {
+        parts,
         admitted: &admitted,
         service: &service,
         head: &head,
-        handed: HandedRequest {
-            parts,
-            request_id: request_id(parts),
-            deadline: admitted.deadline,
-        },
-        origin,
         fingerprint,
-        request_id: request_id(parts),
-        tried: Vec::new(),
-        arrivals: 0,
-        undelivered: 0,
-        unreachable: 0,
-        is_handed_on: false,
-        may_have_run: false,
+        origin,
     };
+    let mut delivery = Delivery::new(state, request);
     state
         .repeat_budget
         .borrow_mut()
@@ -170,41 +141,12 @@
         state.meters.record_answer(route, status, arrival.elapsed());
     }
     // The helper counts a request that was handed on.
-    if delivery.is_handed_on || (result.is_err() && !delivery.may_have_run) {
+    if delivery.is_handed_on() || (result.is_err() && !delivery.may_have_run()) {
         state.refund_rate(admitted.customer.as_ref());
     }
     result
 }
 
-/// The body of a request as it is sent to targets.
-enum OutgoingBody {
-    /// The complete body; the request can be retried.
-    Buffered(Bytes),
-    /// A body that is streamed as it arrives, so that it can be sent only once.
-    Stream(RequestBody),
-}
-
-impl OutgoingBody {
-    /// Splits the body into one to send, and one to send again if that is possible.
-    fn split(self) -> (RequestBody, Option<Self>) {
-        match self {
-            Self::Buffered(bytes) => (
-                RequestBody::buffered(bytes.clone()),
-                Some(Self::Buffered(bytes)),
-            ),
-            Self::Stream(stream) => (stream, None),
-        }
-    }
-}
-
-/// The result of the question whether to hand a request on.
-enum HandOn {
-    /// The request is sent to targets by this node.
-    NotNeeded(OutgoingBody),
-    /// The request has ended with another node's answer, or is refused.
-    Answered(Result<TargetAnswer, CallerRefusal>),
-}
-
 async fn receive_body(
     state: &EntryState,
     body: Incoming,
@@ -267,425 +209,3 @@
         ),
     }
 }
-
-/// The delivery of a request, with retries at further targets.
-struct Delivery<'a> {
-    state: &'a Rc<EntryState>,
-    admitted: &'a AdmittedRequest,
-    service: &'a ServiceId,
-    head: &'a OutgoingHead,
-    handed: HandedRequest<'a>,
-    origin: RequestOrigin,
-    fingerprint: Option<RequestFingerprint>,
-    request_id: &'a str,
-    tried: Vec<TargetId>,
-    /// The number of attempts that reached a target, the expected one or another.
-    arrivals: u32,
-    /// The number of attempts that failed before they reached a target.
-    undelivered: u32,
-    /// The number of targets that accepted no connection.
-    unreachable: u32,
-    /// Whether the request was handed on to another node.
-    is_handed_on: bool,
-    /// Whether an attempt may have run the request.
-    may_have_run: bool,
-}
-
-impl Delivery<'_> {
-    async fn deliver(&mut self, body: OutgoingBody) -> Result<TargetAnswer, CallerRefusal> {
-        let mut body = Some(body);
-        // The error answer of a target, which is returned to the caller if no retry succeeds.
-        let mut failed_answer: Option<TargetAnswer> = None;
-        loop {
-            let Some(unsent) = body.take() else {
-                return failed_answer.ok_or_else(|| self.final_refusal(AttemptFailure::Broken));
-            };
-            body = match self.hand_on(unsent).await {
-                HandOn::Answered(result) => return result,
-                HandOn::NotNeeded(unsent) => Some(unsent),
-            };
-            let selection = match self.select_target() {
-                Ok(selection) => selection,
-                Err(refusal) => return failed_answer.ok_or(refusal),
-            };
-            let permit = LimitPermit::reserve(self.state, &selection.target);
-            if !selection.permit_wait.is_zero() {
-                tokio::time::sleep(selection.permit_wait).await;
-                if !permit.is_valid(self.service) {
-                    continue;
-                }
-            }
-            let unsent = body.take().expect("the body was put back above");
-            let (attempt_body, retained) = unsent.split();
-            body = retained;
-            let failure = match self.send(&selection, permit, attempt_body).await {
-                Ok(answer) if answer.status().is_server_error() => {
-                    if !self.may_retry(AttemptFailure::ServerError) {
-                        return Ok(answer);
-                    }
-                    failed_answer = Some(answer);
-                    continue;
-                }
-                Ok(answer) => return Ok(answer),
-                Err(failure) => failure,
-            };
-            if !self.may_retry(failure) {
-                return failed_answer.ok_or_else(|| self.final_refusal(failure));
-            }
-        }
-    }
-
-    /// Hands the request on to another node if this node reaches no target, or as it seems to this
-    /// request none. Nothing has reached a target then.
-    async fn hand_on(&mut self, body: OutgoingBody) -> HandOn {
-        let is_cut_off = self.state.is_cut_off_from(self.service);
-        let is_needed = is_cut_off || self.unreachable >= UNREACHABLE_TO_HAND_ON;
-        if !is_needed || self.arrivals > 0 {
-            return HandOn::NotNeeded(body);
-        }
-        if self.origin == RequestOrigin::Peer {
-            // The node that handed the request on has other helpers to ask.
-            let refusal = self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT);
-            return HandOn::Answered(Err(refusal));
-        }
-        let mut retained = Some(body);
-        let next_body = || {
-            let (outgoing, rest) = retained.take()?.split();
-            retained = rest;
-            Some(outgoing)
-        };
-        match self.state.hand_on(&self.handed, next_body).await {
-            Some(answer) => {
-                self.is_handed_on = true;
-                HandOn::Answered(answer.map_err(|failure| {
-                    self.may_have_run |= failure.may_have_run();
-                    self.final_refusal(failure)
-                }))
-            }
-            None => match retained {
-                Some(body) if !is_cut_off => HandOn::NotNeeded(body),
-                _ => HandOn::Answered(Err(self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT))),
-            },
-        }
-    }
-
-    fn idempotence(&self) -> Idempotence {
-        self.admitted.route.idempotence
-    }
-
-    fn select_target(&self) -> Result<TargetSelection, CallerRefusal> {
-        let now = self.state.clock.now();
-        let time_left = self
-            .admitted
-            .deadline
-            .saturating_duration_since(Instant::now());
-        let limits = self.state.limits.borrow();
-        let request = SelectionRequest {
-            idempotence: self.idempotence(),
-            tried: &self.tried,
-            limits: &limits,
-            seed: rand::rng().random(),
-        };
-        let balancers = self.state.balancers.borrow();
-        let Some(balancer) = balancers.get(self.service) else {
-            return Err(self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT));
-        };
-        if let Some(plan) = self.state.stop_plan()
-            && !plan.allows(now, balancer.late_threshold())
-        {
-            return Err(self.refuse(RefusalReason::Stopping, Duration::ZERO));
-        }
-        let selection = balancer
-            .select(now, &request)
-            .map_err(|error| match error {
-                SelectionError::NoTarget => self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT),
-                SelectionError::Limited(wait) => {
-                    self.refuse(RefusalReason::TargetsLimited, wait.unwrap_or(UNKNOWN_WAIT))
-                }
-            })?;
-        let min_running_time = balancer
-            .typical_running_time()
-            .mul_f64(MIN_RUNNING_TIME_RATIO);
-        if selection.expected_wait + min_running_time > time_left {
-            return Err(self.refuse(RefusalReason::Overloaded, selection.expected_wait));
-        }
-        Ok(selection)
-    }
-
-    /// Makes the refusal for a request that is not sent (again). If an earlier attempt may have
-    /// run, the refusal does not claim that the request did not run.
-    fn refuse(&self, reason: RefusalReason, expected_wait: Duration) -> CallerRefusal {
-        if self.may_have_run {
-            RefusalReason::TargetBroke.into()
-        } else {
-            let drawn = rand::rng().random();
-            let delay = return_delay(expected_wait, self.admitted.priority, drawn);
-            CallerRefusal::after(reason, delay)
-        }
-    }
-
-    fn final_refusal(&self, failure: AttemptFailure) -> CallerRefusal {
-        match failure {
-            AttemptFailure::TimedOut => RefusalReason::TargetTimeout.into(),
-            AttemptFailure::Broken
-            | AttemptFailure::InvalidAnswer
-            | AttemptFailure::ServerError => RefusalReason::TargetBroke.into(),
-            AttemptFailure::Full => self.refuse(RefusalReason::Overloaded, UNKNOWN_WAIT),
-            AttemptFailure::NoConnection
-            | AttemptFailure::Unreachable
-            | AttemptFailure::Stale
-            | AttemptFailure::WrongTarget => self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT),
-        }
-    }
-
-    async fn send(
-        &mut self,
-        selection: &TargetSelection,
-        permit: LimitPermit<'_>,
-        body: RequestBody,
-    ) -> Result<TargetAnswer, AttemptFailure> {
-        let id = &selection.target;
-        let state = self.state;
-        let (address, started_at_ms) = {
-            let catalog = state.catalog.borrow();
-            let target = catalog.get(id).expect("balancers hold known targets only");
-            let announcement = &target.announcement;
-            (announcement.address, announcement.started_at_ms)
-        };
-        let target = CallTarget {
-            id,
-            pool: state.target_pools.pool(id, address),
-            connections: self.connection_limit(),
-        };
-        self.log_selection(selection);
-        let running = RunningGuard::begin(state, self.service, id);
-        let sent_at = state.clock.now();
-        permit.spend();
-        let result = call(&target, self.head, body, self.admitted.deadline).await;
-        if result.report.connected {
-            state.meters.record_connection();
-        }
-        let (elapsed, was_late) = running.end();
-        if result
-            .answer
-            .as_ref()
-            .is_err_and(|failure| !failure.is_arrival())
-        {
-            state.limits.borrow_mut().refund(state.clock.now(), id);
-        }
-        state.record_limit_notice(id, sent_at, result.report.limit);
-        if matches!(result.answer, Err(AttemptFailure::WrongTarget)) {
-            state.record_wrong_target(OutdatedAddress {
-                target: id.clone(),
-                started_at_ms,
-                address,
-            });
-        }
-        self.record_outcome(id, &result, elapsed, was_late);
-        result.answer
-    }
-
-    fn log_selection(&self, selection: &TargetSelection) {
-        tracing::info!(
-            target: SUCCESS_TARGET,
-            request = self.request_id,
-            route = %self.admitted.route.id,
-            customer = self.admitted.customer.as_ref().map(|customer| customer.as_str()),
-            version = self.admitted.version.0,
-            to = %selection.target,
-            of = selection.candidates,
-            tried = self.tried.len(),
-            failing = selection.failing_probability,
-            load = selection.load,
-            wait_ms = selection.expected_wait.as_millis() as u64,
-            "target selected"
-        );
-    }
-
-    /// Returns the number of connections that this node may open to a target of the service.
-    ///
-    /// The limit of the service is divided among all known nodes, so that together they stay within
-    /// what a target accepts.
-    fn connection_limit(&self) -> u32 {
-        let table = self.state.routing.borrow();
-        let rule = table
-            .as_ref()
-            .and_then(|table| table.document().services.get(self.service));
-        let nodes = self.state.members.borrow().iter().count() + 1;
-        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
-        rule.map_or(1, |rule| (rule.connections / nodes).max(1))
-    }
-
-    /// Records the outcome of an attempt in the state of its target and in the metrics.
-    fn record_outcome(
-        &mut self,
-        id: &TargetId,
-        result: &CallResult,
-        elapsed: Duration,
-        was_late: bool,
-    ) {
-        let (state, service) = (self.state, self.service);
-        let now = state.clock.now();
-        if let Some(load) = result.report.load {
-            state.with_balancer(service, |balancer| {
-                balancer.record_load_report(now, id, load)
-            });
-        }
-        let failure = match &result.answer {
-            Ok(answer) if answer.status().is_server_error() => AttemptFailure::ServerError,
-            Ok(answer) => {
-                self.record_arrival();
-                state.record_path_answer(service);
-                self.record_completion();
-                if !was_late {
-                    state.apply_signal(service, id, FailureSignal::Good);
-                }
-                state.with_balancer(service, |balancer| balancer.record_running_time(elapsed));
-                state.meters.record_completed_attempt();
-                tracing::info!(
-                    target: SUCCESS_TARGET,
-                    request = self.request_id,
-                    by = %id,
-                    status = answer.status().as_u16(),
-                    taken_ms = elapsed.as_millis() as u64,
-                    "answered"
-                );
-                return;
-            }
-            Err(failure) => *failure,
-        };
-        if failure.is_arrival() {
-            self.record_arrival();
-        } else {
-            self.undelivered += 1;
-        }
-        if failure == AttemptFailure::Unreachable {
-            self.unreachable += 1;
-        }
-        self.may_have_run |= failure.may_have_run();
-        self.record_evidence(id, failure, elapsed, was_late);
-        let error = failure.label();
-        state.meters.record_failed_attempt(id.as_str(), error);
-        if failure != AttemptFailure::Stale {
-            self.tried.push(id.clone());
-        }
-        tracing::info!(
-            request = self.request_id,
-            to = %id,
-            error,
-            taken_ms = elapsed.as_millis() as u64,
-            "attempt failed"
-        );
-    }
-
-    fn record_arrival(&mut self) {
-        self.arrivals += 1;
-        if self.arrivals > 1 {
-            let now = self.state.clock.now();
-            let mut budget = self.state.repeat_budget.borrow_mut();
-            budget.record_repeat(now, self.service);
-        }
-    }
-
-    /// Records what a failure shows about the target.
-    fn record_evidence(
-        &self,
-        id: &TargetId,
-        failure: AttemptFailure,
-        elapsed: Duration,
-        was_late: bool,
-    ) {
-        let (state, service) = (self.state, self.service);
-        let now = state.clock.now();
-        match failure.path_evidence() {
-            PathEvidence::None => {}
-            PathEvidence::Answered => state.record_path_answer(service),
-            PathEvidence::FailedOnTheWay => {
-                state.record_path_failure(service, id);
-                if !state.is_path_evidence(service) {
-                    return;
-                }
-            }
-        }
-        match failure {
-            // A wrong target was recorded with the address that the request was sent to.
-            AttemptFailure::NoConnection | AttemptFailure::Stale | AttemptFailure::WrongTarget => {}
-            AttemptFailure::Unreachable => {
-                state.with_balancer(service, |balancer| balancer.mark_unreachable(now, id));
-                let actions = state.crash_guard.borrow_mut().record_unreachable(now, id);
-                apply_crash_actions(state, actions);
-            }
-            AttemptFailure::Full => {
-                state.with_balancer(service, |balancer| balancer.mark_full(now, id));
-            }
-            AttemptFailure::ServerError => self.record_failure(id, elapsed),
-            AttemptFailure::Broken | AttemptFailure::InvalidAnswer | AttemptFailure::TimedOut => {
-                if !was_late {
-                    self.record_failure(id, elapsed);
-                }
-                if failure == AttemptFailure::Broken
-                    && let Some(fingerprint) = &self.fingerprint
-                {
-                    let mut guard = state.crash_guard.borrow_mut();
-                    guard.record_lost_connection(now, fingerprint, id);
-                }
-            }
-        }
-    }
-
-    fn record_failure(&self, id: &TargetId, elapsed: Duration) {
-        let signal = self
-            .state
-            .with_balancer(self.service, |balancer| balancer.classify_failure(elapsed));
-        if let Some(signal) = signal {
-            self.state.apply_signal(self.service, id, signal);
-        }
-    }
-
-    fn record_completion(&self) {
-        if let Some(fingerprint) = &self.fingerprint {
-            let now = self.state.clock.now();
-            let actions = self
-                .state
-                .crash_guard
-                .borrow_mut()
-                .record_success(now, fingerprint);
-            apply_crash_actions(self.state, actions);
-        }
-    }
-
-    /// Decides whether the request is retried after a failure.
-    fn may_retry(&mut self, failure: AttemptFailure) -> bool {
-        let idempotent = self.idempotence() == Idempotence::Idempotent;
-        if (failure.may_have_run() && !idempotent) || Instant::now() >= self.admitted.deadline {
-            return false;
-        }
-        if self.undelivered >= MAX_UNDELIVERED_ATTEMPTS
-            || self.arrivals >= self.admitted.route.max_attempts
-        {
-            return false;
-        }
-        // The retry budget bounds extra load on targets; attempts that reached no target cause
-        // none.
-        if self.arrivals == 0 {
-            return true;
-        }
-        let now = self.state.clock.now();
-        let allowed = self
-            .state
-            .repeat_budget
-            .borrow_mut()
-            .try_spend(now, self.service);
-        if allowed {
-            self.state.meters.record_retry();
-        }
-        tracing::info!(
-            request = self.request_id,
-            sent = self.arrivals,
-            error = failure.label(),
-            allowed,
-            "retry decided"
-        );
-        allowed
-    }
-}
