--- a/lib/src/target_catalog.rs
+++ b/lib/src/target_catalog.rs
@@ -23,7 +23,7 @@
 const DEPARTED_MS: u64 = 120_000;
 /// How long a target whose announcement was found outdated gets no requests unless it announces itself
 /// again, in milliseconds: several times as long as announcements of a target that is gone stay valid.
-const OUTDATED_MS: u64 = 10_000;
+pub const OUTDATED_MS: u64 = 10_000;
 const GRACE: Duration = Duration::from_millis(REANNOUNCE_GRACE_MS);
 
 /// A target's entry in the store, written by the target itself.
