--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -1,4 +1,5 @@
-//! Lets nodes fetch rows of the store from each other.
+//! Lets nodes fetch rows of the store from each other, over the listener that also takes requests
+//! which they hand on.
 //!
 //! A node that does not read the store learns from heartbeats that a peer has newer rows, and
 //! fetches them over HTTP. Both sides prove that they know the fleet's secret.
--- a/entry/src/target_pool.rs
+++ b/entry/src/target_pool.rs
@@ -1,4 +1,5 @@
-//! The pools of HTTP/1.1 connections from this node to targets.
+//! The pools of HTTP/1.1 connections from this node to targets, and to nodes that requests are handed
+//! on to.
 
 use std::cell::{Cell, RefCell};
 use std::fmt::Debug;
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -23,7 +23,7 @@
 /// The time without a message after which a node is removed, in milliseconds.
 const REMOVAL_TIMEOUT_MS: u64 = 30_000;
 
-/// Whether a node serves callers.
+/// Whether a node serves callers, and if not, why.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EntryPhase {
