entry tests: the ports of a test node are drawn together, so that none is drawn twice

Trace: the fixture drew each port by itself and let it go before the next; the system may give out the same port again, and the node then listens twice on it. Nothing else uses the addresses of nodes.

All ports of a node are held until the last one is known. No check changes.

--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -197,10 +197,12 @@
 /// The last octet of the next node's address.
 static NEXT_NODE: AtomicU8 = AtomicU8::new(1);
 
-/// Returns a port that is free at an address; nothing else uses the addresses of nodes.
-pub fn free_port(ip: IpAddr) -> u16 {
-    let listener = std::net::TcpListener::bind((ip, 0)).expect("loopback has a free port");
-    listener.local_addr().expect("a bound address").port()
+/// Returns different ports that are free at an address; nothing else uses the addresses of nodes.
+pub fn free_ports<const N: usize>(ip: IpAddr) -> [u16; N] {
+    // A port that is let go may be given out again, so all are held until the last one is known.
+    let held =
+        [(); N].map(|()| std::net::TcpListener::bind((ip, 0)).expect("loopback has a free port"));
+    held.map(|listener| listener.local_addr().expect("a bound address").port())
 }
 
 /// Returns the settings of a node on a loopback address of its own.
@@ -208,12 +210,14 @@
     let number = NEXT_NODE.fetch_add(1, Ordering::Relaxed);
     // Each node has its own address, so that no outgoing connection takes the port of a listener.
     let ip = IpAddr::V4(Ipv4Addr::new(127, 77, 0, number));
-    let listen = || format!("{ip}:{}", free_port(ip));
+    let [caller, ready, directory, metrics] = free_ports(ip);
+    let listen = |port: u16| format!("{ip}:{port}");
     json!({
         "vm": format!("vm-{number}"), "data_centre": "near",
         "data_centres": {"near": "region"}, "ip": ip.to_string(),
-        "caller_listen": listen(), "ready_listen": listen(), "directory_listen": listen(),
-        "peer_port": peer_port, "metrics_port": free_port(ip),
+        "caller_listen": listen(caller), "ready_listen": listen(ready),
+        "directory_listen": listen(directory),
+        "peer_port": peer_port, "metrics_port": metrics,
         "store": store.to_string(),
         "machine": {"cpu_share": 0.2, "cpu_cores": 1},
         "bounds": {
