entry: changes of targets and evidence about them get files of their own; a simpler delivery

Code moved, nothing changed.

Delivery: the body is held in one place and taken by one function, so that the type HandOn, the putting back of the body and a second copy of id and deadline go.

--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -43,27 +43,17 @@
     Stream(RequestBody),
 }
 
-impl OutgoingBody {
-    /// Splits the body into one to send, and one to send again if that is possible.
-    fn split(self) -> (RequestBody, Option<Self>) {
-        match self {
-            Self::Buffered(bytes) => (
-                RequestBody::buffered(bytes.clone()),
-                Some(Self::Buffered(bytes)),
-            ),
-            Self::Stream(stream) => (stream, None),
+/// Returns the body to send, and leaves it to be sent again if that is possible.
+fn next_body(body: &mut Option<OutgoingBody>) -> Option<RequestBody> {
+    match body.take()? {
+        OutgoingBody::Buffered(bytes) => {
+            *body = Some(OutgoingBody::Buffered(bytes.clone()));
+            Some(RequestBody::buffered(bytes))
         }
+        OutgoingBody::Stream(stream) => Some(stream),
     }
 }
 
-/// The result of the question whether to hand a request on.
-enum HandOn {
-    /// The request is sent to targets by this node.
-    NotNeeded(OutgoingBody),
-    /// The request has ended with another node's answer, or is refused.
-    Answered(Result<TargetAnswer, CallerRefusal>),
-}
-
 /// The request of a delivery.
 pub struct DeliveryRequest<'a> {
     /// The caller's request.
@@ -86,7 +76,7 @@
     admitted: &'a AdmittedRequest,
     service: &'a ServiceId,
     head: &'a OutgoingHead,
-    handed: HandedRequest<'a>,
+    parts: &'a Parts,
     origin: RequestOrigin,
     fingerprint: Option<RequestFingerprint>,
     request_id: &'a str,
@@ -106,20 +96,15 @@
 impl<'a> Delivery<'a> {
     /// Prepares the delivery of a request.
     pub fn new(state: &'a Rc<EntryState>, request: DeliveryRequest<'a>) -> Self {
-        let request_id = request_id(request.parts);
         Self {
             state,
             admitted: request.admitted,
             service: request.service,
             head: request.head,
-            handed: HandedRequest {
-                parts: request.parts,
-                request_id,
-                deadline: request.admitted.deadline,
-            },
+            parts: request.parts,
             origin: request.origin,
             fingerprint: request.fingerprint,
-            request_id,
+            request_id: request_id(request.parts),
             tried: Vec::new(),
             arrivals: 0,
             undelivered: 0,
@@ -149,13 +134,12 @@
         // The error answer of a target, which is returned to the caller if no retry succeeds.
         let mut failed_answer: Option<TargetAnswer> = None;
         loop {
-            let Some(unsent) = body.take() else {
+            if let Some(result) = self.hand_on(&mut body).await {
+                return result;
+            }
+            if body.is_none() {
                 return failed_answer.ok_or_else(|| self.final_refusal(AttemptFailure::Broken));
-            };
-            body = match self.hand_on(unsent).await {
-                HandOn::Answered(result) => return result,
-                HandOn::NotNeeded(unsent) => Some(unsent),
-            };
+            }
             let selection = match self.select_target() {
                 Ok(selection) => selection,
                 Err(refusal) => return failed_answer.ok_or(refusal),
@@ -167,9 +151,7 @@
                     continue;
                 }
             }
-            let unsent = body.take().expect("the body was put back above");
-            let (attempt_body, retained) = unsent.split();
-            body = retained;
+            let attempt_body = next_body(&mut body).expect("the body was checked above");
             let failure = match self.send(&selection, permit, attempt_body).await {
                 Ok(answer) if answer.status().is_server_error() => {
                     if !self.may_retry(AttemptFailure::ServerError) {
@@ -188,37 +170,35 @@
     }
 
     /// Hands the request on to another node if this node reaches no target, or as it seems to this
-    /// request none. Nothing has reached a target then.
-    async fn hand_on(&mut self, body: OutgoingBody) -> HandOn {
+    /// request none, and nothing has reached a target yet. Returns none if this node sends it itself.
+    async fn hand_on(
+        &mut self,
+        body: &mut Option<OutgoingBody>,
+    ) -> Option<Result<TargetAnswer, CallerRefusal>> {
         let is_cut_off = self.state.is_cut_off_from(self.service);
         let is_needed = is_cut_off || self.unreachable >= UNREACHABLE_TO_HAND_ON;
         if !is_needed || self.arrivals > 0 {
-            return HandOn::NotNeeded(body);
+            return None;
         }
         if self.origin == RequestOrigin::Peer {
             // The node that handed the request on has other helpers to ask.
-            let refusal = self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT);
-            return HandOn::Answered(Err(refusal));
+            return Some(Err(self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT)));
         }
-        let mut retained = Some(body);
-        let next_body = || {
-            let (outgoing, rest) = retained.take()?.split();
-            retained = rest;
-            Some(outgoing)
+        let handed = HandedRequest {
+            parts: self.parts,
+            request_id: self.request_id,
+            deadline: self.admitted.deadline,
         };
-        match self.state.hand_on(&self.handed, next_body).await {
-            Some(answer) => {
-                self.is_handed_on = true;
-                HandOn::Answered(answer.map_err(|failure| {
-                    self.may_have_run |= failure.may_have_run();
-                    self.final_refusal(failure)
-                }))
-            }
-            None => match retained {
-                Some(body) if !is_cut_off => HandOn::NotNeeded(body),
-                _ => HandOn::Answered(Err(self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT))),
-            },
-        }
+        let answer = self.state.hand_on(&handed, || next_body(body)).await;
+        let Some(answer) = answer else {
+            let is_over = is_cut_off || body.is_none();
+            return is_over.then(|| Err(self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT)));
+        };
+        self.is_handed_on = true;
+        Some(answer.map_err(|failure| {
+            self.may_have_run |= failure.may_have_run();
+            self.final_refusal(failure)
+        }))
     }
 
     fn idempotence(&self) -> Idempotence {
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -19,10 +19,8 @@
 use damaskloom_lib::routing::{RoutingDocument, RoutingTable};
 use damaskloom_lib::stop_plan::StopPlan;
 use damaskloom_lib::table_mirror::MirrorRow;
-use damaskloom_lib::target_balancer::{
-    ServiceBalancers, SignalOutcome, SuspicionChange, TargetBalancer, TargetCode,
-};
-use damaskloom_lib::target_catalog::{CatalogChange, OutdatedAddress, TargetCatalog};
+use damaskloom_lib::target_balancer::{ServiceBalancers, TargetBalancer, TargetCode};
+use damaskloom_lib::target_catalog::{OutdatedAddress, TargetCatalog};
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_path::TargetPaths;
 use damaskloom_lib::time::MonoTime;
@@ -30,7 +28,6 @@
 use damaskloom_lib::weighted_split::WeightedSplit;
 use damaskloom_platform::routing_reader::read_routing;
 use damaskloom_platform::store_client::ROUTING_ROW;
-use damaskloom_platform::target_reader::read_announcement;
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::Notify;
 
@@ -363,127 +360,6 @@
         }
     }
 
-    /// Applies changed rows of the targets' table, which may be older than those before if the store
-    /// was restored from a copy.
-    pub fn apply_target_rows(&self, changed_rows: &[MirrorRow], is_restored: bool) {
-        let now = self.clock.now();
-        for row in changed_rows {
-            let Ok(id) = row.key.parse::<TargetId>() else {
-                tracing::warn!(row = %row.key, "invalid target row");
-                continue;
-            };
-            let read = row.value.as_ref().map(|value| read_announcement(value));
-            let change = match read {
-                Some(Ok(announcement)) if is_restored => {
-                    self.catalog
-                        .borrow_mut()
-                        .apply_restored(now, id, announcement)
-                }
-                Some(Ok(announcement)) => {
-                    self.catalog
-                        .borrow_mut()
-                        .apply_announcement(now, id, announcement)
-                }
-                Some(Err(error)) => {
-                    tracing::warn!(row = %row.key, %error, "invalid target row");
-                    self.catalog.borrow_mut().remove_announcement(now, &id)
-                }
-                None => self.catalog.borrow_mut().remove_announcement(now, &id),
-            };
-            if let Some(change) = change {
-                self.apply_catalog_change(now, &change);
-                if let CatalogChange::Started(id) = &change {
-                    let outdated = self.catalog.borrow_mut().claim_address(id);
-                    if let Some(outdated) = outdated {
-                        self.apply_outdated(&outdated, None);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Records that another target answered at a target's address, and tells the other nodes.
-    pub fn record_wrong_target(&self, outdated: OutdatedAddress) {
-        if self.apply_outdated(&outdated, None) {
-            self.pending_outdated.borrow_mut().push(outdated);
-            self.updates_due.notify_one();
-        }
-    }
-
-    /// Stops requests to a target whose address is another one's by now; `from` is the peer that found
-    /// it, or none for this node. Returns whether that was news.
-    pub fn apply_outdated(&self, outdated: &OutdatedAddress, from: Option<&VmId>) -> bool {
-        let now = self.clock.now();
-        let is_news = self.catalog.borrow_mut().mark_outdated(now, outdated);
-        if is_news {
-            let from = from.map_or("here", |vm| vm.as_str());
-            tracing::info!(id = %outdated.target, address = %outdated.address, from, "target address outdated");
-            let change = CatalogChange::Updated(outdated.target.clone());
-            self.apply_catalog_change(now, &change);
-        }
-        is_news
-    }
-
-    /// Removes targets that did not announce themselves again after an outage of the store.
-    pub fn remove_expired_targets(&self) {
-        let now = self.clock.now();
-        let expired = self.catalog.borrow_mut().tick(now);
-        for change in expired {
-            self.apply_catalog_change(now, &change);
-        }
-    }
-
-    fn apply_catalog_change(&self, now: MonoTime, change: &CatalogChange) {
-        let (id, started) = match change {
-            CatalogChange::Started(id) => (id, true),
-            CatalogChange::Updated(id) => (id, false),
-            CatalogChange::Removed(id) => (id, false),
-        };
-        let catalog = self.catalog.borrow();
-        let mut balancers = self.balancers.borrow_mut();
-        let known = catalog.get(id);
-        let row = self.targets_copy.mirror.borrow().version().version();
-        let Some(target) = known.filter(|target| target.is_usable()) else {
-            let why = match known {
-                Some(target) if target.announcement.leaving => "leaving",
-                Some(_) => "outdated",
-                None => "gone",
-            };
-            tracing::info!(id = %id, why, row, "target removed");
-            balancers
-                .values_mut()
-                .for_each(|balancer| balancer.remove(id));
-            self.target_pools.remove(id);
-            self.limits.borrow_mut().remove(id);
-            return;
-        };
-        let announcement = &target.announcement;
-        if started {
-            balancers
-                .values_mut()
-                .for_each(|balancer| balancer.remove(id));
-            self.target_pools.remove(id);
-            self.limits.borrow_mut().remove(id);
-        }
-        let own = self.settings().data_centre.clone();
-        let balancer = balancers
-            .entry(announcement.service.clone())
-            .or_insert_with(|| TargetBalancer::new(own));
-        if !balancer.contains(id) {
-            if self.targets_known.get() {
-                tracing::info!(id = %id, service = %announcement.service, row, "target added");
-            }
-            let centre = announcement.data_centre.clone();
-            balancer.insert(
-                now,
-                id.clone(),
-                centre,
-                announcement.slots,
-                announcement.warmup_left,
-            );
-        }
-    }
-
     /// Runs a function on the balancer of a service; returns none if there is no balancer.
     pub fn with_balancer<R>(
         &self,
@@ -493,60 +369,6 @@
         self.balancers.borrow_mut().get_mut(service).map(step)
     }
 
-    /// Applies the signal of an attempt to a target, and queues it for other nodes if they should
-    /// know.
-    pub fn apply_signal(&self, service: &ServiceId, target: &TargetId, signal: FailureSignal) {
-        let now = self.clock.now();
-        let outcome = self.with_balancer(service, |balancer| {
-            balancer.record_signal(now, target, signal)
-        });
-        let outcome = outcome.flatten();
-        if let Some(outcome) = &outcome {
-            log_suspicion_change(target, signal, outcome, None);
-        }
-        if outcome.is_some_and(|outcome| outcome.should_share) {
-            self.pending_signals
-                .borrow_mut()
-                .push((target.clone(), signal));
-            self.updates_due.notify_one();
-        } else if signal == FailureSignal::Good {
-            self.pending_successes
-                .borrow_mut()
-                .insert(TargetCode::from(target));
-        }
-    }
-
-    /// Applies a peer's signal about a target.
-    pub fn apply_peer_signal(&self, peer: &VmId, target: &TargetId, signal: FailureSignal) {
-        let now = self.clock.now();
-        // Nodes without traffic make no decisions by the state of targets, so they do not log it.
-        let is_carrying = self.is_carrying();
-        for balancer in self.balancers.borrow_mut().values_mut() {
-            let outcome = balancer.record_peer_signal(now, target, signal);
-            if let Some(outcome) = outcome.filter(|_| is_carrying) {
-                log_suspicion_change(target, signal, &outcome, Some(peer));
-            }
-        }
-    }
-
-    /// Finds attempts whose answers have become late, and applies a signal about the target of
-    /// each.
-    pub fn detect_late_answers(&self) {
-        let now = self.clock.now();
-        let mut late: Vec<(ServiceId, TargetId)> = Vec::new();
-        for (service, balancer) in self.balancers.borrow_mut().iter_mut() {
-            let targets = balancer.collect_late(now).into_iter();
-            late.extend(targets.map(|id| (service.clone(), id)));
-        }
-        for (service, target) in late {
-            self.record_path_failure(&service, &target);
-            if !self.is_path_evidence(&service) {
-                continue;
-            }
-            self.apply_signal(&service, &target, FailureSignal::Late);
-        }
-    }
-
     /// Refunds what a refused request used of its customer's rate.
     pub fn refund_rate(&self, customer: Option<&CustomerId>) {
         if let Some(customer) = customer {
@@ -609,24 +431,3 @@
         self.meters.encode()
     }
 }
-
-/// Logs that a target became suspected or trusted; `from` is the peer that sent the signal, or none
-/// for one of this node.
-fn log_suspicion_change(
-    target: &TargetId,
-    signal: FailureSignal,
-    outcome: &SignalOutcome,
-    from: Option<&VmId>,
-) {
-    let from = from.map_or("here", |vm| vm.as_str());
-    let (before, after) = (outcome.before, outcome.after);
-    match outcome.change {
-        Some(SuspicionChange::Suspected) => {
-            tracing::info!(id = %target, sign = ?signal, from, before, after, "target suspected");
-        }
-        Some(SuspicionChange::Trusted) => {
-            tracing::info!(id = %target, sign = ?signal, from, before, after, "target trusted again");
-        }
-        None => {}
-    }
-}
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `path_watch` notices when this node reaches no target, and `hand_on` passes requests to nodes that
 //!   do.
 //! - `store_watch` follows the store; `fleet_rows` registers the node and keeps the fleet's own rows;
+//!   `target_changes` applies its changes of targets, `target_evidence` what attempts show about them;
 //!   `fleet_roles` determines which nodes follow the store and which nodes callers are directed to.
 //! - `limit_sharing` applies what answers and other nodes say about targets' limits.
 //! - `peer_socket` and `peer_wire` exchange datagrams with other nodes; `peer_rows` fetches rows of
@@ -44,5 +45,7 @@
 pub mod streamed_body;
 pub mod table_copy;
 pub mod target_call;
+pub mod target_changes;
+pub mod target_evidence;
 pub mod target_pool;
 pub mod wall_clock;
--- /dev/null
+++ b/entry/src/target_evidence.rs
@@ -0,0 +1,84 @@
+//! Applies what attempts of this node and of its peers show about targets.
+
+use damaskloom_lib::failure_filter::FailureSignal;
+use damaskloom_lib::ids::{ServiceId, TargetId, VmId};
+use damaskloom_lib::target_balancer::{SignalOutcome, SuspicionChange, TargetCode};
+
+use crate::entry_state::EntryState;
+
+impl EntryState {
+    /// Applies the signal of an attempt to a target, and queues it for other nodes if they should
+    /// know.
+    pub fn apply_signal(&self, service: &ServiceId, target: &TargetId, signal: FailureSignal) {
+        let now = self.clock.now();
+        let outcome = self.with_balancer(service, |balancer| {
+            balancer.record_signal(now, target, signal)
+        });
+        let outcome = outcome.flatten();
+        if let Some(outcome) = &outcome {
+            log_suspicion_change(target, signal, outcome, None);
+        }
+        if outcome.is_some_and(|outcome| outcome.should_share) {
+            self.pending_signals
+                .borrow_mut()
+                .push((target.clone(), signal));
+            self.updates_due.notify_one();
+        } else if signal == FailureSignal::Good {
+            self.pending_successes
+                .borrow_mut()
+                .insert(TargetCode::from(target));
+        }
+    }
+
+    /// Applies a peer's signal about a target.
+    pub fn apply_peer_signal(&self, peer: &VmId, target: &TargetId, signal: FailureSignal) {
+        let now = self.clock.now();
+        // Nodes without traffic make no decisions by the state of targets, so they do not log it.
+        let is_carrying = self.is_carrying();
+        for balancer in self.balancers.borrow_mut().values_mut() {
+            let outcome = balancer.record_peer_signal(now, target, signal);
+            if let Some(outcome) = outcome.filter(|_| is_carrying) {
+                log_suspicion_change(target, signal, &outcome, Some(peer));
+            }
+        }
+    }
+
+    /// Finds attempts whose answers have become late, and applies a signal about the target of
+    /// each.
+    pub fn detect_late_answers(&self) {
+        let now = self.clock.now();
+        let mut late: Vec<(ServiceId, TargetId)> = Vec::new();
+        for (service, balancer) in self.balancers.borrow_mut().iter_mut() {
+            let targets = balancer.collect_late(now).into_iter();
+            late.extend(targets.map(|id| (service.clone(), id)));
+        }
+        for (service, target) in late {
+            self.record_path_failure(&service, &target);
+            if !self.is_path_evidence(&service) {
+                continue;
+            }
+            self.apply_signal(&service, &target, FailureSignal::Late);
+        }
+    }
+}
+
+/// Logs that a target became suspected or trusted; `from` is the peer that sent the signal, or none
+/// for one of this node.
+fn log_suspicion_change(
+    target: &TargetId,
+    signal: FailureSignal,
+    outcome: &SignalOutcome,
+    from: Option<&VmId>,
+) {
+    let from = from.map_or("here", |vm| vm.as_str());
+    let (before, after) = (outcome.before, outcome.after);
+    match outcome.change {
+        Some(SuspicionChange::Suspected) => {
+            tracing::info!(id = %target, sign = ?signal, from, before, after, "target suspected");
+        }
+        Some(SuspicionChange::Trusted) => {
+            tracing::info!(id = %target, sign = ?signal, from, before, after, "target trusted again");
+        }
+        None => {}
+    }
+}
