lib, entry: a request is handed on to nodes that reach its service, also in other data centres

Tests: a_request_goes_to_another_data_centre_if_no_local_node_reaches_its_service fails on the code before (503 in place of 200), helpers_that_are_cut_off_from_a_service_make_room_for_others.

The tests' bookings and connections are made in the fixture, once; they had stood in three files.

--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -186,6 +186,7 @@
         }
         let handed = HandedRequest {
             parts: self.parts,
+            service: self.service,
             request_id: self.request_id,
             deadline: self.admitted.deadline,
         };
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -14,6 +14,7 @@
 use damaskloom_lib::entry_members::{EntryMembers, EntryPhase, NodeHeartbeat};
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::fleet_rate::{FleetLimit, FleetRates};
+use damaskloom_lib::helper_choice::HelperChoice;
 use damaskloom_lib::ids::{CustomerId, Incarnation, NodeId, RouteId, ServiceId, TargetId, VmId};
 use damaskloom_lib::repeat_budget::RepeatBudget;
 use damaskloom_lib::routing::{RoutingDocument, RoutingTable};
@@ -72,6 +73,8 @@
     pub target_pools: TargetPools,
     /// The connection pools of the nodes that requests are handed on to.
     pub helper_pools: HelperPools,
+    /// Chooses the nodes that requests are handed on to.
+    pub helper_choice: RefCell<HelperChoice>,
     /// The customers' rate limits.
     pub rates: RefCell<FleetRates>,
     /// The budget for retries.
@@ -158,6 +161,7 @@
             target_paths: RefCell::default(),
             path_doubted: Notify::new(),
             target_pools: TargetPools::new(network),
+            helper_choice: RefCell::default(),
             helper_pools: HelperPools::new(Rc::new(SystemNetwork::default())),
             rates: RefCell::new(rates),
             repeat_budget: RefCell::new(repeat_budget),
--- a/entry/src/hand_on.rs
+++ b/entry/src/hand_on.rs
@@ -11,12 +11,13 @@
 use damaskloom_gateway::hop_headers::remove_hop_headers;
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::attempt_failure::AttemptFailure;
-use damaskloom_lib::ids::VmId;
+use damaskloom_lib::ids::{ServiceId, VmId};
 use damaskloom_platform::header_names::{REQUEST_ID, TIME_LEFT_MS, time_left_ms};
 use http::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response, Uri, Version};
 use hyper::body::Incoming;
+use indexmap::IndexMap;
 use rand::seq::SliceRandom;
 
 use crate::caller_answer::CallerBody;
@@ -28,8 +29,6 @@
 pub const HAND_ON_HEADER: HeaderName = HeaderName::from_static("damaskloom-hand-on");
 /// The value of the header in a helper's refusal that says that it reaches no target either.
 const CUT_OFF_MARK: &str = "cut-off";
-/// The maximum number of helpers that are tried for a request.
-const MAX_HELPERS: usize = 3;
 /// The number of connections that a node may open to a helper: more than the requests that an entry
 /// node has in flight.
 const MAX_HELPER_CONNECTIONS: u32 = 256;
@@ -48,6 +47,8 @@
 pub struct HandedRequest<'a> {
     /// The caller's request.
     pub parts: &'a Parts,
+    /// The service that it goes to.
+    pub service: &'a ServiceId,
     /// The caller's id of it.
     pub request_id: &'a str,
     /// The time by which the caller must have its answer.
@@ -73,30 +74,30 @@
 }
 
 impl EntryState {
-    /// Returns nodes that reach targets, in random order: those that callers of this node's data centre
-    /// are directed to.
-    fn helpers(&self) -> Vec<(VmId, SocketAddr)> {
-        if self
-            .members
-            .borrow()
-            .serving(self.clock.now())
-            .next()
-            .is_none()
-        {
-            return Vec::new();
+    /// Returns the nodes to hand a request for a service on to, with their addresses: nodes that callers
+    /// are directed to, first those of this node's data centre.
+    fn helpers(&self, service: &ServiceId) -> IndexMap<VmId, SocketAddr> {
+        let now = self.clock.now();
+        if self.members.borrow().serving(now).next().is_none() {
+            return IndexMap::new();
         }
         let settings = self.settings();
-        let entries = self.entries_of(&settings.data_centre);
-        let others = entries.into_iter().filter(|node| node.vm != settings.vm);
-        let mut helpers: Vec<(VmId, SocketAddr)> = others
-            .map(|node| {
+        let mut ranked = IndexMap::new();
+        for mut entries in [self.entries_of(&settings.data_centre), self.all_entries()] {
+            entries.shuffle(&mut rand::rng());
+            for node in entries {
                 let address = SocketAddr::new(node.address.ip(), settings.peer_port);
-                (node.vm, address)
-            })
-            .collect();
-        helpers.shuffle(&mut rand::rng());
-        helpers.truncate(MAX_HELPERS);
-        helpers
+                ranked.entry(node.vm).or_insert(address);
+            }
+        }
+        ranked.shift_remove(&settings.vm);
+        let choice = self.helper_choice.borrow();
+        let chosen = choice.choose(now, service, ranked.keys().cloned());
+        let with_address = |helper: VmId| {
+            let address = ranked[&helper];
+            (helper, address)
+        };
+        chosen.into_iter().map(with_address).collect()
     }
 
     /// Hands a request on to a node that reaches targets; `next_body` returns the body for each helper
@@ -113,7 +114,7 @@
     ) -> Option<Result<TargetAnswer, AttemptFailure>> {
         let secret = self.secret.borrow().clone()?;
         let mut unsent: Option<RequestBody> = None;
-        for (helper, address) in self.helpers() {
+        for (helper, address) in self.helpers(request.service) {
             let pool = self.helper_pools.pool(&helper, address);
             let left = request.deadline.saturating_duration_since(Instant::now());
             let Ok(mut lease) = pool.acquire(MAX_HELPER_CONNECTIONS, left).await else {
@@ -137,6 +138,8 @@
             };
             if is_helper_cut_off(&response) {
                 tracing::info!(request = request.request_id, %helper, "helper is cut off too");
+                let mut choice = self.helper_choice.borrow_mut();
+                choice.record_cut_off(self.clock.now(), helper, request.service.clone());
                 continue;
             }
             tracing::info!(
--- a/entry/tests/cut_network.rs
+++ b/entry/tests/cut_network.rs
@@ -29,6 +29,8 @@
 #[derive(Debug)]
 pub struct CutNetwork {
     cut: Cell<NetworkCut>,
+    /// Targets that refuse connections.
+    refusing: RefCell<Vec<SocketAddr>>,
     relays: Rc<RefCell<Vec<JoinHandle<()>>>>,
 }
 
@@ -37,10 +39,16 @@
     pub fn new() -> Rc<Self> {
         Rc::new(Self {
             cut: Cell::new(NetworkCut::None),
+            refusing: RefCell::default(),
             relays: Rc::default(),
         })
     }
 
+    /// Refuses new connections to some targets; there must be no open ones.
+    pub fn refuse(&self, targets: impl IntoIterator<Item = SocketAddr>) {
+        self.refusing.borrow_mut().extend(targets);
+    }
+
     /// Starts or ends a cut.
     pub fn set(&self, cut: NetworkCut) {
         self.cut.set(cut);
@@ -55,7 +63,11 @@
 impl TargetNetwork for CutNetwork {
     fn connect(&self, address: SocketAddr) -> LocalBoxFuture<'static, std::io::Result<TcpStream>> {
         let relays = Rc::clone(&self.relays);
-        match self.cut.get() {
+        let cut = match self.refusing.borrow().contains(&address) {
+            true => NetworkCut::RefusesNew,
+            false => self.cut.get(),
+        };
+        match cut {
             NetworkCut::None => async move {
                 let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
                 let relay_address = listener.local_addr()?;
--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -15,7 +15,8 @@
 use damaskloom_testutils::platform_server::PlatformServer;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::SendRequest;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
@@ -236,7 +237,18 @@
 
     /// Starts a node that reaches targets over a network.
     pub fn start_on(store: &PlatformServer, network: Rc<dyn TargetNetwork>) -> Self {
-        let settings = node_settings(store.address(), PEER_PORT);
+        Self::start_in("near", store, network)
+    }
+
+    /// Starts a node in a data centre.
+    pub fn start_in(
+        data_centre: &str,
+        store: &PlatformServer,
+        network: Rc<dyn TargetNetwork>,
+    ) -> Self {
+        let mut settings = node_settings(store.address(), PEER_PORT);
+        settings["data_centre"] = data_centre.into();
+        settings["data_centres"]["away"] = "region".into();
         let settings = EntrySettings::parse(settings.to_string(), "test").expect("valid settings");
         let process = run_on(PathBuf::from("test"), settings.clone(), network);
         tokio::task::spawn_local(async move { process.await.expect("the node runs") });
@@ -334,6 +346,40 @@
     panic!("{address} accepts no connection");
 }
 
+/// Opens a connection for requests.
+pub async fn connect<B>(address: SocketAddr) -> SendRequest<B>
+where
+    B: Body + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let stream = TcpStream::connect(address).await;
+    open(stream.expect("the node accepts connections")).await
+}
+
+async fn open<B>(stream: TcpStream) -> SendRequest<B>
+where
+    B: Body + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.expect("a connection");
+    tokio::task::spawn_local(connection);
+    sender
+}
+
+/// Returns the start of a booking with an id, a deadline and a key, for tests that send more or less.
+pub fn booking(id: &str, deadline_ms: u64) -> http::request::Builder {
+    Request::builder()
+        .method("POST")
+        .uri("/book/1")
+        .header("host", "a.example")
+        .header("request-id", id)
+        .header("deadline-ms", deadline_ms.to_string())
+        .header("authorization", "Bearer key-1")
+}
+
 /// Sends a caller's request on a connection and returns the answer.
 pub async fn exchange(
     stream: TcpStream,
@@ -341,9 +387,7 @@
     path: &str,
     key: Option<&str>,
 ) -> CallerAnswer {
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.expect("a connection");
-    tokio::task::spawn_local(connection);
+    let mut sender = open(stream).await;
     let mut request = Request::builder()
         .method(method)
         .uri(path)
--- a/entry/tests/test_cut_off_nodes.rs
+++ b/entry/tests/test_cut_off_nodes.rs
@@ -4,15 +4,14 @@
 
 use bytes::Bytes;
 use damaskloom_testutils::platform_server::PlatformServer;
-use http::{Request, StatusCode};
+use http::StatusCode;
 use http_body_util::Empty;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use serde_json::{Value, json};
 use tokio::task::LocalSet;
 
 use crate::cut_network::{CutNetwork, NetworkCut};
 use crate::fixture::{
-    EntryNode, PEER_PORT, TargetBehaviour, TestTarget, configuration, wait_until,
+    EntryNode, PEER_PORT, TargetBehaviour, TestTarget, booking, configuration, connect, wait_until,
 };
 
 /// The requests that a caller sends to the cut node in a test.
@@ -181,18 +180,8 @@
     LocalSet::new()
         .run_until(async {
             let fleet = CutFleet::start().await;
-            let stream = TcpStream::connect((fleet.sound_node.ip(), PEER_PORT)).await;
-            let stream = stream.expect("the node listens for peers");
-            let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-            let (mut sender, connection) = handshake.expect("a connection");
-            tokio::task::spawn_local(connection);
-            let request = Request::builder()
-                .method("POST")
-                .uri("/book/1")
-                .header("host", "a.example")
-                .header("request-id", "id-1")
-                .header("deadline-ms", "8000")
-                .header("authorization", "Bearer key-1")
+            let mut sender = connect((fleet.sound_node.ip(), PEER_PORT).into()).await;
+            let request = booking("id-1", 8_000)
                 .header("damaskloom-hand-on", "00")
                 .body(Empty::<Bytes>::new())
                 .expect("valid parts");
@@ -260,3 +249,75 @@
         })
         .await;
 }
+
+/// Returns a configuration with a second service, `berth`.
+fn configuration_with_berth() -> String {
+    let document = configuration(1, &["key-1"]);
+    let mut document: Value = serde_json::from_str(&document).expect("valid JSON");
+    let release = json!([
+        "release",
+        "a.example",
+        "/release/",
+        "unsafe",
+        10,
+        0.4,
+        1,
+        "berth",
+        3,
+        false
+    ]);
+    let list = |value: &mut Value, row: Value| {
+        let rows = value["rows"].as_array_mut().expect("there are rows");
+        rows.push(row);
+    };
+    list(&mut document["routes"], release);
+    list(&mut document["services"], json!(["berth", 400]));
+    document.to_string()
+}
+
+/// Guards against callers that are refused since all nodes of the data centre are cut off from one
+/// service, and serve the other one, while a node elsewhere reaches both.
+#[tokio::test]
+async fn a_request_goes_to_another_data_centre_if_no_local_node_reaches_its_service() {
+    LocalSet::new()
+        .run_until(async {
+            let store = PlatformServer::start_local().await;
+            let store = store.expect("loopback has a free port");
+            store.put("op", "config", configuration_with_berth());
+            let (local, away) = (CutNetwork::new(), CutNetwork::new());
+            let mut desks = Vec::new();
+            for index in 0..8 {
+                let id = format!("i-{index}");
+                let target = TestTarget::start(&id, TargetBehaviour::Succeeds).await;
+                local.refuse([target.address]);
+                store.put("servers", &id, target.row("ready"));
+                desks.push(target);
+            }
+            let berth = TestTarget::start("i-berth", TargetBehaviour::Succeeds).await;
+            let row = berth.row("ready").replace("desk", "berth");
+            store.put("servers", "i-berth", row);
+            let nodes = ["near", "near", "away"].map(|centre| {
+                let network = if centre == "away" { &away } else { &local };
+                EntryNode::start_in(centre, &store, Rc::clone(network) as _)
+            });
+            for node in &nodes {
+                node.wait_until_ready().await;
+                wait_until("the directory names the local nodes", async || {
+                    node.directory().await.len() == 2
+                })
+                .await;
+                // The path to the other service is known to be sound.
+                let answer = node.send("POST", "/release/1", Some("key-1")).await;
+                assert_eq!(answer.status, StatusCode::OK);
+            }
+            for _ in 0..REQUESTS {
+                for node in &nodes[..2] {
+                    let answer = node.send("POST", "/book/1", Some("key-1")).await;
+                    assert_eq!(answer.status, StatusCode::OK);
+                }
+            }
+            let runs: u32 = desks.iter().map(|target| target.runs.get()).sum();
+            assert_eq!(runs, 2 * REQUESTS);
+        })
+        .await;
+}
--- a/entry/tests/test_endless_answers.rs
+++ b/entry/tests/test_endless_answers.rs
@@ -7,13 +7,14 @@
 
 use damaskloom_testutils::platform_server::PlatformServer;
 use http_body_util::{BodyExt, Empty};
-use hyper_util::rt::TokioIo;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
 
-use crate::fixture::{EntryNode, PEER_PORT, configuration_with_timeout, wait_until};
+use crate::fixture::{
+    EntryNode, PEER_PORT, booking, configuration_with_timeout, connect, wait_until,
+};
 
 /// The maximum number of bytes of one answer that may be read: what a node buffers, and what socket
 /// buffers on loopback hold.
@@ -105,20 +106,9 @@
     store.put("servers", "i-0", row.to_string());
     let node = EntryNode::start(&store, PEER_PORT);
     node.wait_until_ready().await;
-    let stream = TcpStream::connect(node.caller_address()).await;
-    let stream = stream.expect("the node accepts connections");
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.expect("a connection");
-    tokio::task::spawn_local(connection);
-    let request = http::Request::builder()
-        .method("POST")
-        .uri("/book/1")
-        .header("host", "a.example")
-        .header("request-id", "id-1")
-        .header("deadline-ms", deadline_ms.to_string())
-        .header("authorization", "Bearer key-1")
-        .body(Empty::<bytes::Bytes>::new())
-        .expect("the parts are valid");
+    let mut sender = connect(node.caller_address()).await;
+    let request = booking("id-1", deadline_ms).body(Empty::<bytes::Bytes>::new());
+    let request = request.expect("the parts are valid");
     let response = sender.send_request(request).await.expect("an answer");
     let status = response.status().as_u16();
     let body = tokio::time::timeout(MAX_WAIT, response.into_body().collect()).await;
--- a/entry/tests/test_faulty_answers.rs
+++ b/entry/tests/test_faulty_answers.rs
@@ -4,13 +4,11 @@
 
 use bytes::Bytes;
 use damaskloom_testutils::platform_server::PlatformServer;
-use http::{Request, StatusCode};
+use http::StatusCode;
 use http_body_util::{BodyExt, Empty};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 
-use crate::fixture::{EntryNode, PEER_PORT, configuration, wait_until};
+use crate::fixture::{EntryNode, PEER_PORT, booking, configuration, connect, wait_until};
 use crate::scripted_target::{ScriptedTarget, ThenDoes};
 
 async fn start_node(
@@ -28,20 +26,9 @@
 
 /// Sends a booking with an id; returns the status, and the body if it was complete.
 async fn book(node: &EntryNode, id: &str) -> (StatusCode, Option<Bytes>) {
-    let stream = TcpStream::connect(node.caller_address()).await;
-    let stream = stream.expect("the node accepts connections");
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.expect("a connection");
-    tokio::task::spawn_local(connection);
-    let request = Request::builder()
-        .method("POST")
-        .uri("/book/1")
-        .header("host", "a.example")
-        .header("request-id", id)
-        .header("deadline-ms", "5000")
-        .header("authorization", "Bearer key-1")
-        .body(Empty::<Bytes>::new())
-        .expect("valid parts");
+    let mut sender = connect(node.caller_address()).await;
+    let request = booking(id, 5_000).body(Empty::<Bytes>::new());
+    let request = request.expect("valid parts");
     let response = sender.send_request(request).await.expect("an answer");
     let status = response.status();
     let body = response.into_body().collect().await.ok();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -65,6 +65,7 @@
 mod gossip_queue;
 pub mod head_poll;
 mod held_ejection;
+pub mod helper_choice;
 pub mod ids;
 pub mod key;
 pub mod key_table;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -34,6 +34,7 @@
 mod test_fair_queue;
 mod test_fleet_rates;
 mod test_freshness;
+mod test_helper_choice;
 mod test_keys;
 mod test_line_budget;
 mod test_loans;
