entry, platform: log what targets say of leaving and rest in their answers

Neither Server-Leaving nor a target's Retry-After was read, so no log told whether a node was late by the store's rows or went on against a target's own words. Answers that echo the request's id count, no 421, and of successes only signed ones. No decision changes. The limit, leaving and rest of an answer take one path, TargetNotice.

--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -306,7 +306,7 @@
         {
             state.limits.borrow_mut().refund(state.clock.now(), id);
         }
-        state.record_limit_notice(id, sent_at, result.report.limit);
+        state.record_target_notice(id, sent_at, result.report.notice);
         if matches!(result.answer, Err(AttemptFailure::WrongTarget)) {
             state.record_wrong_target(OutdatedAddress {
                 target: id.clone(),
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -15,7 +15,8 @@
 //! - `store_watch` follows the store; `fleet_rows` registers the node and keeps the fleet's own rows;
 //!   `target_changes` applies its changes of targets, `target_evidence` what attempts show about them;
 //!   `fleet_roles` determines which nodes follow the store and which nodes callers are directed to.
-//! - `limit_sharing` applies what answers and other nodes say about targets' limits.
+//! - `target_notices` applies what targets say of themselves in their answers, `limit_sharing` what answers and
+//!   other nodes say about their limits.
 //! - `peer_socket` and `peer_wire` exchange datagrams with other nodes; `peer_rows` fetches rows of
 //!   the store from them into a `table_copy`.
 //! - `entry_meters`, `log_lines` and `wall_clock` provide metrics, rate-limited log lines and the
@@ -47,5 +48,6 @@
 pub mod target_call;
 pub mod target_changes;
 pub mod target_evidence;
+pub mod target_notices;
 pub mod target_pool;
 pub mod wall_clock;
--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -9,9 +9,10 @@
 use damaskloom_lib::attempt_failure::AttemptFailure;
 use damaskloom_lib::ids::{CustomerId, TargetId};
 use damaskloom_lib::target_limits::LimitNotice;
+use damaskloom_lib::target_notices::TargetNotice;
 use damaskloom_platform::header_names::{
     ANSWER_SIGNATURE, CUSTOMER, EXPECTED_TARGET, FLEET_FIELDS, NOT_RUN, REQUEST_ID, TIME_LEFT_MS,
-    idle_seconds, named_limit, reported_load,
+    idle_seconds, is_target_leaving, named_limit, reported_load, requested_rest,
 };
 use http::header::{
     AUTHORIZATION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderValue,
@@ -71,8 +72,8 @@
     pub connected: bool,
     /// The number of running and waiting requests that the target reported with its answer.
     pub load: Option<u32>,
-    /// What the head of the answer says about the target's limit.
-    pub limit: LimitNotice,
+    /// What the head of the answer says about the target.
+    pub notice: TargetNotice,
 }
 
 /// The method, path and headers that all attempts of a request share.
@@ -195,21 +196,42 @@
         None => AttemptFailure::Broken,
     })?;
     report.load = reported_load(response.headers());
-    report.limit = limit_notice(head, target.id, &response);
+    report.notice = target_notice(head, target.id, &response);
     receive_answer(head, response, lease, deadline).await
 }
 
-/// Reads what an answer says about its target's limit. Without its signature, an answer may be the
-/// target's and spoilt on the way, so it does not show that there is no limit.
-fn limit_notice(
+/// Reads what an answer says about its target. An answer to another request or of another target says
+/// nothing, and neither does a success without its signature.
+fn target_notice(
     head: &OutgoingHead,
     target: &TargetId,
     response: &Response<Incoming>,
-) -> LimitNotice {
-    let headers = response.headers();
-    if response.status() == StatusCode::MISDIRECTED_REQUEST || !head.is_echoed_by(headers) {
-        return LimitNotice::Unknown;
+) -> TargetNotice {
+    let (status, headers) = (response.status(), response.headers());
+    if status == StatusCode::MISDIRECTED_REQUEST || !head.is_echoed_by(headers) {
+        return TargetNotice::default();
     }
+    let is_own = !status.is_success() || headers.contains_key(ANSWER_SIGNATURE);
+    TargetNotice {
+        limit: limit_notice(target, headers),
+        is_leaving: is_own && is_target_leaving(headers),
+        rest: (status == StatusCode::SERVICE_UNAVAILABLE)
+            .then(|| rest_notice(target, headers))
+            .flatten(),
+    }
+}
+
+fn rest_notice(target: &TargetId, headers: &HeaderMap) -> Option<Duration> {
+    let rest = requested_rest(headers);
+    rest.unwrap_or_else(|error| {
+        tracing::warn!(id = %target, %error, "invalid rest of a target ignored");
+        None
+    })
+}
+
+/// Reads what an answer says about its target's limit. Without its signature, an answer may be the
+/// target's and spoilt on the way, so it does not show that there is no limit.
+fn limit_notice(target: &TargetId, headers: &HeaderMap) -> LimitNotice {
     match named_limit(headers) {
         Ok(Some(rate)) => LimitNotice::Limited(rate),
         Ok(None) if headers.contains_key(ANSWER_SIGNATURE) => LimitNotice::Unlimited,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,8 +4,8 @@
 //! actions. No module opens a socket, reads a clock, spawns a task or uses a global random source, so
 //! that each can be embedded and tested in virtual time. The daemons in the sibling crates do the I/O.
 //!
-//! - Entry nodes: `target_catalog`, `target_balancer`, `target_limits`, `failure_filter`, `fleet_rate`, `routing`,
-//!   `entry_members`, `entry_nodes`, `table_mirror`.
+//! - Entry nodes: `target_catalog`, `target_balancer`, `target_limits`, `target_notices`, `failure_filter`, `fleet_rate`,
+//!   `routing`, `entry_members`, `entry_nodes`, `table_mirror`.
 //! - Configuration: `config`, `key_table`, `plan`, `confirm`, `distribution`, `freshness`.
 //! - Members and shares: `membership`, `directory`, `epoch`, `budget`, `escrow`.
 //! - Limits and queues: `rate_limiter`, `slot_pool`, `fair_queue`, `retry_budget`.
@@ -118,6 +118,7 @@
 pub mod target_catalog;
 pub mod target_limits;
 pub mod target_load;
+pub mod target_notices;
 pub mod target_path;
 pub mod target_picker;
 pub mod target_selection;
