--- a/entry/tests/fixture.rs
+++ b/entry/tests/fixture.rs
@@ -38,8 +38,12 @@
     Fails,
     /// Runs the request and names a limit of one request in twenty seconds.
     Limited,
+    /// Runs the request and says that it leaves.
+    Leaves,
     /// Refuses without running the request.
     Full,
+    /// Refuses without running the request, and asks for an hour of rest.
+    AsksForRest,
     /// Answers 421: another target was addressed.
     WrongTarget,
     /// Runs the request and answers without the signature header.
@@ -108,7 +112,7 @@
         let behaviour = self.behaviour.get();
         if !matches!(
             behaviour,
-            TargetBehaviour::Full | TargetBehaviour::WrongTarget
+            TargetBehaviour::Full | TargetBehaviour::AsksForRest | TargetBehaviour::WrongTarget
         ) {
             self.runs.set(self.runs.get() + 1);
         }
@@ -130,7 +134,14 @@
                     .header("server-seal", "seal")
                     .header("server-limit", "0.05"),
                 TargetBehaviour::Fails => answer.status(500).header("server-seal", "seal"),
+                TargetBehaviour::Leaves => answer
+                    .header("server-seal", "seal")
+                    .header("server-leaving", "1"),
                 TargetBehaviour::Full => answer.status(503).header("not-executed", "1"),
+                TargetBehaviour::AsksForRest => answer
+                    .status(503)
+                    .header("not-executed", "1")
+                    .header("retry-after", "3600"),
                 TargetBehaviour::WrongTarget => answer.status(421),
                 TargetBehaviour::NeverAnswers => std::future::pending().await,
             };
@@ -142,10 +153,16 @@
 
     /// Returns the row that the target keeps in the store.
     pub fn row(&self, state: &str) -> String {
+        self.row_of(state, 1, 1)
+    }
+
+    /// Returns the row with the number of the target's writes since its start, and the time of its
+    /// start. Rows of different numbers differ in their number of slots too.
+    pub fn row_of(&self, state: &str, writes: u64, born: u64) -> String {
         json!({
             "service": "desk", "address": self.address.to_string(), "zone": "near",
-            "version": "v1", "concurrency": 4, "state": state, "warmup_left_s": 0,
-            "sequence": 1, "born": 1
+            "version": "v1", "concurrency": 3 + writes, "state": state, "warmup_left_s": 0,
+            "sequence": writes, "born": born
         })
         .to_string()
     }
