lib, entry: a target that says in an answer that it leaves gets no more requests

A node went by its copy of the store's rows alone; no code read Server-Leaving. A node whose rows are late, by a full link or a store that refuses it, had no other source.

Now the notice of an answer belongs to the start that the request went by, takes the target out of the balancers at once, is told to all nodes by a message of its own (twice, as datagrams get lost), and ends only with a later start: a late, repeated or older row does not take it back.

--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -12,6 +12,7 @@
 use damaskloom_lib::ids::{ServiceId, TargetId};
 use damaskloom_lib::return_delay::return_delay;
 use damaskloom_lib::target_catalog::OutdatedAddress;
+use damaskloom_lib::target_notices::TargetStart;
 use damaskloom_lib::target_selection::{SelectionError, SelectionRequest, TargetSelection};
 use http::request::Parts;
 use rand::Rng;
@@ -306,7 +307,11 @@
         {
             state.limits.borrow_mut().refund(state.clock.now(), id);
         }
-        state.record_target_notice(id, sent_at, result.report.notice);
+        let start = TargetStart {
+            target: id.clone(),
+            started_at_ms,
+        };
+        state.record_target_notice(&start, sent_at, result.report.notice);
         if matches!(result.answer, Err(AttemptFailure::WrongTarget)) {
             state.record_wrong_target(OutdatedAddress {
                 target: id.clone(),
--- a/entry/src/entry_meters.rs
+++ b/entry/src/entry_meters.rs
@@ -68,6 +68,8 @@
     pub limited_targets: usize,
     /// The number of targets whose addresses other targets have by now.
     pub outdated_targets: usize,
+    /// The number of targets that have said in answers that they leave.
+    pub leaving_targets: usize,
     /// The number of nodes with a recent heartbeat, including this one.
     pub nodes: usize,
 }
@@ -94,6 +96,7 @@
     targets: Gauge<u64>,
     limited_targets: Gauge<u64>,
     outdated_targets: Gauge<u64>,
+    leaving_targets: Gauge<u64>,
     store_era: Gauge<u64>,
     nodes: Gauge<u64>,
 }
@@ -127,6 +130,7 @@
             targets: meter.u64_gauge("damaskloom_targets").build(),
             limited_targets: meter.u64_gauge("damaskloom_limited_targets").build(),
             outdated_targets: meter.u64_gauge("damaskloom_outdated_targets").build(),
+            leaving_targets: meter.u64_gauge("damaskloom_leaving_targets").build(),
             store_era: meter.u64_gauge("damaskloom_store_era").build(),
             nodes: meter.u64_gauge("damaskloom_nodes").build(),
         })
@@ -185,6 +189,8 @@
             .record(known.limited_targets as u64, &[]);
         self.outdated_targets
             .record(known.outdated_targets as u64, &[]);
+        self.leaving_targets
+            .record(known.leaving_targets as u64, &[]);
         self.store_era.record(u64::from(known.store_era), &[]);
         self.nodes.record(known.nodes as u64, &[]);
     }
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -23,6 +23,7 @@
 use damaskloom_lib::target_balancer::{ServiceBalancers, TargetBalancer, TargetCode};
 use damaskloom_lib::target_catalog::{OutdatedAddress, TargetCatalog};
 use damaskloom_lib::target_limits::TargetLimits;
+use damaskloom_lib::target_notices::TargetNotices;
 use damaskloom_lib::target_path::TargetPaths;
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::traffic_meter::TrafficMeter;
@@ -65,6 +66,8 @@
     pub balancers: RefCell<ServiceBalancers>,
     /// The limits that targets have named.
     pub limits: RefCell<TargetLimits>,
+    /// What targets have said of leaving and rest.
+    pub notices: RefCell<TargetNotices>,
     /// Whether this node reaches the targets of each service.
     pub target_paths: RefCell<TargetPaths>,
     /// Wakes the task that tries the path to the targets.
@@ -95,7 +98,7 @@
     pub pending_crash_messages: RefCell<Vec<CrashMessage>>,
     /// The outdated addresses of targets that are yet to be sent to other nodes.
     pub pending_outdated: RefCell<Vec<OutdatedAddress>>,
-    /// Wakes the task that sends signals, crash messages and outdated addresses.
+    /// Wakes the task that sends signals, crash messages, outdated addresses and leaving targets.
     pub updates_due: Notify,
     /// The targets that answered successfully since the last message to the nodes of the data
     /// centre.
@@ -158,6 +161,7 @@
             catalog: RefCell::default(),
             balancers: RefCell::default(),
             limits: RefCell::new(TargetLimits::new(own)),
+            notices: RefCell::default(),
             target_paths: RefCell::default(),
             path_doubted: Notify::new(),
             target_pools: TargetPools::new(network),
@@ -430,6 +434,7 @@
             targets: self.catalog.borrow().len(),
             limited_targets: self.limits.borrow().limited_count(),
             outdated_targets: self.catalog.borrow().outdated_count(),
+            leaving_targets: self.notices.borrow().leaving_count(),
             nodes: self.members.borrow().responsive(now).count() + 1,
         });
         self.meters.encode()
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -91,6 +91,8 @@
             state.update_limits();
             let repeats = state.limits.borrow_mut().due_repeats(now);
             self.send_limits(state, &repeats);
+            state.forget_departed_targets();
+            self.send_leaving(state);
             state.set_repeat_share(entries);
             log_repeats(state);
             tokio::time::sleep(MIN_HEARTBEAT_INTERVAL).await;
@@ -245,7 +247,18 @@
         }
     }
 
+    /// Tells all nodes which targets leave, since each one may get requests.
+    fn send_leaving(&self, state: &EntryState) {
+        let now = state.clock.now();
+        let leaving = state.notices.borrow_mut().drain_tellings(now);
+        for part in leaving.chunks(MAX_STATEMENTS) {
+            let message = PeerMessage::Leaving(part.to_vec());
+            self.send(state, &self.all_nodes(state), message);
+        }
+    }
+
     fn send_signals(&self, state: &EntryState) {
+        self.send_leaving(state);
         let limits = state.limits.borrow_mut().drain_changes(state.clock.now());
         self.send_limits(state, &limits);
         let outdated = std::mem::take(&mut *state.pending_outdated.borrow_mut());
@@ -393,6 +406,11 @@
                     state.apply_outdated(outdated, Some(&vm));
                 }
             }
+            PeerMessage::Leaving(starts) => {
+                for start in &starts {
+                    state.apply_leaving(start, Some(&vm));
+                }
+            }
             PeerMessage::Signals(signals) => {
                 for (id, signal) in &signals {
                     state.apply_peer_signal(&vm, id, failure_signal(*signal));
--- a/entry/src/peer_wire.rs
+++ b/entry/src/peer_wire.rs
@@ -7,6 +7,7 @@
 use damaskloom_lib::target_balancer::TargetCode;
 use damaskloom_lib::target_catalog::OutdatedAddress;
 use damaskloom_lib::target_limits::LimitStatement;
+use damaskloom_lib::target_notices::TargetStart;
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use subtle::ConstantTimeEq;
@@ -42,6 +43,10 @@
 }
 
 /// The messages that nodes send to each other.
+///
+/// The order of the variants and of their fields is the encoding. Nodes of the build before read every
+/// message but those that are new since then, which they drop; see
+/// [docs/DEVELOPERS.md](../../docs/DEVELOPERS.md).
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PeerMessage {
@@ -66,6 +71,8 @@
     Limits(Vec<LimitStatement>),
     /// The targets at whose addresses other targets answered.
     Outdated(Vec<OutdatedAddress>),
+    /// The targets that have said in answers that they leave.
+    Leaving(Vec<TargetStart>),
 }
 
 /// A message with its sender.
--- a/entry/src/target_changes.rs
+++ b/entry/src/target_changes.rs
@@ -4,7 +4,8 @@
 use damaskloom_lib::ids::{TargetId, VmId};
 use damaskloom_lib::table_mirror::MirrorRow;
 use damaskloom_lib::target_balancer::TargetBalancer;
-use damaskloom_lib::target_catalog::{CatalogChange, OutdatedAddress};
+use damaskloom_lib::target_catalog::{CatalogChange, KnownTarget, OutdatedAddress};
+use damaskloom_lib::target_notices::TargetStart;
 use damaskloom_lib::time::MonoTime;
 use damaskloom_platform::target_reader::read_announcement;
 
@@ -81,6 +82,21 @@
         }
     }
 
+    /// Removes a target that has said that it leaves from the candidates, if the given start of it is the
+    /// known one.
+    pub fn remove_leaving(&self, start: &TargetStart) {
+        let id = &start.target;
+        let known = self
+            .catalog
+            .borrow()
+            .get(id)
+            .map(|target| target.announcement.started_at_ms);
+        if known == Some(start.started_at_ms) {
+            let now = self.clock.now();
+            self.apply_catalog_change(now, &CatalogChange::Updated(id.clone()));
+        }
+    }
+
     fn apply_catalog_change(&self, now: MonoTime, change: &CatalogChange) {
         let (id, started) = match change {
             CatalogChange::Started(id) => (id, true),
@@ -90,10 +106,20 @@
         let catalog = self.catalog.borrow();
         let mut balancers = self.balancers.borrow_mut();
         let known = catalog.get(id);
+        if let Some(target) = known.filter(|_| started) {
+            let started_at_ms = target.announcement.started_at_ms;
+            let mut notices = self.notices.borrow_mut();
+            notices.end_earlier_starts(id, started_at_ms);
+        }
+        let notices = self.notices.borrow();
+        let is_leaving = |target: &KnownTarget| {
+            let announcement = &target.announcement;
+            announcement.leaving || notices.is_leaving(id, announcement.started_at_ms)
+        };
         let row = self.targets_copy.mirror.borrow().version().version();
-        let Some(target) = known.filter(|target| target.is_usable()) else {
+        let Some(target) = known.filter(|target| target.is_usable() && !is_leaving(target)) else {
             let why = match known {
-                Some(target) if target.announcement.leaving => "leaving",
+                Some(target) if is_leaving(target) => "leaving",
                 Some(_) => "outdated",
                 None => "gone",
             };
--- a/entry/src/target_notices.rs
+++ b/entry/src/target_notices.rs
@@ -1,26 +1,58 @@
-//! Applies what targets say of themselves in their answers.
+//! Applies what targets say of themselves in their answers; see
+//! [docs/design/target-notices.md](../../docs/design/target-notices.md).
 
-use damaskloom_lib::ids::TargetId;
-use damaskloom_lib::target_notices::TargetNotice;
+use damaskloom_lib::ids::{TargetId, VmId};
+use damaskloom_lib::target_notices::{TargetNotice, TargetStart};
 use damaskloom_lib::time::MonoTime;
 
 use crate::entry_state::EntryState;
 
 impl EntryState {
     /// Records what the answer to a request that was sent at `sent_at` says about its target.
-    pub fn record_target_notice(&self, id: &TargetId, sent_at: MonoTime, notice: TargetNotice) {
+    pub fn record_target_notice(
+        &self,
+        start: &TargetStart,
+        sent_at: MonoTime,
+        notice: TargetNotice,
+    ) {
+        let id = &start.target;
         self.record_limit_notice(id, sent_at, notice.limit);
-        let sent_ms = self.clock.now().since(sent_at).as_millis() as u64;
         if notice.is_leaving {
-            let row_leaving = self.is_announced_leaving(id);
-            tracing::info!(%id, row_leaving, sent_ms, "target says that it leaves");
+            self.apply_leaving(start, None);
         }
         if let Some(rest) = notice.rest {
             let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
-            tracing::info!(%id, rest_ms, sent_ms, "target asks for rest");
+            tracing::info!(%id, rest_ms, "target asks for rest");
         }
     }
 
+    /// Stops requests to a target that has said that it leaves; `from` is the peer that was answered so, or
+    /// none for this node, which then tells the others.
+    pub fn apply_leaving(&self, start: &TargetStart, from: Option<&VmId>) {
+        let now = self.clock.now();
+        let is_news = match from {
+            None => self.notices.borrow_mut().record_leaving(now, start),
+            Some(_) => self.notices.borrow_mut().record_told(now, start),
+        };
+        if !is_news {
+            return;
+        }
+        let id = &start.target;
+        let row_leaving = self.is_announced_leaving(id);
+        let from = from.map_or("here", |vm| vm.as_str());
+        tracing::info!(%id, from, row_leaving, "target says that it leaves");
+        self.remove_leaving(start);
+        self.updates_due.notify_one();
+    }
+
+    /// Forgets what targets said that have been gone for long.
+    pub fn forget_departed_targets(&self) {
+        let now = self.clock.now();
+        let catalog = self.catalog.borrow();
+        let mut notices = self.notices.borrow_mut();
+        notices.tick(now, |id| catalog.get(id).is_some());
+    }
+
     /// Returns whether the target's row says that it leaves, or is gone.
     fn is_announced_leaving(&self, id: &TargetId) -> bool {
         let catalog = self.catalog.borrow();
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -52,4 +52,5 @@
 mod test_target_balancer;
 mod test_target_catalog;
 mod test_target_limits;
+mod test_target_notices;
 mod test_target_path;
