entry: a request that waited looks at its target again before the first byte

A wait for a share of a limit was already followed by a second look.

Now an attempt ends as withdrawn if the start that it was selected for no longer accepts requests: nothing was sent, so it costs nothing of the route's attempts or the budget.

--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -268,6 +268,7 @@
             AttemptFailure::NoConnection
             | AttemptFailure::Unreachable
             | AttemptFailure::Stale
+            | AttemptFailure::Withdrawn
             | AttemptFailure::WrongTarget => self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT),
         }
     }
@@ -286,10 +287,15 @@
             let announcement = &target.announcement;
             (announcement.address, announcement.started_at_ms)
         };
+        let start = TargetStart {
+            target: id.clone(),
+            started_at_ms,
+        };
         let target = CallTarget {
             id,
             pool: state.target_pools.pool(id, address),
             connections: self.connection_limit(),
+            accepts: &|| state.accepts_requests(&start),
         };
         self.log_selection(selection);
         let running = RunningGuard::begin(state, self.service, id);
@@ -307,10 +313,6 @@
         {
             state.limits.borrow_mut().refund(state.clock.now(), id);
         }
-        let start = TargetStart {
-            target: id.clone(),
-            started_at_ms,
-        };
         state.record_target_notice(&start, sent_at, result.report.notice);
         if matches!(result.answer, Err(AttemptFailure::WrongTarget)) {
             state.record_wrong_target(OutdatedAddress {
@@ -447,7 +449,10 @@
         }
         match failure {
             // A wrong target was recorded with the address that the request was sent to.
-            AttemptFailure::NoConnection | AttemptFailure::Stale | AttemptFailure::WrongTarget => {}
+            AttemptFailure::NoConnection
+            | AttemptFailure::Stale
+            | AttemptFailure::Withdrawn
+            | AttemptFailure::WrongTarget => {}
             AttemptFailure::Unreachable => {
                 state.with_balancer(service, |balancer| balancer.mark_unreachable(now, id));
                 let actions = state.crash_guard.borrow_mut().record_unreachable(now, id);
--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -148,7 +148,6 @@
 }
 
 /// The target of an attempt.
-#[derive(Debug)]
 pub struct CallTarget<'a> {
     /// The target.
     pub id: &'a TargetId,
@@ -156,6 +155,8 @@
     pub pool: Rc<TargetPool>,
     /// The number of connections that this node may open to it.
     pub connections: u32,
+    /// Returns whether the target accepts requests of this node now.
+    pub accepts: &'a dyn Fn() -> bool,
 }
 
 /// Sends the request to a target and waits until the deadline for its answer.
@@ -188,6 +189,11 @@
         .await
         .map_err(AttemptFailure::from)?;
     report.connected = lease.is_fresh();
+    // The target may have begun to leave while the request waited for a connection.
+    if !(target.accepts)() {
+        lease.release(None);
+        return Err(AttemptFailure::Withdrawn);
+    }
     let request = head.request(target.id, deadline, body);
     let response = lease.sender().try_send_request(request).await;
     // The library returns the request only if no byte of it was written.
--- a/entry/src/target_notices.rs
+++ b/entry/src/target_notices.rs
@@ -45,6 +45,17 @@
         self.updates_due.notify_one();
     }
 
+    /// Returns whether this start of a target is the known one and accepts requests.
+    pub fn accepts_requests(&self, start: &TargetStart) -> bool {
+        let catalog = self.catalog.borrow();
+        let known = catalog.get(&start.target);
+        let is_usable = known.is_some_and(|target| {
+            target.is_usable() && target.announcement.started_at_ms == start.started_at_ms
+        });
+        let notices = self.notices.borrow();
+        is_usable && !notices.is_leaving(&start.target, start.started_at_ms)
+    }
+
     /// Forgets what targets said that have been gone for long.
     pub fn forget_departed_targets(&self) {
         let now = self.clock.now();
--- a/lib/src/attempt_failure.rs
+++ b/lib/src/attempt_failure.rs
@@ -12,6 +12,8 @@
     Unreachable,
     /// A reused connection had closed before anything was sent.
     Stale,
+    /// The target stopped accepting requests of this node before anything was sent.
+    Withdrawn,
     /// Another target listens at the address.
     WrongTarget,
     /// The target refused the request because it has no free capacity.
@@ -39,10 +41,11 @@
 
 impl AttemptFailure {
     /// All failures.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::NoConnection,
         Self::Unreachable,
         Self::Stale,
+        Self::Withdrawn,
         Self::WrongTarget,
         Self::Full,
         Self::Broken,
@@ -55,7 +58,7 @@
     /// attempt counts against the route's attempts, and the next one draws on the repeat budget.
     pub const fn is_arrival(self) -> bool {
         match self {
-            Self::NoConnection | Self::Unreachable | Self::Stale => false,
+            Self::NoConnection | Self::Unreachable | Self::Stale | Self::Withdrawn => false,
             Self::WrongTarget
             | Self::Full
             | Self::Broken
@@ -71,6 +74,7 @@
             Self::NoConnection
             | Self::Unreachable
             | Self::Stale
+            | Self::Withdrawn
             | Self::WrongTarget
             | Self::Full => false,
             Self::Broken | Self::InvalidAnswer | Self::TimedOut | Self::ServerError => true,
@@ -80,7 +84,7 @@
     /// Returns what the failure shows about the path.
     pub const fn path_evidence(self) -> PathEvidence {
         match self {
-            Self::NoConnection | Self::Stale => PathEvidence::None,
+            Self::NoConnection | Self::Stale | Self::Withdrawn => PathEvidence::None,
             Self::WrongTarget | Self::Full | Self::InvalidAnswer | Self::ServerError => {
                 PathEvidence::Answered
             }
@@ -94,6 +98,7 @@
             Self::NoConnection => "no-connection",
             Self::Unreachable => "unreachable",
             Self::Stale => "stale-connection",
+            Self::Withdrawn => "withdrawn",
             Self::WrongTarget => "wrong-target",
             Self::Full => "target-full",
             Self::Broken => "broken",
--- a/lib/tests/test_attempt_failure.rs
+++ b/lib/tests/test_attempt_failure.rs
@@ -30,6 +30,7 @@
     no-connection: not sent, not run, no evidence
     unreachable: not sent, not run, failed on the way
     stale-connection: not sent, not run, no evidence
+    withdrawn: not sent, not run, no evidence
     wrong-target: arrived, not run, path sound
     target-full: arrived, not run, path sound
     broken: arrived, may have run, failed on the way
