entry, lib: a target that asks for rest gets no requests of this node in that time

No code read the figure: a refusal cost its target 120 ms of preference, a guess of our own, and every later request could go there.

Now the selection passes over a resting target for first attempts, retries and explorations alike; a request that waited for a connection looks again; if only resting targets are left, the request is refused at once with the time until the first may be asked. After a rest one request goes ahead, at most every 300 ms, until an answer shows that the target takes requests. Figures are bounded by a minute; odd ones are ignored with a line.

--- a/entry/src/caller_answer.rs
+++ b/entry/src/caller_answer.rs
@@ -38,6 +38,8 @@
     Overloaded,
     /// All targets have limits that leave no room for the request soon.
     TargetsLimited,
+    /// All targets have asked this node for some time without requests.
+    TargetsResting,
     /// The request has crashed several targets.
     CrashesTargets,
     /// The connection to the target or its answer failed; the request may have run.
@@ -61,6 +63,7 @@
             Self::Stopping => "stopping",
             Self::Overloaded => "overloaded",
             Self::TargetsLimited => "targets-limited",
+            Self::TargetsResting => "targets-resting",
             Self::CrashesTargets => "crashes-targets",
             Self::TargetBroke => "target-broke",
             Self::TargetTimeout => "target-timeout",
@@ -82,6 +85,7 @@
             | Self::Stopping
             | Self::Overloaded
             | Self::TargetsLimited
+            | Self::TargetsResting
             | Self::CrashesTargets => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetBroke => StatusCode::BAD_GATEWAY,
             Self::TargetTimeout => StatusCode::GATEWAY_TIMEOUT,
--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -146,6 +146,7 @@
                 Err(refusal) => return failed_answer.ok_or(refusal),
             };
             let permit = LimitPermit::reserve(self.state, &selection.target);
+            self.state.record_selection(&selection.target);
             if !selection.permit_wait.is_zero() {
                 tokio::time::sleep(selection.permit_wait).await;
                 if !permit.is_valid(self.service) {
@@ -214,10 +215,12 @@
             .deadline
             .saturating_duration_since(Instant::now());
         let limits = self.state.limits.borrow();
+        let notices = self.state.notices.borrow();
         let request = SelectionRequest {
             idempotence: self.idempotence(),
             tried: &self.tried,
             limits: &limits,
+            notices: &notices,
             seed: rand::rng().random(),
         };
         let balancers = self.state.balancers.borrow();
@@ -233,6 +236,7 @@
             .select(now, &request)
             .map_err(|error| match error {
                 SelectionError::NoTarget => self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT),
+                SelectionError::Resting(wait) => self.refuse(RefusalReason::TargetsResting, wait),
                 SelectionError::Limited(wait) => {
                     self.refuse(RefusalReason::TargetsLimited, wait.unwrap_or(UNKNOWN_WAIT))
                 }
--- a/entry/src/entry_meters.rs
+++ b/entry/src/entry_meters.rs
@@ -70,6 +70,8 @@
     pub outdated_targets: usize,
     /// The number of targets that have said in answers that they leave.
     pub leaving_targets: usize,
+    /// The number of targets that have asked this node for a rest that is not over.
+    pub resting_targets: usize,
     /// The number of nodes with a recent heartbeat, including this one.
     pub nodes: usize,
 }
@@ -97,6 +99,7 @@
     limited_targets: Gauge<u64>,
     outdated_targets: Gauge<u64>,
     leaving_targets: Gauge<u64>,
+    resting_targets: Gauge<u64>,
     store_era: Gauge<u64>,
     nodes: Gauge<u64>,
 }
@@ -131,6 +134,7 @@
             limited_targets: meter.u64_gauge("damaskloom_limited_targets").build(),
             outdated_targets: meter.u64_gauge("damaskloom_outdated_targets").build(),
             leaving_targets: meter.u64_gauge("damaskloom_leaving_targets").build(),
+            resting_targets: meter.u64_gauge("damaskloom_resting_targets").build(),
             store_era: meter.u64_gauge("damaskloom_store_era").build(),
             nodes: meter.u64_gauge("damaskloom_nodes").build(),
         })
@@ -191,6 +195,8 @@
             .record(known.outdated_targets as u64, &[]);
         self.leaving_targets
             .record(known.leaving_targets as u64, &[]);
+        self.resting_targets
+            .record(known.resting_targets as u64, &[]);
         self.store_era.record(u64::from(known.store_era), &[]);
         self.nodes.record(known.nodes as u64, &[]);
     }
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -435,6 +435,7 @@
             limited_targets: self.limits.borrow().limited_count(),
             outdated_targets: self.catalog.borrow().outdated_count(),
             leaving_targets: self.notices.borrow().leaving_count(),
+            resting_targets: self.notices.borrow().resting_count(now),
             nodes: self.members.borrow().responsive(now).count() + 1,
         });
         self.meters.encode()
--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -9,7 +9,7 @@
 use damaskloom_lib::attempt_failure::AttemptFailure;
 use damaskloom_lib::ids::{CustomerId, TargetId};
 use damaskloom_lib::target_limits::LimitNotice;
-use damaskloom_lib::target_notices::TargetNotice;
+use damaskloom_lib::target_notices::{RestNotice, TargetNotice};
 use damaskloom_platform::header_names::{
     ANSWER_SIGNATURE, CUSTOMER, EXPECTED_TARGET, FLEET_FIELDS, NOT_RUN, REQUEST_ID, TIME_LEFT_MS,
     idle_seconds, is_target_leaving, named_limit, reported_load, requested_rest,
@@ -221,18 +221,23 @@
     TargetNotice {
         limit: limit_notice(target, headers),
         is_leaving: is_own && is_target_leaving(headers),
-        rest: (status == StatusCode::SERVICE_UNAVAILABLE)
-            .then(|| rest_notice(target, headers))
-            .flatten(),
+        rest: rest_notice(target, status, headers),
     }
 }
 
-fn rest_notice(target: &TargetId, headers: &HeaderMap) -> Option<Duration> {
-    let rest = requested_rest(headers);
-    rest.unwrap_or_else(|error| {
-        tracing::warn!(id = %target, %error, "invalid rest of a target ignored");
-        None
-    })
+/// Reads what an answer says about rest; any other answer than a refusal asks for none.
+fn rest_notice(target: &TargetId, status: StatusCode, headers: &HeaderMap) -> RestNotice {
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return RestNotice::NotAsked;
+    }
+    match requested_rest(headers) {
+        Ok(Some(rest)) => RestNotice::Asked(rest),
+        Ok(None) => RestNotice::Unknown,
+        Err(error) => {
+            tracing::warn!(id = %target, %error, "invalid rest of a target ignored");
+            RestNotice::Unknown
+        }
+    }
 }
 
 /// Reads what an answer says about its target's limit. Without its signature, an answer may be the
--- a/entry/src/target_notices.rs
+++ b/entry/src/target_notices.rs
@@ -2,7 +2,7 @@
 //! [docs/design/target-notices.md](../../docs/design/target-notices.md).
 
 use damaskloom_lib::ids::{TargetId, VmId};
-use damaskloom_lib::target_notices::{TargetNotice, TargetStart};
+use damaskloom_lib::target_notices::{RestNotice, TargetNotice, TargetStart};
 use damaskloom_lib::time::MonoTime;
 
 use crate::entry_state::EntryState;
@@ -20,12 +20,22 @@
         if notice.is_leaving {
             self.apply_leaving(start, None);
         }
-        if let Some(rest) = notice.rest {
+        let now = self.clock.now();
+        let mut notices = self.notices.borrow_mut();
+        notices.record_rest(now, start, sent_at, notice.rest);
+        if let RestNotice::Asked(rest) = notice.rest {
             let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
-            tracing::info!(%id, rest_ms, "target asks for rest");
+            let granted_ms = notices.rest_left(now, id).as_millis() as u64;
+            tracing::info!(%id, rest_ms, granted_ms, "target asks for rest");
         }
     }
 
+    /// Records that a target was selected for a request.
+    pub fn record_selection(&self, id: &TargetId) {
+        let now = self.clock.now();
+        self.notices.borrow_mut().record_selection(now, id);
+    }
+
     /// Stops requests to a target that has said that it leaves; `from` is the peer that was answered so, or
     /// none for this node, which then tells the others.
     pub fn apply_leaving(&self, start: &TargetStart, from: Option<&VmId>) {
@@ -45,7 +55,7 @@
         self.updates_due.notify_one();
     }
 
-    /// Returns whether this start of a target is the known one and accepts requests.
+    /// Returns whether this start of a target is the known one and accepts requests of this node.
     pub fn accepts_requests(&self, start: &TargetStart) -> bool {
         let catalog = self.catalog.borrow();
         let known = catalog.get(&start.target);
@@ -53,7 +63,9 @@
             target.is_usable() && target.announcement.started_at_ms == start.started_at_ms
         });
         let notices = self.notices.borrow();
-        is_usable && !notices.is_leaving(&start.target, start.started_at_ms)
+        is_usable
+            && !notices.is_leaving(&start.target, start.started_at_ms)
+            && !notices.is_resting(self.clock.now(), &start.target)
     }
 
     /// Forgets what targets said that have been gone for long.
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -286,7 +286,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if there is no such target, or if their limits allow no request soon.
+    /// Fails if there is no such target, or if they rest or their limits allow no request soon.
     pub fn select(
         &self,
         now: MonoTime,
@@ -319,18 +319,22 @@
             if request.tried.contains(id) {
                 continue;
             }
+            let rest_left = request.notices.rest_left(now, id);
+            if !rest_left.is_zero() {
+                error = error.or_resting(rest_left);
+                continue;
+            }
             let (permit_wait, limit_cost) = match request.limits.permission(now, id) {
                 LimitPermission::Unlimited | LimitPermission::Within => (Duration::ZERO, 0.0),
                 LimitPermission::Beyond(wait) if wait <= max_permit_wait => {
                     (wait, BEYOND_LIMIT_COST)
                 }
                 LimitPermission::Beyond(wait) => {
-                    let shortest = error.wait().map_or(wait, |held| held.min(wait));
-                    error = SelectionError::Limited(Some(shortest));
+                    error = error.or_limited(Some(wait));
                     continue;
                 }
                 LimitPermission::Elsewhere => {
-                    error = SelectionError::Limited(error.wait());
+                    error = error.or_limited(None);
                     continue;
                 }
             };
--- a/lib/src/target_notices.rs
+++ b/lib/src/target_notices.rs
@@ -28,6 +28,18 @@
 /// The interval between two tellings, in milliseconds.
 const TELLING_INTERVAL_MS: u64 = 400;
 
+/// What an answer says about the rest that its target wants from this node.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RestNotice {
+    /// Nothing: there is no answer that is certainly the target's own, or it is a refusal.
+    #[default]
+    Unknown,
+    /// The target wants no rest.
+    NotAsked,
+    /// The target wants no requests for this time.
+    Asked(Duration),
+}
+
 /// What the head of an answer says about the target that made it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct TargetNotice {
@@ -35,8 +47,8 @@
     pub limit: LimitNotice,
     /// Whether the target leaves.
     pub is_leaving: bool,
-    /// How long the target wants no requests of this node; none if it does not say so.
-    pub rest: Option<Duration>,
+    /// Whether and how long the target wants no requests of this node.
+    pub rest: RestNotice,
 }
 
 /// One start of a target.
@@ -128,22 +140,22 @@
         held.is_some_and(|held| held.is_leaving && held.started_at_ms == started_at_ms)
     }
 
-    /// Records the rest that an answer to this node asks for, or that it asks for none. `sent_at` is when its
-    /// request was sent: only a request that was sent after a rest shows that the target takes requests again.
+    /// Records what an answer to this node says about rest. `sent_at` is when its request was sent: only a
+    /// request that was sent after a rest shows that the target takes requests again.
     pub fn record_rest(
         &mut self,
         now: MonoTime,
         start: &TargetStart,
         sent_at: MonoTime,
-        rest: Option<Duration>,
+        notice: RestNotice,
     ) {
-        let Some(rest) = rest else {
-            let held = self.held.get_mut(&start.target);
-            let is_over = |rest: &mut RestPeriod| sent_at >= rest.until;
-            if let Some(held) = held.filter(|held| held.started_at_ms == start.started_at_ms) {
-                held.rest.take_if(is_over);
+        let rest = match notice {
+            RestNotice::Unknown => return,
+            RestNotice::NotAsked => {
+                self.end_rest(start, sent_at);
+                return;
             }
-            return;
+            RestNotice::Asked(rest) => rest,
         };
         let granted = rest.min(Duration::from_millis(MAX_REST_MS));
         if let Some(held) = self.of_start(now, start) {
@@ -156,6 +168,13 @@
         }
     }
 
+    fn end_rest(&mut self, start: &TargetStart, sent_at: MonoTime) {
+        let held = self.held.get_mut(&start.target);
+        if let Some(held) = held.filter(|held| held.started_at_ms == start.started_at_ms) {
+            held.rest.take_if(|rest| sent_at >= rest.until);
+        }
+    }
+
     /// Returns the time until the target may be selected for a request; zero if it may be now.
     pub fn rest_left(&self, now: MonoTime, target: &TargetId) -> Duration {
         let rest = self.held.get(target).and_then(|held| held.rest);
--- a/lib/src/target_selection.rs
+++ b/lib/src/target_selection.rs
@@ -5,6 +5,7 @@
 use crate::config::Idempotence;
 use crate::ids::TargetId;
 use crate::target_limits::TargetLimits;
+use crate::target_notices::TargetNotices;
 
 /// The request that a target is selected for.
 #[derive(Clone, Copy, Debug)]
@@ -15,6 +16,8 @@
     pub tried: &'a [TargetId],
     /// The limits that targets name.
     pub limits: &'a TargetLimits,
+    /// The rests that targets have asked this node for.
+    pub notices: &'a TargetNotices,
     /// A number that differs between requests, to break ties.
     pub seed: u64,
 }
@@ -44,14 +47,35 @@
     /// The limits of all such targets are used up. Holds the time until this node's share of one
     /// allows a request again; none if only other nodes may send to them.
     Limited(Option<Duration>),
+    /// All such targets have asked this node for rest, or are limited. Holds the time until the first one
+    /// may be asked again.
+    Resting(Duration),
 }
 
 impl SelectionError {
-    /// Returns the time until this node's share of a limit allows a request, if that is known.
+    /// Returns the error if another target asks for rest.
+    #[must_use]
+    pub fn or_resting(self, left: Duration) -> Self {
+        Self::Resting(self.wait().map_or(left, |wait| wait.min(left)))
+    }
+
+    /// Returns the error if the limit of another target allows no request before `wait`, or none of this
+    /// node.
+    #[must_use]
+    pub fn or_limited(self, wait: Option<Duration>) -> Self {
+        let shortest = self.wait().into_iter().chain(wait).min();
+        match (self, shortest) {
+            (Self::Resting(_), Some(wait)) => Self::Resting(wait),
+            (_, shortest) => Self::Limited(shortest),
+        }
+    }
+
+    /// Returns the time until a target may be asked again, if that is known.
     pub fn wait(self) -> Option<Duration> {
         match self {
             Self::NoTarget => None,
             Self::Limited(wait) => wait,
+            Self::Resting(wait) => Some(wait),
         }
     }
 }
--- a/lib/tests/test_target_balancer.rs
+++ b/lib/tests/test_target_balancer.rs
@@ -7,6 +7,7 @@
 use damaskloom_lib::ids::{DataCentreId, TargetId, VmId};
 use damaskloom_lib::target_balancer::{TargetBalancer, TargetCode};
 use damaskloom_lib::target_limits::TargetLimits;
+use damaskloom_lib::target_notices::TargetNotices;
 use damaskloom_lib::target_selection::{SelectionError, SelectionRequest};
 use damaskloom_lib::time::MonoTime;
 
@@ -53,6 +54,7 @@
         idempotence,
         tried,
         limits: &no_limits(),
+        notices: &TargetNotices::default(),
         seed: 0,
     };
     let choice = balancer.select(at(ms), &request).expect("a target is left");
@@ -113,6 +115,7 @@
         idempotence: Idempotence::Idempotent,
         tried: &both,
         limits: &no_limits(),
+        notices: &TargetNotices::default(),
         seed: 0,
     };
     assert_eq!(
@@ -215,6 +218,7 @@
             idempotence: Idempotence::NonIdempotent,
             tried: &[],
             limits: &no_limits(),
+            notices: &TargetNotices::default(),
             seed,
         };
         let choice = balancer
--- a/lib/tests/test_target_limits.rs
+++ b/lib/tests/test_target_limits.rs
@@ -8,6 +8,7 @@
 use damaskloom_lib::target_limits::{
     LimitNotice, LimitPermission, LimitSender, LimitStatement, TargetLimits,
 };
+use damaskloom_lib::target_notices::TargetNotices;
 use damaskloom_lib::target_selection::{SelectionError, SelectionRequest};
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::units::RequestRate;
@@ -190,6 +191,7 @@
             idempotence: Idempotence::Idempotent,
             tried,
             limits,
+            notices: &TargetNotices::default(),
             seed: 0,
         };
         balancer.select(at(ms), &request)
@@ -234,6 +236,7 @@
             idempotence: Idempotence::NonIdempotent,
             tried: &[],
             limits,
+            notices: &TargetNotices::default(),
             seed: 0,
         };
         let selection = balancer.select(at(900), &request);
--- a/lib/tests/test_target_notices.rs
+++ b/lib/tests/test_target_notices.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
-use damaskloom_lib::ids::TargetId;
-use damaskloom_lib::target_notices::{MAX_REST_MS, TargetNotices, TargetStart};
+use damaskloom_lib::config::Idempotence;
+use damaskloom_lib::ids::{DataCentreId, TargetId};
+use damaskloom_lib::target_balancer::TargetBalancer;
+use damaskloom_lib::target_limits::TargetLimits;
+use damaskloom_lib::target_notices::{MAX_REST_MS, RestNotice, TargetNotices, TargetStart};
+use damaskloom_lib::target_selection::{SelectionError, SelectionRequest};
 use damaskloom_lib::time::MonoTime;
 
 fn at(ms: u64) -> MonoTime {
@@ -21,8 +25,8 @@
     }
 }
 
-fn seconds(seconds: u64) -> Option<Duration> {
-    Some(Duration::from_secs(seconds))
+fn seconds(seconds: u64) -> RestNotice {
+    RestNotice::Asked(Duration::from_secs(seconds))
 }
 
 /// Guards against a late message about an earlier start that takes requests from the current one.
@@ -93,7 +97,7 @@
     notices.record_rest(at(0), &start(Some(5)), at(0), seconds(4));
     notices.record_rest(at(100), &start(Some(5)), at(0), seconds(1));
     // The answer to a request that was sent before the rest was asked for.
-    notices.record_rest(at(200), &start(Some(5)), at(0), None);
+    notices.record_rest(at(200), &start(Some(5)), at(0), RestNotice::NotAsked);
     assert_eq!(
         notices.rest_left(at(1_500), &id()),
         Duration::from_millis(2_500)
@@ -116,7 +120,10 @@
         }
     }
     assert_eq!(sent, 4, "one each 300 ms from 2,000 ms to 3,000 ms");
-    notices.record_rest(at(3_000), &start(Some(5)), at(2_000), None);
+    // An attempt without an answer, or a refusal, does not show that the target takes requests.
+    notices.record_rest(at(3_000), &start(Some(5)), at(2_900), RestNotice::Unknown);
+    assert!(!notices.rest_left(at(3_000), &id()).is_zero());
+    notices.record_rest(at(3_000), &start(Some(5)), at(2_000), RestNotice::NotAsked);
     for ms in 3_000..3_010 {
         assert_eq!(notices.rest_left(at(ms), &id()), Duration::ZERO);
         notices.record_selection(at(ms), &id());
@@ -127,7 +134,7 @@
 #[test]
 fn a_rest_without_end_is_bounded() {
     let mut notices = TargetNotices::default();
-    notices.record_rest(at(0), &start(None), at(0), Some(Duration::MAX));
+    notices.record_rest(at(0), &start(None), at(0), RestNotice::Asked(Duration::MAX));
     assert_eq!(
         notices.rest_left(at(0), &id()),
         Duration::from_millis(MAX_REST_MS)
@@ -143,3 +150,40 @@
     assert_eq!(notices.rest_left(at(1), &id()), Duration::ZERO);
     assert_eq!(notices.resting_count(at(1)), 0);
 }
+
+/// Guards against requests that are sent to a resting target for lack of others, or wait for it, in place
+/// of being refused with the time at which the first target may be asked.
+#[test]
+fn if_all_targets_rest_requests_are_refused_until_the_first_may_be_asked() {
+    let centre: DataCentreId = "near".parse().expect("a valid name");
+    let mut balancer = TargetBalancer::new(centre.clone());
+    let other: TargetId = "i-2".parse().expect("a valid name");
+    for target in [id(), other.clone()] {
+        balancer.insert(at(0), target, centre.clone(), 4, Duration::ZERO);
+    }
+    let limits = TargetLimits::new("vm-1".parse().expect("a valid name"));
+    let mut notices = TargetNotices::default();
+    notices.record_rest(at(0), &start(Some(5)), at(0), seconds(3));
+    let select = |notices: &TargetNotices, ms, tried: &[TargetId]| {
+        let request = SelectionRequest {
+            idempotence: Idempotence::Idempotent,
+            tried,
+            limits: &limits,
+            notices,
+            seed: 0,
+        };
+        balancer
+            .select(at(ms), &request)
+            .map(|selection| selection.target)
+    };
+    assert_eq!(select(&notices, 10, &[]), Ok(other.clone()));
+    let resting = |ms| Err(SelectionError::Resting(Duration::from_millis(ms)));
+    assert_eq!(select(&notices, 1_000, &[other.clone()]), resting(2_000));
+    let other_start = TargetStart {
+        target: other,
+        started_at_ms: Some(5),
+    };
+    notices.record_rest(at(0), &other_start, at(0), seconds(2));
+    assert_eq!(select(&notices, 500, &[]), resting(1_500));
+    assert!(select(&notices, 2_000, &[]).is_ok());
+}
