lib, entry: a row that no target can have written names no target

Another writer's row with all slots that a number holds drew the traffic of its service, one with a start in the far future made all nodes call the sound target at its address outdated, one with port 0 or a multicast address cost connects. An invalid row is handled as an unreadable one was: a line, and it names no target.

Ruled out by odd_rows_leave_the_other_targets_as_they_are: deep nesting, numbers and ports out of range, negative and non-text values were errors of their row alone already, at the reader, at a peer and after a start. The test asked for one known target before it sent, which the target from the start satisfied, so that it failed for another reason than it names; it waits for requests at the last target now, and still fails before (by the sum of slots).

--- a/entry/src/target_changes.rs
+++ b/entry/src/target_changes.rs
@@ -4,12 +4,40 @@
 use damaskloom_lib::ids::{TargetId, VmId};
 use damaskloom_lib::table_mirror::MirrorRow;
 use damaskloom_lib::target_balancer::TargetBalancer;
-use damaskloom_lib::target_catalog::{CatalogChange, KnownTarget, OutdatedAddress};
+use damaskloom_lib::target_catalog::{
+    Announcement, AnnouncementError, CatalogChange, KnownTarget, OutdatedAddress,
+};
 use damaskloom_lib::target_notices::TargetStart;
 use damaskloom_lib::time::MonoTime;
+use damaskloom_platform::column_table::DocumentError;
 use damaskloom_platform::target_reader::read_announcement;
+use snafu::Snafu;
 
 use crate::entry_state::EntryState;
+use crate::wall_clock::unix_ms;
+
+/// The reasons why a row names no target to use.
+#[derive(Debug, Snafu)]
+enum TargetRowError {
+    /// The row cannot be read.
+    #[snafu(transparent)]
+    Unreadable {
+        /// The reader's error.
+        source: DocumentError,
+    },
+    /// No target writes such a row.
+    #[snafu(transparent)]
+    Implausible {
+        /// What is wrong.
+        source: AnnouncementError,
+    },
+}
+
+fn read_checked(value: &[u8]) -> Result<Announcement, TargetRowError> {
+    let announcement = read_announcement(value)?;
+    announcement.check(unix_ms())?;
+    Ok(announcement)
+}
 
 impl EntryState {
     /// Applies changed rows of the targets' table, which may be older than those before if the store
@@ -21,8 +49,7 @@
                 tracing::warn!(row = %row.key, "invalid target row");
                 continue;
             };
-            let read = row.value.as_ref().map(|value| read_announcement(value));
-            let change = match read {
+            let change = match row.value.as_deref().map(read_checked) {
                 Some(Ok(announcement)) if is_restored => {
                     self.catalog
                         .borrow_mut()
--- a/entry/tests/test_odd_rows.rs
+++ b/entry/tests/test_odd_rows.rs
@@ -97,10 +97,17 @@
             store.put("servers", "i-last", last.row("ready"));
             store.remove("servers", "i-0");
             for node in &nodes {
+                let before = last.runs.get();
                 wait_until("the node follows the targets", async || {
-                    node.metric("damaskloom_targets").await == Some(1.0)
+                    node.send("POST", "/book/a", Some("key-1")).await;
+                    last.runs.get() > before
                 })
                 .await;
+                wait_until("the node knows that the other target is gone", async || {
+                    node.metric("damaskloom_targets").await <= Some(1.0)
+                })
+                .await;
+                assert_eq!(node.metric("damaskloom_targets").await, Some(1.0));
                 serves_by(node, &last).await;
             }
             let started = EntryNode::start(&store, PEER_PORT);
--- a/lib/src/target_catalog.rs
+++ b/lib/src/target_catalog.rs
@@ -5,11 +5,12 @@
 //! announce themselves again before they are removed here. See
 //! [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use snafu::{Snafu, ensure};
 
 use crate::ids::{DataCentreId, ServiceId, TargetId};
 use crate::time::MonoTime;
@@ -24,6 +25,13 @@
 /// How long a target whose announcement was found outdated gets no requests unless it announces itself
 /// again, in milliseconds: several times as long as announcements of a target that is gone stay valid.
 pub const OUTDATED_MS: u64 = 10_000;
+/// The highest number of slots that a target may announce.
+const MAX_SLOTS: u32 = 10_000;
+/// The longest warm-up that a target may announce, in seconds.
+const MAX_WARMUP_S: u64 = 3_600;
+/// How far the clocks of a target and of this VM may differ, in milliseconds: a day, as a clock may be
+/// stepped, and a VM that rejects all targets serves nobody.
+const MAX_CLOCK_DIFFERENCE_MS: u64 = 86_400_000;
 const GRACE: Duration = Duration::from_millis(REANNOUNCE_GRACE_MS);
 
 /// A target's entry in the store, written by the target itself.
@@ -47,7 +55,66 @@
     pub writes: u64,
 }
 
+/// The reasons why an announcement cannot be a target's own.
+#[derive(Debug, Eq, PartialEq, Snafu)]
+pub enum AnnouncementError {
+    /// Nothing can listen at the address for requests.
+    #[snafu(display("{address} is no address of a target"))]
+    BadAddress {
+        /// The announced address.
+        address: SocketAddr,
+    },
+    /// No target runs so many requests at once; it would draw the traffic of its service.
+    #[snafu(display("{slots} slots are more than {MAX_SLOTS}"))]
+    TooManySlots {
+        /// The announced number.
+        slots: u32,
+    },
+    /// The warm-up is longer than any.
+    #[snafu(display("a warm-up of {} s is longer than {MAX_WARMUP_S} s", warmup_left.as_secs()))]
+    WarmupTooLong {
+        /// The announced rest of the warm-up.
+        warmup_left: Duration,
+    },
+    /// The target would start in the future; later starts take over addresses.
+    #[snafu(display("a start at {started_at_ms} ms lies in the future"))]
+    StartInFuture {
+        /// The announced start, in Unix milliseconds.
+        started_at_ms: u64,
+    },
+}
+
 impl Announcement {
+    /// Checks that a target can have written the announcement by `unix_ms`, in Unix milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field that no target writes so.
+    pub fn check(&self, unix_ms: u64) -> Result<(), AnnouncementError> {
+        let address = self.address;
+        let is_addressable = match address.ip() {
+            IpAddr::V4(ip) => !ip.is_unspecified() && !ip.is_multicast() && !ip.is_broadcast(),
+            IpAddr::V6(ip) => !ip.is_unspecified() && !ip.is_multicast(),
+        };
+        ensure!(
+            is_addressable && address.port() != 0,
+            BadAddressSnafu { address }
+        );
+        let slots = self.slots;
+        ensure!(slots <= MAX_SLOTS, TooManySlotsSnafu { slots });
+        let warmup_left = self.warmup_left;
+        ensure!(
+            warmup_left <= Duration::from_secs(MAX_WARMUP_S),
+            WarmupTooLongSnafu { warmup_left }
+        );
+        let started_at_ms = self.started_at_ms.unwrap_or(0);
+        ensure!(
+            started_at_ms <= unix_ms.saturating_add(MAX_CLOCK_DIFFERENCE_MS),
+            StartInFutureSnafu { started_at_ms }
+        );
+        Ok(())
+    }
+
     /// Returns whether the announcement says the same as another one that the target wrote earlier or
     /// later.
     fn is_same_as(&self, other: &Self) -> bool {
