entry: the sum of a service's slots saturates

entry_requirements added announced slots in 32 bits: two rows of 2,147,483,648 ended every debug build at the same moment, and made release builds name too few nodes. rows_with_huge_numbers_of_slots_do_not_end_the_process fails before.

--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -66,7 +66,8 @@
         let mut slots: IndexMap<ServiceId, u32> = IndexMap::new();
         for (_, target) in self.catalog.borrow().iter() {
             let announcement = &target.announcement;
-            *slots.entry(announcement.service.clone()).or_default() += announcement.slots;
+            let total = slots.entry(announcement.service.clone()).or_default();
+            *total = total.saturating_add(announcement.slots);
         }
         let routing = self.routing.borrow();
         let demand = |(service, slots): (&ServiceId, &u32)| {
