testutils: the soak has targets that leave or ask for rest, and nodes of an earlier build

Targets of a soak say in answers that they leave while their row says ready, and start anew afterwards; draining ones say so too; others turn requests away with Retry-After.

--- a/testutils/src/bin/damaskloom-soak.rs
+++ b/testutils/src/bin/damaskloom-soak.rs
@@ -4,16 +4,18 @@
 use std::process::ExitCode;
 
 use damaskloom_testutils::soak_plan::{FaultScope, SoakSize};
-use damaskloom_testutils::soak_run::{SoakError, run_soak};
+use damaskloom_testutils::soak_run::{SoakError, SoakPrograms, run_soak};
 
 const HELP: &str = "\
 Runs entry processes on loopback under random faults and checks the promises to callers and targets.
 
-Usage: damaskloom-soak [--program FILE] [--seeds FIRST..END] [--seconds N] [--nodes N]
+Usage: damaskloom-soak [--program FILE] [--previous FILE] [--seeds FIRST..END] [--seconds N] [--nodes N]
                        [--targets N] [--callers N] [--faults SET] [--logs FOLDER]
 
 Options:
   --program FILE      the entry program; default: damaskloom-entry beside this one
+  --previous FILE     an earlier build of it, which every other process runs until it is started again;
+                      default: none
   --seeds FIRST..END  the seeds to run, one after the other; default: 1..2
   --seconds N         the time in which faults start; default: 10
   --nodes N           the number of entry processes; default: 6
@@ -30,7 +32,7 @@
 ";
 
 struct SoakArguments {
-    program: PathBuf,
+    programs: SoakPrograms,
     seeds: std::ops::Range<u64>,
     size: SoakSize,
     logs: PathBuf,
@@ -76,6 +78,7 @@
     let range = range.and_then(|(first, end)| Some(first.parse().ok()?..end.parse().ok()?));
     let own = std::env::current_exe().map_err(|error| error.to_string())?;
     let program = arguments.opt_value_from_str("--program").map_err(wrong)?;
+    let previous = arguments.opt_value_from_str("--previous").map_err(wrong)?;
     let logs = arguments.opt_value_from_str("--logs").map_err(wrong)?;
     if let Some(argument) = arguments.finish().first() {
         return Err(format!("unknown argument {argument:?}"));
@@ -84,7 +87,10 @@
         return Err("--nodes takes 1 to 250, --targets at least 3".to_owned());
     }
     Ok(Some(SoakArguments {
-        program: program.unwrap_or_else(|| own.with_file_name("damaskloom-entry")),
+        programs: SoakPrograms {
+            current: program.unwrap_or_else(|| own.with_file_name("damaskloom-entry")),
+            previous,
+        },
         seeds: range.ok_or(format!("--seeds takes FIRST..END, not {seeds:?}"))?,
         size,
         logs: logs.unwrap_or_else(|| PathBuf::from("target/soak")),
@@ -120,11 +126,12 @@
     let mut broken = 0;
     for seed in arguments.seeds.clone() {
         let folder = arguments.logs.join(format!("seed-{seed}"));
-        let report = run_soak(&arguments.program, &folder, seed, arguments.size).await?;
+        let report = run_soak(&arguments.programs, &folder, seed, arguments.size).await?;
         let (sent, served, run) = report.counts;
         println!(
-            "seed {seed}: {} faults, {sent} sent, {served} served, {run} run, {} broken",
+            "seed {seed}: {} faults, {sent} sent, {served} served, {run} run, {} notices, {} broken",
             report.plan.len(),
+            report.said,
             report.breaches.len()
         );
         for cut in &report.cuts {
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod soak_caller;
 pub mod soak_fleet;
 pub mod soak_ledger;
+pub mod soak_notices;
 pub mod soak_plan;
 pub mod soak_proxy;
 pub mod soak_run;
--- a/testutils/src/soak_fleet.rs
+++ b/testutils/src/soak_fleet.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Sets the program of the next start.
+    pub fn set_program(&mut self, program: &Path) {
+        self.program = program.to_owned();
+    }
+
     /// Returns the address that callers connect to.
     pub const fn caller_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, CALLER_PORT)
--- a/testutils/src/soak_ledger.rs
+++ b/testutils/src/soak_ledger.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use crate::soak_notices::{NoticeBook, NoticeContext, ReceptionRecord, SaidNotice};
 use crate::soak_plan::NAMED_LIMIT_PER_S;
 
 /// The window over which a customer's rate is counted.
@@ -144,6 +145,9 @@
     limits: Vec<LimitPeriod>,
     arrivals: Vec<(String, &'static str, Instant)>,
     cuts: Vec<CutPeriod>,
+    notices: NoticeBook,
+    /// The nodes that began with an earlier build, which may not know all promises.
+    previous_builds: Vec<usize>,
 }
 
 /// The requests at cut nodes and at the others during a cut, and how many of them were served.
@@ -244,6 +248,22 @@
         self.lock().arrivals.push(arrival);
     }
 
+    /// Records that a request reached the target which it names, and what the answer will say of the
+    /// target.
+    pub fn record_reception(&self, reception: ReceptionRecord, said: Option<SaidNotice>) {
+        self.lock().notices.record(reception, said);
+    }
+
+    /// Returns the number of answers in which targets said that they leave or want rest.
+    pub fn said_count(&self) -> usize {
+        self.lock().notices.said_count()
+    }
+
+    /// Records that a node runs an earlier build until it is started again.
+    pub fn record_previous_build(&self, node: usize) {
+        self.lock().previous_builds.push(node);
+    }
+
     /// Records that nodes are cut off from all targets, in place of those that were.
     pub fn record_cut(&self, nodes: &[usize], at: Instant) {
         self.record_cut_end(at);
@@ -291,6 +311,7 @@
         for cut in &content.cuts {
             content.check_cut(cut, &mut breaches);
         }
+        content.check_notices(&mut breaches);
         for service in ["desk", "berth"] {
             content.check_repeats(service, &mut breaches);
         }
@@ -339,6 +360,28 @@
         })
     }
 
+    /// Checks that nodes do what targets say of themselves.
+    fn check_notices(&self, breaches: &mut Vec<SoakBreach>) {
+        let had_fault = |node: usize, from: Instant, to: Instant| {
+            let mut faults = self.node_faults.iter();
+            let mut starts = self.node_starts.iter();
+            self.previous_builds.contains(&node)
+                || faults
+                    .any(|period| period.node == node && period.from <= to && period.to >= from)
+                || starts.any(|(started, at)| *started == node && (from..to).contains(at))
+        };
+        let had_cut = |from: Instant, to: Instant| {
+            let mut cuts = self.cuts.iter();
+            cuts.any(|cut| cut.from <= to && cut.to.is_none_or(|end| end >= from))
+        };
+        let context = NoticeContext {
+            sent: &self.sent,
+            had_fault: &had_fault,
+            had_cut: &had_cut,
+        };
+        self.notices.check(&context, breaches);
+    }
+
     /// Checks that callers of cut nodes are served as well as the others.
     fn check_cut(&self, cut: &CutPeriod, breaches: &mut Vec<SoakBreach>) {
         let Some(counts) = self.cut_counts(cut) else {
--- a/testutils/src/soak_plan.rs
+++ b/testutils/src/soak_plan.rs
@@ -47,11 +47,18 @@
     EndlessBody,
     /// Names a limit in its answers; see [`NAMED_LIMIT_PER_S`].
     Limited,
+    /// Says in its answers that it leaves, while its row says that it is ready; then starts anew.
+    Leaves,
+    /// Turns requests away and asks for [`REST_S`] without others.
+    AsksForRest,
 }
 
 /// The requests a second that a target with [`TargetFault::Limited`] takes from all nodes together.
 pub const NAMED_LIMIT_PER_S: f64 = 2.0;
 
+/// The rest that a target with [`TargetFault::AsksForRest`] asks for, in seconds.
+pub const REST_S: u64 = 3;
+
 /// How the store fails.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreFault {
@@ -173,6 +180,8 @@
 
 /// The range of durations of cuts, whose effect is checked some seconds after their start.
 const CUT_LENGTH_MS: std::ops::Range<u64> = 5_000..9_000;
+/// The length of faults in which a target says that it leaves or wants rest, beyond the time that nodes have.
+const NOTICE_LENGTH_MS: std::ops::Range<u64> = 4_000..8_000;
 /// Separates the numbers of the faults that were added later.
 const LATER_FAULTS_SEED: u64 = 0x6375_7473;
 
@@ -262,6 +271,19 @@
         });
         at_ms += rng.random_range(1..MEAN_GAP_MS * 6);
     }
+    let mut at_ms = rng.random_range(500..MEAN_GAP_MS * 4);
+    while at_ms < size.length_ms {
+        let said = match rng.random_bool(0.5) {
+            true => TargetFault::Leaves,
+            false => TargetFault::AsksForRest,
+        };
+        faults.push(PlannedFault {
+            from_ms: at_ms,
+            for_ms: rng.random_range(NOTICE_LENGTH_MS),
+            fault: SoakFault::Target(rng.random_range(0..size.targets), said),
+        });
+        at_ms += rng.random_range(1..MEAN_GAP_MS * 4);
+    }
     faults
 }
 
--- a/testutils/src/soak_run.rs
+++ b/testutils/src/soak_run.rs
@@ -95,6 +95,26 @@
     pub breaches: Vec<SoakBreach>,
     /// What callers got during each cut that was checked.
     pub cuts: Vec<CutCounts>,
+    /// The number of answers in which targets said that they leave or want rest.
+    pub said: usize,
+}
+
+/// The programs of a soak's entry processes.
+#[derive(Clone, Debug)]
+pub struct SoakPrograms {
+    /// The build under test.
+    pub current: PathBuf,
+    /// An earlier build, which every other node runs until it is started again; none if all nodes run the
+    /// current one.
+    pub previous: Option<PathBuf>,
+}
+
+impl SoakPrograms {
+    /// Returns the program of a node's first start.
+    fn first_of(&self, node: usize) -> &PathBuf {
+        let previous = self.previous.as_ref().filter(|_| node % 2 == 1);
+        previous.unwrap_or(&self.current)
+    }
 }
 
 struct ProxiedTarget {
@@ -125,14 +145,14 @@
 ///
 /// Fails if processes or stand-ins cannot be started; broken promises are in the report.
 pub async fn run_soak(
-    program: &Path,
+    programs: &SoakPrograms,
     folder: &Path,
     seed: u64,
     size: SoakSize,
 ) -> Result<SoakReport, SoakError> {
     std::fs::create_dir_all(folder).context(FolderSnafu { folder })?;
     let faults = plan(seed, size);
-    let mut soak = Soak::start(program, folder, seed, size).await?;
+    let mut soak = Soak::start(programs, folder, seed, size).await?;
     soak.wait_until_serving("the fleet serves after its start")
         .await?;
     let callers = Arc::new(CallerPlan {
@@ -161,13 +181,14 @@
         plan: faults,
         counts: soak.ledger.counts(),
         cuts: soak.ledger.cut_counts(),
+        said: soak.ledger.said_count(),
         breaches,
     })
 }
 
 impl Soak {
     async fn start(
-        program: &Path,
+        programs: &SoakPrograms,
         folder: &Path,
         seed: u64,
         size: SoakSize,
@@ -208,9 +229,15 @@
             let path = PathProxy::start(soak.store.address()).await;
             let path = path.context(ListenSnafu)?;
             let subnet = (seed % 250) as u8;
-            let mut node = SoakNode::new(program, folder, subnet, number, path);
+            let first = programs.first_of(number);
+            let mut node = SoakNode::new(first, folder, subnet, number, path);
             node.write_settings()?;
             node.start()?;
+            if *first != programs.current {
+                // Its next start replaces it by the current build.
+                node.set_program(&programs.current);
+                soak.ledger.record_previous_build(number);
+            }
             soak.nodes.push(node);
         }
         Ok(soak)
@@ -337,6 +364,8 @@
                 let old = std::mem::replace(&mut self.targets[target], new);
                 let row = old.target.next_row(old.path.address(), "draining");
                 self.store.put("servers", &old.target.id, row);
+                old.target.set_fault(TargetFault::Leaves);
+                self.ledger.record_limit_lifted(&old.target.id);
                 self.draining.push(old);
             }
             SoakFault::LimitChanged => {
@@ -391,10 +420,15 @@
                 let row = proxied.target.next_row(proxied.path.address(), "ready");
                 self.store.put("servers", &proxied.target.id, row);
             }
-            SoakFault::Target(target, _) => {
-                let target = &self.targets[target].target;
+            SoakFault::Target(target, fault) => {
+                let ProxiedTarget { target, path } = &self.targets[target];
                 target.set_fault(TargetFault::None);
                 self.ledger.record_limit_lifted(&target.id);
+                if fault == TargetFault::Leaves {
+                    target.start_anew();
+                    let row = target.next_row(path.address(), "ready");
+                    self.store.put("servers", &target.id, row);
+                }
             }
             SoakFault::KeyWithdrawn => {
                 self.is_key_withdrawn = false;
--- a/testutils/src/soak_target.rs
+++ b/testutils/src/soak_target.rs
@@ -15,7 +15,8 @@
 use tokio::task::JoinHandle;
 
 use crate::soak_ledger::{RunRecord, SoakLedger};
-use crate::soak_plan::{NAMED_LIMIT_PER_S, TargetFault};
+use crate::soak_notices::{ReceptionRecord, SaidNotice};
+use crate::soak_plan::{NAMED_LIMIT_PER_S, REST_S, TargetFault};
 
 /// The time that a request takes without faults, in milliseconds.
 const RUN_TIME_MS: u64 = 15;
@@ -45,8 +46,10 @@
     pub service: &'static str,
     address: SocketAddr,
     fault: watch::Sender<TargetFault>,
-    /// The number of rows that were made for the store.
+    /// The number of rows that were made for the store since the last start.
     writes: AtomicU64,
+    /// The number of the target's start.
+    start: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -62,6 +65,7 @@
     service: &'static str,
     ledger: Arc<SoakLedger>,
     fault: watch::Receiver<TargetFault>,
+    start: Arc<AtomicU64>,
 }
 
 impl SoakTarget {
@@ -78,11 +82,13 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let (fault, faults) = watch::channel(TargetFault::None);
+        let start = Arc::new(AtomicU64::new(1));
         let context = TargetContext {
             id: id.clone(),
             service,
             ledger,
             fault: faults,
+            start: Arc::clone(&start),
         };
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -99,6 +105,7 @@
             address,
             fault,
             writes: AtomicU64::new(1),
+            start,
             task,
         })
     }
@@ -113,13 +120,19 @@
         self.fault.send_replace(fault);
     }
 
+    /// Starts the target anew: it knows nothing of what it has said before.
+    pub fn start_anew(&self) {
+        self.start.fetch_add(1, Ordering::Relaxed);
+        self.writes.store(1, Ordering::Relaxed);
+    }
+
     /// Returns the target's next row for the store; nodes reach the target at `address`.
     pub fn next_row(&self, address: SocketAddr, state: &str) -> String {
         let writes = self.writes.fetch_add(1, Ordering::Relaxed);
         json!({
             "service": self.service, "address": address.to_string(), "zone": "near",
             "version": "v1", "concurrency": 4, "state": state, "warmup_left_s": 0,
-            "sequence": writes, "born": 1
+            "sequence": writes, "born": self.start.load(Ordering::Relaxed)
         })
         .to_string()
     }
@@ -153,6 +166,26 @@
             stream.write_all(&response_head(421, &id, "", 0)).await?;
             continue;
         }
+        let fault = *context.fault.borrow();
+        let said = match fault {
+            TargetFault::Leaves => Some(SaidNotice::Leaving),
+            TargetFault::AsksForRest => Some(SaidNotice::Rest(Duration::from_secs(REST_S))),
+            _ => None,
+        };
+        let reception = ReceptionRecord {
+            request: id.clone(),
+            target: context.id.clone(),
+            start: context.start.load(Ordering::Relaxed),
+            at: Instant::now(),
+        };
+        context.ledger.record_reception(reception, said);
+        if fault == TargetFault::AsksForRest {
+            let fields = format!("not-executed: 1\r\nretry-after: {REST_S}\r\n");
+            stream
+                .write_all(&response_head(503, &id, &fields, 0))
+                .await?;
+            continue;
+        }
         context.ledger.record_run(RunRecord {
             id: id.clone(),
             at: Instant::now(),
@@ -163,7 +196,6 @@
             path: request.path,
             is_own_body: request.body.is_empty() || request.body == request_body(&id),
         });
-        let fault = *context.fault.borrow();
         if fault == TargetFault::Limited {
             context.ledger.record_limit_named(&context.id);
         }
@@ -209,7 +241,15 @@
             bytes.extend(&body);
             stream.write_all(&bytes).await
         }
-        TargetFault::None | TargetFault::Gray | TargetFault::Slow => stream.write_all(&bytes).await,
+        TargetFault::Leaves => {
+            let fields = "server-seal: seal\r\nserver-leaving: 1\r\n";
+            let mut bytes = response_head(200, id, fields, body.len());
+            bytes.extend(&body);
+            stream.write_all(&bytes).await
+        }
+        TargetFault::None | TargetFault::Gray | TargetFault::Slow | TargetFault::AsksForRest => {
+            stream.write_all(&bytes).await
+        }
     }
 }
 
--- a/testutils/tests/test_soak.rs
+++ b/testutils/tests/test_soak.rs
@@ -8,6 +8,7 @@
 use damaskloom_testutils::soak_ledger::{
     NodeFaultPeriod, RunRecord, SeenEnd, SentRequest, SoakCustomer, SoakLedger,
 };
+use damaskloom_testutils::soak_notices::{ReceptionRecord, SaidNotice};
 use damaskloom_testutils::soak_plan::{FaultScope, PathFault, SoakFault, SoakSize, plan};
 use damaskloom_testutils::soak_proxy::PathProxy;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -372,3 +373,64 @@
     assert!(!has_breach(&repeat_ledger(84), promise));
     assert!(has_breach(&repeat_ledger(85), promise));
 }
+
+fn receive(ledger: &SoakLedger, id: &str, start: u64, at: Instant, said: Option<SaidNotice>) {
+    let reception = ReceptionRecord {
+        request: id.to_owned(),
+        target: "t-1".to_owned(),
+        start,
+        at,
+    };
+    ledger.record_reception(reception, said);
+}
+
+/// Guards against a soak that does not see requests to a target that has said that it leaves, or blames nodes
+/// for those to its next start, or of a node that was killed in between.
+#[test]
+fn requests_to_a_target_that_leaves_are_found() {
+    const PROMISE: &str = "a node sends nothing to a target that it has heard leaves";
+    let later = Duration::from_secs(5);
+    let run = |node, start| {
+        let (ledger, now) = (SoakLedger::default(), Instant::now());
+        record_request(&ledger, "told", 0, now, 200);
+        receive(&ledger, "told", 1, now, Some(SaidNotice::Leaving));
+        record_request(&ledger, "later", node, now + later, 200);
+        receive(&ledger, "later", start, now + later, None);
+        ledger
+    };
+    assert!(has_breach(&run(0, 1), PROMISE));
+    assert!(!has_breach(&run(1, 1), PROMISE));
+    assert!(!has_breach(&run(0, 2), PROMISE));
+    let ledger = run(0, 1);
+    ledger.record_node_fault(NodeFaultPeriod {
+        node: 0,
+        from: Instant::now() + Duration::from_secs(1),
+        to: Instant::now() + Duration::from_secs(2),
+    });
+    assert!(!has_breach(&ledger, PROMISE));
+}
+
+/// Guards against a soak that does not see requests to a target in the time of rest that it has asked for.
+#[test]
+fn requests_to_a_resting_target_are_found() {
+    const PROMISE: &str = "a node sends nothing to a target that has asked it for rest";
+    let run = |count: u64, first_ms: u64| {
+        let (ledger, now) = (SoakLedger::default(), Instant::now());
+        record_request(&ledger, "told", 0, now, 503);
+        let rest = SaidNotice::Rest(Duration::from_secs(3));
+        receive(&ledger, "told", 1, now, Some(rest));
+        for number in 0..count {
+            let (id, at) = (
+                format!("later-{number}"),
+                now + Duration::from_millis(first_ms + number),
+            );
+            record_request(&ledger, &id, 0, at, 200);
+            receive(&ledger, &id, 1, at, None);
+        }
+        ledger
+    };
+    assert!(has_breach(&run(3, 600), PROMISE));
+    assert!(!has_breach(&run(2, 600), PROMISE));
+    assert!(!has_breach(&run(3, 100), PROMISE));
+    assert!(!has_breach(&run(3, 3_100), PROMISE));
+}
