lib, entry: an attempt takes its time also if its target is removed meanwhile

The guard of the attempt keeps its own start now. an_attempt_takes_its_time_also_if_its_target_is_removed fails before.

--- a/entry/src/attempt_guards.rs
+++ b/entry/src/attempt_guards.rs
@@ -5,6 +5,7 @@
 use damaskloom_lib::ids::{ServiceId, TargetId};
 use damaskloom_lib::target_balancer::RunningAttemptId;
 use damaskloom_lib::target_limits::LimitPermission;
+use damaskloom_lib::time::MonoTime;
 
 use crate::entry_state::EntryState;
 
@@ -58,6 +59,7 @@
     state: &'a EntryState,
     service: &'a ServiceId,
     target: TargetId,
+    started_at: MonoTime,
     running: Option<RunningAttemptId>,
 }
 
@@ -70,6 +72,7 @@
             state,
             service,
             target: target.clone(),
+            started_at: now,
             running,
         }
     }
@@ -80,14 +83,13 @@
     }
 
     fn finish(&mut self) -> (Duration, bool) {
-        let Some(running) = self.running.take() else {
-            return (Duration::ZERO, false);
-        };
         let now = self.state.clock.now();
-        let ended = self.state.with_balancer(self.service, |balancer| {
-            balancer.finish_attempt(now, &self.target, running)
+        let was_late = self.running.take().and_then(|running| {
+            self.state.with_balancer(self.service, |balancer| {
+                balancer.finish_attempt(&self.target, running)
+            })
         });
-        ended.unwrap_or_default()
+        (now.since(self.started_at), was_late.unwrap_or_default())
     }
 }
 
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -3,6 +3,7 @@
 mod cut_network;
 mod fixture;
 mod scripted_target;
+mod test_attempt_guards;
 mod test_cut_off_nodes;
 mod test_endless_answers;
 mod test_faulty_answers;
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -414,23 +414,14 @@
         attempt
     }
 
-    /// Records the end of an attempt.
-    ///
-    /// Returns how long it ran, and whether it was already counted as late.
-    pub fn finish_attempt(
-        &mut self,
-        now: MonoTime,
-        id: &TargetId,
-        attempt: RunningAttemptId,
-    ) -> (Duration, bool) {
+    /// Records the end of an attempt; returns whether it was already counted as late.
+    pub fn finish_attempt(&mut self, id: &TargetId, attempt: RunningAttemptId) -> bool {
         let Some(target) = self.targets.get_mut(id) else {
-            return (Duration::ZERO, false);
-        };
-        let Some(index) = target.running.iter().position(|entry| entry.id == attempt) else {
-            return (Duration::ZERO, false);
+            return false;
         };
-        let entry = target.running.swap_remove(index);
-        (now.since(entry.started), entry.counted_late)
+        let mut running = target.running.iter();
+        let index = running.position(|entry| entry.id == attempt);
+        index.is_some_and(|index| target.running.swap_remove(index).counted_late)
     }
 
     /// Updates a target's failing probability by an attempt of this node; `None` if it is unknown here.
--- a/lib/tests/test_target_balancer.rs
+++ b/lib/tests/test_target_balancer.rs
@@ -168,7 +168,7 @@
     let mut balancer = balancer(&[("used", "near"), ("unused", "away")]);
     for ms in 1..30 {
         let running = balancer.start_attempt(at(ms * 50), &target("used"));
-        balancer.finish_attempt(at(ms * 50 + 20), &target("used"), running);
+        balancer.finish_attempt(&target("used"), running);
     }
     assert_eq!(
         select(&balancer, 1_500, Idempotence::Idempotent, &[]),
@@ -192,8 +192,7 @@
     assert!(balancer.collect_late(at(1)).is_empty());
     assert_eq!(balancer.collect_late(due), [target("a")]);
     assert!(balancer.collect_late(due).is_empty());
-    let (_, was_late) = balancer.finish_attempt(due, &target("a"), running);
-    assert!(was_late);
+    assert!(balancer.finish_attempt(&target("a"), running));
 }
 
 /// Guards against a restarted target that stays suspected for the failures of its earlier process.
