lib, entry: a node whose own feed failed fetches newer rows at once

A node that follows the store waits 0.7 s for its own feed before it fetches newer rows from a peer.

--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -12,7 +12,9 @@
 use bytes::Bytes;
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::ids::VmId;
-use damaskloom_lib::row_fetch::{FETCH_TIMEOUT_MS, FetchEnd, FetchStep, RowFetcher};
+use damaskloom_lib::row_fetch::{
+    FETCH_TIMEOUT_MS, FetchEnd, FetchStep, OwnFeed, RowFetcher, initial_delay,
+};
 use damaskloom_lib::store_version::StoreVersion;
 use damaskloom_lib::table_mirror::MirrorRow;
 use futures::StreamExt;
@@ -37,12 +39,6 @@
 use crate::request_path::serve;
 use crate::table_copy::TableKind;
 
-/// The delay before a node that follows the store fetches newer rows from a peer: its own feed
-/// normally delivers them within that time.
-const OWN_FEED_DELAY: Duration = Duration::from_millis(700);
-/// The delay between the steps in which a change spreads in a data centre. In each step every node
-/// that has the rows can serve another one; a step is several times as long as a fetch.
-const FETCH_STEP_DELAY: Duration = Duration::from_millis(30);
 /// The timeout for a fetch from a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(FETCH_TIMEOUT_MS);
 /// The maximum size of an answer, in bytes.
@@ -234,11 +230,12 @@
     loop {
         let newer_peers = newer_peers(&state, kind);
         let peers: Vec<VmId> = newer_peers.keys().cloned().collect();
-        let initial_delay = if state.follows_store() {
-            OWN_FEED_DELAY
-        } else {
-            FETCH_STEP_DELAY * state.rollout_step()
+        let feed = match (state.follows_store(), state.store_reachable.get()) {
+            (false, _) => OwnFeed::None,
+            (true, true) => OwnFeed::Answered,
+            (true, false) => OwnFeed::Failed,
         };
+        let initial_delay = initial_delay(feed, state.rollout_step());
         let seed = rand::rng().random();
         let step = fetcher.step(state.clock.now(), &peers, initial_delay, seed);
         let wait = match step {
--- a/lib/src/row_fetch.rs
+++ b/lib/src/row_fetch.rs
@@ -23,6 +23,32 @@
 const INITIAL_BACKOFF_MS: u64 = 50;
 const MAX_BACKOFF_MS: u64 = 400;
 
+/// The delay before a node fetches newer rows from a peer if its own feed may deliver them, in milliseconds:
+/// the feed usually does so in that time.
+const OWN_FEED_DELAY_MS: u64 = 700;
+/// The delay between the steps in which a change spreads in a data centre, in milliseconds. In each step
+/// every node that has the rows can serve another one; a step is several times as long as a fetch.
+const FETCH_STEP_DELAY_MS: u64 = 30;
+
+/// Whether a node reads the store itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OwnFeed {
+    /// It gets its rows from peers.
+    None,
+    /// It follows the store, and its last call was answered.
+    Answered,
+    /// It follows the store, and its last call failed.
+    Failed,
+}
+
+/// Returns the delay before a node fetches newer rows from a peer, in a step of the rollout.
+pub fn initial_delay(feed: OwnFeed, step: u32) -> Duration {
+    match feed {
+        OwnFeed::Answered => Duration::from_millis(OWN_FEED_DELAY_MS),
+        OwnFeed::None | OwnFeed::Failed => Duration::from_millis(FETCH_STEP_DELAY_MS) * step,
+    }
+}
+
 /// What to do next.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum FetchStep {
--- a/lib/tests/test_row_fetches.rs
+++ b/lib/tests/test_row_fetches.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use damaskloom_lib::row_fetch::{OwnFeed, initial_delay};
 use damaskloom_lib::store_version::StoreVersion;
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::version_lag::VersionLag;
@@ -124,3 +125,14 @@
     assert_eq!(lag.lag(at(5_000)), None);
     assert!(!lag.announce(at(5_000), 801.into()));
 }
+
+/// Guards against a node that waits for its own feed although the store has refused it: it is the last to
+/// learn that a target leaves, while its peers have the row.
+#[test]
+fn a_node_whose_feed_failed_fetches_like_one_without_a_feed() {
+    for step in 0..5 {
+        let without = initial_delay(OwnFeed::None, step);
+        assert_eq!(initial_delay(OwnFeed::Failed, step), without);
+        assert!(initial_delay(OwnFeed::Answered, step) > without);
+    }
+}
