testutils: resets of the soak's proxy are resets; whom the soak's ledger holds to a rest; records get files of their own

Trace: the proxy dropped owned halves of its connections before it set the linger time, and these shut the connection down in order, which ends an answer without length as complete.

Times around a cut, until nodes notice its end, do not count now. Only bookings count as told: a lookup whose first answer was lost is sent again, so that its answer does not show that the node got the target's.

--- a/testutils/src/bin/damaskloom-soak.rs
+++ b/testutils/src/bin/damaskloom-soak.rs
@@ -3,8 +3,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use damaskloom_testutils::soak_fleet::SoakPrograms;
 use damaskloom_testutils::soak_plan::{FaultScope, SoakSize};
-use damaskloom_testutils::soak_run::{SoakError, SoakPrograms, run_soak};
+use damaskloom_testutils::soak_report::SoakError;
+use damaskloom_testutils::soak_run::run_soak;
 
 const HELP: &str = "\
 Runs entry processes on loopback under random faults and checks the promises to callers and targets.
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -35,6 +35,8 @@
 pub mod soak_notices;
 pub mod soak_plan;
 pub mod soak_proxy;
+pub mod soak_records;
+pub mod soak_report;
 pub mod soak_run;
 pub mod soak_target;
 pub mod target_answer;
--- a/testutils/src/soak_caller.rs
+++ b/testutils/src/soak_caller.rs
@@ -16,7 +16,8 @@
 use rand::{Rng, SeedableRng};
 use tokio::net::TcpStream;
 
-use crate::soak_ledger::{SeenEnd, SentRequest, SoakCustomer, SoakLedger};
+use crate::soak_ledger::SoakLedger;
+use crate::soak_records::{SeenEnd, SentRequest, SoakCustomer};
 use crate::soak_target::{answer_body, request_body};
 
 /// The deadline of a request, in milliseconds.
--- a/testutils/src/soak_fleet.rs
+++ b/testutils/src/soak_fleet.rs
@@ -42,6 +42,24 @@
     },
 }
 
+/// The programs of a soak's entry processes.
+#[derive(Clone, Debug)]
+pub struct SoakPrograms {
+    /// The build under test.
+    pub current: PathBuf,
+    /// An earlier build, which every other node runs until it is started again; none if all nodes run the
+    /// current one.
+    pub previous: Option<PathBuf>,
+}
+
+impl SoakPrograms {
+    /// Returns the program of a node's first start.
+    pub(crate) fn first_of(&self, node: usize) -> &PathBuf {
+        let previous = self.previous.as_ref().filter(|_| node % 2 == 1);
+        previous.unwrap_or(&self.current)
+    }
+}
+
 /// An entry process, restarted after each exit that the soak caused.
 #[derive(Debug)]
 pub struct SoakNode {
--- a/testutils/src/soak_ledger.rs
+++ b/testutils/src/soak_ledger.rs
@@ -6,6 +6,9 @@
 
 use crate::soak_notices::{NoticeBook, NoticeContext, ReceptionRecord, SaidNotice};
 use crate::soak_plan::NAMED_LIMIT_PER_S;
+use crate::soak_records::{
+    NodeFaultPeriod, RunRecord, SeenEnd, SentRequest, SoakBreach, SoakCustomer,
+};
 
 /// The window over which a customer's rate is counted.
 const RATE_WINDOW: Duration = Duration::from_secs(5);
@@ -39,97 +42,6 @@
 const REPEAT_RATIO: f64 = 0.2;
 const REPEAT_SLACK: f64 = 64.0;
 
-/// A customer of a soak.
-#[derive(Clone, Copy, Debug)]
-pub struct SoakCustomer {
-    /// The customer's name.
-    pub name: &'static str,
-    /// All keys that any configuration of the soak contains.
-    pub keys: &'static [&'static str],
-    /// The highest limit that any configuration sets, in requests per second; zero for none.
-    pub rate_per_s: f64,
-}
-
-/// How a request ended at its caller.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum SeenEnd {
-    /// A complete answer.
-    Answer {
-        /// The status.
-        status: u16,
-        /// Whether it carries the signature header of a target.
-        has_receipt: bool,
-        /// Whether the body is the one that a target sends in answer to this request.
-        is_own_body: bool,
-    },
-    /// The connection ended without a complete answer.
-    Broken,
-    /// The caller disconnected when its time limit was over.
-    Left,
-    /// No byte of the request was sent.
-    NotSent,
-}
-
-/// A request as recorded by its caller.
-#[derive(Clone, Debug)]
-pub struct SentRequest {
-    /// The index of the customer; none if no customer ever had the key.
-    pub customer: Option<usize>,
-    /// The service of the route.
-    pub service: &'static str,
-    /// Whether it may run at most once.
-    pub once: bool,
-    /// The path.
-    pub path: String,
-    /// The index of the node that it was sent to.
-    pub node: usize,
-    /// When it was sent.
-    pub sent_at: Instant,
-    /// How and when the request ended; none while the caller waits.
-    pub end: Option<(SeenEnd, Instant)>,
-}
-
-/// A request as recorded by the target that ran it.
-#[derive(Clone, Debug)]
-pub struct RunRecord {
-    /// The request's id.
-    pub id: String,
-    /// When the execution started.
-    pub at: Instant,
-    /// The target.
-    pub target: String,
-    /// The target's service.
-    pub service: &'static str,
-    /// The customer in the header that the fleet adds.
-    pub customer: Option<String>,
-    /// Whether the request carried the caller's key.
-    pub has_key: bool,
-    /// The path.
-    pub path: String,
-    /// Whether the body is empty or the one that the caller sends with this id.
-    pub is_own_body: bool,
-}
-
-/// A period in which a node was killed or paused by the soak.
-#[derive(Clone, Copy, Debug)]
-pub struct NodeFaultPeriod {
-    /// The node's index.
-    pub node: usize,
-    /// When it began.
-    pub from: Instant,
-    /// When it ended.
-    pub to: Instant,
-}
-
-/// A promise that was broken.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct SoakBreach {
-    /// The promise.
-    pub promise: &'static str,
-    /// The records of callers and targets that contradict it.
-    pub seen: String,
-}
-
 /// The records of callers and targets.
 #[derive(Debug, Default)]
 pub struct SoakLedger {
@@ -370,9 +282,10 @@
                     .any(|period| period.node == node && period.from <= to && period.to >= from)
                 || starts.any(|(started, at)| *started == node && (from..to).contains(at))
         };
+        // A node notices the end of a cut some time after it.
         let had_cut = |from: Instant, to: Instant| {
             let mut cuts = self.cuts.iter();
-            cuts.any(|cut| cut.from <= to && cut.to.is_none_or(|end| end >= from))
+            cuts.any(|cut| cut.from <= to && cut.to.is_none_or(|end| end + CUT_CONTACT >= from))
         };
         let context = NoticeContext {
             sent: &self.sent,
--- a/testutils/src/soak_notices.rs
+++ b/testutils/src/soak_notices.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::soak_ledger::{SeenEnd, SentRequest, SoakBreach};
+use crate::soak_records::{SeenEnd, SentRequest, SoakBreach};
 
 /// How long after a node has passed on that a target leaves, requests may still be sent to that target,
 /// as the platform states it.
@@ -73,10 +73,14 @@
             let Some(request) = context.sent.get(&told.request) else {
                 continue;
             };
-            // An answer that the node did not get leads to a time-out or a broken connection.
             let Some((SeenEnd::Answer { status, .. }, passed_on_at)) = &request.end else {
                 continue;
             };
+            // A booking whose answer was lost on the way to the node is not sent again, so that one with an answer
+            // shows that the node got the target's.
+            if !request.once {
+                continue;
+            }
             let later = self.receptions.iter().filter(|later| {
                 let sender = context.sent.get(&later.request);
                 later.target == told.target
@@ -89,6 +93,7 @@
                     let mut late = later.filter(|later| {
                         context.sent[&later.request].sent_at > bound
                             && !(context.had_fault)(request.node, told.at, later.at)
+                            && !(context.had_cut)(told.at, later.at)
                     });
                     if let Some(late) = late.next() {
                         breaches.push(SoakBreach {
--- a/testutils/src/soak_proxy.rs
+++ b/testutils/src/soak_proxy.rs
@@ -1,12 +1,10 @@
 //! A loopback proxy that delays or resets connections, or discards what they carry.
 
 use std::net::{IpAddr, SocketAddr};
-use std::os::fd::AsFd;
 use std::time::Duration;
 
-use socket2::Socket;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -111,7 +109,7 @@
 }
 
 async fn relay(
-    caller: TcpStream,
+    mut caller: TcpStream,
     source: IpAddr,
     mut states: watch::Receiver<ProxyState>,
 ) -> std::io::Result<()> {
@@ -119,30 +117,29 @@
         return reset(&caller);
     }
     let server = states.borrow().server;
-    let server = TcpStream::connect(server).await?;
+    let mut server = TcpStream::connect(server).await?;
     caller.set_nodelay(true)?;
     server.set_nodelay(true)?;
-    // A linger time of zero makes the close reset the connection.
-    let socket = Socket::from(caller.as_fd().try_clone_to_owned()?);
-    let (from_caller, to_caller) = caller.into_split();
-    let (from_server, to_server) = server.into_split();
+    // Owned halves would end the connection in order when they are dropped.
+    let (from_caller, to_caller) = caller.split();
+    let (from_server, to_server) = server.split();
     let to_server = copy(from_caller, to_server, Direction::ToServer, states.clone());
     let to_caller = copy(from_server, to_caller, Direction::ToCaller, states.clone());
     tokio::select! {
-        ended = async { tokio::try_join!(to_server, to_caller) } => ended.map(|_| ()),
-        _ = states.wait_for(|state| state.fault_of(source) == PathFault::Reset) => {
-            socket.set_linger(Some(Duration::ZERO))
-        }
+        ended = async { tokio::try_join!(to_server, to_caller) } => return ended.map(|_| ()),
+        _ = states.wait_for(|state| state.fault_of(source) == PathFault::Reset) => {}
     }
+    reset(&caller)
 }
 
+/// Makes the close of a connection reset it.
 fn reset(stream: &TcpStream) -> std::io::Result<()> {
     socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))
 }
 
 async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     direction: Direction,
     states: watch::Receiver<ProxyState>,
 ) -> std::io::Result<()> {
--- a/testutils/src/soak_run.rs
+++ b/testutils/src/soak_run.rs
@@ -2,26 +2,26 @@
 //! checked.
 
 use std::net::IpAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
 use serde_json::json;
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 
 use crate::platform_faults::{OutageMode, PlatformFaults};
-use crate::platform_server::{PlatformServer, ServerError, TablesCopy};
+use crate::platform_server::{PlatformServer, TablesCopy};
 use crate::soak_caller::{CallerPlan, query_directory, request, run_caller, send_once};
-use crate::soak_fleet::{ProcessError, SoakNode};
-use crate::soak_ledger::{
-    CutCounts, NodeFaultPeriod, PROBE_ID, SentRequest, SoakBreach, SoakCustomer, SoakLedger,
-};
+use crate::soak_fleet::{ProcessError, SoakNode, SoakPrograms};
+use crate::soak_ledger::{PROBE_ID, SoakLedger};
 use crate::soak_plan::{
     PathFault, PlannedFault, SoakFault, SoakSize, StoreFault, TargetFault, plan,
 };
 use crate::soak_proxy::PathProxy;
+use crate::soak_records::{NodeFaultPeriod, SentRequest, SoakBreach, SoakCustomer};
+use crate::soak_report::{FolderSnafu, ListenSnafu, SoakError, SoakReport};
 use crate::soak_target::SoakTarget;
 
 /// The time in which a fleet must serve again once all faults are over, with a reserve for a busy
@@ -53,70 +53,6 @@
     },
 ];
 
-/// An error that keeps a soak from running.
-#[derive(Debug, Snafu)]
-pub enum SoakError {
-    /// An operation on a process failed.
-    #[snafu(transparent)]
-    Process {
-        /// The error.
-        source: ProcessError,
-    },
-    /// The store's stand-in could not start.
-    #[snafu(transparent)]
-    Store {
-        /// The error.
-        source: ServerError,
-    },
-    /// A stand-in could not listen.
-    #[snafu(display("cannot listen on loopback: {source}"))]
-    Listen {
-        /// The error of the operating system.
-        source: std::io::Error,
-    },
-    /// The folder of the soak cannot be created.
-    #[snafu(display("cannot make {}: {source}", folder.display()))]
-    Folder {
-        /// The folder.
-        folder: PathBuf,
-        /// The error of the operating system.
-        source: std::io::Error,
-    },
-}
-
-/// The result of a soak.
-#[derive(Clone, Debug)]
-pub struct SoakReport {
-    /// The faults that were planned.
-    pub plan: Vec<PlannedFault>,
-    /// The numbers of requests sent, of those answered with success, and of executions.
-    pub counts: (usize, usize, usize),
-    /// The promises that were broken.
-    pub breaches: Vec<SoakBreach>,
-    /// What callers got during each cut that was checked.
-    pub cuts: Vec<CutCounts>,
-    /// The number of answers in which targets said that they leave or want rest.
-    pub said: usize,
-}
-
-/// The programs of a soak's entry processes.
-#[derive(Clone, Debug)]
-pub struct SoakPrograms {
-    /// The build under test.
-    pub current: PathBuf,
-    /// An earlier build, which every other node runs until it is started again; none if all nodes run the
-    /// current one.
-    pub previous: Option<PathBuf>,
-}
-
-impl SoakPrograms {
-    /// Returns the program of a node's first start.
-    fn first_of(&self, node: usize) -> &PathBuf {
-        let previous = self.previous.as_ref().filter(|_| node % 2 == 1);
-        previous.unwrap_or(&self.current)
-    }
-}
-
 struct ProxiedTarget {
     target: SoakTarget,
     path: PathProxy,
@@ -442,7 +378,6 @@
         Ok(())
     }
 
-    /// Restores the store from the older copy; operators and targets write their rows again.
     /// Returns the nodes of a cut.
     fn cut_off(&self, first: usize, count: usize) -> Vec<usize> {
         let nodes = self.nodes.len();
@@ -455,6 +390,7 @@
         }
     }
 
+    /// Restores the store from the older copy; operators and targets write their rows again.
     fn restore_store(&mut self) {
         self.store.restore_tables(&self.copies[0]);
         self.publish_configuration();
--- a/testutils/src/soak_target.rs
+++ b/testutils/src/soak_target.rs
@@ -14,9 +14,10 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::soak_ledger::{RunRecord, SoakLedger};
+use crate::soak_ledger::SoakLedger;
 use crate::soak_notices::{ReceptionRecord, SaidNotice};
 use crate::soak_plan::{NAMED_LIMIT_PER_S, REST_S, TargetFault};
+use crate::soak_records::RunRecord;
 
 /// The time that a request takes without faults, in milliseconds.
 const RUN_TIME_MS: u64 = 15;
