--- a/entry/tests/test_upgrades.rs
+++ b/entry/tests/test_upgrades.rs
@@ -15,6 +15,7 @@
 use damaskloom_lib::target_balancer::TargetCode;
 use damaskloom_lib::target_catalog::OutdatedAddress;
 use damaskloom_lib::target_limits::LimitStatement;
+use damaskloom_lib::target_notices::TargetStart;
 
 fn parsed<T: std::str::FromStr>(text: &str) -> T {
     text.parse().ok().expect("a valid value")
@@ -109,6 +110,20 @@
     ]
 }
 
+/// The messages that are new since the last landing, whose nodes drop them.
+fn new_messages() -> Vec<PeerMessage> {
+    vec![PeerMessage::Leaving(vec![TargetStart {
+        target: parsed("i-7f3a91c2"),
+        started_at_ms: Some(1_775_000_000_000),
+    }])]
+}
+
+/// Returns the number by which a message is known in its encoding.
+fn kind_number(message: PeerMessage) -> u8 {
+    let encoded = postcard::to_stdvec(&message).expect("it can be encoded");
+    encoded[0]
+}
+
 fn envelope(message: PeerMessage) -> PeerEnvelope {
     PeerEnvelope {
         from: parsed("edge-khatgal-1"),
@@ -168,6 +183,21 @@
     insta::assert_snapshot!("messages_of_db442b3", lines);
 }
 
+/// Guards against a new message that the build before takes for one that it knows, and reads other facts
+/// from it.
+#[test]
+fn new_messages_are_of_kinds_that_the_last_landing_drops() {
+    let known: Vec<u8> = known_messages()
+        .into_iter()
+        .map(|(_, message)| kind_number(message))
+        .collect();
+    for message in new_messages() {
+        let name = format!("{message:?}");
+        let number = kind_number(message);
+        assert!(known.iter().all(|known| *known < number), "{name}");
+    }
+}
+
 /// Guards against rows that nodes of the build before cannot read in a peer's answer or in the store.
 #[test]
 fn rows_are_encoded_as_by_the_last_landing() {
