lib, entry: late answers and immediate failures are judged by the route's own running times

Cause: one running time for a whole service. The average began at 120 ms, so an answer was late after 480 ms, where a sign-off runs for 480 ms. Later, an archived report (600 ms) was judged by a mean that door-status (190 ms) holds down, and requests whose own time was shorter than the work (400 ms) counted as failures of the target. Ruled out: targets that failed. Most of these answered well before and after. Change: running times by route (route_timing); until a route has eight answers, its latency objective decides what is late. Averages begin as the plain mean. A failure at the request's own deadline is no evidence if the answer was not late yet.

--- a/entry/src/attempt_guards.rs
+++ b/entry/src/attempt_guards.rs
@@ -64,10 +64,17 @@
 }
 
 impl<'a> RunningGuard<'a> {
-    /// Counts the attempt from now on.
-    pub fn begin(state: &'a EntryState, service: &'a ServiceId, target: &TargetId) -> Self {
+    /// Counts the attempt from now on; its answer is late after `late_after`.
+    pub fn begin(
+        state: &'a EntryState,
+        service: &'a ServiceId,
+        target: &TargetId,
+        late_after: Duration,
+    ) -> Self {
         let now = state.clock.now();
-        let running = state.with_balancer(service, |balancer| balancer.start_attempt(now, target));
+        let running = state.with_balancer(service, |balancer| {
+            balancer.start_attempt(now, target, late_after)
+        });
         Self {
             state,
             service,
--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -11,6 +11,7 @@
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::ids::{ServiceId, TargetId};
 use damaskloom_lib::return_delay::return_delay;
+use damaskloom_lib::target_balancer::{AttemptTime, TargetBalancer};
 use damaskloom_lib::target_catalog::OutdatedAddress;
 use damaskloom_lib::target_notices::TargetStart;
 use damaskloom_lib::target_selection::{SelectionError, SelectionRequest, TargetSelection};
@@ -71,6 +72,15 @@
     pub origin: RequestOrigin,
 }
 
+/// How long an attempt took, and how long it might have taken.
+#[derive(Clone, Copy, Debug)]
+struct AttemptTiming {
+    elapsed: Duration,
+    /// Whether the answer had been counted as late before the attempt ended.
+    was_late: bool,
+    allowed: AttemptTime,
+}
+
 /// The delivery of a request, with retries at further targets.
 pub struct Delivery<'a> {
     state: &'a Rc<EntryState>,
@@ -228,7 +238,7 @@
             return Err(self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT));
         };
         if let Some(plan) = self.state.stop_plan()
-            && !plan.allows(now, balancer.late_threshold())
+            && !plan.allows(now, self.late_threshold(balancer))
         {
             return Err(self.refuse(RefusalReason::Stopping, Duration::ZERO));
         }
@@ -242,7 +252,8 @@
                 }
             })?;
         let min_running_time = balancer
-            .typical_running_time()
+            .timings()
+            .typical_of(&self.admitted.route.id)
             .mul_f64(MIN_RUNNING_TIME_RATIO);
         if selection.expected_wait + min_running_time > time_left {
             return Err(self.refuse(RefusalReason::Overloaded, selection.expected_wait));
@@ -250,6 +261,28 @@
         Ok(selection)
     }
 
+    /// Returns the time after which an answer to this request is late.
+    fn late_threshold(&self, balancer: &TargetBalancer) -> Duration {
+        let route = &self.admitted.route;
+        balancer
+            .timings()
+            .late_threshold(&route.id, route.latency_objective)
+    }
+
+    /// Returns the time that an attempt which starts now may take.
+    fn attempt_time(&self) -> AttemptTime {
+        let threshold = self
+            .state
+            .with_balancer(self.service, |balancer| self.late_threshold(balancer));
+        AttemptTime {
+            until_deadline: self
+                .admitted
+                .deadline
+                .saturating_duration_since(Instant::now()),
+            until_late: threshold.unwrap_or(self.admitted.route.latency_objective),
+        }
+    }
+
     /// Makes the refusal for a request that is not sent (again). If an earlier attempt may have
     /// run, the refusal does not claim that the request did not run.
     fn refuse(&self, reason: RefusalReason, expected_wait: Duration) -> CallerRefusal {
@@ -302,7 +335,8 @@
             accepts: &|| state.accepts_requests(&start),
         };
         self.log_selection(selection);
-        let running = RunningGuard::begin(state, self.service, id);
+        let allowed = self.attempt_time();
+        let running = RunningGuard::begin(state, self.service, id, allowed.until_late);
         let sent_at = state.clock.now();
         permit.spend();
         let result = call(&target, self.head, body, self.admitted.deadline).await;
@@ -310,6 +344,11 @@
             state.meters.record_connection();
         }
         let (elapsed, was_late) = running.end();
+        let timing = AttemptTiming {
+            elapsed,
+            was_late,
+            allowed,
+        };
         if result
             .answer
             .as_ref()
@@ -325,7 +364,7 @@
                 address,
             });
         }
-        self.record_outcome(id, &result, elapsed, was_late);
+        self.record_outcome(id, &result, timing);
         result.answer
     }
 
@@ -361,14 +400,9 @@
     }
 
     /// Records the outcome of an attempt in the state of its target and in the metrics.
-    fn record_outcome(
-        &mut self,
-        id: &TargetId,
-        result: &CallResult,
-        elapsed: Duration,
-        was_late: bool,
-    ) {
+    fn record_outcome(&mut self, id: &TargetId, result: &CallResult, timing: AttemptTiming) {
         let (state, service) = (self.state, self.service);
+        let elapsed = timing.elapsed;
         let now = state.clock.now();
         if let Some(load) = result.report.load {
             state.with_balancer(service, |balancer| {
@@ -381,10 +415,13 @@
                 self.record_arrival();
                 state.record_path_answer(service);
                 self.record_completion();
-                if !was_late {
+                if !timing.was_late {
                     state.apply_signal(service, id, FailureSignal::Good);
                 }
-                state.with_balancer(service, |balancer| balancer.record_running_time(elapsed));
+                let route = &self.admitted.route.id;
+                state.with_balancer(service, |balancer| {
+                    balancer.record_running_time(route, elapsed)
+                });
                 state.meters.record_completed_attempt();
                 tracing::info!(
                     target: SUCCESS_TARGET,
@@ -407,7 +444,7 @@
             self.unreachable += 1;
         }
         self.may_have_run |= failure.may_have_run();
-        self.record_evidence(id, failure, elapsed, was_late);
+        self.record_evidence(id, failure, timing);
         let error = failure.label();
         state.meters.record_failed_attempt(id.as_str(), error);
         if failure != AttemptFailure::Stale {
@@ -432,13 +469,7 @@
     }
 
     /// Records what a failure shows about the target.
-    fn record_evidence(
-        &self,
-        id: &TargetId,
-        failure: AttemptFailure,
-        elapsed: Duration,
-        was_late: bool,
-    ) {
+    fn record_evidence(&self, id: &TargetId, failure: AttemptFailure, timing: AttemptTiming) {
         let (state, service) = (self.state, self.service);
         let now = state.clock.now();
         match failure.path_evidence() {
@@ -465,10 +496,10 @@
             AttemptFailure::Full => {
                 state.with_balancer(service, |balancer| balancer.mark_full(now, id));
             }
-            AttemptFailure::ServerError => self.record_failure(id, elapsed),
+            AttemptFailure::ServerError => self.record_failure(id, timing),
             AttemptFailure::Broken | AttemptFailure::InvalidAnswer | AttemptFailure::TimedOut => {
-                if !was_late {
-                    self.record_failure(id, elapsed);
+                if !timing.was_late {
+                    self.record_failure(id, timing);
                 }
                 if failure == AttemptFailure::Broken
                     && let Some(fingerprint) = &self.fingerprint
@@ -480,11 +511,12 @@
         }
     }
 
-    fn record_failure(&self, id: &TargetId, elapsed: Duration) {
-        let signal = self
-            .state
-            .with_balancer(self.service, |balancer| balancer.classify_failure(elapsed));
-        if let Some(signal) = signal {
+    fn record_failure(&self, id: &TargetId, timing: AttemptTiming) {
+        let route = &self.admitted.route.id;
+        let signal = self.state.with_balancer(self.service, |balancer| {
+            balancer.classify_failure(route, timing.elapsed, timing.allowed)
+        });
+        if let Some(signal) = signal.flatten() {
             self.state.apply_signal(self.service, id, signal);
         }
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -99,6 +99,7 @@
 pub mod retry_budget;
 pub mod return_delay;
 pub mod route_table;
+pub mod route_timing;
 pub mod routing;
 pub mod row_fetch;
 pub mod sequential_test;
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -15,8 +15,9 @@
 
 use crate::config::Idempotence;
 use crate::failure_filter::{FailureFilter, FailureSignal};
-use crate::ids::{DataCentreId, ServiceId, TargetId, VmId};
+use crate::ids::{DataCentreId, RouteId, ServiceId, TargetId, VmId};
 use crate::rendezvous::StableHash;
+use crate::route_timing::RouteTimings;
 use crate::target_limits::LimitPermission;
 use crate::target_selection::{SelectionError, SelectionRequest, TargetSelection};
 use crate::time::MonoTime;
@@ -46,11 +47,7 @@
 const PEER_COUNT_MAX_AGE_MS: u64 = 600;
 /// How long a target counts as full after it refused a request for lack of capacity, in milliseconds.
 const FULL_PENALTY_MS: u64 = 120;
-/// An answer is late after this many typical running times: beyond the usual spread of running times.
-const LATE_FACTOR: f64 = 4.0;
-/// The minimum time after which an answer is late, in milliseconds.
-const MIN_LATE_MS: u64 = 250;
-/// The weight of a new answer in a service's moving averages.
+/// The weight of a new answer in a service's moving average of failures.
 const SMOOTHING_FACTOR: f64 = 0.02;
 /// The lowest failure rate that is assumed of healthy targets: a few errors are normal anywhere.
 const MIN_BASELINE_FAILURE_RATE: f64 = 0.012;
@@ -70,12 +67,12 @@
 const SUSPICION_THRESHOLD: f64 = 0.5;
 /// A success is shared at once if the failing probability was above the initial one by this factor.
 const SHARING_FACTOR: f64 = 1.5;
-/// A failure within this fraction of the typical running time came before any work on the request.
+/// A failure within this fraction of the route's typical running time came before any work on the request.
 const IMMEDIATE_FAILURE_FRACTION: f64 = 0.1;
+/// A failure after this fraction of the time until the deadline was caused by the deadline.
+const DEADLINE_FRACTION: f64 = 0.95;
 /// The maximum time for which a request waits until the limit of a target allows it, in milliseconds.
 const MAX_PERMIT_WAIT_MS: u64 = 1_000;
-/// The running time that is assumed before the first answer, in milliseconds.
-const INITIAL_RUNNING_MS: f64 = 120.0;
 
 /// A transition of a target between suspected and trusted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -99,6 +96,15 @@
     pub should_share: bool,
 }
 
+/// The time that an attempt may take, by the deadline of its request and by the measure of its route.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptTime {
+    /// The time from the start of the attempt to the request's deadline.
+    pub until_deadline: Duration,
+    /// The time after which the answer is late.
+    pub until_late: Duration,
+}
+
 /// The parts of a target's cost that depend on the request.
 #[derive(Clone, Copy, Debug)]
 struct CostTerms {
@@ -126,7 +132,7 @@
 #[derive(Debug)]
 struct RunningAttempt {
     id: RunningAttemptId,
-    started: MonoTime,
+    late_at: MonoTime,
     counted_late: bool,
 }
 
@@ -202,7 +208,7 @@
     /// The targets that each peer listed as busy in its last message.
     peer_busy_targets: IndexMap<VmId, Vec<TargetCode>>,
     baseline_failure_rate: f64,
-    typical_running_ms: f64,
+    timings: RouteTimings,
     next_attempt: u64,
 }
 
@@ -215,7 +221,7 @@
             codes: IndexMap::new(),
             peer_busy_targets: IndexMap::new(),
             baseline_failure_rate: MIN_BASELINE_FAILURE_RATE,
-            typical_running_ms: INITIAL_RUNNING_MS,
+            timings: RouteTimings::default(),
             next_attempt: 0,
         }
     }
@@ -271,15 +277,9 @@
         self.targets.contains_key(id)
     }
 
-    /// Returns the time after which an answer counts as late.
-    pub fn late_threshold(&self) -> Duration {
-        Duration::from_millis((self.typical_running_ms * LATE_FACTOR) as u64)
-            .max(Duration::from_millis(MIN_LATE_MS))
-    }
-
-    /// Returns the moving average of the service's running times.
-    pub fn typical_running_time(&self) -> Duration {
-        Duration::from_secs_f64(self.typical_running_ms / 1_000.0)
+    /// Returns the running times of the service's routes.
+    pub const fn timings(&self) -> &RouteTimings {
+        &self.timings
     }
 
     /// Selects the target with the lowest cost that the request was not yet sent to.
@@ -364,7 +364,7 @@
     ) -> (f64, Duration) {
         let slots = f64::from(target.slots);
         let load = target.load(now);
-        let typical_running_s = self.typical_running_ms / 1_000.0;
+        let typical_running_s = self.timings.typical().as_secs_f64();
         // The wait in typical running times; requests that run now may end while this one waits for
         // its permit.
         let queueing = (load + 1.0 - slots).max(0.0) / slots;
@@ -390,24 +390,44 @@
         (cost, wait)
     }
 
-    /// Classifies a failure by the time it took: an immediate one was not caused by work on the request.
-    pub fn classify_failure(&self, taken: Duration) -> FailureSignal {
-        if taken.as_secs_f64() * 1_000.0 < self.typical_running_ms * IMMEDIATE_FAILURE_FRACTION {
-            FailureSignal::FailedAtOnce
-        } else {
-            FailureSignal::Failed
+    /// Classifies a failure of a request of a route by the time it took: an immediate one was not caused by
+    /// work on the request.
+    ///
+    /// Returns none if the request's own deadline ended the attempt before its answer would have been late:
+    /// `allowed` is the time that the attempt had.
+    pub fn classify_failure(
+        &self,
+        route: &RouteId,
+        taken: Duration,
+        allowed: AttemptTime,
+    ) -> Option<FailureSignal> {
+        if taken
+            < self
+                .timings
+                .typical_of(route)
+                .mul_f64(IMMEDIATE_FAILURE_FRACTION)
+        {
+            return Some(FailureSignal::FailedAtOnce);
         }
+        let cut_off = taken >= allowed.until_deadline.mul_f64(DEADLINE_FRACTION);
+        let is_excused = cut_off && allowed.until_deadline < allowed.until_late;
+        (!is_excused).then_some(FailureSignal::Failed)
     }
 
-    /// Records that a request was sent to a target.
-    pub fn start_attempt(&mut self, now: MonoTime, id: &TargetId) -> RunningAttemptId {
+    /// Records that a request was sent to a target; its answer is late after `late_after`.
+    pub fn start_attempt(
+        &mut self,
+        now: MonoTime,
+        id: &TargetId,
+        late_after: Duration,
+    ) -> RunningAttemptId {
         self.next_attempt += 1;
         let attempt = RunningAttemptId(self.next_attempt);
         if let Some(target) = self.targets.get_mut(id) {
             target.last_used_at = now;
             target.running.push(RunningAttempt {
                 id: attempt,
-                started: now,
+                late_at: now + late_after,
                 counted_late: false,
             });
         }
@@ -456,9 +476,8 @@
     }
 
     /// Records the running time of a success.
-    pub fn record_running_time(&mut self, taken: Duration) {
-        let taken_ms = taken.as_secs_f64() * 1_000.0;
-        self.typical_running_ms += (taken_ms - self.typical_running_ms) * SMOOTHING_FACTOR;
+    pub fn record_running_time(&mut self, route: &RouteId, taken: Duration) {
+        self.timings.record(route, taken);
     }
 
     /// Records a target's own count of running and waiting requests from all nodes.
@@ -530,11 +549,10 @@
 
     /// Returns the targets of attempts that became late since the last call.
     pub fn collect_late(&mut self, now: MonoTime) -> Vec<TargetId> {
-        let late_threshold = self.late_threshold();
         let mut late = Vec::new();
         for (id, target) in &mut self.targets {
             for running in &mut target.running {
-                if !running.counted_late && now.since(running.started) >= late_threshold {
+                if !running.counted_late && now >= running.late_at {
                     running.counted_late = true;
                     late.push(id.clone());
                 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -43,6 +43,7 @@
 mod test_rate_limits;
 mod test_repeat_budget;
 mod test_return_delay;
+mod test_route_timing;
 mod test_row_fetches;
 mod test_scenarios;
 mod test_service_burn;
