lib, entry: what crossing data centres costs is learned from the bytes of the route

Cause: one constant, 0.06 of a request's value, "the price of a typical request's bytes". A bundle crossed as soon as a near target had two of six slots busy more than one elsewhere. Ruled out: traffic between nodes as the main part there. Change: crossing_cost learns the bytes of each route in both directions; a setting states what 1,000 bytes cost; the cost lies between 0.06, as before, and 0.25, below that of a failing target. Large requests try no target elsewhere. min_target_share, the floor of the trials, becomes a setting too.

--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -15,7 +15,9 @@
 use damaskloom_lib::target_catalog::OutdatedAddress;
 use damaskloom_lib::target_notices::TargetStart;
 use damaskloom_lib::target_selection::{SelectionError, SelectionRequest, TargetSelection};
+use damaskloom_lib::units::ByteSize;
 use http::request::Parts;
+use http_body::Body;
 use rand::Rng;
 
 use crate::admission::{AdmittedRequest, request_id};
@@ -45,6 +47,16 @@
     Stream(RequestBody),
 }
 
+impl OutgoingBody {
+    /// Returns the number of bytes, or how many there are at least.
+    fn min_size(&self) -> u64 {
+        match self {
+            Self::Buffered(bytes) => bytes.len() as u64,
+            Self::Stream(stream) => stream.size_hint().lower(),
+        }
+    }
+}
+
 /// Returns the body to send, and leaves it to be sent again if that is possible.
 fn next_body(body: &mut Option<OutgoingBody>) -> Option<RequestBody> {
     match body.take()? {
@@ -98,6 +110,8 @@
     undelivered: u32,
     /// The number of targets that accepted no connection.
     unreachable: u32,
+    /// The size of the request's body, or how much of it there is at least.
+    request_bytes: u64,
     /// Whether the request was handed on to another node.
     is_handed_on: bool,
     /// Whether an attempt may have run the request.
@@ -120,6 +134,7 @@
             arrivals: 0,
             undelivered: 0,
             unreachable: 0,
+            request_bytes: 0,
             is_handed_on: false,
             may_have_run: false,
         }
@@ -141,6 +156,7 @@
     ///
     /// Returns the refusal for the caller if there is no answer.
     pub async fn deliver(&mut self, body: OutgoingBody) -> Result<TargetAnswer, CallerRefusal> {
+        self.request_bytes = body.min_size();
         let mut body = Some(body);
         // The error answer of a target, which is returned to the caller if no retry succeeds.
         let mut failed_answer: Option<TargetAnswer> = None;
@@ -226,17 +242,21 @@
             .saturating_duration_since(Instant::now());
         let limits = self.state.limits.borrow();
         let notices = self.state.notices.borrow();
+        let balancers = self.state.balancers.borrow();
+        let Some(balancer) = balancers.get(self.service) else {
+            return Err(self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT));
+        };
+        let cost_per_kb = self.state.settings().costs.crossing_per_kb;
         let request = SelectionRequest {
             idempotence: self.idempotence(),
             tried: &self.tried,
             limits: &limits,
             notices: &notices,
+            crossing: balancer
+                .sizes()
+                .crossing_cost(&self.admitted.route.id, cost_per_kb),
             seed: rand::rng().random(),
         };
-        let balancers = self.state.balancers.borrow();
-        let Some(balancer) = balancers.get(self.service) else {
-            return Err(self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT));
-        };
         if let Some(plan) = self.state.stop_plan()
             && !plan.allows(now, self.late_threshold(balancer))
         {
@@ -420,8 +440,10 @@
                     state.apply_signal(service, id, FailureSignal::Good);
                 }
                 let route = &self.admitted.route.id;
+                let bytes = ByteSize(self.request_bytes + answer.min_body_size().0);
                 state.with_balancer(service, |balancer| {
-                    balancer.record_running_time(route, elapsed)
+                    balancer.record_running_time(route, elapsed);
+                    balancer.record_size(route, bytes);
                 });
                 state.meters.record_completed_attempt();
                 tracing::info!(
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -65,6 +65,30 @@
     pub rate_excess: f64,
     /// The number of further requests of a customer that are tolerated in a window.
     pub rate_slack: f64,
+    /// The share of a service's targets that get requests while the service loses some, from 0 to 1.
+    #[serde(default = "default_min_target_share")]
+    pub min_target_share: f64,
+}
+
+/// The share of a service's targets that get requests while the service loses some, unless it is set.
+const fn default_min_target_share() -> f64 {
+    0.7
+}
+
+/// What the operators pay for, as far as decisions depend on it.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct RequestCosts {
+    /// The cost of 1,000 bytes between data centres, as a fraction of a typical request's value.
+    pub crossing_per_kb: f64,
+}
+
+impl Default for RequestCosts {
+    fn default() -> Self {
+        Self {
+            crossing_per_kb: 0.012,
+        }
+    }
 }
 
 /// The fraction of the time for applying a configuration after which a node without it refuses
@@ -131,6 +155,9 @@
     pub machine: MachineSize,
     /// The limits that the fleet must keep.
     pub bounds: FleetBounds,
+    /// What the operators pay for.
+    #[serde(default)]
+    pub costs: RequestCosts,
 }
 
 impl EntrySettings {
@@ -186,6 +213,14 @@
             self.bounds.routing_apply_s > 0.0,
             bad("bounds.routing_apply_s", "a positive number")
         );
+        ensure!(
+            (0.0..=1.0).contains(&self.bounds.min_target_share),
+            bad("bounds.min_target_share", "a number from 0 to 1")
+        );
+        ensure!(
+            self.costs.crossing_per_kb >= 0.0,
+            bad("costs.crossing_per_kb", "no negative number")
+        );
         let windows = [self.bounds.repeat_window_s, self.bounds.rate_window_s];
         let amounts = [
             self.bounds.repeat_ratio,
--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -10,6 +10,7 @@
 use damaskloom_lib::ids::{CustomerId, TargetId};
 use damaskloom_lib::target_limits::LimitNotice;
 use damaskloom_lib::target_notices::{RestNotice, TargetNotice};
+use damaskloom_lib::units::ByteSize;
 use damaskloom_platform::header_names::{
     ANSWER_SIGNATURE, CUSTOMER, EXPECTED_TARGET, FLEET_FIELDS, NOT_RUN, REQUEST_ID, TIME_LEFT_MS,
     idle_seconds, is_target_leaving, named_limit, reported_load, requested_rest,
@@ -47,6 +48,18 @@
 }
 
 impl TargetAnswer {
+    /// Returns the size of the body, or how much of it there is at least.
+    pub fn min_body_size(&self) -> ByteSize {
+        let bytes = match self {
+            Self::Buffered(response) => response.body().len(),
+            // Streamed answers of unknown length are longer than what is buffered.
+            Self::Stream(response) => usize::try_from(response.body().size_hint().lower())
+                .unwrap_or(usize::MAX)
+                .max(MAX_BUFFERED_ANSWER_BYTES),
+        };
+        ByteSize(bytes as u64)
+    }
+
     /// Returns the status.
     pub fn status(&self) -> StatusCode {
         match self {
--- a/entry/src/target_changes.rs
+++ b/entry/src/target_changes.rs
@@ -8,6 +8,7 @@
     Announcement, AnnouncementError, CatalogChange, KnownTarget, OutdatedAddress,
 };
 use damaskloom_lib::target_notices::TargetStart;
+use damaskloom_lib::target_trial::ServiceFloor;
 use damaskloom_lib::time::MonoTime;
 use damaskloom_platform::column_table::DocumentError;
 use damaskloom_platform::target_reader::read_announcement;
@@ -170,6 +171,7 @@
         let balancer = balancers
             .entry(announcement.service.clone())
             .or_insert_with(|| TargetBalancer::new(&settings.vm, settings.data_centre.clone()));
+        balancer.set_floor(ServiceFloor::new(settings.bounds.min_target_share));
         if !balancer.contains(id) {
             if self.targets_known.get() {
                 tracing::info!(id = %id, service = %announcement.service, row, "target added");
--- a/entry/tests/test_settings.rs
+++ b/entry/tests/test_settings.rs
@@ -42,6 +42,14 @@
         error("\"routing_apply_s\": 2", "\"routing_apply_s\": 0"),
         error("\"rate_window_s\": 5", "\"rate_window_s\": 0"),
         error("\"vm\": \"vm-1\"", "\"vm\": \"vm-1\", \"wm\": 1"),
+        error(
+            "\"rate_slack\": 20",
+            "\"rate_slack\": 20, \"min_target_share\": 1.5",
+        ),
+        error(
+            "\"peer_port\": 8004",
+            "\"peer_port\": 8004, \"costs\": {\"crossing_per_kb\": -1}",
+        ),
     ];
     insta::assert_snapshot!(errors.join("\n"));
 }
--- a/lib/src/route_timing.rs
+++ b/lib/src/route_timing.rs
@@ -7,62 +7,34 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use crate::ids::RouteId;
+use crate::route_average::{MovingAverage, RouteAverages};
 
 /// An answer is late after this many typical running times: beyond the usual spread of running times.
 const LATE_FACTOR: f64 = 4.0;
 /// The minimum time after which an answer is late, in milliseconds.
 const MIN_LATE_MS: u64 = 250;
-/// The number of answers from which on a route's running time is known.
-const MIN_ANSWERS: u32 = 8;
-/// The weight of a new answer in a moving average of many.
-const SMOOTHING_FACTOR: f64 = 0.02;
-/// The maximum number of routes with learned times; the oldest one is forgotten first.
-const MAX_ROUTES: usize = 1_024;
 /// The running time of a service that is assumed before its first answer, in milliseconds.
 const INITIAL_RUNNING_MS: f64 = 120.0;
 
-/// A moving average of running times that starts as the plain mean of the first ones.
-#[derive(Clone, Copy, Debug, Default)]
-struct RunningAverage {
-    mean_ms: f64,
-    answers: u32,
-}
-
-impl RunningAverage {
-    fn record(&mut self, taken: Duration) {
-        self.answers = self.answers.saturating_add(1);
-        let weight = (1.0 / f64::from(self.answers)).max(SMOOTHING_FACTOR);
-        self.mean_ms += (taken.as_secs_f64() * 1_000.0 - self.mean_ms) * weight;
-    }
-}
-
 /// The running times of one service, over all routes and by route.
 #[derive(Debug, Default)]
 pub struct RouteTimings {
-    all: RunningAverage,
-    routes: IndexMap<RouteId, RunningAverage>,
+    all_ms: MovingAverage,
+    routes_ms: RouteAverages,
 }
 
 impl RouteTimings {
     /// Records the running time of a success.
     pub fn record(&mut self, route: &RouteId, taken: Duration) {
-        self.all.record(taken);
-        if !self.routes.contains_key(route) && self.routes.len() >= MAX_ROUTES {
-            self.routes.shift_remove_index(0);
-        }
-        self.routes.entry(route.clone()).or_default().record(taken);
+        let taken_ms = taken.as_secs_f64() * 1_000.0;
+        self.all_ms.record(taken_ms);
+        self.routes_ms.record(route, taken_ms);
     }
 
     /// Returns the typical running time over all routes.
     pub fn typical(&self) -> Duration {
-        let mean_ms = if self.all.answers == 0 {
-            INITIAL_RUNNING_MS
-        } else {
-            self.all.mean_ms
-        };
+        let mean_ms = self.all_ms.mean().unwrap_or(INITIAL_RUNNING_MS);
         Duration::from_secs_f64(mean_ms / 1_000.0)
     }
 
@@ -80,7 +52,7 @@
     }
 
     fn known(&self, route: &RouteId) -> Option<Duration> {
-        let average = self.routes.get(route)?;
-        (average.answers >= MIN_ANSWERS).then(|| Duration::from_secs_f64(average.mean_ms / 1_000.0))
+        let mean_ms = self.routes_ms.known(route)?;
+        Some(Duration::from_secs_f64(mean_ms / 1_000.0))
     }
 }
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::Idempotence;
+use crate::crossing_cost::{CrossingCost, RouteSizes};
 use crate::failure_filter::{FailureFilter, FailureSignal};
 use crate::ids::{DataCentreId, RouteId, ServiceId, TargetId, VmId};
 use crate::loss_meter::{LossMeter, RequestOutcome};
@@ -25,13 +26,12 @@
     IdleState, ServiceFloor, TrialNode, TrialOrder, is_left_alone, may_be_due,
 };
 use crate::time::MonoTime;
+use crate::units::ByteSize;
 
 /// The cost of a failure if the request cannot be retried: its whole value.
 const FAILURE_COST: f64 = 1.0;
 /// The cost of a failure if the request is retried: its latency and a part of the repeat budget.
 const RETRYABLE_FAILURE_COST: f64 = 0.3;
-/// The cost of crossing data centres: the price of a typical request's bytes.
-const CROSS_DATA_CENTRE_COST: f64 = 0.06;
 /// The cost of queueing for one typical running time.
 const WAIT_COST: f64 = 0.25;
 /// The cost of load per slot, which spreads requests while slots are free.
@@ -103,6 +103,13 @@
     pub until_late: Duration,
 }
 
+/// The parts of a target's cost that depend on the request.
+#[derive(Clone, Copy, Debug)]
+struct CostTerms {
+    failure_cost: f64,
+    crossing: CrossingCost,
+}
+
 /// A digest of a target's id, which names it in frequent messages.
 ///
 /// Collisions are rare; the counts and successes of one target then apply to another for a short time.
@@ -218,6 +225,7 @@
     peer_busy_targets: IndexMap<VmId, Vec<TargetCode>>,
     baseline_failure_rate: f64,
     timings: RouteTimings,
+    sizes: RouteSizes,
     next_attempt: u64,
 }
 
@@ -234,6 +242,7 @@
             peer_busy_targets: IndexMap::new(),
             baseline_failure_rate: MIN_BASELINE_FAILURE_RATE,
             timings: RouteTimings::default(),
+            sizes: RouteSizes::default(),
             next_attempt: 0,
         }
     }
@@ -317,6 +326,11 @@
         self.targets.contains_key(id)
     }
 
+    /// Returns the bytes of the service's routes.
+    pub const fn sizes(&self) -> &RouteSizes {
+        &self.sizes
+    }
+
     /// Returns the running times of the service's routes.
     pub const fn timings(&self) -> &RouteTimings {
         &self.timings
@@ -332,9 +346,12 @@
         now: MonoTime,
         request: &SelectionRequest<'_>,
     ) -> Result<TargetSelection, SelectionError> {
-        let failure_cost = match request.idempotence {
-            Idempotence::Idempotent => RETRYABLE_FAILURE_COST,
-            Idempotence::NonIdempotent => FAILURE_COST,
+        let terms = CostTerms {
+            failure_cost: match request.idempotence {
+                Idempotence::Idempotent => RETRYABLE_FAILURE_COST,
+                Idempotence::NonIdempotent => FAILURE_COST,
+            },
+            crossing: request.crossing,
         };
         let trial = self.trial_target(now, request);
         let count = self.targets.len();
@@ -368,7 +385,7 @@
                     continue;
                 }
             };
-            let (target_cost, wait) = self.cost(now, target, permit_wait, failure_cost);
+            let (target_cost, wait) = self.cost(now, target, permit_wait, terms);
             let is_trial = trial == Some(id);
             let cost = if is_trial {
                 f64::NEG_INFINITY
@@ -406,7 +423,9 @@
             }
             left_alone += usize::from(is_left_alone(idle_time));
             let state = target.idle_state(now);
-            let is_due = idle_time >= state.delay(target.trial_rank, request.idempotence)
+            let is_near = target.data_centre == self.own_data_centre;
+            let is_due = (is_near || request.crossing.allows_trials())
+                && idle_time >= state.delay(target.trial_rank, request.idempotence)
                 && now >= target.avoided_until
                 && now >= target.full_until
                 && request.limits.permission(now, id).is_unhindered();
@@ -427,7 +446,7 @@
         now: MonoTime,
         target: &BalancedTarget,
         permit_wait: Duration,
-        failure_cost: f64,
+        terms: CostTerms,
     ) -> (f64, Duration) {
         let slots = f64::from(target.slots);
         let load = target.load(now);
@@ -437,9 +456,9 @@
         let queueing = (load + 1.0 - slots).max(0.0) / slots;
         let waiting = queueing + permit_wait.as_secs_f64() / typical_running_s;
         let mut cost = waiting * WAIT_COST + load / slots * CONCURRENCY_COST;
-        cost += target.filter.probability(now) * failure_cost;
+        cost += target.filter.probability(now) * terms.failure_cost;
         if target.data_centre != self.own_data_centre {
-            cost += CROSS_DATA_CENTRE_COST;
+            cost += terms.crossing.value();
         }
         if now < target.warmup_until {
             cost += WARMUP_COST;
@@ -543,6 +562,11 @@
         self.timings.record(route, taken);
     }
 
+    /// Records the bodies of a request and its answer together.
+    pub fn record_size(&mut self, route: &RouteId, bytes: ByteSize) {
+        self.sizes.record(route, bytes);
+    }
+
     /// Records a target's own count of running and waiting requests from all nodes.
     pub fn record_load_report(&mut self, now: MonoTime, id: &TargetId, load: u32) {
         if let Some(target) = self.targets.get_mut(id) {
--- a/lib/src/target_selection.rs
+++ b/lib/src/target_selection.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::config::Idempotence;
+use crate::crossing_cost::CrossingCost;
 use crate::ids::TargetId;
 use crate::target_limits::TargetLimits;
 use crate::target_notices::TargetNotices;
@@ -18,6 +19,8 @@
     pub limits: &'a TargetLimits,
     /// The rests that targets have asked this node for.
     pub notices: &'a TargetNotices,
+    /// What a target in another data centre costs the request.
+    pub crossing: CrossingCost,
     /// A number that differs between requests, to break ties.
     pub seed: u64,
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -25,6 +25,7 @@
 mod test_claims;
 mod test_configuration;
 mod test_crash_guard;
+mod test_crossing_cost;
 mod test_detection;
 mod test_directory;
 mod test_distribution;
--- a/lib/tests/test_target_balancer.rs
+++ b/lib/tests/test_target_balancer.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use damaskloom_lib::config::Idempotence;
+use damaskloom_lib::crossing_cost::CrossingCost;
 use damaskloom_lib::failure_filter::{FailureFilter, FailureSignal};
 use damaskloom_lib::ids::{DataCentreId, TargetId, VmId};
 use damaskloom_lib::target_balancer::{TargetBalancer, TargetCode};
@@ -61,6 +62,7 @@
         tried,
         limits: &no_limits(),
         notices: &TargetNotices::default(),
+        crossing: CrossingCost::default(),
         seed: 0,
     };
     let choice = balancer.select(at(ms), &request).expect("a target is left");
@@ -122,6 +124,7 @@
         tried: &both,
         limits: &no_limits(),
         notices: &TargetNotices::default(),
+        crossing: CrossingCost::default(),
         seed: 0,
     };
     assert_eq!(
@@ -223,6 +226,7 @@
             tried: &[],
             limits: &no_limits(),
             notices: &TargetNotices::default(),
+            crossing: CrossingCost::default(),
             seed,
         };
         let choice = balancer
--- a/lib/tests/test_target_limits.rs
+++ b/lib/tests/test_target_limits.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use damaskloom_lib::config::Idempotence;
+use damaskloom_lib::crossing_cost::CrossingCost;
 use damaskloom_lib::ids::{DataCentreId, TargetId, VmId};
 use damaskloom_lib::target_balancer::TargetBalancer;
 use damaskloom_lib::target_limits::{
@@ -197,6 +198,7 @@
             tried,
             limits,
             notices: &TargetNotices::default(),
+            crossing: CrossingCost::default(),
             seed: 0,
         };
         balancer.select(at(ms), &request)
@@ -242,6 +244,7 @@
             tried: &[],
             limits,
             notices: &TargetNotices::default(),
+            crossing: CrossingCost::default(),
             seed: 0,
         };
         let selection = balancer.select(at(900), &request);
--- a/lib/tests/test_target_notices.rs
+++ b/lib/tests/test_target_notices.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use damaskloom_lib::config::Idempotence;
+use damaskloom_lib::crossing_cost::CrossingCost;
 use damaskloom_lib::ids::{DataCentreId, TargetId, VmId};
 use damaskloom_lib::target_balancer::TargetBalancer;
 use damaskloom_lib::target_limits::TargetLimits;
@@ -175,6 +176,7 @@
             tried,
             limits: &limits,
             notices,
+            crossing: CrossingCost::default(),
             seed: 0,
         };
         balancer
--- a/lib/tests/test_target_trial.rs
+++ b/lib/tests/test_target_trial.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use damaskloom_lib::config::Idempotence;
+use damaskloom_lib::crossing_cost::CrossingCost;
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::ids::{DataCentreId, TargetId, VmId};
 use damaskloom_lib::loss_meter::RequestOutcome;
@@ -140,6 +141,7 @@
             tried: &[],
             limits: &limits,
             notices: &TargetNotices::default(),
+            crossing: CrossingCost::default(),
             seed: self.random.random(),
         };
         let selection = self.nodes[node].select(at(now), &request);
