--- a/entry/src/admission.rs
+++ b/entry/src/admission.rs
@@ -16,6 +16,7 @@
 
 use crate::caller_answer::{CallerRefusal, RefusalReason};
 use crate::entry_state::EntryState;
+use crate::request_deadline::RequestDeadline;
 
 /// The `Retry-After` time of refusals by a node that has no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -41,7 +42,7 @@
     /// The priority of the request when the service is short of capacity.
     pub priority: PriorityRank,
     /// The time by which the caller must have its answer.
-    pub deadline: Instant,
+    pub deadline: RequestDeadline,
 }
 
 /// Admits a request or refuses it.
@@ -103,7 +104,7 @@
         priority: customer_priority.unwrap_or(route.priority),
         route,
         customer,
-        deadline: arrival + wait,
+        deadline: RequestDeadline::after(&state.clock, wait.saturating_sub(arrival.elapsed())),
     })
 }
 
--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -1,7 +1,7 @@
 //! Delivers a request: selects targets, sends it, retries, or hands it on to another node.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use damaskloom_gateway::body_stream::RequestBody;
@@ -216,7 +216,7 @@
             parts: self.parts,
             service: self.service,
             request_id: self.request_id,
-            deadline: self.admitted.deadline,
+            deadline: self.admitted.deadline.timer_end(&self.state.clock),
         };
         let answer = self.state.hand_on(&handed, || next_body(body)).await;
         let Some(answer) = answer else {
@@ -236,10 +236,7 @@
 
     fn select_target(&self) -> Result<TargetSelection, CallerRefusal> {
         let now = self.state.clock.now();
-        let time_left = self
-            .admitted
-            .deadline
-            .saturating_duration_since(Instant::now());
+        let time_left = self.admitted.deadline.time_left(&self.state.clock);
         let limits = self.state.limits.borrow();
         let notices = self.state.notices.borrow();
         let balancers = self.state.balancers.borrow();
@@ -295,10 +292,7 @@
             .state
             .with_balancer(self.service, |balancer| self.late_threshold(balancer));
         AttemptTime {
-            until_deadline: self
-                .admitted
-                .deadline
-                .saturating_duration_since(Instant::now()),
+            until_deadline: self.admitted.deadline.time_left(&self.state.clock),
             until_late: threshold.unwrap_or(self.admitted.route.latency_objective),
         }
     }
@@ -359,7 +353,13 @@
         let running = RunningGuard::begin(state, self.service, id, allowed.until_late);
         let sent_at = state.clock.now();
         permit.spend();
-        let result = call(&target, self.head, body, self.admitted.deadline).await;
+        let result = call(
+            &target,
+            self.head,
+            body,
+            self.admitted.deadline.timer_end(&state.clock),
+        )
+        .await;
         if result.report.connected {
             state.meters.record_connection();
         }
@@ -559,7 +559,9 @@
     /// Decides whether the request is retried after a failure.
     fn may_retry(&mut self, failure: AttemptFailure) -> bool {
         let idempotent = self.idempotence() == Idempotence::Idempotent;
-        if (failure.may_have_run() && !idempotent) || Instant::now() >= self.admitted.deadline {
+        if (failure.may_have_run() && !idempotent)
+            || self.admitted.deadline.has_passed(&self.state.clock)
+        {
             return false;
         }
         if self.undelivered >= MAX_UNDELIVERED_ATTEMPTS
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod peer_socket;
 pub mod peer_wire;
 pub mod process;
+pub mod request_deadline;
 pub mod request_path;
 pub mod settings;
 pub mod store_watch;
--- a/entry/src/request_path.rs
+++ b/entry/src/request_path.rs
@@ -110,7 +110,7 @@
     origin: RequestOrigin,
 ) -> Result<TargetAnswer, CallerRefusal> {
     let admitted = admit(state, parts, arrival)?;
-    let body = receive_body(state, body, admitted.deadline).await?;
+    let body = receive_body(state, body, admitted.deadline.timer_end(&state.clock)).await?;
     let service = select_service(state, &admitted);
     let fingerprint = match &body {
         OutgoingBody::Buffered(bytes) => Some(fingerprint(&admitted, parts, bytes)),
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -19,5 +19,6 @@
 mod test_row_fetches;
 mod test_settings;
 mod test_silent_feeds;
+mod test_suspended_vm;
 mod test_target_notices;
 mod test_upgrades;
--- a/entry/tests/test_faulty_answers.rs
+++ b/entry/tests/test_faulty_answers.rs
@@ -81,6 +81,39 @@
         .await;
 }
 
+/// Guards against an answer that a target sends a second time, late, on a connection that is in use again: the
+/// next caller would get an answer that is not its own.
+#[tokio::test]
+async fn a_second_copy_of_an_answer_reaches_no_other_caller() {
+    LocalSet::new()
+        .run_until(async {
+            for with_answer in [false, true] {
+                let answer = move |number| {
+                    let mut bytes = success("id-0");
+                    if number == 1 && with_answer {
+                        bytes.extend(success("id-1"));
+                    } else if number > 1 {
+                        bytes = success(&format!("id-{number}"));
+                    }
+                    (bytes, ThenDoes::KeepsOpen)
+                };
+                let (_store, node, target) = start_node(answer).await;
+                let (first, body) = book(&node, "id-0").await;
+                assert_eq!(first, StatusCode::OK);
+                assert_eq!(body.as_deref(), Some(&b"ok"[..]));
+                // The target may have run the request, so that the refusal must not deny it.
+                let (second, body) = book(&node, "id-1").await;
+                assert_eq!(second, StatusCode::BAD_GATEWAY, "{with_answer}");
+                assert_eq!(body.as_deref(), Some(&b"target-broke"[..]), "{with_answer}");
+                // What is left on that connection reaches nobody either.
+                let (third, _) = book(&node, "id-2").await;
+                assert_eq!(third, StatusCode::OK, "{with_answer}");
+                assert_eq!(target.requests.get(), 3, "{with_answer}");
+            }
+        })
+        .await;
+}
+
 /// Guards against an answer whose head ends early, and that looks like a complete one with an empty or a
 /// short body.
 #[tokio::test]
