lib, entry: while requests are lost, every target that is left alone is tried

The floor of 0.7 was a share of all targets; few of them were sound there, and no node knows which. Change: the floor is 1 unless the operators set a lower one.

--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -72,7 +72,7 @@
 
 /// The share of a service's targets that get requests while the service loses some, unless it is set.
 const fn default_min_target_share() -> f64 {
-    0.7
+    1.0
 }
 
 /// What the operators pay for, as far as decisions depend on it.
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -65,8 +65,8 @@
 const IMMEDIATE_FAILURE_FRACTION: f64 = 0.1;
 /// A failure after this fraction of the time until the deadline was caused by the deadline.
 const DEADLINE_FRACTION: f64 = 0.95;
-/// The floor of a service unless one is set.
-const DEFAULT_FLOOR: f64 = 0.7;
+/// The floor of a service unless one is set: all its targets, since nobody knows which ones are healthy.
+const DEFAULT_FLOOR: f64 = 1.0;
 /// One request in this many may try a target that is due, so that most requests stay near their node.
 const TRIAL_STRIDE: u64 = 2;
 /// The maximum time for which a request waits until the limit of a target allows it, in milliseconds.
