--- a/entry/tests/test_upgrades.rs
+++ b/entry/tests/test_upgrades.rs
@@ -42,7 +42,7 @@
     })
 }
 
-/// The messages that the last landing knows.
+/// The messages that the landing before the last one knows as well.
 fn known_messages() -> Vec<(&'static str, PeerMessage)> {
     let target = || parsed("i-7f3a91c2");
     vec![
@@ -110,7 +110,7 @@
     ]
 }
 
-/// The messages that are new since the last landing, whose nodes drop them.
+/// The messages that the last landing added; nodes of the landing before it drop them.
 fn new_messages() -> Vec<PeerMessage> {
     vec![PeerMessage::Leaving(vec![TargetStart {
         target: parsed("i-7f3a91c2"),
@@ -183,6 +183,20 @@
     insta::assert_snapshot!("messages_of_db442b3", lines);
 }
 
+/// Guards against a change of the messages that only the last landing knows.
+#[test]
+fn messages_that_the_last_landing_added_are_encoded_as_by_it() {
+    let mut lines = String::new();
+    for message in new_messages() {
+        let envelope = envelope(message);
+        let bytes = postcard::to_stdvec(&envelope).expect("it can be encoded");
+        let decoded: PeerEnvelope = postcard::from_bytes(&bytes).expect("it can be decoded");
+        assert_eq!(decoded, envelope);
+        writeln!(lines, "{}", hex(&bytes)).expect("a text takes all that is written");
+    }
+    insta::assert_snapshot!("messages_added_by_b74bea7", lines);
+}
+
 /// Guards against a new message that the build before takes for one that it knows, and reads other facts
 /// from it.
 #[test]
