lib: a target without free slots is not tried

Found in review: a trial takes precedence over the cost, and a request whose expected wait exceeds its time is refused. A target at which this node's own requests hang is due for a trial, and a request that tries it would be refused for a queue although another target is free.

--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -427,7 +427,7 @@
             let is_due = (is_near || request.crossing.allows_trials())
                 && idle_time >= state.delay(target.trial_rank, request.idempotence)
                 && now >= target.avoided_until
-                && now >= target.full_until
+                && target.load(now) < f64::from(target.slots)
                 && request.limits.permission(now, id).is_unhindered();
             if is_due {
                 due.push((id, state, target.filter.probability(now)));
--- a/lib/tests/test_target_balancer.rs
+++ b/lib/tests/test_target_balancer.rs
@@ -191,6 +191,29 @@
     );
 }
 
+/// Guards against a request that is refused for the long queue of a target, which it only tries, while another
+/// target is free.
+#[test]
+fn a_target_without_free_slots_is_not_tried() {
+    let mut balancer = balancer(&[("free", "near"), ("hung", "near")]);
+    for _ in 0..8 {
+        balancer.start_attempt(at(0), &target("hung"), LATE_AFTER);
+    }
+    balancer.start_attempt(at(1_900), &target("free"), LATE_AFTER);
+    let request = SelectionRequest {
+        idempotence: Idempotence::Idempotent,
+        tried: &[],
+        limits: &no_limits(),
+        notices: &TargetNotices::default(),
+        crossing: CrossingCost::default(),
+        seed: 0,
+    };
+    let choice = balancer.select(at(2_000), &request);
+    let choice = choice.expect("there are targets");
+    assert_eq!(choice.target, target("free"));
+    assert!(choice.expected_wait.is_zero());
+}
+
 /// Guards against a slow attempt that counts as late again at each check or when it ends.
 #[test]
 fn a_late_answer_is_counted_once() {
