Review: a planned stop cuts bookings that it has passed on

Cause: in the stop, a request is accepted if four times its route's typical running time is left, not by its own deadline. It is cut if it takes longer.

Done: a script with its stand-ins; nothing is mended.

--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -5,6 +5,7 @@
 
 mod bed;
 mod leaving;
+mod stop;
 
 use std::process::exit;
 
@@ -17,6 +18,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "leaving" => bed::run(&folder, |bed| leaving::run(bed, has_trouble)),
+        "stop" => bed::run(&folder, |bed| stop::run(bed, has_trouble)),
         _ => Err(format!("unknown case {case}").into()),
     };
     match outcome {
