Review: a burst of long bodies ends an entry process

Cause: bodies are collected in memory for as many requests as come, up to 8 MiB each, and copied once more; nothing bounds the sum.

Done: a script with its stand-ins; nothing is mended.

--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -5,6 +5,7 @@
 
 mod bed;
 mod leaving;
+mod memory;
 mod stop;
 
 use std::process::exit;
@@ -19,6 +20,7 @@
     let outcome = match case.as_str() {
         "leaving" => bed::run(&folder, |bed| leaving::run(bed, has_trouble)),
         "stop" => bed::run(&folder, |bed| stop::run(bed, has_trouble)),
+        "memory" => bed::run(&folder, |bed| memory::run(bed, has_trouble)),
         _ => Err(format!("unknown case {case}").into()),
     };
     match outcome {
