Review: requests to a server that left while others regained the store

Cause: after any failed call to the store, rows that are removed within 2.3 s count as expired and their targets are kept, longer than the time in which requests must end. Processes that were never disturbed adopt this period from those that were.

Done: a script with its stand-ins; nothing is mended.

--- a/review/standins/bed.rs
+++ b/review/standins/bed.rs
@@ -49,6 +49,7 @@
     folder: PathBuf,
     store: Child,
     entries: Vec<Entry>,
+    proxies: Vec<StoreProxy>,
 }
 
 /// An entry process, which is started again if it ends.
@@ -88,6 +89,7 @@
         folder: temporary.clone(),
         store,
         entries: Vec::new(),
+        proxies: Vec::new(),
     };
     let outcome = bed.wait_for_store(address).and_then(|()| case(&mut bed));
     for child in bed
@@ -118,6 +120,27 @@
         SocketAddr::from((Ipv4Addr::new(127, self.subnet.0, self.subnet.1, 250), 8688))
     }
 
+    /// Returns the address at which an entry process reaches the store: its proxy, if it has one.
+    fn store_path(&self, ip: Ipv4Addr) -> SocketAddr {
+        let proxy = self.proxies.iter().find(|proxy| proxy.ip == ip);
+        proxy.map_or(self.store_address(), |proxy| proxy.address)
+    }
+
+    /// Puts a proxy between the store and each of the first entry processes; called before they start.
+    pub fn start_proxies(&mut self, count: u8) -> Result<(), Fault> {
+        for number in 1..=count {
+            let ip = Ipv4Addr::new(127, self.subnet.0, self.subnet.1, number);
+            let proxy = StoreProxy::start(ip, self.store_address())?;
+            self.proxies.push(proxy);
+        }
+        Ok(())
+    }
+
+    /// Resets all open connections between an entry process and the store; new ones work.
+    pub fn reset_store_connections(&self, index: usize) -> usize {
+        self.proxies[index].reset_all()
+    }
+
     fn wait_for_store(&self, address: SocketAddr) -> Result<(), Fault> {
         wait_until(Duration::from_secs(5), || {
             TcpStream::connect(address).is_ok()
@@ -234,7 +257,7 @@
             ("internal_ports.0", "7360".to_owned()),
             (
                 "platform.address|json",
-                format!("\"{}\"", self.store_address()),
+                format!("\"{}\"", self.store_path(ip)),
             ),
             ("bootstrap", is_first.to_string()),
             ("limits.cpu_share", "0.2".to_owned()),
@@ -316,6 +339,54 @@
     }
 }
 
+/// Passes connections of one entry process on to the store.
+struct StoreProxy {
+    ip: Ipv4Addr,
+    address: SocketAddr,
+    links: Arc<Mutex<Vec<(TcpStream, TcpStream)>>>,
+}
+
+impl StoreProxy {
+    fn start(ip: Ipv4Addr, store: SocketAddr) -> Result<Self, Fault> {
+        let listener = TcpListener::bind((ip, 8700))?;
+        let address = listener.local_addr()?;
+        let links: Arc<Mutex<Vec<(TcpStream, TcpStream)>>> = Arc::default();
+        let held = Arc::clone(&links);
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let Ok(far) = TcpStream::connect(store) else {
+                    continue;
+                };
+                let _ = (near.set_nodelay(true), far.set_nodelay(true));
+                if let (Ok(near), Ok(far)) = (near.try_clone(), far.try_clone()) {
+                    held.lock().unwrap().push((near, far));
+                }
+                for (mut from, to) in [(near.try_clone(), far.try_clone()), (Ok(far), Ok(near))]
+                    .into_iter()
+                    .filter_map(|(from, to)| Some((from.ok()?, to.ok()?)))
+                {
+                    thread::spawn(move || {
+                        let mut to = to;
+                        let _ = std::io::copy(&mut from, &mut to);
+                        let _ = to.shutdown(Shutdown::Write);
+                    });
+                }
+            }
+        });
+        Ok(Self { ip, address, links })
+    }
+
+    /// Ends all connections. Bytes on their way are lost; both sides notice at once.
+    fn reset_all(&self) -> usize {
+        let links: Vec<_> = self.links.lock().unwrap().drain(..).collect();
+        for (near, far) in &links {
+            let _ = near.shutdown(Shutdown::Both);
+            let _ = far.shutdown(Shutdown::Both);
+        }
+        links.len()
+    }
+}
+
 /// A server of a service.
 pub struct Server {
     pub id: String,
--- a/review/standins/leaving.rs
+++ b/review/standins/leaving.rs
@@ -1,5 +1,5 @@
-//! Case: entry processes that were never disturbed keep sending to a server that has left, because the
-//! processes that told them of changes were started again meanwhile.
+//! Cases: entry processes that were never disturbed keep sending to a server that has left, because the
+//! processes that read the store for them were started again meanwhile, or had lost their connections to it.
 
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -14,19 +14,44 @@
 ];
 const BUDGET_MS: u32 = 6_000;
 const WORK: Duration = Duration::from_millis(320);
-/// The share of processes that are killed at once is 0.55 at most: 4 of 9. They start again after this time.
-const MAX_KILLED: usize = 4;
+/// The processes that may be disturbed: 0.55 of them may be killed, 0.49 may have connections reset.
+const MAX_DISTURBED: usize = 4;
+/// Killed processes start again after this time.
 const DOWN: Duration = Duration::from_millis(500);
-/// The server leaves this long after the processes were killed.
-const LEAVES_AFTER: Duration = Duration::from_millis(300);
 /// `drain_s`: a server that has left gets no requests later than this.
 const DRAIN: Duration = Duration::from_secs(2);
-/// When the bookings are sent, and when the server ends: a little after `drain_s`.
-const BOOKED_AFTER: Duration = Duration::from_millis(2_500);
-const EXITS_AFTER: Duration = Duration::from_millis(2_700);
-/// The bookings that are sent at the same time to each process that was not killed.
+/// The server ends this long after the bookings were sent.
+const EXITS_AFTER_BOOKINGS: Duration = Duration::from_millis(200);
+/// The bookings that are sent at the same time to each process that was not disturbed.
 const BOOKINGS: usize = 10;
 
+/// What happens to the processes that read the store.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Trouble {
+    /// They are killed and start again.
+    Kill,
+    /// Their connections to the store are reset, once.
+    Reset,
+}
+
+impl Trouble {
+    /// When the server leaves, after the processes were disturbed.
+    fn leaves_after(self) -> Duration {
+        match self {
+            Self::Kill => Duration::from_millis(300),
+            Self::Reset => Duration::from_millis(50),
+        }
+    }
+
+    /// When the bookings are sent, after the server left: a little later than `drain_s`.
+    fn booked_after(self) -> Duration {
+        match self {
+            Self::Kill => Duration::from_millis(2_500),
+            Self::Reset => Duration::from_millis(2_150),
+        }
+    }
+}
+
 /// The requests that the server got, with their times.
 type Arrivals = Arc<Mutex<Vec<(String, Instant)>>>;
 
@@ -39,7 +64,10 @@
     }
 }
 
-pub fn run(bed: &mut Bed, has_trouble: bool) -> Result<bool, Fault> {
+pub fn run(bed: &mut Bed, trouble: Trouble, has_trouble: bool) -> Result<bool, Fault> {
+    if trouble == Trouble::Reset {
+        bed.start_proxies(ZONES.len() as u8)?;
+    }
     bed.start_entries(&ZONES)?;
     let arrivals = Arrivals::default();
     let leaving = bed.start_server(1, "hiredesk", handler(Arc::clone(&arrivals)))?;
@@ -53,7 +81,7 @@
     let readers: Vec<usize> = (0..bed.entry_count())
         .filter(|index| bed.entry(*index).is_reader())
         .collect();
-    if readers.is_empty() || readers.len() > MAX_KILLED {
+    if readers.is_empty() || readers.len() > MAX_DISTURBED {
         return Err(format!("{} processes read the store", readers.len()).into());
     }
     let calm: Vec<usize> = (0..bed.entry_count())
@@ -67,41 +95,35 @@
         bed.record.line(format!("{name} serves {} of {BOOKINGS} bookings", count_served(&served)));
     }
     thread::sleep(Duration::from_secs(1));
-    let killed_at = Instant::now();
+    let disturbed_at = Instant::now();
     if has_trouble {
-        for index in &readers {
-            bed.entry(*index).child.kill()?;
-            let name = bed.entry(*index).name.clone();
-            bed.record.line(format!("{name} is killed"));
-        }
-        for index in &readers {
-            bed.entry(*index).child.wait()?;
-        }
+        disturb(bed, &readers, trouble)?;
     }
-    sleep_until(killed_at + LEAVES_AFTER);
+    sleep_until(disturbed_at + trouble.leaves_after());
     bed.start_server(5, "hiredesk", handler(Arrivals::default()))?;
     bed.record.line("server i-0005 joins");
     leaving.leave()?;
     let left_at = Instant::now();
     bed.record.line("server i-0001 leaves: the store has acknowledged that its row is gone");
-    sleep_until(killed_at + DOWN);
-    if has_trouble {
+    if has_trouble && trouble == Trouble::Kill {
+        sleep_until(disturbed_at + DOWN);
         for index in &readers {
             bed.restart_entry(*index)?;
             let name = bed.entry(*index).name.clone();
             bed.record.line(format!("{name} starts again"));
         }
     }
-    sleep_until(left_at + BOOKED_AFTER);
+    let booked_at = left_at + trouble.booked_after();
+    sleep_until(booked_at);
     if !wait_until(Duration::from_millis(1), || calm.iter().all(|index| bed.is_ready(*index))) {
-        return Err("a process that was not killed is not ready".into());
+        return Err("a process that was not disturbed is not ready".into());
     }
     let addresses: Vec<SocketAddr> = calm.iter().map(|index| bed.caller_address(*index)).collect();
-    bed.record.line(format!("clients send {BOOKINGS} bookings to each process that was not killed"));
+    bed.record.line(format!("clients send {BOOKINGS} bookings to each process that was not disturbed"));
     let exiting = Arc::clone(&leaving);
     let record = Arc::clone(&bed.record);
     let exit = thread::spawn(move || {
-        sleep_until(left_at + EXITS_AFTER);
+        sleep_until(booked_at + EXITS_AFTER_BOOKINGS);
         exiting.exit();
         record.line("server i-0001 ends");
     });
@@ -140,6 +162,25 @@
     Ok(late.is_empty())
 }
 
+fn disturb(bed: &mut Bed, readers: &[usize], trouble: Trouble) -> Result<(), Fault> {
+    for index in readers {
+        let name = bed.entry(*index).name.clone();
+        if trouble == Trouble::Kill {
+            bed.entry(*index).child.kill()?;
+            bed.record.line(format!("{name} is killed"));
+        } else {
+            let count = bed.reset_store_connections(*index);
+            bed.record.line(format!("{count} connections of {name} to the store are reset"));
+        }
+    }
+    if trouble == Trouble::Kill {
+        for index in readers {
+            bed.entry(*index).child.wait()?;
+        }
+    }
+    Ok(())
+}
+
 fn count_served(answers: &[(String, Option<u16>)]) -> usize {
     answers.iter().filter(|(_, status)| *status == Some(200)).count()
 }
--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -10,6 +10,8 @@
 
 use std::process::exit;
 
+use leaving::Trouble;
+
 fn main() {
     let mut arguments = std::env::args().skip(1);
     let (Some(case), Some(folder)) = (arguments.next(), arguments.next()) else {
@@ -18,7 +20,8 @@
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
-        "leaving" => bed::run(&folder, |bed| leaving::run(bed, has_trouble)),
+        "leaving" => bed::run(&folder, |bed| leaving::run(bed, Trouble::Kill, has_trouble)),
+        "regained" => bed::run(&folder, |bed| leaving::run(bed, Trouble::Reset, has_trouble)),
         "stop" => bed::run(&folder, |bed| stop::run(bed, has_trouble)),
         "memory" => bed::run(&folder, |bed| memory::run(bed, has_trouble)),
         _ => Err(format!("unknown case {case}").into()),
