--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -21,7 +21,9 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "leaving" => bed::run(&folder, |bed| leaving::run(bed, Trouble::Kill, has_trouble)),
-        "regained" => bed::run(&folder, |bed| leaving::run(bed, Trouble::Reset, has_trouble)),
+        "regained" => bed::run(&folder, |bed| {
+            leaving::run(bed, Trouble::Reset, has_trouble)
+        }),
         "stop" => bed::run(&folder, |bed| stop::run(bed, has_trouble)),
         "memory" => bed::run(&folder, |bed| memory::run(bed, has_trouble)),
         _ => Err(format!("unknown case {case}").into()),
