--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use damaskloom_gateway::answer_check::is_final_status;
 use damaskloom_gateway::body_stream::RequestBody;
 use damaskloom_gateway::hop_headers::remove_hop_headers;
 use damaskloom_lib::attempt_failure::AttemptFailure;
@@ -279,6 +280,10 @@
     if !head.is_echoed_by(headers) {
         return Err(AttemptFailure::InvalidAnswer);
     }
+    // What such an answer says about its request, its target's refusal included, is not believed.
+    if !is_final_status(response.status()) {
+        return Err(AttemptFailure::InvalidAnswer);
+    }
     if let Some(error) = refusal_error(response.status(), headers) {
         // The connection can be reused once a short body is read; otherwise it closes.
         let idle = idle_time(headers);
@@ -288,11 +293,9 @@
         }
         return Err(error);
     }
-    // No request asks for another protocol.
-    let is_interim = response.status().is_informational();
     let is_spoilt = response.status().is_success()
         && (!headers.contains_key(ANSWER_SIGNATURE) || headers.contains_key(CONTENT_ENCODING));
-    if is_interim || is_spoilt {
+    if is_spoilt {
         return Err(AttemptFailure::InvalidAnswer);
     }
     receive_body(head.request_id(), response, lease, deadline).await
--- a/entry/tests/test_faulty_answers.rs
+++ b/entry/tests/test_faulty_answers.rs
@@ -149,3 +149,51 @@
         })
         .await;
 }
+
+/// Guards against an answer with a status that does not exist, as a target in trouble may write it, that reaches
+/// the caller as an answer: 000, below 200, above 599, or no number. A caller cannot tell from it whether its
+/// request ran, so that a refusal must not be believed either.
+#[tokio::test]
+async fn an_answer_with_an_undefined_status_reaches_no_caller() {
+    LocalSet::new()
+        .run_until(async {
+            let statuses = [
+                "000",
+                "001",
+                "099",
+                "101",
+                "199",
+                "600",
+                "700",
+                "999",
+                "1000",
+                "20",
+                "2",
+                "-200",
+                "2x0",
+                "OK",
+                "",
+                "200\r\nHTTP/1.1 200 OK",
+            ];
+            for status in statuses {
+                for field in ["server-seal: seal", "not-executed: 1"] {
+                    let answer = move |_| {
+                        let head =
+                            format!("HTTP/1.1 {status} X\r\nrequest-id: id-0\r\n{field}\r\n");
+                        let bytes = format!("{head}content-length: 2\r\n\r\nok").into_bytes();
+                        (bytes, ThenDoes::KeepsOpen)
+                    };
+                    let (_store, node, target) = start_node(answer).await;
+                    let (seen, body) = book(&node, "id-0").await;
+                    assert_eq!(target.requests.get(), 1, "{status:?} {field}");
+                    assert_eq!(seen, StatusCode::BAD_GATEWAY, "{status:?} {field}");
+                    assert_eq!(
+                        body.as_deref(),
+                        Some(&b"target-broke"[..]),
+                        "{status:?} {field}"
+                    );
+                }
+            }
+        })
+        .await;
+}
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 
+use crate::answer_check::is_final_status;
 use crate::body_stream::{MAX_BUFFERED_BODY_BYTES, RequestBody, collect_body};
 use crate::claim_guard::ClaimGuard;
 use crate::hop_headers::remove_hop_headers;
@@ -221,6 +222,9 @@
         Ok(response) => response,
         Err(error) => return Err(send_error(error)),
     };
+    if !is_final_status(response.status()) {
+        return Err(AttemptError::Broken);
+    }
     if response.headers().contains_key(SHED_HEADER) && response.status().as_u16() == 503 {
         return Err(AttemptError::Shed);
     }
@@ -246,7 +250,7 @@
     lease: ConnectionLease,
     is_head: bool,
 ) -> Result<TargetAnswer, AttemptError> {
-    let bodiless = is_head || matches!(response.status().as_u16(), 100..=199 | 204 | 304);
+    let bodiless = is_head || matches!(response.status().as_u16(), 204 | 304);
     let chunked = response.headers().contains_key(TRANSFER_ENCODING);
     let length = response.body().size_hint().exact();
     if length.is_none() && !chunked && !bodiless {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //!   modules follow the fleet's members, epochs and configuration.
 
 pub mod admin_server;
+pub mod answer_check;
 pub mod body_stream;
 pub mod burn_counters;
 pub mod caller_connection;
--- a/gateway/tests/test_request_path.rs
+++ b/gateway/tests/test_request_path.rs
@@ -4,9 +4,9 @@
 use damaskloom_testutils::target_mode::TargetMode;
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
-use crate::fixture::{Fixture, RawAnswer, authorization, send, start};
+use crate::fixture::{Fixture, RawAnswer, authorization, send, start, start_gateway};
 
 async fn slots(fixture: &Fixture, id: &str) -> RawAnswer {
     let headers = [&authorization()[..], &format!("x-request-id: {id}")];
@@ -189,3 +189,27 @@
     let _ = stream.read_to_end(&mut rest).await;
     assert_eq!(slots(&fixture, "gone").await.status, 401);
 }
+
+/// Guards against an answer with a status that does not exist, as a target in trouble may write it, that the gateway
+/// passes on: 000, above 599, or another protocol that nobody asked for.
+#[tokio::test]
+async fn an_answer_with_an_undefined_status_is_not_passed_on() {
+    for status in ["000", "099", "101", "600", "999"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("a loopback port is available");
+        let address = listener.local_addr().expect("a bound address");
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut head = [0; 4096];
+                let _ = stream.read(&mut head).await;
+                let answer = format!("HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\nok");
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        });
+        let gateway = start_gateway(&[address], |_| {}).await;
+        let key = authorization();
+        let headers = [&key[..], "x-request-id: a", "content-length: 0"];
+        let answer = send(gateway.caller_address(), "POST", "/book", &headers).await;
+        assert_eq!(answer.status, 502, "{status}: {}", answer.head);
+    }
+}
