lib, cli: damaskloom-ctl checks routing documents before they are sent

Cause: the operators' wish. A document that can be read may still refuse all requests of a route, send them elsewhere or be ignored, and nothing showed what it changes. Change: routing_check finds errors, entries that never match and limits that contradict each other; routing_diff lists what differs from the version in force, from a file or the store.

--- a/cli/src/ctl_args.rs
+++ b/cli/src/ctl_args.rs
@@ -9,7 +9,8 @@
 use snafu::{OptionExt, Snafu, ensure};
 
 use crate::ctl_command::{
-    CtlCommand, CtlOptions, ExplainSubject, KeyArgument, KeysCommand, StatusCommand,
+    CheckBase, CheckCommand, CtlCommand, CtlOptions, ExplainSubject, KeyArgument, KeysCommand,
+    StatusCommand,
 };
 
 /// The default time limit of `status --watch`, in seconds.
@@ -98,7 +99,7 @@
         }
         "operators" => parse_operators(arguments),
         "explain" => parse_explain(arguments).map(CtlCommand::Explain),
-        "check" => Ok(CtlCommand::Check(required_argument(arguments, "a file")?)),
+        "check" => parse_check(arguments).map(CtlCommand::Check),
         text => {
             let expected = "a command";
             InvalidSnafu { text, expected }.fail()
@@ -115,6 +116,22 @@
     }))
 }
 
+fn parse_check(arguments: &mut Arguments) -> Result<CheckCommand, ArgsError> {
+    let file = arguments.opt_value_from_str("--against")?;
+    let store = arguments.opt_value_from_str("--store")?;
+    let base = match (file, store) {
+        (Some(_), Some(_)) => {
+            let text = "--store";
+            let expected = "to be combined with --against";
+            return InvalidSnafu { text, expected }.fail();
+        }
+        (Some(path), None) => Some(CheckBase::File(path)),
+        (None, store) => store.map(CheckBase::Store),
+    };
+    let path = required_argument(arguments, "a file")?;
+    Ok(CheckCommand { path, base })
+}
+
 fn parse_keys(arguments: &mut Arguments) -> Result<KeysCommand, ArgsError> {
     match next_word(arguments, "list, grant, withdraw or rotate")?.as_str() {
         "list" => Ok(KeysCommand::List(required_argument(
--- a/cli/src/ctl_command.rs
+++ b/cli/src/ctl_command.rs
@@ -32,7 +32,9 @@
   operators add NAME ROLE   creates a credential; ROLE is read, plan or confirm
   explain target ID         shows why a gateway uses or avoids a target
   explain request ID        shows how a gateway handled a request
-  check FILE                checks a settings file or a changes file
+  check FILE                checks a settings file, a changes file or a routing document
+    --against FILE          shows what a routing document changes in this one
+    --store ADDRESS         shows what it changes in the one in force
 
 KEY is a digest, or - to read the key itself from standard input.
 
@@ -111,6 +113,24 @@
     pub timeout: Duration,
 }
 
+/// The document that a routing document is compared with.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CheckBase {
+    /// The document in a file.
+    File(PathBuf),
+    /// The document in force, in the platform's store at this address.
+    Store(SocketAddr),
+}
+
+/// The file and the options of `check`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CheckCommand {
+    /// The file.
+    pub path: PathBuf,
+    /// What a routing document is compared with, if it is.
+    pub base: Option<CheckBase>,
+}
+
 /// A command with its arguments.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CtlCommand {
@@ -135,7 +155,7 @@
     /// Request an explanation from a gateway.
     Explain(ExplainSubject),
     /// Check a file.
-    Check(PathBuf),
+    Check(CheckCommand),
 }
 
 /// A parsed command line.
--- a/cli/src/ctl_run.rs
+++ b/cli/src/ctl_run.rs
@@ -19,9 +19,11 @@
 use serde_json::{Value, json};
 use snafu::{OptionExt, ResultExt, Snafu};
 
+use crate::ctl_check::{CheckError, RoutingCheck};
 use crate::ctl_client::{CallError, CtlClient};
 use crate::ctl_command::{
-    CtlCommand, CtlOptions, ExitStatus, ExplainSubject, KeyArgument, KeysCommand, StatusCommand,
+    CheckCommand, CtlCommand, CtlOptions, ExitStatus, ExplainSubject, KeyArgument, KeysCommand,
+    StatusCommand,
 };
 use crate::ctl_output::{
     show_audit, show_grant, show_keys, show_outcome, show_plan, show_plans, show_progress,
@@ -52,6 +54,12 @@
         /// The error of the plan.
         source: PlanError,
     },
+    /// A routing document cannot be checked.
+    #[snafu(display("{source}"), context(false))]
+    Check {
+        /// The error of the check.
+        source: CheckError,
+    },
     /// A file does not hold gateway settings.
     #[snafu(display("{source}"), context(false))]
     Gateway {
@@ -89,6 +97,7 @@
     pub fn exit_status(&self) -> ExitStatus {
         match self {
             Self::Call { source } => source.exit_status(),
+            Self::Check { source } => source.exit_status(),
             Self::Intent { .. }
             | Self::Gateway { .. }
             | Self::OptionMissing { .. }
@@ -142,7 +151,7 @@
             Ok(run.print(&response, show_document))
         }
         CtlCommand::Explain(subject) => run.explain(subject).await,
-        CtlCommand::Check(path) => run.check(path),
+        CtlCommand::Check(command) => run.check(command).await,
     }
 }
 
@@ -286,9 +295,15 @@
         Ok(self.print(&document, show_document))
     }
 
-    fn check(&self, path: &Path) -> RunResult {
+    async fn check(&self, command: &CheckCommand) -> RunResult {
+        let path = &command.path;
         let document: Value = read_document(path, "a JSON document")?;
         let has = |field: &str| document.get(field).is_some();
+        if has("routes") {
+            let check = RoutingCheck::load(path, command.base.as_ref()).await?;
+            self.print(&check, RoutingCheck::text);
+            return Ok(check.exit_status());
+        }
         let content = if has("changes") {
             PlanBuilder::new(read_intent(path)?)?;
             "changes"
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod bench_fleet;
 pub mod bench_latency;
 pub mod ctl_args;
+pub mod ctl_check;
 pub mod ctl_client;
 pub mod ctl_command;
 pub mod ctl_output;
--- a/cli/tests/test_ctl.rs
+++ b/cli/tests/test_ctl.rs
@@ -172,3 +172,50 @@
     serving.await.unwrap();
     std::fs::remove_dir_all(&files).unwrap();
 }
+
+fn routing_document(version: u64, service: &str) -> String {
+    json!({
+        "version": version,
+        "routes": {
+            "columns": ["name", "host", "prefix", "kind", "timeout_s", "target_latency_s", "priority", "service"],
+            "rows": [["r-1", "a.example", "/x/", "safe", 1.2, 0.4, 1, service]]
+        },
+        "services": {"columns": ["name", "max_conns"], "rows": [["desk", 390]]}
+    })
+    .to_string()
+}
+
+/// Guards against a check of a routing document whose exit code lets a script publish a document with errors, or one
+/// that nodes ignore.
+#[tokio::test]
+async fn a_routing_document_is_checked_against_the_one_in_force() {
+    let files = std::env::temp_dir().join(format!("damaskloom-check-{}", std::process::id()));
+    std::fs::create_dir_all(&files).unwrap();
+    let run = async |name: &str, text: String, options: &str| {
+        let path = files.join(name);
+        std::fs::write(&path, text).unwrap();
+        let line = format!("check {} {options}", path.display());
+        match run_command(&parse_args(words(&line)).unwrap()).await {
+            Ok(status) => status,
+            Err(error) => error.exit_status(),
+        }
+    };
+    let platform = PlatformServer::start_local().await.unwrap();
+    let store = format!("--store {}", platform.address());
+    let sound = routing_document(8, "desk");
+    assert_eq!(run("sound", sound.clone(), "").await, ExitStatus::Done);
+    let unknown = routing_document(8, "dock");
+    assert_eq!(run("unknown", unknown, "").await, ExitStatus::Refused);
+    assert_eq!(
+        run("sound", sound.clone(), &store).await,
+        ExitStatus::NotAllowed
+    );
+    platform.put("op", "config", routing_document(7, "desk"));
+    assert_eq!(run("sound", sound.clone(), &store).await, ExitStatus::Done);
+    platform.put("op", "config", sound.clone());
+    assert_eq!(run("sound", sound, &store).await, ExitStatus::Refused);
+    let broken = "{\"version\": 9, \"routes\": 1}".to_owned();
+    assert_eq!(run("broken", broken, "").await, ExitStatus::Usage);
+    assert!(parse_args(words("check a --against b --store 127.0.0.1:1")).is_err());
+    std::fs::remove_dir_all(&files).unwrap();
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! - Entry nodes: `target_catalog`, `target_balancer`, `balanced_target`, `target_limits`, `target_notices`, `failure_filter`, `fleet_rate`,
 //!   `routing`, `entry_members`, `entry_nodes`, `table_mirror`, `store_health`.
-//! - Configuration: `config`, `key_table`, `plan`, `confirm`, `distribution`, `freshness`.
+//! - Configuration: `config`, `routing_check`, `routing_diff`, `key_table`, `plan`, `confirm`, `distribution`, `freshness`.
 //! - Members and shares: `membership`, `directory`, `epoch`, `budget`, `escrow`.
 //! - Limits and queues: `rate_limiter`, `slot_pool`, `fair_queue`, `retry_budget`.
 //! - Detection and ejection: `evidence`, `detector`, `ejector`, `avoidance_list`, `service_burn`.
@@ -105,6 +105,8 @@
 pub mod route_table;
 pub mod route_timing;
 pub mod routing;
+pub mod routing_check;
+pub mod routing_diff;
 pub mod row_fetch;
 pub mod sequential_test;
 mod service_baseline;
