table mirror: a row lost in a restore is told from a removed one

Cause: the tombstone of a row that a restored table does not have got the version of the reading, so it looked like a removal in the new era, and two readers made two tombstones of one lost row. Change: such a tombstone has the version at which the new era begins, the same at all nodes; no write has it. Ruled out: comparing the era of the row with that of the removal, since nodes that learn of the restore and of a removal after it at the same time would take the removal for a loss.

--- a/lib/src/store_version.rs
+++ b/lib/src/store_version.rs
@@ -30,6 +30,17 @@
         (version >> VERSION_BITS == 0).then_some(Self { era, version })
     }
 
+    /// Returns the version at which an era begins, before anything is written in it.
+    pub const fn era_start(era: u16) -> Self {
+        Self { era, version: 0 }
+    }
+
+    /// Returns whether this is the version at which a later era than the first one begins: that of rows
+    /// which were lost when the store was restored.
+    pub const fn is_era_start(self) -> bool {
+        self.era > 0 && self.version == 0
+    }
+
     /// Returns the era of the store.
     pub const fn era(self) -> u16 {
         self.era
--- a/lib/src/table_mirror.rs
+++ b/lib/src/table_mirror.rs
@@ -126,15 +126,22 @@
     }
 
     /// Returns tombstones of the rows whose keys are missing in a table, except newer rows.
+    ///
+    /// A row of an earlier era was lost when the store was restored. Its tombstone has the version at which
+    /// the era begins, the same at all nodes, so that it differs from a removal in the new era.
     fn missing_rows(&self, keys: &IndexSet<&String>, version: StoreVersion) -> Vec<MirrorRow> {
         let held = self.rows.iter();
         held.filter(|(key, (value, held_version))| {
             value.is_some() && *held_version <= version && !keys.contains(key)
         })
-        .map(|(key, _)| MirrorRow {
+        .map(|(key, (_, held_version))| MirrorRow {
             key: key.clone(),
             value: None,
-            version,
+            version: if held_version.era() < version.era() {
+                StoreVersion::era_start(version.era())
+            } else {
+                version
+            },
         })
         .collect()
     }
