lib: evacuated data centres, and selection without their targets

Cause: operators need all requests taken away from the targets of a data centre while its row exists. Selection, trials and the floor leave out targets of evacuated data centres; if all of a service's targets are, the error is Evacuated.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,7 +4,7 @@
 //! actions. No module opens a socket, reads a clock, spawns a task or uses a global random source, so
 //! that each can be embedded and tested in virtual time. The daemons in the sibling crates do the I/O.
 //!
-//! - Entry nodes: `target_catalog`, `target_balancer`, `balanced_target`, `target_limits`, `target_notices`, `failure_filter`, `fleet_rate`,
+//! - Entry nodes: `target_catalog`, `target_balancer`, `balanced_target`, `target_limits`, `target_notices`, `evacuation`, `failure_filter`, `fleet_rate`,
 //!   `routing`, `entry_members`, `entry_nodes`, `table_mirror`, `store_health`.
 //! - Configuration: `config`, `key_table`, `plan`, `confirm`, `distribution`, `freshness`.
 //! - Members and shares: `membership`, `directory`, `epoch`, `budget`, `escrow`.
@@ -55,6 +55,7 @@
 mod epoch_store;
 pub mod epoch_types;
 pub mod escrow;
+pub mod evacuation;
 pub mod evidence;
 pub mod evidence_digest;
 pub mod failure_filter;
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -18,6 +18,7 @@
 };
 use crate::config::Idempotence;
 use crate::crossing_cost::{CrossingCost, RouteSizes};
+use crate::evacuation::Evacuations;
 use crate::failure_filter::{FailureFilter, FailureSignal};
 use crate::ids::{DataCentreId, RouteId, ServiceId, TargetId, VmId};
 use crate::loss_meter::{LossMeter, RequestOutcome};
@@ -221,7 +222,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if there is no such target, or if they rest or their limits allow no request soon.
+    /// Fails if there is no such target outside evacuated data centres, or if they rest or their limits allow
+    /// no request soon.
     pub fn select(
         &self,
         now: MonoTime,
@@ -239,12 +241,16 @@
         let start = usize::try_from(request.seed % count.max(1) as u64).unwrap_or(0);
         let max_permit_wait = Duration::from_millis(MAX_PERMIT_WAIT_MS);
         let mut best: Option<(f64, TargetSelection)> = None;
-        let mut error = SelectionError::NoTarget;
+        let mut error = if count > 0 && self.served_count(request.evacuations) == 0 {
+            SelectionError::Evacuated
+        } else {
+            SelectionError::NoTarget
+        };
         for step in 0..count {
             let Some((id, target)) = self.targets.get_index((start + step) % count) else {
                 break;
             };
-            if request.tried.contains(id) {
+            if request.tried.contains(id) || request.evacuations.contains(&target.data_centre) {
                 continue;
             }
             let rest_left = request.notices.rest_left(now, id);
@@ -289,6 +295,17 @@
         best.map(|(_, selection)| selection).ok_or(error)
     }
 
+    /// Returns the number of targets that are not in evacuated data centres.
+    fn served_count(&self, evacuations: &Evacuations) -> usize {
+        if evacuations.is_empty() {
+            return self.targets.len();
+        }
+        let targets = self.targets.values();
+        targets
+            .filter(|target| !evacuations.contains(&target.data_centre))
+            .count()
+    }
+
     /// Returns the target that the request tries, if one is due for it: the one that is least likely failing.
     fn trial_target(&self, now: MonoTime, request: &SelectionRequest<'_>) -> Option<&TargetId> {
         // A retry should succeed, so it tries no target.
@@ -299,7 +316,10 @@
         let mut due = Vec::new();
         for (id, target) in &self.targets {
             let idle_time = now.since(target.last_used_at);
-            if !may_be_due(idle_time) || !request.notices.rest_left(now, id).is_zero() {
+            if !may_be_due(idle_time)
+                || !request.notices.rest_left(now, id).is_zero()
+                || request.evacuations.contains(&target.data_centre)
+            {
                 continue;
             }
             left_alone += usize::from(is_left_alone(idle_time));
@@ -314,8 +334,8 @@
                 due.push((id, state, target.filter.probability(now)));
             }
         }
-        let is_undercut =
-            self.loss.is_losing(now) && self.floor.is_undercut(left_alone, self.targets.len());
+        let served = self.served_count(request.evacuations);
+        let is_undercut = self.loss.is_losing(now) && self.floor.is_undercut(left_alone, served);
         due.into_iter()
             .filter(|(_, state, _)| is_undercut || state.is_tried_above_floor(request.idempotence))
             .min_by(|(_, _, a), (_, _, b)| a.total_cmp(b))
--- a/lib/src/target_selection.rs
+++ b/lib/src/target_selection.rs
@@ -4,6 +4,7 @@
 
 use crate::config::Idempotence;
 use crate::crossing_cost::CrossingCost;
+use crate::evacuation::Evacuations;
 use crate::ids::TargetId;
 use crate::target_limits::TargetLimits;
 use crate::target_notices::TargetNotices;
@@ -19,6 +20,8 @@
     pub limits: &'a TargetLimits,
     /// The rests that targets have asked this node for.
     pub notices: &'a TargetNotices,
+    /// The data centres whose targets get no requests.
+    pub evacuations: &'a Evacuations,
     /// What a target in another data centre costs the request.
     pub crossing: CrossingCost,
     /// A number that differs between requests, to break ties.
@@ -49,6 +52,8 @@
 pub enum SelectionError {
     /// There is no target that the request was not sent to.
     NoTarget,
+    /// All targets are in data centres that are evacuated.
+    Evacuated,
     /// The limits of all such targets are used up. Holds the time until this node's share of one
     /// allows a request again; none if only other nodes may send to them.
     Limited(Option<Duration>),
@@ -78,7 +83,7 @@
     /// Returns the time until a target may be asked again, if that is known.
     pub fn wait(self) -> Option<Duration> {
         match self {
-            Self::NoTarget => None,
+            Self::NoTarget | Self::Evacuated => None,
             Self::Limited(wait) => wait,
             Self::Resting(wait) => Some(wait),
         }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -32,6 +32,7 @@
 mod test_ejection;
 mod test_entry_nodes;
 mod test_epochs;
+mod test_evacuation;
 mod test_fair_queue;
 mod test_fleet_rates;
 mod test_freshness;
--- a/lib/tests/test_crossing_cost.rs
+++ b/lib/tests/test_crossing_cost.rs
@@ -5,6 +5,7 @@
 
 use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::crossing_cost::{CrossingCost, RouteSizes};
+use damaskloom_lib::evacuation::Evacuations;
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::ids::{DataCentreId, RouteId, TargetId, VmId};
 use damaskloom_lib::target_balancer::TargetBalancer;
@@ -68,6 +69,7 @@
         tried: &[],
         limits: &TargetLimits::new(vm()),
         notices: &TargetNotices::default(),
+        evacuations: &Evacuations::default(),
         crossing,
         seed: 0,
     };
--- a/lib/tests/test_target_balancer.rs
+++ b/lib/tests/test_target_balancer.rs
@@ -4,6 +4,7 @@
 
 use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::crossing_cost::CrossingCost;
+use damaskloom_lib::evacuation::Evacuations;
 use damaskloom_lib::failure_filter::{FailureFilter, FailureSignal};
 use damaskloom_lib::ids::{DataCentreId, TargetId, VmId};
 use damaskloom_lib::target_balancer::{TargetBalancer, TargetCode};
@@ -62,6 +63,7 @@
         tried,
         limits: &no_limits(),
         notices: &TargetNotices::default(),
+        evacuations: &Evacuations::default(),
         crossing: CrossingCost::default(),
         seed: 0,
     };
@@ -124,6 +126,7 @@
         tried: &both,
         limits: &no_limits(),
         notices: &TargetNotices::default(),
+        evacuations: &Evacuations::default(),
         crossing: CrossingCost::default(),
         seed: 0,
     };
@@ -205,6 +208,7 @@
         tried: &[],
         limits: &no_limits(),
         notices: &TargetNotices::default(),
+        evacuations: &Evacuations::default(),
         crossing: CrossingCost::default(),
         seed: 0,
     };
@@ -249,6 +253,7 @@
             tried: &[],
             limits: &no_limits(),
             notices: &TargetNotices::default(),
+            evacuations: &Evacuations::default(),
             crossing: CrossingCost::default(),
             seed,
         };
--- a/lib/tests/test_target_limits.rs
+++ b/lib/tests/test_target_limits.rs
@@ -4,6 +4,7 @@
 
 use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::crossing_cost::CrossingCost;
+use damaskloom_lib::evacuation::Evacuations;
 use damaskloom_lib::ids::{DataCentreId, TargetId, VmId};
 use damaskloom_lib::target_balancer::TargetBalancer;
 use damaskloom_lib::target_limits::{
@@ -198,6 +199,7 @@
             tried,
             limits,
             notices: &TargetNotices::default(),
+            evacuations: &Evacuations::default(),
             crossing: CrossingCost::default(),
             seed: 0,
         };
@@ -244,6 +246,7 @@
             tried: &[],
             limits,
             notices: &TargetNotices::default(),
+            evacuations: &Evacuations::default(),
             crossing: CrossingCost::default(),
             seed: 0,
         };
--- a/lib/tests/test_target_notices.rs
+++ b/lib/tests/test_target_notices.rs
@@ -4,6 +4,7 @@
 
 use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::crossing_cost::CrossingCost;
+use damaskloom_lib::evacuation::Evacuations;
 use damaskloom_lib::ids::{DataCentreId, TargetId, VmId};
 use damaskloom_lib::target_balancer::TargetBalancer;
 use damaskloom_lib::target_limits::TargetLimits;
@@ -176,6 +177,7 @@
             tried,
             limits: &limits,
             notices,
+            evacuations: &Evacuations::default(),
             crossing: CrossingCost::default(),
             seed: 0,
         };
--- a/lib/tests/test_target_trial.rs
+++ b/lib/tests/test_target_trial.rs
@@ -5,6 +5,7 @@
 
 use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::crossing_cost::CrossingCost;
+use damaskloom_lib::evacuation::Evacuations;
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::ids::{DataCentreId, TargetId, VmId};
 use damaskloom_lib::loss_meter::RequestOutcome;
@@ -141,6 +142,7 @@
             tried: &[],
             limits: &limits,
             notices: &TargetNotices::default(),
+            evacuations: &Evacuations::default(),
             crossing: CrossingCost::default(),
             seed: self.random.random(),
         };
