entry: evacuations come into force by rows of the operators' table

Change: rows evacuate/ZONE are applied before the configuration of the same batch. A request that waited looks at its target again (permit, connection). Refusal reason evacuated (503, Retry-After). Failures at evacuated targets put no path in doubt, and tries of a path leave them out. Log lines, metric damaskloom_evacuated_data_centres, and the hook expect_cold_targets, empty for now. Ruled out: setting marks at targets in the balancers, which would have to follow each change of targets.

--- a/entry/src/attempt_guards.rs
+++ b/entry/src/attempt_guards.rs
@@ -34,6 +34,7 @@
         let balancers = self.state.balancers.borrow();
         let balancer = balancers.get(service);
         balancer.is_some_and(|balancer| balancer.contains(&self.target))
+            && !self.state.is_evacuated(&self.target)
             && self.state.limits.borrow().permission(now, &self.target)
                 != LimitPermission::Elsewhere
     }
--- a/entry/src/caller_answer.rs
+++ b/entry/src/caller_answer.rs
@@ -33,6 +33,8 @@
     OutdatedConfiguration,
     /// No target accepts requests.
     NoTarget,
+    /// All targets of the service are in data centres that operators evacuate.
+    Evacuated,
     /// This process may end before the request's deadline; other nodes serve.
     Stopping,
     /// The service is too busy to answer the request in time.
@@ -61,6 +63,7 @@
             Self::NotConfigured => "not-configured",
             Self::OutdatedConfiguration => "outdated-configuration",
             Self::NoTarget => "no-target",
+            Self::Evacuated => "evacuated",
             Self::Stopping => "stopping",
             Self::Overloaded => "overloaded",
             Self::TargetsLimited => "targets-limited",
@@ -83,6 +86,7 @@
             Self::NotConfigured
             | Self::OutdatedConfiguration
             | Self::NoTarget
+            | Self::Evacuated
             | Self::Stopping
             | Self::Overloaded
             | Self::TargetsLimited
--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -229,6 +229,7 @@
         let time_left = self.admitted.deadline.time_left(&self.state.clock);
         let limits = self.state.limits.borrow();
         let notices = self.state.notices.borrow();
+        let evacuations = self.state.evacuations.borrow();
         let balancers = self.state.balancers.borrow();
         let Some(balancer) = balancers.get(self.service) else {
             return Err(self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT));
@@ -239,6 +240,7 @@
             tried: &self.attempts.tried,
             limits: &limits,
             notices: &notices,
+            evacuations: &evacuations,
             crossing: balancer
                 .sizes()
                 .crossing_cost(&self.admitted.route.id, cost_per_kb),
@@ -248,6 +250,7 @@
             .select(now, &request)
             .map_err(|error| match error {
                 SelectionError::NoTarget => self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT),
+                SelectionError::Evacuated => self.refuse(RefusalReason::Evacuated, UNKNOWN_WAIT),
                 SelectionError::Resting(wait) => self.refuse(RefusalReason::TargetsResting, wait),
                 SelectionError::Limited(wait) => {
                     self.refuse(RefusalReason::TargetsLimited, wait.unwrap_or(UNKNOWN_WAIT))
--- a/entry/src/entry_meters.rs
+++ b/entry/src/entry_meters.rs
@@ -13,6 +13,8 @@
 /// that memory is bounded.
 const MAX_ROUTE_SERIES: usize = 64;
 const MAX_TARGET_SERIES: usize = 256;
+/// The maximum number of data centres with their own time series.
+const MAX_CENTRE_SERIES: usize = 64;
 /// The label value for everything without its own series.
 const OTHERS: &str = "others";
 
@@ -100,6 +102,8 @@
     outdated_targets: Gauge<u64>,
     leaving_targets: Gauge<u64>,
     resting_targets: Gauge<u64>,
+    evacuated_centres: BoundedLabel,
+    evacuations: Gauge<u64>,
     store_era: Gauge<u64>,
     nodes: Gauge<u64>,
 }
@@ -135,6 +139,8 @@
             outdated_targets: meter.u64_gauge("damaskloom_outdated_targets").build(),
             leaving_targets: meter.u64_gauge("damaskloom_leaving_targets").build(),
             resting_targets: meter.u64_gauge("damaskloom_resting_targets").build(),
+            evacuated_centres: BoundedLabel::new("data_centre", MAX_CENTRE_SERIES),
+            evacuations: meter.u64_gauge("damaskloom_evacuated_data_centres").build(),
             store_era: meter.u64_gauge("damaskloom_store_era").build(),
             nodes: meter.u64_gauge("damaskloom_nodes").build(),
         })
@@ -201,6 +207,22 @@
         self.nodes.record(known.nodes as u64, &[]);
     }
 
+    /// Records the evacuated data centres with the versions of their rows. The series of one that was
+    /// evacuated before falls to zero.
+    pub fn record_evacuations<'a>(&self, versions: impl Iterator<Item = (&'a str, u64)>) {
+        for name in self.evacuated_centres.seen.borrow().iter() {
+            let label = KeyValue::new(self.evacuated_centres.name, name.clone());
+            self.evacuations.record(0, &[label]);
+        }
+        let mut count = 0;
+        for (name, version) in versions {
+            count += 1;
+            let label = self.evacuated_centres.label(name);
+            self.evacuations.record(version, &[label]);
+        }
+        self.evacuations.record(count, &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -12,6 +12,7 @@
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::crash_guard::{CrashGuard, CrashMessage};
 use damaskloom_lib::entry_members::{EntryMembers, EntryPhase, NodeHeartbeat};
+use damaskloom_lib::evacuation::Evacuations;
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::fleet_rate::{FleetLimit, FleetRates};
 use damaskloom_lib::helper_choice::HelperChoice;
@@ -70,6 +71,8 @@
     pub limits: RefCell<TargetLimits>,
     /// What targets have said of leaving and rest.
     pub notices: RefCell<TargetNotices>,
+    /// The data centres that operators evacuate.
+    pub evacuations: RefCell<Evacuations>,
     /// Whether this node reaches the targets of each service.
     pub target_paths: RefCell<TargetPaths>,
     /// Wakes the task that tries the path to the targets.
@@ -166,6 +169,7 @@
             balancers: RefCell::default(),
             limits: RefCell::new(TargetLimits::new(own)),
             notices: RefCell::default(),
+            evacuations: RefCell::default(),
             target_paths: RefCell::default(),
             path_doubted: Notify::new(),
             target_pools: TargetPools::new(network),
@@ -318,7 +322,10 @@
     }
 
     /// Applies changed rows of the operators' table.
+    ///
+    /// Evacuations come first: a node that starts serves as soon as it has a configuration.
     pub fn apply_routing_rows(&self, changed_rows: &[MirrorRow]) {
+        self.apply_evacuation_rows(changed_rows);
         let newest = changed_rows.iter().filter(|row| row.key == ROUTING_ROW);
         let Some(value) = newest.filter_map(|row| row.value.as_ref()).next_back() else {
             return;
@@ -451,6 +458,7 @@
             resting_targets: self.notices.borrow().resting_count(now),
             nodes: self.members.borrow().responsive(now).count() + 1,
         });
+        self.record_evacuation_gauges();
         self.meters.encode()
     }
 }
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -17,6 +17,7 @@
 //!   `fleet_roles` determines which nodes follow the store and which nodes callers are directed to.
 //! - `target_notices` applies what targets say of themselves in their answers, `limit_sharing` what answers and
 //!   other nodes say about their limits.
+//! - `evacuations` applies the operators' evacuations of data centres.
 //! - `peer_socket` and `peer_wire` exchange datagrams with other nodes; `peer_rows` fetches rows of
 //!   the store from them into a `table_copy`.
 //! - `entry_meters`, `log_lines` and `wall_clock` provide metrics, rate-limited log lines and the
@@ -33,6 +34,7 @@
 pub mod delivery;
 pub mod entry_meters;
 pub mod entry_state;
+pub mod evacuations;
 pub mod fleet_roles;
 pub mod fleet_rows;
 pub mod hand_on;
--- a/entry/src/path_watch.rs
+++ b/entry/src/path_watch.rs
@@ -48,6 +48,10 @@
 
     /// Records that an attempt at a target of a service failed on the way to it.
     pub fn record_path_failure(&self, service: &ServiceId, target: &TargetId) {
+        // Operators evacuate data centres that fail; that says nothing of the path to the others.
+        if self.is_evacuated(target) {
+            return;
+        }
         let mut paths = self.target_paths.borrow_mut();
         if paths.path_mut(service).record_failure(target) {
             tracing::info!(%service, id = %target, "path to the targets in doubt");
@@ -139,9 +143,13 @@
 
 fn draw_targets(state: &EntryState, service: &ServiceId, count: usize) -> Vec<SocketAddr> {
     let catalog = state.catalog.borrow();
-    let usable = catalog
-        .iter()
-        .filter(|(_, target)| target.is_usable() && target.announcement.service == *service);
+    let evacuations = state.evacuations.borrow();
+    let usable = catalog.iter().filter(|(_, target)| {
+        let announcement = &target.announcement;
+        target.is_usable()
+            && announcement.service == *service
+            && !evacuations.contains(&announcement.data_centre)
+    });
     let addresses = usable.map(|(_, target)| target.announcement.address);
     addresses.choose_multiple(&mut rand::rng(), count)
 }
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -184,8 +184,8 @@
     }
 }
 
-/// Removes targets that did not announce themselves again after an outage, until the task is
-/// cancelled.
+/// Removes targets that did not announce themselves again after an outage, and ends the evacuations whose
+/// rows a restored store has lost, until the task is cancelled.
 pub async fn run_target_expiry(state: Rc<EntryState>) {
     loop {
         let left = state.catalog.borrow().grace_remaining(state.clock.now());
@@ -194,8 +194,12 @@
         } else {
             left.min(EXPIRY_CHECK_INTERVAL)
         };
+        let delay = state
+            .evacuation_time_left()
+            .map_or(delay, |left| left.min(delay));
         tokio::time::sleep(delay).await;
         state.remove_expired_targets();
+        state.update_evacuations();
     }
 }
 
--- a/entry/src/target_notices.rs
+++ b/entry/src/target_notices.rs
@@ -64,6 +64,7 @@
         });
         let notices = self.notices.borrow();
         is_usable
+            && !self.is_evacuated(&start.target)
             && !notices.is_leaving(&start.target, start.started_at_ms)
             && !notices.is_resting(self.clock.now(), &start.target)
     }
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_body_collector;
 mod test_cut_off_nodes;
 mod test_endless_answers;
+mod test_evacuations;
 mod test_faulty_answers;
 mod test_fleet;
 mod test_limited_targets;
