relays: messages to nodes of other data centres go through relays there

Cause: heartbeats, counts, signals, limits, leave notices and outdated addresses went to each node of the other data centres, so the bytes between data centres grew with the square of the number of nodes.

Change: a message for more than six nodes of another data centre goes to one or two nodes there, which forward the origin's datagram unchanged (new messages Relays, Relay, Relayed; Losses holds the place of another part's message). Nodes of the previous build announce no relaying and get messages directly. Updates other than heartbeats and counts are accepted once within a window of sequence numbers, since they may overtake each other. The sending of datagrams and their receipt get modules of their own. New metric damaskloom_peer_bytes.

No benchmark with real processes was run.

Ruled out: leaving out counts that have not changed.

--- a/entry/src/entry_meters.rs
+++ b/entry/src/entry_meters.rs
@@ -88,6 +88,7 @@
     failed_attempts: Counter<u64>,
     retries: Counter<u64>,
     connects: Counter<u64>,
+    peer_bytes: Counter<u64>,
     latency: Histogram<f64>,
     routing_version: Gauge<u64>,
     routing_age: Gauge<f64>,
@@ -123,6 +124,7 @@
             failed_attempts: meter.u64_counter("damaskloom_target_failures").build(),
             retries: meter.u64_counter("damaskloom_repeats").build(),
             connects: meter.u64_counter("damaskloom_target_connects").build(),
+            peer_bytes: meter.u64_counter("damaskloom_peer_bytes").build(),
             latency: meter.f64_histogram("damaskloom_request_seconds").build(),
             routing_version: meter.u64_gauge("damaskloom_routing_version").build(),
             routing_age: meter.f64_gauge("damaskloom_routing_age_seconds").build(),
@@ -176,6 +178,15 @@
         self.connects.add(1, &[]);
     }
 
+    /// Counts the bytes of datagrams of one kind that were sent to other nodes, by whether those are of
+    /// the own data centre (`local`) or of others (`remote`).
+    pub fn record_peer_bytes(&self, kind: &'static str, path: &'static str, bytes: usize) {
+        if bytes > 0 {
+            let labels = [KeyValue::new("kind", kind), KeyValue::new("path", path)];
+            self.peer_bytes.add(bytes as u64, &labels);
+        }
+    }
+
     /// Records the values of the gauges.
     pub fn record_gauges(&self, known: &GaugeValues) {
         self.routing_version.record(known.routing_version, &[]);
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -17,7 +17,8 @@
 //!   `fleet_roles` determines which nodes follow the store and which nodes callers are directed to.
 //! - `target_notices` applies what targets say of themselves in their answers, `limit_sharing` what answers and
 //!   other nodes say about their limits.
-//! - `peer_socket` and `peer_wire` exchange datagrams with other nodes; `peer_rows` fetches rows of
+//! - `peer_socket` sends heartbeats, counts and updates to other nodes through `peer_sender`, which uses
+//!   relays; `peer_receipt` receives them; `peer_wire` has their format. `peer_rows` fetches rows of
 //!   the store from them into a `table_copy`.
 //! - `entry_meters`, `log_lines` and `wall_clock` provide metrics, rate-limited log lines and the
 //!   wall clock.
@@ -39,7 +40,9 @@
 pub mod limit_sharing;
 pub mod log_lines;
 pub mod path_watch;
+pub mod peer_receipt;
 pub mod peer_rows;
+pub mod peer_sender;
 pub mod peer_socket;
 pub mod peer_wire;
 pub mod process;
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -1,23 +1,24 @@
-//! Sends and receives the UDP datagrams between nodes.
+//! Sends this node's heartbeats, counts and updates to other nodes.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use damaskloom_lib::crash_guard::CrashAction;
-use damaskloom_lib::entry_members::{HEARTBEAT_INTERVAL_MS, HeartbeatScope, MessageStream};
-use damaskloom_lib::entry_nodes::EntryNode;
+use damaskloom_lib::entry_members::{HEARTBEAT_INTERVAL_MS, HeartbeatScope, NodeHeartbeat};
 use damaskloom_lib::failure_filter::FailureSignal;
-use damaskloom_lib::fleet_rate::{RateReport, ReportFilter};
+use damaskloom_lib::fleet_rate::ReportFilter;
+use damaskloom_lib::message_relay::{MessageAudience, MessageReach, RelayCopies, RelayScope};
 use damaskloom_lib::target_balancer::TargetCode;
 use damaskloom_lib::target_limits::LimitStatement;
+use damaskloom_lib::time::MonoTime;
 use indexmap::IndexSet;
 use tokio::net::UdpSocket;
 
 use crate::entry_state::EntryState;
-use crate::peer_wire::{
-    CustomerCount, PeerEnvelope, PeerMessage, WireError, WireSignal, decode, encode,
-};
+use crate::peer_sender::PeerSender;
+use crate::peer_wire::{CustomerCount, PeerMessage, WireSignal};
+use crate::settings::EntrySettings;
 
 /// The interval at which nodes of a data centre that carry traffic send each other counts: similar
 /// to the running time of a request.
@@ -34,41 +35,41 @@
 const LOGGED_LOOP_DELAY: Duration = Duration::from_millis(100);
 /// The interval of counts from a node that does not carry traffic, which may admit single requests.
 const IDLE_COUNTS_INTERVAL: Duration = Duration::from_millis(1_000);
-/// The delay after an error of the socket.
-const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(250);
+/// The interval at which all nodes are told again that this one relays messages.
+const RELAY_NOTICE_INTERVAL: Duration = Duration::from_secs(8);
+/// The number of counts to other data centres since the last heartbeat from which on one copy of the
+/// next heartbeat is enough: the counts show as well that the node is alive.
+const COUNTS_FOR_SINGLE_HEARTBEAT: u32 = 2;
 /// The maximum number of statements about targets in a datagram, so that it fits into one packet.
 const MAX_STATEMENTS: usize = 32;
-/// The maximum size of a datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 64 << 10;
+/// The audience of updates that each node needs, since each one may get requests.
+const ALL_NODES: MessageAudience = MessageAudience {
+    scope: RelayScope::All,
+    reach: MessageReach::Everywhere,
+};
 
 /// The socket for datagrams between nodes.
 #[derive(Debug)]
 pub struct PeerSocket {
-    socket: UdpSocket,
-    port: u16,
-    sequence: Cell<u64>,
+    pub(crate) sender: PeerSender,
     heartbeat_scope: RefCell<HeartbeatScope>,
+    last_heartbeat: RefCell<Option<NodeHeartbeat>>,
+    /// The number of counts to other data centres since the last heartbeat.
+    counts_since_heartbeat: Cell<u32>,
+    relay_notice_at: Cell<MonoTime>,
     local_reports: RefCell<ReportFilter>,
     remote_reports: RefCell<ReportFilter>,
 }
 
-/// The nodes that a message with counts is sent to.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum CountsScope {
-    /// The nodes of this node's data centre.
-    Local,
-    /// The nodes of other data centres.
-    Remote,
-}
-
 impl PeerSocket {
     /// Wraps a bound socket; all nodes use the same port.
-    pub fn new(socket: UdpSocket, port: u16) -> Self {
+    pub fn new(socket: UdpSocket, settings: &EntrySettings) -> Self {
         Self {
-            socket,
-            port,
-            sequence: Cell::new(0),
+            sender: PeerSender::new(socket, settings),
             heartbeat_scope: RefCell::default(),
+            last_heartbeat: RefCell::default(),
+            counts_since_heartbeat: Cell::new(0),
+            relay_notice_at: Cell::default(),
             local_reports: RefCell::default(),
             remote_reports: RefCell::default(),
         }
@@ -113,20 +114,55 @@
         let concerns_all =
             heartbeat.linked || heartbeat.carrying || state.is_entry() || state.is_leaving();
         let to_all = self.heartbeat_scope.borrow_mut().includes_all(concerns_all);
-        let to: Vec<SocketAddr> = state
-            .members
-            .borrow()
-            .iter()
-            .filter(|(_, node)| {
-                let is_local = node
-                    .heartbeat
-                    .as_ref()
-                    .is_none_or(|other| other.data_centre == heartbeat.data_centre);
-                is_local || to_all
-            })
-            .map(|(_, node)| SocketAddr::new(node.ip, self.port))
-            .collect();
-        self.send(state, &to, PeerMessage::Heartbeat(heartbeat));
+        let reach = match to_all {
+            true => MessageReach::Everywhere,
+            false => MessageReach::Local,
+        };
+        let scope = RelayScope::All;
+        let copies = self.heartbeat_copies(state, &heartbeat);
+        let audience = MessageAudience { scope, reach };
+        self.sender
+            .send(state, audience, copies, PeerMessage::Heartbeat(heartbeat));
+        self.announce_relay(state, audience);
+    }
+
+    /// Returns the number of relays for a heartbeat. A relay that has just failed must not make this
+    /// node seem unresponsive, nor hide a change.
+    fn heartbeat_copies(&self, state: &EntryState, heartbeat: &NodeHeartbeat) -> RelayCopies {
+        let counts = self.counts_since_heartbeat.take();
+        let last = self.last_heartbeat.replace(Some(heartbeat.clone()));
+        let is_unchanged = last.as_ref() == Some(heartbeat);
+        let members = state.members.borrow();
+        let gets_counts =
+            |other: &NodeHeartbeat| other.carrying || other.data_centre == heartbeat.data_centre;
+        let all_get_counts = counts >= COUNTS_FOR_SINGLE_HEARTBEAT
+            && members
+                .responsive(state.clock.now())
+                .all(|(_, node)| node.heartbeat.as_ref().is_some_and(gets_counts));
+        if is_unchanged && all_get_counts {
+            RelayCopies::Single
+        } else {
+            RelayCopies::Doubled
+        }
+    }
+
+    /// Tells the nodes that get heartbeats that this one relays messages, as soon as it has read which
+    /// nodes there are.
+    fn announce_relay(&self, state: &EntryState, audience: MessageAudience) {
+        if state.joined_at.get().is_none() {
+            return;
+        }
+        let now = state.clock.now();
+        let own = state.settings().data_centre.clone();
+        let to_all = audience.reach == MessageReach::Everywhere;
+        let new_nodes = state.members.borrow_mut().drain_relay_notices(&own, to_all);
+        self.sender
+            .send_direct(state, new_nodes, audience.reach, PeerMessage::Relays);
+        if now.since(self.relay_notice_at.get()) >= RELAY_NOTICE_INTERVAL {
+            self.relay_notice_at.set(now);
+            self.sender
+                .send(state, audience, RelayCopies::Doubled, PeerMessage::Relays);
+        }
     }
 
     /// Sends counts of running and admitted requests to the nodes that carry traffic, until the
@@ -136,10 +172,10 @@
         loop {
             let starting_up =
                 state.rates.borrow().is_starting_up(state.clock.now()) && state.is_entry();
-            self.send_counts(state, CountsScope::Local, starting_up);
+            self.send_counts(state, MessageReach::Local, starting_up);
             if starting_up || remote_sent_at.elapsed() >= REMOTE_COUNTS_INTERVAL {
                 remote_sent_at = Instant::now();
-                self.send_counts(state, CountsScope::Remote, starting_up);
+                self.send_counts(state, MessageReach::Remote, starting_up);
             }
             let interval = if starting_up || state.is_carrying() {
                 LOCAL_COUNTS_INTERVAL
@@ -155,11 +191,11 @@
 
     /// Sends counts. While the fleet starts up, they are also sent to entry nodes that do not carry
     /// traffic yet, and even if they are empty, so that each node knows what the others admit.
-    fn send_counts(&self, state: &EntryState, scope: CountsScope, starting_up: bool) {
+    fn send_counts(&self, state: &EntryState, reach: MessageReach, starting_up: bool) {
         let now = state.clock.now();
-        let filter = match scope {
-            CountsScope::Local => &self.local_reports,
-            CountsScope::Remote => &self.remote_reports,
+        let filter = match reach {
+            MessageReach::Local => &self.local_reports,
+            MessageReach::Remote | MessageReach::Everywhere => &self.remote_reports,
         };
         let reports = filter.borrow_mut().drain_due(now, &state.rates.borrow());
         let customers: Vec<CustomerCount> = reports
@@ -179,33 +215,52 @@
             );
         }
         // Successes are not sent to other data centres, since paths and faults can differ there.
-        let successes = match scope {
-            CountsScope::Local => std::mem::take(&mut *state.pending_successes.borrow_mut()),
-            CountsScope::Remote => IndexSet::new(),
+        let successes = match reach {
+            MessageReach::Local => std::mem::take(&mut *state.pending_successes.borrow_mut()),
+            MessageReach::Remote | MessageReach::Everywhere => IndexSet::new(),
         };
         if running.is_empty() && customers.is_empty() && successes.is_empty() && !starting_up {
             return;
         }
-        let mut to = self.carrying(state, Some(scope));
-        if starting_up {
-            let others = state.expected_entry_nodes();
-            let others = others
-                .iter()
-                .filter(|node| self.is_in_scope(state, scope, node));
-            let others = others.map(|node| SocketAddr::new(node.address.ip(), self.port));
-            to.extend(others);
-        }
         let message = PeerMessage::Counts {
             running,
             successes: successes.into_iter().collect(),
             customers,
         };
-        self.send(state, &to, message);
+        if reach == MessageReach::Remote {
+            let counts = self.counts_since_heartbeat.get();
+            self.counts_since_heartbeat.set(counts.saturating_add(1));
+        }
+        if starting_up {
+            // Relays and entry nodes without traffic may not know each other yet.
+            let to = self.startup_addressees(state, reach);
+            self.sender.send_direct(state, to, reach, message);
+            return;
+        }
+        let scope = RelayScope::Carrying;
+        let audience = MessageAudience { scope, reach };
+        self.sender
+            .send(state, audience, RelayCopies::Single, message);
     }
 
-    fn is_in_scope(&self, state: &EntryState, scope: CountsScope, node: &EntryNode) -> bool {
-        let is_local = node.data_centre == state.settings().data_centre;
-        is_local == (scope == CountsScope::Local)
+    /// Returns the nodes that carry traffic and the expected entry nodes on one side of the border
+    /// between data centres.
+    fn startup_addressees(&self, state: &EntryState, reach: MessageReach) -> IndexSet<IpAddr> {
+        let own = state.settings().data_centre.clone();
+        let is_in_reach = |is_local: bool| is_local == (reach == MessageReach::Local);
+        let members = state.members.borrow();
+        let carrying = members.carrying(state.clock.now()).filter(|(_, node)| {
+            let heartbeat = node.heartbeat.as_ref();
+            is_in_reach(heartbeat.is_some_and(|heartbeat| heartbeat.data_centre == own))
+        });
+        let mut to: IndexSet<IpAddr> = carrying.map(|(_, node)| node.ip).collect();
+        drop(members);
+        let expected = state.expected_entry_nodes();
+        let expected = expected
+            .iter()
+            .filter(|node| is_in_reach(node.data_centre == own));
+        to.extend(expected.map(|node| node.address.ip()));
+        to
     }
 
     /// Detects late answers, and sends signals and crash messages to other nodes, until the task is
@@ -232,19 +287,16 @@
         }
     }
 
-    fn all_nodes(&self, state: &EntryState) -> Vec<SocketAddr> {
-        let members = state.members.borrow();
-        let nodes = members.iter();
-        nodes
-            .map(|(_, node)| SocketAddr::new(node.ip, self.port))
-            .collect()
+    /// Sends an update, through two relays where it is relayed.
+    fn send_update(&self, state: &EntryState, audience: MessageAudience, message: PeerMessage) {
+        self.sender
+            .send(state, audience, RelayCopies::Doubled, message);
     }
 
     /// Sends statements about limits to all nodes, since each one may get requests.
     fn send_limits(&self, state: &EntryState, statements: &[LimitStatement]) {
-        let to = self.all_nodes(state);
         for part in statements.chunks(MAX_STATEMENTS) {
-            self.send(state, &to, PeerMessage::Limits(part.to_vec()));
+            self.send_update(state, ALL_NODES, PeerMessage::Limits(part.to_vec()));
         }
     }
 
@@ -254,7 +306,7 @@
         let leaving = state.notices.borrow_mut().drain_tellings(now);
         for part in leaving.chunks(MAX_STATEMENTS) {
             let message = PeerMessage::Leaving(part.to_vec());
-            self.send(state, &self.all_nodes(state), message);
+            self.send_update(state, ALL_NODES, message);
         }
     }
 
@@ -265,163 +317,26 @@
         let outdated = std::mem::take(&mut *state.pending_outdated.borrow_mut());
         for part in outdated.chunks(MAX_STATEMENTS) {
             let message = PeerMessage::Outdated(part.to_vec());
-            self.send(state, &self.all_nodes(state), message);
+            self.send_update(state, ALL_NODES, message);
         }
         let signals = std::mem::take(&mut *state.pending_signals.borrow_mut());
         let crashes = std::mem::take(&mut *state.pending_crash_messages.borrow_mut());
         if signals.is_empty() && crashes.is_empty() {
             return;
         }
-        let to = self.carrying(state, None);
+        let audience = MessageAudience {
+            scope: RelayScope::Carrying,
+            reach: MessageReach::Everywhere,
+        };
         if !signals.is_empty() {
             let signals = signals
                 .into_iter()
                 .map(|(id, signal)| (id, wire_signal(signal)))
                 .collect();
-            self.send(state, &to, PeerMessage::Signals(signals));
+            self.send_update(state, audience, PeerMessage::Signals(signals));
         }
         for message in crashes {
-            self.send(state, &to, PeerMessage::Crash(message));
-        }
-    }
-
-    /// Returns the addresses of the nodes that carry traffic, within a scope if one is given.
-    fn carrying(&self, state: &EntryState, scope: Option<CountsScope>) -> IndexSet<SocketAddr> {
-        let own = state.settings().data_centre.clone();
-        let members = state.members.borrow();
-        let carrying = members.carrying(state.clock.now()).filter(|(_, node)| {
-            let is_local = node
-                .heartbeat
-                .as_ref()
-                .is_some_and(|heartbeat| heartbeat.data_centre == own);
-            scope.is_none_or(|scope| is_local == (scope == CountsScope::Local))
-        });
-        carrying
-            .map(|(_, node)| SocketAddr::new(node.ip, self.port))
-            .collect()
-    }
-
-    fn send<'a>(
-        &self,
-        state: &EntryState,
-        to: impl IntoIterator<Item = &'a SocketAddr>,
-        message: PeerMessage,
-    ) {
-        let mut to = to.into_iter().peekable();
-        let secret = state.secret.borrow().clone();
-        let Some(secret) = secret.filter(|_| to.peek().is_some()) else {
-            return;
-        };
-        self.sequence.set(self.sequence.get() + 1);
-        let envelope = PeerEnvelope {
-            from: state.settings().vm.clone(),
-            started_at_ms: state.started_at_ms,
-            sequence: self.sequence.get(),
-            message,
-        };
-        match encode(&secret, &envelope) {
-            Ok(datagram) => {
-                for address in to {
-                    // A datagram that cannot be sent now is treated as lost.
-                    let _ = self.socket.try_send_to(&datagram, *address);
-                }
-            }
-            Err(error) => tracing::error!(%error, "failed to encode peer message"),
-        }
-    }
-
-    /// Receives datagrams until the task is cancelled.
-    pub async fn run_receive(&self, state: &EntryState) {
-        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-        loop {
-            match self.socket.recv_from(&mut buffer).await {
-                Ok((length, from)) => self.receive(state, &buffer[..length], from),
-                Err(error) => {
-                    tracing::warn!(%error, "failed to receive from peer socket");
-                    tokio::time::sleep(SOCKET_ERROR_DELAY).await;
-                }
-            }
-        }
-    }
-
-    fn receive(&self, state: &EntryState, datagram: &[u8], from: SocketAddr) {
-        let secret = state.secret.borrow().clone();
-        let Some(secret) = secret else {
-            return;
-        };
-        let envelope = match decode(&secret, datagram) {
-            Ok(envelope) => envelope,
-            Err(error) => {
-                tracing::debug!(%from, %error, "datagram dropped");
-                if matches!(error, WireError::BadTag) {
-                    state.secret_doubted.notify_one();
-                }
-                return;
-            }
-        };
-        let now = state.clock.now();
-        let (vm, started) = (&envelope.from, envelope.started_at_ms);
-        let stream = match envelope.message {
-            PeerMessage::Heartbeat(_) => MessageStream::Heartbeats,
-            _ => MessageStream::Counts,
-        };
-        let stream_sequence = (stream, envelope.sequence);
-        let mut members = state.members.borrow_mut();
-        let accepted = members.accept_message(now, vm, started, stream_sequence, from.ip());
-        drop(members);
-        if !accepted {
-            return;
-        }
-        self.handle_message(state, envelope);
-    }
-
-    fn handle_message(&self, state: &EntryState, envelope: PeerEnvelope) {
-        let now = state.clock.now();
-        let vm = envelope.from;
-        match envelope.message {
-            PeerMessage::Heartbeat(heartbeat) => state.receive_heartbeat(&vm, heartbeat),
-            PeerMessage::Counts {
-                running,
-                successes,
-                customers,
-            } => {
-                for balancer in state.balancers.borrow_mut().values_mut() {
-                    balancer.record_peer_counts(now, &vm, &running);
-                    balancer.record_peer_successes(now, &successes);
-                }
-                let mut rates = state.rates.borrow_mut();
-                if !rates.has_seen_request() {
-                    state.counts_due.notify_one();
-                }
-                rates.record_message(now, &vm);
-                for count in customers {
-                    let report = RateReport {
-                        admitted: count.admitted,
-                        demand_per_s: count.demand_milli as f64 / 1_000.0,
-                    };
-                    rates.record_report(now, &vm, &count.customer, report);
-                }
-            }
-            PeerMessage::Outdated(outdated) => {
-                for outdated in &outdated {
-                    state.apply_outdated(outdated, Some(&vm));
-                }
-            }
-            PeerMessage::Leaving(starts) => {
-                for start in &starts {
-                    state.apply_leaving(start, Some(&vm));
-                }
-            }
-            PeerMessage::Signals(signals) => {
-                for (id, signal) in &signals {
-                    state.apply_peer_signal(&vm, id, failure_signal(*signal));
-                }
-            }
-            PeerMessage::Limits(statements) => state.apply_limit_statements(&vm, &statements),
-            PeerMessage::Crash(message) => {
-                let actions = state.crash_guard.borrow_mut().handle_message(now, message);
-                apply_crash_actions(state, actions);
-            }
+            self.send_update(state, audience, PeerMessage::Crash(message));
         }
     }
 }
@@ -477,12 +392,3 @@
         FailureSignal::Late => WireSignal::Late,
     }
 }
-
-fn failure_signal(signal: WireSignal) -> FailureSignal {
-    match signal {
-        WireSignal::Good => FailureSignal::Good,
-        WireSignal::Failed => FailureSignal::Failed,
-        WireSignal::FailedAtOnce => FailureSignal::FailedAtOnce,
-        WireSignal::Late => FailureSignal::Late,
-    }
-}
--- a/entry/src/peer_wire.rs
+++ b/entry/src/peer_wire.rs
@@ -1,9 +1,12 @@
 //! The datagrams between nodes, and their authentication.
 
+use std::net::IpAddr;
+
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::crash_guard::CrashMessage;
-use damaskloom_lib::entry_members::NodeHeartbeat;
+use damaskloom_lib::entry_members::{MessageStream, NodeHeartbeat};
 use damaskloom_lib::ids::{CustomerId, TargetId, VmId};
+use damaskloom_lib::message_relay::RelayScope;
 use damaskloom_lib::target_balancer::TargetCode;
 use damaskloom_lib::target_catalog::OutdatedAddress;
 use damaskloom_lib::target_limits::LimitStatement;
@@ -73,6 +76,54 @@
     Outdated(Vec<OutdatedAddress>),
     /// The targets that have said in answers that they leave.
     Leaving(Vec<TargetStart>),
+    /// The requests and losses of services, by the services' digests.
+    Losses(Vec<(u32, u32, u32)>),
+    /// The sender relays messages to the nodes of its data centre.
+    Relays,
+    /// A message that the receiver is to forward to the nodes of its data centre.
+    Relay {
+        /// The nodes that the message is for.
+        scope: RelayScope,
+        /// The address of the node that the message is from.
+        origin_ip: IpAddr,
+        /// The origin's datagram with its authentication tag.
+        datagram: Vec<u8>,
+    },
+    /// A forwarded message, which is never forwarded again.
+    Relayed {
+        /// The address of the node that the message is from.
+        origin_ip: IpAddr,
+        /// The origin's datagram with its authentication tag.
+        datagram: Vec<u8>,
+    },
+}
+
+impl PeerMessage {
+    /// Returns the name of the message's kind, as metrics show it.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Counts { .. } => "counts",
+            Self::Signals(_) => "signals",
+            Self::Crash(_) => "crash",
+            Self::Limits(_) => "limits",
+            Self::Outdated(_) => "outdated",
+            Self::Leaving(_) => "leaving",
+            Self::Losses(_) => "losses",
+            Self::Relays => "relays",
+            Self::Relay { .. } => "relay",
+            Self::Relayed { .. } => "relayed",
+        }
+    }
+
+    /// Returns the stream in which the message is checked for order.
+    pub fn stream(&self) -> MessageStream {
+        match self {
+            Self::Heartbeat(_) => MessageStream::Heartbeats,
+            Self::Counts { .. } => MessageStream::Counts,
+            _ => MessageStream::Updates,
+        }
+    }
 }
 
 /// A message with its sender.
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -98,7 +98,7 @@
         address: peer_address,
     })?;
     let rows = listen(peer_address).await?;
-    let peers = Rc::new(PeerSocket::new(socket, settings.peer_port));
+    let peers = Rc::new(PeerSocket::new(socket, &settings));
     let metrics_address = SocketAddr::new(settings.ip, settings.metrics_port);
     let metrics = listen(metrics_address).await?;
     let state = EntryState::new(settings, network).context(MetersSnafu)?;
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -15,6 +15,7 @@
 mod test_memory_bounds;
 mod test_missed_removals;
 mod test_odd_rows;
+mod test_peer_relays;
 mod test_peer_wire;
 mod test_planned_stop;
 mod test_repeat_budget;
--- a/entry/tests/test_upgrades.rs
+++ b/entry/tests/test_upgrades.rs
@@ -10,6 +10,7 @@
 use damaskloom_entry::peer_wire::{CustomerCount, PeerEnvelope, PeerMessage, WireSignal};
 use damaskloom_lib::crash_guard::{CrashMessage, RequestDigest, RequestFingerprint};
 use damaskloom_lib::entry_members::{EntryPhase, NodeHeartbeat, NodeRegistration};
+use damaskloom_lib::message_relay::RelayScope;
 use damaskloom_lib::store_version::StoreVersion;
 use damaskloom_lib::table_mirror::MirrorRow;
 use damaskloom_lib::target_balancer::TargetCode;
@@ -118,6 +119,29 @@
     }])]
 }
 
+/// The messages that this build adds for relays between data centres.
+fn relay_messages() -> Vec<PeerMessage> {
+    let origin_ip = parsed("10.1.0.21");
+    let datagram = vec![1, 2, 3];
+    vec![
+        PeerMessage::Relays,
+        PeerMessage::Relay {
+            scope: RelayScope::All,
+            origin_ip,
+            datagram: datagram.clone(),
+        },
+        PeerMessage::Relay {
+            scope: RelayScope::Carrying,
+            origin_ip,
+            datagram: datagram.clone(),
+        },
+        PeerMessage::Relayed {
+            origin_ip,
+            datagram,
+        },
+    ]
+}
+
 /// Returns the number by which a message is known in its encoding.
 fn kind_number(message: PeerMessage) -> u8 {
     let encoded = postcard::to_stdvec(&message).expect("it can be encoded");
@@ -197,6 +221,22 @@
     insta::assert_snapshot!("messages_added_by_b74bea7", lines);
 }
 
+/// Guards against a change of the messages of relays, which nodes of this build and the next one exchange.
+#[test]
+fn messages_of_relays_are_encoded_as_stated() {
+    let mut lines = String::new();
+    let known = new_messages().into_iter().map(kind_number).max();
+    for message in relay_messages() {
+        assert!(Some(kind_number(message.clone())) > known);
+        let envelope = envelope(message);
+        let bytes = postcard::to_stdvec(&envelope).expect("it can be encoded");
+        let decoded: PeerEnvelope = postcard::from_bytes(&bytes).expect("it can be decoded");
+        assert_eq!(decoded, envelope);
+        writeln!(lines, "{}", hex(&bytes)).expect("a text takes all that is written");
+    }
+    insta::assert_snapshot!("messages_of_relays", lines);
+}
+
 /// Guards against a new message that the build before takes for one that it knows, and reads other facts
 /// from it.
 #[test]
@@ -205,7 +245,7 @@
         .into_iter()
         .map(|(_, message)| kind_number(message))
         .collect();
-    for message in new_messages() {
+    for message in new_messages().into_iter().chain(relay_messages()) {
         let name = format!("{message:?}");
         let number = kind_number(message);
         assert!(known.iter().all(|known| *known < number), "{name}");
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -76,13 +76,58 @@
     pub capacity_millicores: u32,
 }
 
-/// The groups of a node's messages that are ordered separately: one may overtake another without harm.
+/// The number of times that a node is told that this one relays, with the first heartbeats to it: a
+/// datagram may be lost.
+const FIRST_RELAY_NOTICES: u8 = 2;
+
+/// The groups of a node's messages that are checked for order separately: one may overtake another
+/// without harm.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum MessageStream {
-    /// Heartbeats.
+    /// Heartbeats, of which only the newest one counts.
     Heartbeats,
-    /// Counts and all other messages.
+    /// Counts, of which only the newest ones count.
     Counts,
+    /// All other messages. Each of them counts, and they may overtake each other on different relays.
+    Updates,
+}
+
+/// The sequence numbers of a stream that have been accepted: the newest one, and which of those before
+/// it within a window.
+#[derive(Clone, Copy, Debug, Default)]
+struct SequenceWindow {
+    newest: u64,
+    /// The bit of the lowest value stands for `newest`, the next one for the number before it.
+    accepted: u128,
+}
+
+impl SequenceWindow {
+    /// Accepts a sequence number that is newer than all before.
+    fn accept_newer(&mut self, sequence: u64) -> bool {
+        let is_newer = sequence > self.newest;
+        self.newest = self.newest.max(sequence);
+        is_newer
+    }
+
+    /// Accepts a sequence number once, if it is not older than the window.
+    fn accept_once(&mut self, sequence: u64) -> bool {
+        if sequence > self.newest {
+            let step = sequence - self.newest;
+            let shifted = u32::try_from(step)
+                .ok()
+                .and_then(|step| self.accepted.checked_shl(step));
+            self.accepted = shifted.unwrap_or(0) | 1;
+            self.newest = sequence;
+            return true;
+        }
+        let age = u32::try_from(self.newest - sequence).ok();
+        let Some(bit) = age.and_then(|age| 1_u128.checked_shl(age)) else {
+            return false;
+        };
+        let is_new = sequence > 0 && self.accepted & bit == 0;
+        self.accepted |= bit;
+        is_new
+    }
 }
 
 /// Another node, as known by its messages or registration.
@@ -94,12 +139,16 @@
     pub ip: IpAddr,
     /// The last heartbeat; none if only the registration is known.
     pub heartbeat: Option<NodeHeartbeat>,
+    /// Whether this start of the node has announced that it relays messages.
+    pub relays: bool,
+    /// How often this start of the node was told that this node relays.
+    relay_notices: u8,
     registration: Option<NodeRegistration>,
     last_seen: MonoTime,
     /// Since when all heartbeats say that the node reads the store; none if the last one does not.
     linked_since: Option<MonoTime>,
     is_unresponsive: bool,
-    last_sequences: [u64; 2],
+    sequences: [SequenceWindow; 3],
 }
 
 /// Decides whether a heartbeat is sent to all nodes or only to those of the own data centre.
@@ -139,7 +188,18 @@
 impl KnownNode {
     /// Returns whether a message of the node arrived within the heartbeat timeout.
     pub fn is_responsive(&self, now: MonoTime) -> bool {
-        now.since(self.last_seen) < Duration::from_millis(HEARTBEAT_TIMEOUT_MS)
+        self.is_heard_within(now, Duration::from_millis(HEARTBEAT_TIMEOUT_MS))
+    }
+
+    /// Returns whether a message of the node arrived within `age`.
+    pub fn is_heard_within(&self, now: MonoTime, age: Duration) -> bool {
+        now.since(self.last_seen) < age
+    }
+
+    /// Returns the node's data centre, by its heartbeat or else by its registration.
+    pub fn data_centre(&self) -> Option<&DataCentreId> {
+        let heartbeat = self.heartbeat.as_ref().map(|own| &own.data_centre);
+        heartbeat.or_else(|| self.registration.as_ref().map(|own| &own.data_centre))
     }
 }
 
@@ -160,11 +220,13 @@
             started_at_ms,
             ip,
             heartbeat: None,
+            relays: false,
+            relay_notices: 0,
             registration: None,
             last_seen: now,
             linked_since: None,
             is_unresponsive: false,
-            last_sequences: [0; 2],
+            sequences: [SequenceWindow::default(); 3],
         };
         match self.nodes.get(&vm) {
             Some(held) if held.started_at_ms >= started_at_ms => {}
@@ -175,7 +237,7 @@
     }
 
     /// Returns whether a message is to be processed: it comes from the sender's newest start, and is
-    /// neither a duplicate nor older than another one of its stream.
+    /// neither a duplicate nor, for heartbeats and counts, older than another one of its stream.
     pub fn accept_message(
         &mut self,
         now: MonoTime,
@@ -197,11 +259,17 @@
         let Some(node) = self.nodes.get_mut(vm) else {
             return false;
         };
-        let last = &mut node.last_sequences[stream as usize];
-        if node.started_at_ms != started_at_ms || sequence <= *last {
+        if node.started_at_ms != started_at_ms {
+            return false;
+        }
+        let window = &mut node.sequences[stream as usize];
+        let is_accepted = match stream {
+            MessageStream::Heartbeats | MessageStream::Counts => window.accept_newer(sequence),
+            MessageStream::Updates => window.accept_once(sequence),
+        };
+        if !is_accepted {
             return false;
         }
-        *last = sequence;
         node.last_seen = now;
         true
     }
@@ -218,6 +286,27 @@
         node.heartbeat.replace(heartbeat).is_none()
     }
 
+    /// Records that a node relays messages; returns whether that is news. The knowledge belongs to the
+    /// node's start: a node that starts again may be of the previous build.
+    pub fn record_relay(&mut self, vm: &VmId) -> bool {
+        let node = self.nodes.get_mut(vm);
+        node.is_some_and(|node| !std::mem::replace(&mut node.relays, true))
+    }
+
+    /// Returns the nodes that are to be told with the next heartbeat that this node relays, since they
+    /// were not told often enough. Nodes of other data centres are told if heartbeats go to them.
+    pub fn drain_relay_notices(&mut self, own: &DataCentreId, to_all: bool) -> Vec<IpAddr> {
+        let mut due = Vec::new();
+        for node in self.nodes.values_mut() {
+            let is_reached = to_all || node.data_centre().is_none_or(|centre| centre == own);
+            if is_reached && node.relay_notices < FIRST_RELAY_NOTICES {
+                node.relay_notices += 1;
+                due.push(node.ip);
+            }
+        }
+        due
+    }
+
     /// Removes nodes that have been unresponsive for long, and returns the nodes that newly became
     /// unresponsive and carry traffic or read the store. Other nodes need not reach every node.
     pub fn tick(&mut self, now: MonoTime) -> Vec<VmId> {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -78,6 +78,7 @@
 mod member_entry;
 pub mod membership;
 pub mod membership_types;
+pub mod message_relay;
 pub mod mixer;
 pub mod node_bucket;
 mod node_slots;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -40,6 +40,7 @@
 mod test_line_budget;
 mod test_loans;
 mod test_membership;
+mod test_message_relay;
 mod test_picker;
 mod test_rate_limits;
 mod test_repeat_budget;
