--- a/lib/tests/test_message_relay.rs
+++ b/lib/tests/test_message_relay.rs
@@ -132,7 +132,7 @@
     }
 
     fn is_live(now_ms: u64, node: usize) -> bool {
-        now_ms < DEATH_MS || node % 3 != 0
+        now_ms < DEATH_MS || !node.is_multiple_of(3)
     }
 
     fn arrives(&mut self) -> bool {
