entry tests: a request that waited, and paths, while a data centre is evacuated

Change: two entry tests; HeldNetwork of the tests of notices gets a constructor and is shared, its test is the same. Selection counts evacuated targets in its own pass, and the floor counts them only while the service loses requests, since a service may have 3,000 targets. The hook needs no lint expectation.

--- a/entry/src/limit_sharing.rs
+++ b/entry/src/limit_sharing.rs
@@ -46,10 +46,6 @@
 
     /// Prepares for the end of an evacuation: the targets of the data centre have had no requests and may
     /// be cold.
-    #[expect(
-        clippy::unused_self,
-        reason = "the limits of cold targets are not part of this build yet"
-    )]
     pub const fn expect_cold_targets(&self, _data_centre: &DataCentreId) {}
 
     fn centre_of(&self, target: &TargetId) -> Option<DataCentreId> {
--- a/entry/tests/test_evacuations.rs
+++ b/entry/tests/test_evacuations.rs
@@ -2,15 +2,21 @@
 
 use std::rc::Rc;
 
+use bytes::Bytes;
 use damaskloom_entry::settings::EntrySettings;
 use damaskloom_testutils::platform_faults::PlatformFaults;
 use damaskloom_testutils::platform_server::PlatformServer;
 use http::StatusCode;
+use http_body_util::Empty;
+use tokio::sync::Notify;
 use tokio::task::LocalSet;
 
+use crate::cut_network::{CutNetwork, NetworkCut};
 use crate::fixture::{
-    EntryNode, PEER_PORT, TargetBehaviour, TestTarget, configuration, node_settings, wait_until,
+    EntryNode, PEER_PORT, TargetBehaviour, TestTarget, booking, configuration, connect,
+    node_settings, wait_until,
 };
+use crate::test_target_notices::HeldNetwork;
 
 /// The metric with the number of evacuated data centres, and the start of its series with their names.
 const METRIC: &str = "damaskloom_evacuated_data_centres";
@@ -186,3 +192,79 @@
     })
     .await;
 }
+
+/// Guards against a request that waits for a connection, and is sent although its data centre was
+/// evacuated in the meantime.
+#[tokio::test]
+async fn request_that_waited_is_not_sent_to_a_data_centre_that_is_evacuated_by_then() {
+    run_with_centres(async |centres| {
+        let released = Rc::new(Notify::new());
+        let network = HeldNetwork::new(centres.near.address, &released);
+        let node = Rc::new(EntryNode::start_on(
+            &centres.store,
+            Rc::clone(&network) as _,
+        ));
+        node.wait_until_ready().await;
+        let caller = Rc::clone(&node);
+        let answer = tokio::task::spawn_local(async move {
+            caller.send("POST", "/book/1", Some("key-1")).await.status
+        });
+        network.begun.notified().await;
+        centres.store.put("op", "evacuate/near", "{}");
+        wait_for_count(&node, 1.0).await;
+        released.notify_one();
+        assert_eq!(answer.await.expect("it ends"), StatusCode::OK);
+        let arrivals = [centres.near.arrivals.get(), centres.away.arrivals.get()];
+        assert_eq!(arrivals, [0, 1]);
+    })
+    .await;
+}
+
+/// Guards against a node that takes itself for cut off because the targets of an evacuated data centre
+/// are switched off while requests run there.
+#[tokio::test]
+async fn failures_at_evacuated_targets_are_no_loss_of_the_path() {
+    run_with_centres(async |centres| {
+        let store = &centres.store;
+        store.remove("servers", "i-away");
+        let mut targets = vec![Rc::clone(&centres.near)];
+        for id in ["i-2", "i-3"] {
+            let target = TestTarget::start(id, TargetBehaviour::NeverAnswers).await;
+            store.put("servers", id, target.row("ready"));
+            targets.push(target);
+        }
+        targets[0].behaviour.set(TargetBehaviour::NeverAnswers);
+        let network = CutNetwork::new();
+        let node = EntryNode::start_on(store, Rc::clone(&network) as _);
+        node.wait_until_ready().await;
+        let mut callers = Vec::new();
+        for number in 1..=3 {
+            let mut sender = connect::<Empty<Bytes>>(node.caller_address()).await;
+            let request = booking(&format!("id-{number}"), 4_000).body(Empty::new());
+            let answer = sender.send_request(request.expect("valid parts"));
+            callers.push(tokio::task::spawn_local(answer));
+            wait_until("the request runs", async || {
+                targets
+                    .iter()
+                    .map(|target| target.arrivals.get())
+                    .sum::<u32>()
+                    == number
+            })
+            .await;
+        }
+        assert!(targets.iter().all(|target| target.arrivals.get() == 1));
+        store.put("op", "evacuate/near", "{}");
+        wait_for_count(&node, 1.0).await;
+        network.set(NetworkCut::RefusesNew);
+        for caller in callers {
+            let answer = caller.await.expect("it ends").expect("an answer");
+            assert_eq!(answer.status(), StatusCode::GATEWAY_TIMEOUT);
+        }
+        // A node that is cut off from the service hands requests on or refuses them for another reason.
+        for _ in 0..REQUESTS {
+            let answer = node.send("POST", "/book/1", Some("key-1")).await;
+            assert_eq!(&answer.body[..], b"evacuated");
+        }
+    })
+    .await;
+}
--- a/entry/tests/test_target_notices.rs
+++ b/entry/tests/test_target_notices.rs
@@ -137,13 +137,26 @@
 
 /// A network over which a target's connection opens only after a given step of the test.
 #[derive(Debug)]
-struct HeldNetwork {
+pub struct HeldNetwork {
     held: Cell<Option<SocketAddr>>,
     attempts: Cell<u32>,
-    begun: Rc<Notify>,
+    /// Notified when a connection is opened to the target.
+    pub begun: Rc<Notify>,
     released: RefCell<Option<Rc<Notify>>>,
 }
 
+impl HeldNetwork {
+    /// Makes a network on which the first connection to the target opens once `released` is notified.
+    pub fn new(target: SocketAddr, released: &Rc<Notify>) -> Rc<Self> {
+        Rc::new(Self {
+            held: Cell::new(Some(target)),
+            attempts: Cell::new(0),
+            begun: Rc::new(Notify::new()),
+            released: RefCell::new(Some(Rc::clone(released))),
+        })
+    }
+}
+
 impl TargetNetwork for HeldNetwork {
     fn connect(&self, address: SocketAddr) -> LocalBoxFuture<'static, std::io::Result<TcpStream>> {
         let released = self.released.borrow().clone();
@@ -171,12 +184,7 @@
         .run_until(async {
             let (store, target): (PlatformServer, _) = start_store(TargetBehaviour::Succeeds).await;
             let released = Rc::new(Notify::new());
-            let network = Rc::new(HeldNetwork {
-                held: Cell::new(Some(target.address)),
-                attempts: Cell::new(0),
-                begun: Rc::new(Notify::new()),
-                released: RefCell::new(Some(Rc::clone(&released))),
-            });
+            let network = HeldNetwork::new(target.address, &released);
             let node = Rc::new(EntryNode::start_on(&store, Rc::clone(&network) as _));
             node.wait_until_ready().await;
             let caller = Rc::clone(&node);
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -241,16 +241,17 @@
         let start = usize::try_from(request.seed % count.max(1) as u64).unwrap_or(0);
         let max_permit_wait = Duration::from_millis(MAX_PERMIT_WAIT_MS);
         let mut best: Option<(f64, TargetSelection)> = None;
-        let mut error = if count > 0 && self.served_count(request.evacuations) == 0 {
-            SelectionError::Evacuated
-        } else {
-            SelectionError::NoTarget
-        };
+        let mut error = SelectionError::NoTarget;
+        let mut evacuated = 0;
         for step in 0..count {
             let Some((id, target)) = self.targets.get_index((start + step) % count) else {
                 break;
             };
-            if request.tried.contains(id) || request.evacuations.contains(&target.data_centre) {
+            if request.evacuations.contains(&target.data_centre) {
+                evacuated += 1;
+                continue;
+            }
+            if request.tried.contains(id) {
                 continue;
             }
             let rest_left = request.notices.rest_left(now, id);
@@ -292,6 +293,9 @@
                 best = Some((cost, selection));
             }
         }
+        if evacuated > 0 && evacuated == count {
+            error = SelectionError::Evacuated;
+        }
         best.map(|(_, selection)| selection).ok_or(error)
     }
 
@@ -334,8 +338,10 @@
                 due.push((id, state, target.filter.probability(now)));
             }
         }
-        let served = self.served_count(request.evacuations);
-        let is_undercut = self.loss.is_losing(now) && self.floor.is_undercut(left_alone, served);
+        let is_undercut = self.loss.is_losing(now)
+            && self
+                .floor
+                .is_undercut(left_alone, self.served_count(request.evacuations));
         due.into_iter()
             .filter(|(_, state, _)| is_undercut || state.is_tried_above_floor(request.idempotence))
             .min_by(|(_, _, a), (_, _, b)| a.total_cmp(b))
--- a/lib/tests/test_evacuation.rs
+++ b/lib/tests/test_evacuation.rs
@@ -137,7 +137,8 @@
         let extent: RowExtent = peer.extent_after(after);
         copy.apply_answer(peer.changes_after(after), peer.version(), &extent)
     };
-    assert_eq!(fetch(&mut first, &second), [removal.clone()]);
+    let changes = fetch(&mut first, &second);
+    assert_eq!(changes, std::slice::from_ref(&removal));
     let changes = fetch(&mut third, &second);
     assert_eq!(changes, [tombstone, removal]);
 }
