floor: owners and successors keep the floor while the fleet loses requests

Cause: a node tried targets that are left alone only for losses of its own, with every second request, and later for requests that cannot be retried. With few requests a node, targets got nothing for longer than 2 s.

Change: nodes tell each other of lost requests (message Losses) and pool them; while the fleet loses requests, the owner of a target tries it after 1 s without a request and each successor 0.15 s later, with any request but a retry. Successors do not wait for nodes that have fallen silent. A node that hears no counts, or whose peers report no losses, keeps the old rule.

--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -156,6 +156,7 @@
             };
             let permit = LimitPermit::reserve(self.state, &selection.target);
             self.state.record_selection(&selection.target);
+            self.state.record_trial(self.service, &selection);
             if !selection.permit_wait.is_zero() {
                 tokio::time::sleep(selection.permit_wait).await;
                 if !permit.is_valid(self.service) {
@@ -386,6 +387,7 @@
             failing = selection.failing_probability,
             load = selection.load,
             trial = selection.is_trial,
+            floor = selection.keeps_floor,
             wait_ms = selection.expected_wait.as_millis() as u64,
             "target selected"
         );
--- a/entry/src/entry_meters.rs
+++ b/entry/src/entry_meters.rs
@@ -72,6 +72,8 @@
     pub leaving_targets: usize,
     /// The number of targets that have asked this node for a rest that is not over.
     pub resting_targets: usize,
+    /// The number of services of which the fleet loses requests.
+    pub losing_services: usize,
     /// The number of nodes with a recent heartbeat, including this one.
     pub nodes: usize,
 }
@@ -87,6 +89,7 @@
     completed_attempts: Counter<u64>,
     failed_attempts: Counter<u64>,
     retries: Counter<u64>,
+    trials: Counter<u64>,
     connects: Counter<u64>,
     latency: Histogram<f64>,
     routing_version: Gauge<u64>,
@@ -101,6 +104,7 @@
     leaving_targets: Gauge<u64>,
     resting_targets: Gauge<u64>,
     store_era: Gauge<u64>,
+    losing_services: Gauge<u64>,
     nodes: Gauge<u64>,
 }
 
@@ -122,6 +126,7 @@
             completed_attempts: meter.u64_counter("damaskloom_sendings").build(),
             failed_attempts: meter.u64_counter("damaskloom_target_failures").build(),
             retries: meter.u64_counter("damaskloom_repeats").build(),
+            trials: meter.u64_counter("damaskloom_trials").build(),
             connects: meter.u64_counter("damaskloom_target_connects").build(),
             latency: meter.f64_histogram("damaskloom_request_seconds").build(),
             routing_version: meter.u64_gauge("damaskloom_routing_version").build(),
@@ -136,6 +141,7 @@
             leaving_targets: meter.u64_gauge("damaskloom_leaving_targets").build(),
             resting_targets: meter.u64_gauge("damaskloom_resting_targets").build(),
             store_era: meter.u64_gauge("damaskloom_store_era").build(),
+            losing_services: meter.u64_gauge("damaskloom_losing_services").build(),
             nodes: meter.u64_gauge("damaskloom_nodes").build(),
         })
     }
@@ -171,6 +177,12 @@
         self.retries.add(1, &[]);
     }
 
+    /// Counts a request that tries a target, to keep the floor of its service or only to learn the target's state.
+    pub fn record_trial(&self, keeps_floor: bool) {
+        let purpose = if keeps_floor { "floor" } else { "state" };
+        self.trials.add(1, &[KeyValue::new("purpose", purpose)]);
+    }
+
     /// Counts a connection that was opened to a target.
     pub fn record_connection(&self) {
         self.connects.add(1, &[]);
@@ -198,6 +210,8 @@
         self.resting_targets
             .record(known.resting_targets as u64, &[]);
         self.store_era.record(u64::from(known.store_era), &[]);
+        self.losing_services
+            .record(known.losing_services as u64, &[]);
         self.nodes.record(known.nodes as u64, &[]);
     }
 
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -449,6 +449,7 @@
             outdated_targets: self.catalog.borrow().outdated_count(),
             leaving_targets: self.notices.borrow().leaving_count(),
             resting_targets: self.notices.borrow().resting_count(now),
+            losing_services: self.losing_services(),
             nodes: self.members.borrow().responsive(now).count() + 1,
         });
         self.meters.encode()
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -26,6 +26,8 @@
 /// money; what nodes admit for a customer within it stays below the excess that the platform
 /// tolerates.
 const REMOTE_COUNTS_INTERVAL: Duration = Duration::from_millis(250);
+/// The minimum interval between two messages about lost requests: a quarter of the half-life with which they count.
+const LOSSES_INTERVAL: Duration = Duration::from_millis(500);
 /// The minimum interval between two heartbeats, so that one heartbeat covers a series of changes.
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval at which running attempts are checked for late answers.
@@ -133,7 +135,12 @@
     /// task is cancelled.
     pub async fn run_counts(&self, state: &EntryState) {
         let mut remote_sent_at = Instant::now();
+        let mut losses_sent_at = Instant::now();
         loop {
+            if losses_sent_at.elapsed() >= LOSSES_INTERVAL {
+                losses_sent_at = Instant::now();
+                self.send_losses(state);
+            }
             let starting_up =
                 state.rates.borrow().is_starting_up(state.clock.now()) && state.is_entry();
             self.send_counts(state, CountsScope::Local, starting_up);
@@ -203,6 +210,15 @@
         self.send(state, &to, message);
     }
 
+    /// Tells the nodes that carry traffic how many requests of each service this node loses, if it loses any.
+    fn send_losses(&self, state: &EntryState) {
+        let losses = state.take_losses();
+        let to = self.carrying(state, None);
+        for part in losses.chunks(MAX_STATEMENTS) {
+            self.send(state, &to, PeerMessage::Losses(part.to_vec()));
+        }
+    }
+
     fn is_in_scope(&self, state: &EntryState, scope: CountsScope, node: &EntryNode) -> bool {
         let is_local = node.data_centre == state.settings().data_centre;
         is_local == (scope == CountsScope::Local)
@@ -412,6 +428,7 @@
                     state.apply_leaving(start, Some(&vm));
                 }
             }
+            PeerMessage::Losses(losses) => state.apply_peer_losses(&vm, &losses),
             PeerMessage::Signals(signals) => {
                 for (id, signal) in &signals {
                     state.apply_peer_signal(&vm, id, failure_signal(*signal));
--- a/entry/src/peer_wire.rs
+++ b/entry/src/peer_wire.rs
@@ -4,6 +4,7 @@
 use damaskloom_lib::crash_guard::CrashMessage;
 use damaskloom_lib::entry_members::NodeHeartbeat;
 use damaskloom_lib::ids::{CustomerId, TargetId, VmId};
+use damaskloom_lib::loss_meter::ServiceLoss;
 use damaskloom_lib::target_balancer::TargetCode;
 use damaskloom_lib::target_catalog::OutdatedAddress;
 use damaskloom_lib::target_limits::LimitStatement;
@@ -73,6 +74,8 @@
     Outdated(Vec<OutdatedAddress>),
     /// The targets that have said in answers that they leave.
     Leaving(Vec<TargetStart>),
+    /// The services of which the node loses requests, with its requests since its last such message.
+    Losses(Vec<ServiceLoss>),
 }
 
 /// A message with its sender.
--- a/entry/src/target_evidence.rs
+++ b/entry/src/target_evidence.rs
@@ -3,8 +3,9 @@
 use damaskloom_lib::balanced_target::{SignalOutcome, SuspicionChange};
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::ids::{ServiceId, TargetId, VmId};
-use damaskloom_lib::loss_meter::RequestOutcome;
+use damaskloom_lib::loss_meter::{RequestOutcome, ServiceCode, ServiceLoss};
 use damaskloom_lib::target_balancer::TargetCode;
+use damaskloom_lib::target_selection::TargetSelection;
 use damaskloom_lib::target_trial::TrialNode;
 
 use crate::entry_state::EntryState;
@@ -52,6 +53,55 @@
         self.with_balancer(service, |balancer| balancer.record_request(now, outcome));
     }
 
+    /// Returns what other nodes are told of lost requests, and logs services that begin or cease to lose requests
+    /// over the fleet.
+    pub fn take_losses(&self) -> Vec<ServiceLoss> {
+        let now = self.clock.now();
+        let mut losses = Vec::new();
+        for (service, balancer) in self.balancers.borrow_mut().iter_mut() {
+            let loss = balancer.loss_mut();
+            losses.extend(loss.take_report(now, ServiceCode::from(service)));
+            let lost_share = loss.lost_share(now);
+            match loss.take_change(now) {
+                Some(true) => tracing::info!(%service, lost_share, "service loses requests"),
+                Some(false) => tracing::info!(%service, lost_share, "service loses few requests"),
+                None => {}
+            }
+        }
+        losses
+    }
+
+    /// Applies what a peer says of the requests that it loses.
+    pub fn apply_peer_losses(&self, peer: &VmId, losses: &[ServiceLoss]) {
+        let now = self.clock.now();
+        for (service, balancer) in self.balancers.borrow_mut().iter_mut() {
+            let code = ServiceCode::from(service);
+            for report in losses.iter().filter(|report| report.service == code) {
+                balancer.loss_mut().record_report(now, peer, *report);
+            }
+        }
+    }
+
+    /// Records the selection of a target that the request is to try.
+    pub fn record_trial(&self, service: &ServiceId, selection: &TargetSelection) {
+        let now = self.clock.now();
+        if selection.is_trial {
+            self.with_balancer(service, |balancer| {
+                balancer.record_trial(now, &selection.target);
+            });
+            self.meters.record_trial(selection.keeps_floor);
+        }
+    }
+
+    /// Returns the number of services that lost requests when it was last looked at.
+    pub fn losing_services(&self) -> usize {
+        let balancers = self.balancers.borrow();
+        let losing = balancers
+            .values()
+            .filter(|balancer| balancer.loss().was_losing());
+        losing.count()
+    }
+
     /// Tells the balancers which other nodes carry traffic, among which this one is ranked to try unused
     /// targets.
     pub fn update_trial_nodes(&self) {
--- a/entry/tests/test_upgrades.rs
+++ b/entry/tests/test_upgrades.rs
@@ -10,6 +10,7 @@
 use damaskloom_entry::peer_wire::{CustomerCount, PeerEnvelope, PeerMessage, WireSignal};
 use damaskloom_lib::crash_guard::{CrashMessage, RequestDigest, RequestFingerprint};
 use damaskloom_lib::entry_members::{EntryPhase, NodeHeartbeat, NodeRegistration};
+use damaskloom_lib::loss_meter::{ServiceCode, ServiceLoss};
 use damaskloom_lib::store_version::StoreVersion;
 use damaskloom_lib::table_mirror::MirrorRow;
 use damaskloom_lib::target_balancer::TargetCode;
@@ -118,6 +119,18 @@
     }])]
 }
 
+/// The messages that are new in this build.
+fn unreleased_messages() -> Vec<(&'static str, PeerMessage)> {
+    vec![(
+        "losses",
+        PeerMessage::Losses(vec![ServiceLoss {
+            service: ServiceCode(7_003),
+            requests: 40,
+            lost: 5,
+        }]),
+    )]
+}
+
 /// Returns the number by which a message is known in its encoding.
 fn kind_number(message: PeerMessage) -> u8 {
     let encoded = postcard::to_stdvec(&message).expect("it can be encoded");
@@ -197,6 +210,20 @@
     insta::assert_snapshot!("messages_added_by_b74bea7", lines);
 }
 
+/// Guards against a change of the encoding of a new message, or of its place among the kinds.
+#[test]
+fn new_messages_keep_their_bytes() {
+    let mut lines = String::new();
+    for (name, message) in unreleased_messages() {
+        let envelope = envelope(message);
+        let bytes = postcard::to_stdvec(&envelope).expect("it can be encoded");
+        let decoded: PeerEnvelope = postcard::from_bytes(&bytes).expect("it can be decoded");
+        assert_eq!(decoded, envelope, "{name}");
+        writeln!(lines, "{name}: {}", hex(&bytes)).expect("a text takes all that is written");
+    }
+    insta::assert_snapshot!("unreleased_messages", lines);
+}
+
 /// Guards against a new message that the build before takes for one that it knows, and reads other facts
 /// from it.
 #[test]
@@ -205,6 +232,15 @@
         .into_iter()
         .map(|(_, message)| kind_number(message))
         .collect();
+    let unreleased = unreleased_messages()
+        .into_iter()
+        .map(|(_, message)| message);
+    // The kinds that the last landing knows are those of the landing before and its own ones.
+    let newest_known = new_messages().into_iter().map(kind_number).max();
+    for message in unreleased {
+        let name = format!("{message:?}");
+        assert!(Some(kind_number(message)) > newest_known, "{name}");
+    }
     for message in new_messages() {
         let name = format!("{message:?}");
         let number = kind_number(message);
--- a/lib/src/balanced_target.rs
+++ b/lib/src/balanced_target.rs
@@ -67,11 +67,13 @@
     pub(crate) full_until: MonoTime,
     pub(crate) avoided_until: MonoTime,
     pub(crate) last_used_at: MonoTime,
+    /// When the last request that is known of started, of this node or of a peer; the earliest time if unsure.
+    pub(crate) requested_at: MonoTime,
     pub(crate) is_suspected: bool,
     /// Whether the last signal about the target was good.
     pub(crate) is_last_good: bool,
-    /// The number of nodes that try the target before this one.
-    pub(crate) trial_rank: u32,
+    /// The positions of the nodes that try the target before this one.
+    pub(crate) predecessors: Vec<u32>,
 }
 
 impl BalancedTarget {
@@ -102,6 +104,16 @@
         }
     }
 
+    /// Returns the number of nodes that try the target before this one.
+    pub(crate) fn trial_rank(&self) -> u32 {
+        u32::try_from(self.predecessors.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Records that a request to the target started, at this time or later.
+    pub(crate) fn record_request_at(&mut self, started_at: MonoTime) {
+        self.requested_at = self.requested_at.max(started_at);
+    }
+
     /// Returns how the target is judged while it gets no requests.
     pub(crate) fn idle_state(&self, now: MonoTime) -> IdleState {
         if self.filter.probability(now) < SUSPICION_THRESHOLD {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -133,6 +133,7 @@
 pub mod time;
 pub mod token_bucket;
 pub mod traffic_meter;
+mod trial_choice;
 pub mod units;
 pub mod usage;
 pub mod verdict;
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -25,7 +25,7 @@
 use crate::route_timing::RouteTimings;
 use crate::target_limits::LimitPermission;
 use crate::target_selection::{SelectionError, SelectionRequest, TargetSelection};
-use crate::target_trial::{ServiceFloor, TrialNode, TrialOrder, is_left_alone, may_be_due};
+use crate::target_trial::{ServiceFloor, TrialNode, TrialOrder};
 use crate::time::MonoTime;
 use crate::units::ByteSize;
 
@@ -59,8 +59,6 @@
 const DEADLINE_FRACTION: f64 = 0.95;
 /// The floor of a service unless one is set: all its targets, since nobody knows which ones are healthy.
 const DEFAULT_FLOOR: f64 = 1.0;
-/// One request in this many may try a target that is due, so that most requests stay near their node.
-const TRIAL_STRIDE: u64 = 2;
 /// The maximum time for which a request waits until the limit of a target allows it, in milliseconds.
 const MAX_PERMIT_WAIT_MS: u64 = 1_000;
 
@@ -96,11 +94,11 @@
 /// The targets of one service, with their load and failing probability as estimated by this node.
 #[derive(Debug)]
 pub struct TargetBalancer {
-    own_data_centre: DataCentreId,
-    floor: ServiceFloor,
-    loss: LossMeter,
-    trial_order: TrialOrder,
-    targets: IndexMap<TargetId, BalancedTarget>,
+    pub(crate) own_data_centre: DataCentreId,
+    pub(crate) floor: ServiceFloor,
+    pub(crate) loss: LossMeter,
+    pub(crate) trial_order: TrialOrder,
+    pub(crate) targets: IndexMap<TargetId, BalancedTarget>,
     codes: IndexMap<TargetCode, TargetId>,
     /// The targets that each peer listed as busy in its last message.
     peer_busy_targets: IndexMap<VmId, Vec<TargetCode>>,
@@ -138,6 +136,16 @@
         self.loss.record(now, outcome);
     }
 
+    /// Returns the measure of the service's lost requests.
+    pub const fn loss(&self) -> &LossMeter {
+        &self.loss
+    }
+
+    /// Returns the measure of the service's lost requests, for what peers report and are told.
+    pub const fn loss_mut(&mut self) -> &mut LossMeter {
+        &mut self.loss
+    }
+
     /// Adds a target, or resets the state of one that has restarted.
     pub fn insert(
         &mut self,
@@ -147,7 +155,9 @@
         slots: u32,
         warmup_left: Duration,
     ) {
-        let trial_rank = self.trial_rank(&id, &data_centre);
+        let predecessors = self
+            .trial_order
+            .predecessors(StableHash::of(id.as_bytes()), &data_centre);
         let target = BalancedTarget {
             data_centre,
             slots: slots.max(1),
@@ -159,25 +169,23 @@
             full_until: MonoTime::ZERO,
             avoided_until: MonoTime::ZERO,
             last_used_at: now,
+            requested_at: now,
             is_suspected: false,
             is_last_good: true,
-            trial_rank,
+            predecessors,
         };
         self.codes.insert(TargetCode::from(&id), id.clone());
         self.targets.insert(id, target);
     }
 
-    fn trial_rank(&self, id: &TargetId, data_centre: &DataCentreId) -> u32 {
-        let hash = StableHash::of(id.as_bytes());
-        self.trial_order.rank(hash, data_centre)
-    }
-
     /// Sets the other nodes that carry traffic, among which this node is ranked to try unused targets.
     pub fn set_trial_nodes(&mut self, others: &[TrialNode]) {
         if self.trial_order.set_others(others) {
             let order = &self.trial_order;
+            self.loss.set_peer_count(order.other_count());
             for (id, target) in &mut self.targets {
-                target.trial_rank = order.rank(StableHash::of(id.as_bytes()), &target.data_centre);
+                let hash = StableHash::of(id.as_bytes());
+                target.predecessors = order.predecessors(hash, &target.data_centre);
             }
         }
     }
@@ -267,7 +275,8 @@
                 }
             };
             let (target_cost, wait) = self.cost(now, target, permit_wait, terms);
-            let is_trial = trial == Some(id);
+            let trial = trial.filter(|trial| trial.id == id);
+            let is_trial = trial.is_some();
             let cost = if is_trial {
                 f64::NEG_INFINITY
             } else {
@@ -282,6 +291,7 @@
                     load: target.load(now),
                     candidates: count,
                     is_trial,
+                    keeps_floor: trial.is_some_and(|trial| trial.keeps_floor),
                 };
                 best = Some((cost, selection));
             }
@@ -289,39 +299,6 @@
         best.map(|(_, selection)| selection).ok_or(error)
     }
 
-    /// Returns the target that the request tries, if one is due for it: the one that is least likely failing.
-    fn trial_target(&self, now: MonoTime, request: &SelectionRequest<'_>) -> Option<&TargetId> {
-        // A retry should succeed, so it tries no target.
-        if !request.tried.is_empty() || !request.seed.is_multiple_of(TRIAL_STRIDE) {
-            return None;
-        }
-        let mut left_alone = 0;
-        let mut due = Vec::new();
-        for (id, target) in &self.targets {
-            let idle_time = now.since(target.last_used_at);
-            if !may_be_due(idle_time) || !request.notices.rest_left(now, id).is_zero() {
-                continue;
-            }
-            left_alone += usize::from(is_left_alone(idle_time));
-            let state = target.idle_state(now);
-            let is_near = target.data_centre == self.own_data_centre;
-            let is_due = (is_near || request.crossing.allows_trials())
-                && idle_time >= state.delay(target.trial_rank, request.idempotence)
-                && now >= target.avoided_until
-                && target.load(now) < f64::from(target.slots)
-                && request.limits.permission(now, id).is_unhindered();
-            if is_due {
-                due.push((id, state, target.filter.probability(now)));
-            }
-        }
-        let is_undercut =
-            self.loss.is_losing(now) && self.floor.is_undercut(left_alone, self.targets.len());
-        due.into_iter()
-            .filter(|(_, state, _)| is_undercut || state.is_tried_above_floor(request.idempotence))
-            .min_by(|(_, _, a), (_, _, b)| a.total_cmp(b))
-            .map(|(id, _, _)| id)
-    }
-
     fn cost(
         &self,
         now: MonoTime,
@@ -375,6 +352,13 @@
         (!is_excused).then_some(FailureSignal::Failed)
     }
 
+    /// Records that a request was selected to try a target: until it is sent, others need not try it.
+    pub fn record_trial(&mut self, now: MonoTime, id: &TargetId) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.record_request_at(now);
+        }
+    }
+
     /// Records that a request was sent to a target; its answer is late after `late_after`.
     pub fn start_attempt(
         &mut self,
@@ -386,6 +370,7 @@
         let attempt = RunningAttemptId(self.next_attempt);
         if let Some(target) = self.targets.get_mut(id) {
             target.last_used_at = now;
+            target.record_request_at(now);
             target.running.push(RunningAttempt {
                 id: attempt,
                 late_at: now + late_after,
@@ -432,9 +417,15 @@
         signal: FailureSignal,
     ) -> Option<SignalOutcome> {
         let baseline = self.baseline_failure_rate;
+        let good_start = now - self.timings.typical();
         let target = self.targets.get_mut(id)?;
         // A peer's request has reached the target just now.
         target.last_used_at = target.last_used_at.max(now);
+        match signal {
+            FailureSignal::FailedAtOnce => target.record_request_at(now),
+            FailureSignal::Good => target.record_request_at(good_start),
+            FailureSignal::Failed | FailureSignal::Late => {}
+        }
         Some(target.apply_signal(now, signal, baseline))
     }
 
@@ -479,15 +470,22 @@
         peer: &VmId,
         running: &[(TargetCode, u32)],
     ) {
+        let started_at = self.trial_order.record_counts(now, peer);
+        let mut counted = IndexMap::new();
         for code in self.peer_busy_targets.swap_remove(peer).unwrap_or_default() {
             if let Some(target) = self.get_by_code(code) {
-                target.peer_counts.swap_remove(peer);
+                let count = target.peer_counts.swap_remove(peer);
+                counted.insert(code, count.map_or(0, |(count, _)| count));
             }
         }
         let mut busy = Vec::new();
         for (code, count) in running {
             if let Some(target) = self.get_by_code(*code) {
                 target.last_used_at = now;
+                // Requests that were counted before tell nothing of the time since.
+                if *count > counted.get(code).copied().unwrap_or(0) {
+                    target.record_request_at(started_at);
+                }
                 target.peer_counts.insert(peer.clone(), (*count, now));
                 busy.push(*code);
             }
@@ -500,8 +498,10 @@
     /// Records the targets at which a local peer had successes in time.
     pub fn record_peer_successes(&mut self, now: MonoTime, successes: &[TargetCode]) {
         let baseline = self.baseline_failure_rate;
+        let started_at = now - self.timings.typical();
         for code in successes {
             if let Some(target) = self.get_by_code(*code) {
+                target.record_request_at(started_at);
                 target.apply_signal(now, FailureSignal::Good, baseline);
             }
         }
--- a/lib/src/target_selection.rs
+++ b/lib/src/target_selection.rs
@@ -42,6 +42,8 @@
     pub candidates: usize,
     /// Whether the target was selected to learn its state, since it had no requests.
     pub is_trial: bool,
+    /// Whether such a trial keeps the floor of the service, which loses requests.
+    pub keeps_floor: bool,
 }
 
 /// The reasons why no target can be selected.
