--- a/entry/src/peer_receipt.rs
+++ b/entry/src/peer_receipt.rs
@@ -104,13 +104,14 @@
                     state.apply_peer_signal(&vm, id, failure_signal(*signal));
                 }
             }
+            PeerMessage::Losses(losses) => state.apply_peer_losses(&vm, &losses),
             PeerMessage::Relays => {
                 if state.members.borrow_mut().record_relay(&vm) {
                     tracing::debug!(node = %vm, "node relays messages");
                 }
             }
             // Only the outermost message of a datagram is relayed.
-            PeerMessage::Losses(_) | PeerMessage::Relay { .. } | PeerMessage::Relayed { .. } => {}
+            PeerMessage::Relay { .. } | PeerMessage::Relayed { .. } => {}
             PeerMessage::Limits(statements) => state.apply_limit_statements(&vm, &statements),
             PeerMessage::Crash(message) => {
                 let actions = state.crash_guard.borrow_mut().handle_message(now, message);
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -27,6 +27,8 @@
 /// money; what nodes admit for a customer within it stays below the excess that the platform
 /// tolerates.
 const REMOTE_COUNTS_INTERVAL: Duration = Duration::from_millis(250);
+/// The minimum interval between two messages about lost requests: a quarter of the half-life with which they count.
+const LOSSES_INTERVAL: Duration = Duration::from_millis(500);
 /// The minimum interval between two heartbeats, so that one heartbeat covers a series of changes.
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval at which running attempts are checked for late answers.
@@ -169,7 +171,12 @@
     /// task is cancelled.
     pub async fn run_counts(&self, state: &EntryState) {
         let mut remote_sent_at = Instant::now();
+        let mut losses_sent_at = Instant::now();
         loop {
+            if losses_sent_at.elapsed() >= LOSSES_INTERVAL {
+                losses_sent_at = Instant::now();
+                self.send_losses(state);
+            }
             let starting_up =
                 state.rates.borrow().is_starting_up(state.clock.now()) && state.is_entry();
             self.send_counts(state, MessageReach::Local, starting_up);
@@ -263,6 +270,19 @@
         to
     }
 
+    /// Tells the nodes that carry traffic how many requests of each service this node loses, if it loses any.
+    fn send_losses(&self, state: &EntryState) {
+        let audience = MessageAudience {
+            scope: RelayScope::Carrying,
+            reach: MessageReach::Everywhere,
+        };
+        for part in state.take_losses().chunks(MAX_STATEMENTS) {
+            let message = PeerMessage::Losses(part.to_vec());
+            self.sender
+                .send(state, audience, RelayCopies::Single, message);
+        }
+    }
+
     /// Detects late answers, and sends signals and crash messages to other nodes, until the task is
     /// cancelled.
     pub async fn run_signals(&self, state: &EntryState) {
--- a/entry/src/peer_wire.rs
+++ b/entry/src/peer_wire.rs
@@ -6,6 +6,7 @@
 use damaskloom_lib::crash_guard::CrashMessage;
 use damaskloom_lib::entry_members::{MessageStream, NodeHeartbeat};
 use damaskloom_lib::ids::{CustomerId, TargetId, VmId};
+use damaskloom_lib::loss_meter::ServiceLoss;
 use damaskloom_lib::message_relay::RelayScope;
 use damaskloom_lib::target_balancer::TargetCode;
 use damaskloom_lib::target_catalog::OutdatedAddress;
@@ -76,8 +77,8 @@
     Outdated(Vec<OutdatedAddress>),
     /// The targets that have said in answers that they leave.
     Leaving(Vec<TargetStart>),
-    /// The requests and losses of services, by the services' digests.
-    Losses(Vec<(u32, u32, u32)>),
+    /// The services of which the node loses requests, with its requests since its last such message.
+    Losses(Vec<ServiceLoss>),
     /// The sender relays messages to the nodes of its data centre.
     Relays,
     /// A message that the receiver is to forward to the nodes of its data centre.
