counts: a changed report of a customer goes to other data centres twice

Cause: a message that a dead relay loses is lost to a whole data centre. A customer's last report before a pause would be missing there until the next report of all customers, up to five seconds later.

Change: the filter of reports to other data centres sends a changed report once more with the next message. The simulation of rates uses that filter and has a run in which a third of the relays is dead.

--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -71,7 +71,7 @@
             counts_since_heartbeat: Cell::new(0),
             relay_notice_at: Cell::default(),
             local_reports: RefCell::default(),
-            remote_reports: RefCell::default(),
+            remote_reports: RefCell::new(ReportFilter::repeating()),
         }
     }
 
--- a/lib/src/fleet_rate.rs
+++ b/lib/src/fleet_rate.rs
@@ -463,11 +463,29 @@
 /// report, and at an interval those of all customers, since messages may be lost.
 #[derive(Debug, Default)]
 pub struct ReportFilter {
-    sent: IndexMap<CustomerId, u64>,
+    sent: IndexMap<CustomerId, SentReport>,
     full_report_at: MonoTime,
+    repeats: u8,
+}
+
+/// A customer's last report.
+#[derive(Clone, Copy, Debug)]
+struct SentReport {
+    requests: u64,
+    repeats_left: u8,
 }
 
 impl ReportFilter {
+    /// Creates a filter that sends each changed report a second time with the next message. A lost
+    /// message to a relay would otherwise withhold an idle customer's last report from a whole data
+    /// centre until the next report of all customers.
+    pub fn repeating() -> Self {
+        Self {
+            repeats: 1,
+            ..Self::default()
+        }
+    }
+
     /// Returns the reports that are due, and marks them as sent.
     pub fn drain_due(
         &mut self,
@@ -481,10 +499,18 @@
         }
         let mut due = Vec::new();
         for (customer, requests, report) in rates.reports(now) {
-            let changed = self.sent.insert(customer.clone(), requests) != Some(requests);
-            if changed || is_full {
-                due.push((customer.clone(), report));
-            }
+            let last = self.sent.get(customer);
+            let repeats_left = match last.filter(|last| last.requests == requests) {
+                Some(last) if last.repeats_left == 0 && !is_full => continue,
+                Some(last) => last.repeats_left.saturating_sub(1),
+                None => self.repeats,
+            };
+            let sent = SentReport {
+                requests,
+                repeats_left,
+            };
+            self.sent.insert(customer.clone(), sent);
+            due.push((customer.clone(), report));
         }
         due
     }
--- a/lib/tests/test_fleet_rates.rs
+++ b/lib/tests/test_fleet_rates.rs
@@ -32,6 +32,10 @@
 const EXCESS: f64 = 0.1;
 const SLACK: f64 = 20.0;
 
+/// The share of messages that relays lose, usually and while a third of them is dead.
+const RELAY_LOSS: f64 = 0.04;
+const DEAD_RELAYS: f64 = 0.36;
+
 /// The load and the faults of a run; times are in milliseconds since the start.
 #[derive(Clone, Copy, Debug, Default)]
 struct FleetPlan {
@@ -42,6 +46,9 @@
     restart: Option<(u64, u64)>,
     /// The start and the end of the period in which no report arrives.
     partition: Option<(u64, u64)>,
+    /// The period in which a third of the relays between data centres is dead; with this, messages to
+    /// relays get lost at other times as well, each one to a whole data centre.
+    dead_relays: Option<(u64, u64)>,
     /// Whether a restarted node reports seldom until it carries traffic or the fleet starts up.
     idle_start: bool,
     length_ms: u64,
@@ -98,7 +105,7 @@
         TestNode {
             rates,
             local: ReportFilter::default(),
-            remote: ReportFilter::default(),
+            remote: ReportFilter::repeating(),
             first_request_ms: None,
         }
     };
@@ -159,9 +166,19 @@
                     &mut node.remote
                 };
                 let reports = filter.drain_due(now, &node.rates);
+                let relay_loss = plan.dead_relays.map_or(0.0, |(from, to)| {
+                    if (from..to).contains(&ms) {
+                        DEAD_RELAYS
+                    } else {
+                        RELAY_LOSS
+                    }
+                });
+                let is_lost = [(); DATA_CENTRES]
+                    .map(|()| !is_local && relay_loss > 0.0 && random.random_bool(relay_loss));
                 let receivers = (0..plan.nodes).filter(|receiver| {
-                    let local = receiver % DATA_CENTRES == sender % DATA_CENTRES;
-                    *receiver != sender && local == is_local && !is_partitioned
+                    let centre = receiver % DATA_CENTRES;
+                    let local = centre == sender % DATA_CENTRES;
+                    *receiver != sender && local == is_local && !is_partitioned && !is_lost[centre]
                 });
                 for receiver in receivers {
                     let rates = &mut nodes[receiver].rates;
@@ -320,3 +337,34 @@
         }
     }
 }
+
+/// Guards against excess admissions while messages to whole data centres get lost at dead relays.
+#[test]
+fn keeps_the_limit_when_a_third_of_the_relays_has_died() {
+    check(|limit| FleetPlan {
+        nodes: 48,
+        demand: [
+            (0, limit.rate_per_s * 0.6),
+            (5_000, limit.rate_per_s * 4.7),
+            (12_000, limit.rate_per_s * 2.0),
+        ],
+        dead_relays: Some((4_800, 7_400)),
+        length_ms: 18_000,
+        ..FleetPlan::default()
+    });
+}
+
+/// Guards against the last report of a customer that gets lost at a relay, so that a whole data centre
+/// counts too few requests for seconds.
+#[test]
+fn a_changed_report_is_sent_twice_to_other_data_centres() {
+    let customer: CustomerId = "hauliers".parse().expect("a valid name");
+    let at = MonoTime::from_millis;
+    let mut rates = FleetRates::new(at(0), RateTolerance::default());
+    rates.set_limits(at(0), [(customer.clone(), LIMITS[0])]);
+    let mut filter = ReportFilter::repeating();
+    filter.drain_due(at(10_000), &rates);
+    rates.decide(at(10_100), &customer);
+    let reports = [10_250, 10_500, 10_750, 11_000].map(|ms| filter.drain_due(at(ms), &rates).len());
+    assert_eq!(reports, [1, 1, 0, 0]);
+}
--- a/lib/tests/test_message_relay.rs
+++ b/lib/tests/test_message_relay.rs
@@ -132,7 +132,7 @@
     }
 
     fn is_live(now_ms: u64, node: usize) -> bool {
-        now_ms < DEATH_MS || node % 3 != 0
+        now_ms < DEATH_MS || !node.is_multiple_of(3)
     }
 
     fn arrives(&mut self) -> bool {
@@ -192,7 +192,7 @@
                 let counts = self.send(now_ms, origin, RelayCopies::Single, COUNTS_BYTES);
                 phases[phase].0.due += counts.due;
                 phases[phase].0.arrived += counts.arrived;
-                if now_ms % 1_000 == 0 {
+                if now_ms.is_multiple_of(1_000) {
                     self.send(now_ms, origin, RelayCopies::Single, HEARTBEAT_BYTES);
                     let update = self.send(now_ms, origin, RelayCopies::Doubled, UPDATE_BYTES);
                     phases[phase].1.due += update.due;
