--- a/lib/tests/test_message_relay.rs
+++ b/lib/tests/test_message_relay.rs
@@ -192,7 +192,7 @@
                 let counts = self.send(now_ms, origin, RelayCopies::Single, COUNTS_BYTES);
                 phases[phase].0.due += counts.due;
                 phases[phase].0.arrived += counts.arrived;
-                if now_ms % 1_000 == 0 {
+                if now_ms.is_multiple_of(1_000) {
                     self.send(now_ms, origin, RelayCopies::Single, HEARTBEAT_BYTES);
                     let update = self.send(now_ms, origin, RelayCopies::Doubled, UPDATE_BYTES);
                     phases[phase].1.due += update.due;
