cold targets: warm-ups as limits, by rows, answers, starts and connects

Cause: a target that is cold crashes above warmup_per_s with its excess and slack; nodes served it as any other. Change: services have warm-ups; a cold target has a fixed number of places with fixed rates, held by nodes that rendezvous hashing selects; the permit is taken directly before the first byte. Silent nodes are replaced only after they have noticed that they are cut off themselves. Ruled out: shares that depend on the number of known nodes, since a restarted node would use the whole rate.

--- a/entry/src/attempt_record.rs
+++ b/entry/src/attempt_record.rs
@@ -119,6 +119,10 @@
         }
         self.may_have_run |= failure.may_have_run();
         self.record_evidence(id, failure, timing);
+        let broke_fresh = failure == AttemptFailure::Broken && result.report.connected;
+        if broke_fresh && state.is_path_evidence(service) {
+            state.record_refused_connect(id);
+        }
         let error = failure.label();
         state.meters.record_failed_attempt(id.as_str(), error);
         if failure != AttemptFailure::Stale {
@@ -164,6 +168,7 @@
             | AttemptFailure::WrongTarget => {}
             AttemptFailure::Unreachable => {
                 state.with_balancer(service, |balancer| balancer.mark_unreachable(now, id));
+                state.record_refused_connect(id);
                 let actions = state.crash_guard.borrow_mut().record_unreachable(now, id);
                 apply_crash_actions(state, actions);
             }
--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -331,7 +331,7 @@
             id,
             pool: state.target_pools.pool(id, address),
             connections: self.connection_limit(),
-            accepts: &|| state.accepts_requests(&start),
+            accepts: &|| state.accepts_requests(&start) && state.take_send_permit(id),
         };
         self.log_selection(selection);
         let allowed = self.attempt_time();
--- a/entry/src/entry_meters.rs
+++ b/entry/src/entry_meters.rs
@@ -66,6 +66,8 @@
     pub targets: usize,
     /// The number of targets that name a limit.
     pub limited_targets: usize,
+    /// The number of targets that are cold.
+    pub cold_targets: usize,
     /// The number of targets whose addresses other targets have by now.
     pub outdated_targets: usize,
     /// The number of targets that have said in answers that they leave.
@@ -97,6 +99,7 @@
     loop_delay: Gauge<f64>,
     targets: Gauge<u64>,
     limited_targets: Gauge<u64>,
+    cold_targets: Gauge<u64>,
     outdated_targets: Gauge<u64>,
     leaving_targets: Gauge<u64>,
     resting_targets: Gauge<u64>,
@@ -132,6 +135,7 @@
             loop_delay: meter.f64_gauge("damaskloom_loop_delay_seconds").build(),
             targets: meter.u64_gauge("damaskloom_targets").build(),
             limited_targets: meter.u64_gauge("damaskloom_limited_targets").build(),
+            cold_targets: meter.u64_gauge("damaskloom_cold_targets").build(),
             outdated_targets: meter.u64_gauge("damaskloom_outdated_targets").build(),
             leaving_targets: meter.u64_gauge("damaskloom_leaving_targets").build(),
             resting_targets: meter.u64_gauge("damaskloom_resting_targets").build(),
@@ -191,6 +195,7 @@
         self.targets.record(known.targets as u64, &[]);
         self.limited_targets
             .record(known.limited_targets as u64, &[]);
+        self.cold_targets.record(known.cold_targets as u64, &[]);
         self.outdated_targets
             .record(known.outdated_targets as u64, &[]);
         self.leaving_targets
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -145,7 +145,8 @@
         let repeat_budget = RepeatBudget::new(settings.bounds.repeat_terms());
         let clock = MonoClock::start();
         let rates = FleetRates::new(clock.now(), settings.bounds.rate_tolerance());
-        let own = settings.vm.clone();
+        let mut limits = TargetLimits::new(settings.vm.clone());
+        limits.warmups.set_bound(settings.bounds.warmup_bound());
         let mut crash_guard = CrashGuard::new();
         // Each crash message is sent to all nodes, so the guard needs a single addressee.
         crash_guard.set_peers([NodeId {
@@ -164,7 +165,7 @@
             targets_known: Cell::new(false),
             catalog: RefCell::default(),
             balancers: RefCell::default(),
-            limits: RefCell::new(TargetLimits::new(own)),
+            limits: RefCell::new(limits),
             notices: RefCell::default(),
             target_paths: RefCell::default(),
             path_doubted: Notify::new(),
@@ -209,6 +210,10 @@
         self.repeat_budget
             .borrow_mut()
             .set_terms(settings.bounds.repeat_terms());
+        self.limits
+            .borrow_mut()
+            .warmups
+            .set_bound(settings.bounds.warmup_bound());
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -363,6 +368,7 @@
         let is_first = self.routing.borrow().is_none();
         *self.routing.borrow_mut() = Some(Rc::new(RoutingTable::from(document)));
         self.routing_since.set(now);
+        self.apply_row_warmups();
         if is_first {
             // Other nodes can list this one in the directory as soon as it serves.
             self.heartbeat_due.notify_one();
@@ -446,6 +452,7 @@
             store_era: self.routing_copy.mirror.borrow().version().era(),
             targets: self.catalog.borrow().len(),
             limited_targets: self.limits.borrow().limited_count(),
+            cold_targets: self.limits.borrow().warmups.cold_count(now),
             outdated_targets: self.catalog.borrow().outdated_count(),
             leaving_targets: self.notices.borrow().leaving_count(),
             resting_targets: self.notices.borrow().resting_count(now),
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod body_collector;
 pub mod caller_answer;
 pub mod caller_listener;
+pub mod cold_targets;
 pub mod command;
 pub mod delivery;
 pub mod entry_meters;
--- a/entry/src/limit_sharing.rs
+++ b/entry/src/limit_sharing.rs
@@ -44,7 +44,7 @@
         self.update_limit_senders();
     }
 
-    fn centre_of(&self, target: &TargetId) -> Option<DataCentreId> {
+    pub(crate) fn centre_of(&self, target: &TargetId) -> Option<DataCentreId> {
         let catalog = self.catalog.borrow();
         let known = catalog.get(target)?;
         Some(known.announcement.data_centre.clone())
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -89,6 +89,7 @@
             state.target_pools.close_idle();
             state.helper_pools.close_idle();
             state.update_limits();
+            state.update_warmups();
             let repeats = state.limits.borrow_mut().due_repeats(now);
             self.send_limits(state, &repeats);
             state.forget_departed_targets();
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -10,6 +10,7 @@
 use damaskloom_lib::fleet_rate::RateTolerance;
 use damaskloom_lib::ids::{DataCentreId, VmId};
 use damaskloom_lib::repeat_budget::RepeatTerms;
+use damaskloom_lib::target_warmups::WarmupBound;
 use indexmap::IndexMap;
 use serde::Deserialize;
 use snafu::ensure;
@@ -84,6 +85,23 @@
     /// The share of a service's targets that get requests while the service loses some, from 0 to 1.
     #[serde(default = "default_min_target_share")]
     pub min_target_share: f64,
+    /// The factor by which the rate of a cold target may be exceeded in any one second.
+    #[serde(default = "default_warmup_excess")]
+    pub warmup_excess: f64,
+    /// The number of further requests that a cold target stands in any one second.
+    #[serde(default = "default_warmup_slack")]
+    pub warmup_slack: f64,
+}
+
+/// The factor by which the rate of a cold target may be exceeded unless it is set: a conservative one, since
+/// targets crash above what they stand.
+const fn default_warmup_excess() -> f64 {
+    1.0
+}
+
+/// The number of further requests that a cold target stands unless it is set.
+const fn default_warmup_slack() -> f64 {
+    4.0
 }
 
 /// The share of a service's targets that get requests while the service loses some, unless it is set.
@@ -137,6 +155,14 @@
         }
     }
 
+    /// Returns what cold targets stand.
+    pub const fn warmup_bound(&self) -> WarmupBound {
+        WarmupBound {
+            excess: self.warmup_excess,
+            slack: self.warmup_slack,
+        }
+    }
+
     /// Returns the limits of the retry budget.
     pub fn repeat_terms(&self) -> RepeatTerms {
         RepeatTerms {
@@ -252,6 +278,14 @@
             (0.0..=1.0).contains(&self.bounds.min_target_share),
             bad("bounds.min_target_share", "a number from 0 to 1")
         );
+        ensure!(
+            self.bounds.warmup_excess > 0.0,
+            bad("bounds.warmup_excess", "a positive number")
+        );
+        ensure!(
+            self.bounds.warmup_slack >= 1.0,
+            bad("bounds.warmup_slack", "at least 1 request")
+        );
         ensure!(
             self.costs.crossing_per_kb >= 0.0,
             bad("costs.crossing_per_kb", "no negative number")
--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -13,7 +13,7 @@
 use damaskloom_lib::units::ByteSize;
 use damaskloom_platform::header_names::{
     ANSWER_SIGNATURE, CUSTOMER, EXPECTED_TARGET, FLEET_FIELDS, NOT_RUN, REQUEST_ID, TIME_LEFT_MS,
-    idle_seconds, is_target_leaving, named_limit, reported_load, requested_rest,
+    idle_seconds, is_target_leaving, named_limit, reported_load, requested_rest, warmup_left,
 };
 use http::header::{
     AUTHORIZATION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderValue,
@@ -236,6 +236,7 @@
         limit: limit_notice(target, headers),
         is_leaving: is_own && is_target_leaving(headers),
         rest: rest_notice(target, status, headers),
+        warmup_left: warmup_left(headers).filter(|_| is_own),
     }
 }
 
--- a/entry/src/target_changes.rs
+++ b/entry/src/target_changes.rs
@@ -69,6 +69,11 @@
             };
             if let Some(change) = change {
                 self.apply_catalog_change(now, &change);
+                match &change {
+                    CatalogChange::Started(id) => self.apply_row_warmup(id, true),
+                    CatalogChange::Updated(id) => self.apply_row_warmup(id, false),
+                    CatalogChange::Removed(_) => {}
+                }
                 if let CatalogChange::Started(id) = &change {
                     let outdated = self.catalog.borrow_mut().claim_address(id);
                     if let Some(outdated) = outdated {
@@ -184,6 +189,10 @@
                 announcement.slots,
                 announcement.warmup_left,
             );
+        } else {
+            let age = now.since(target.announced_at);
+            let left = announcement.warmup_left.saturating_sub(age);
+            balancer.set_warmup(now, id, left);
         }
     }
 }
--- a/entry/src/target_notices.rs
+++ b/entry/src/target_notices.rs
@@ -17,6 +17,9 @@
     ) {
         let id = &start.target;
         self.record_limit_notice(id, sent_at, notice.limit);
+        if let Some(left) = notice.warmup_left {
+            self.record_warmup_notice(start, sent_at, left);
+        }
         if notice.is_leaving {
             self.apply_leaving(start, None);
         }
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -6,6 +6,7 @@
 mod scripted_target;
 mod test_attempt_guards;
 mod test_body_collector;
+mod test_cold_targets;
 mod test_cut_off_nodes;
 mod test_endless_answers;
 mod test_faulty_answers;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,7 +4,7 @@
 //! actions. No module opens a socket, reads a clock, spawns a task or uses a global random source, so
 //! that each can be embedded and tested in virtual time. The daemons in the sibling crates do the I/O.
 //!
-//! - Entry nodes: `target_catalog`, `target_balancer`, `balanced_target`, `target_limits`, `target_notices`, `failure_filter`, `fleet_rate`,
+//! - Entry nodes: `target_catalog`, `target_balancer`, `balanced_target`, `target_limits`, `target_warmups`, `sender_roster`, `target_notices`, `failure_filter`, `fleet_rate`,
 //!   `routing`, `entry_members`, `entry_nodes`, `table_mirror`, `store_health`.
 //! - Configuration: `config`, `key_table`, `plan`, `confirm`, `distribution`, `freshness`.
 //! - Members and shares: `membership`, `directory`, `epoch`, `budget`, `escrow`.
@@ -72,6 +72,7 @@
 pub mod key;
 pub mod key_table;
 mod lender_selector;
+mod limit_share;
 pub mod line_budget;
 pub mod loan;
 pub mod loss_meter;
@@ -106,6 +107,7 @@
 pub mod route_timing;
 pub mod routing;
 pub mod row_fetch;
+pub mod sender_roster;
 pub mod sequential_test;
 mod service_baseline;
 pub mod service_burn;
@@ -130,6 +132,7 @@
 pub mod target_selection;
 pub mod target_statistics;
 pub mod target_trial;
+pub mod target_warmups;
 pub mod time;
 pub mod token_bucket;
 pub mod traffic_meter;
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -54,12 +54,23 @@
 }
 
 /// The settings of a service.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServiceRule {
     /// The path that a target's health endpoint answers.
     pub health_path: String,
     /// The maximum number of connections from the whole fleet to each target.
     pub connections: u32,
+    /// How targets of the service warm up; none if cold ones are served like others.
+    pub warmup: Option<WarmupRule>,
+}
+
+/// How the targets of a service warm up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmupRule {
+    /// How long a target is cold after its start; zero if only targets themselves know.
+    pub period: Duration,
+    /// The requests a second that a cold target takes from all nodes together.
+    pub rate_per_s: f64,
 }
 
 /// A customer, its keys and its rate limit.
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -167,6 +167,13 @@
         self.targets.insert(id, target);
     }
 
+    /// Sets how long a target is still slow.
+    pub fn set_warmup(&mut self, now: MonoTime, id: &TargetId, left: Duration) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.warmup_until = now + left;
+        }
+    }
+
     fn trial_rank(&self, id: &TargetId, data_centre: &DataCentreId) -> u32 {
         let hash = StableHash::of(id.as_bytes());
         self.trial_order.rank(hash, data_centre)
--- a/lib/src/target_catalog.rs
+++ b/lib/src/target_catalog.rs
@@ -272,7 +272,11 @@
             // The announcement is not newer than the one that was found outdated.
             known.outdated_until = held.outdated_until;
         }
+        // A renewed row that says that the target is cold says so from now on.
+        let is_cold_again = !known.announcement.warmup_left.is_zero()
+            && known.announcement.writes > held.announcement.writes;
         let same = held.announcement.is_same_as(&known.announcement)
+            && !is_cold_again
             && held.missing_since.is_none()
             && was_usable == known.is_usable();
         *held = known;
--- a/lib/src/target_limits.rs
+++ b/lib/src/target_limits.rs
@@ -3,7 +3,7 @@
 //! A target names its limit in its answers, for all nodes together and for as long as its answers say
 //! so. Nodes tell each other what they learn. Only a few nodes send to a limited target: all nodes
 //! select the same ones by rendezvous hashing, each of them gets an even share, and none of them saves
-//! up more than a request or two. See
+//! up more than a request or two. Cold targets have limits of the same kind, see `target_warmups`. See
 //! [docs/design/target-limits.md](../../docs/design/target-limits.md).
 
 use std::time::Duration;
@@ -12,20 +12,17 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{DataCentreId, TargetId, VmId};
+use crate::limit_share::OwnShare;
 use crate::rendezvous::{StableHash, rank_members};
+use crate::target_warmups::TargetWarmups;
 use crate::time::MonoTime;
 use crate::units::{MILLIS_PER_REQUEST, RequestRate};
 
 /// The smallest share of a limit, in requests a second. A node with a smaller one would rarely send,
 /// and the requests that all nodes save up would exceed the limit.
 const MIN_SHARE_PER_S: f64 = 1.0;
-/// The rate up to which a limit is exceeded while the rest of the service is busy, as a factor. The
-/// platform tolerates one and a half times the limit.
-const OVERDRAFT_FACTOR: f64 = 1.15;
 /// The rate at which a target is asked whatever its limit, since only an answer can lift it.
 const MIN_RATE_PER_S: f64 = 0.1;
-/// The time in which a node may save up its share, in seconds; it always may save up one request.
-const SAVED_S: f64 = 0.2;
 /// The interval at which one node repeats each limit to all others, in milliseconds.
 const REPEAT_INTERVAL_MS: u64 = 2_000;
 /// The same interval while a node that may know no limits has appeared.
@@ -80,6 +77,19 @@
     pub const fn is_unhindered(&self) -> bool {
         matches!(self, Self::Unlimited | Self::Within)
     }
+
+    /// Returns the permission under two limits: the smaller one applies.
+    const fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Elsewhere, _) | (_, Self::Elsewhere) => Self::Elsewhere,
+            (Self::Beyond(a), Self::Beyond(b)) => {
+                Self::Beyond(if a.as_micros() > b.as_micros() { a } else { b })
+            }
+            (Self::Beyond(wait), _) | (_, Self::Beyond(wait)) => Self::Beyond(wait),
+            (Self::Within, _) | (_, Self::Within) => Self::Within,
+            (Self::Unlimited, Self::Unlimited) => Self::Unlimited,
+        }
+    }
 }
 
 /// A node that shares in limits.
@@ -91,82 +101,6 @@
     pub data_centre: DataCentreId,
 }
 
-/// Requests that may be sent, gained at a steady rate.
-#[derive(Clone, Copy, Debug)]
-struct SteadyTokens {
-    rate_per_s: f64,
-    /// Negative if requests wait for theirs.
-    tokens: f64,
-    refilled_at: MonoTime,
-}
-
-impl SteadyTokens {
-    fn empty(now: MonoTime, rate_per_s: f64) -> Self {
-        Self {
-            rate_per_s,
-            tokens: 0.0,
-            refilled_at: now,
-        }
-    }
-
-    fn at(&self, now: MonoTime) -> f64 {
-        let gained = now.since(self.refilled_at).as_secs_f64() * self.rate_per_s;
-        let capacity = (self.rate_per_s * SAVED_S).max(1.0);
-        (self.tokens + gained).min(capacity)
-    }
-
-    fn add(&mut self, now: MonoTime, count: f64) {
-        self.tokens = self.at(now) + count;
-        self.refilled_at = now;
-    }
-
-    fn set_rate(&mut self, now: MonoTime, rate_per_s: f64) {
-        self.add(now, 0.0);
-        self.rate_per_s = rate_per_s;
-    }
-
-    fn wait(&self, now: MonoTime) -> Duration {
-        let missing = (1.0 - self.at(now)).max(0.0);
-        Duration::from_secs_f64(missing / self.rate_per_s)
-    }
-}
-
-/// This node's share of a limit: every request takes a token of both kinds.
-#[derive(Clone, Copy, Debug)]
-struct OwnShare {
-    within: SteadyTokens,
-    /// Bounds all requests, those beyond the limit included.
-    beyond: SteadyTokens,
-}
-
-impl OwnShare {
-    fn empty(now: MonoTime, rate_per_s: f64) -> Self {
-        Self {
-            within: SteadyTokens::empty(now, rate_per_s),
-            beyond: SteadyTokens::empty(now, rate_per_s * OVERDRAFT_FACTOR),
-        }
-    }
-
-    fn set_rate(&mut self, now: MonoTime, rate_per_s: f64) {
-        self.within.set_rate(now, rate_per_s);
-        self.beyond.set_rate(now, rate_per_s * OVERDRAFT_FACTOR);
-    }
-
-    fn add(&mut self, now: MonoTime, count: f64) {
-        self.within.add(now, count);
-        self.beyond.add(now, count);
-    }
-
-    fn permission(&self, now: MonoTime) -> LimitPermission {
-        let wait = self.beyond.wait(now);
-        if wait.is_zero() && self.within.at(now) >= 1.0 {
-            LimitPermission::Within
-        } else {
-            LimitPermission::Beyond(wait)
-        }
-    }
-}
-
 #[derive(Debug)]
 struct NamedLimit {
     rate: RequestRate,
@@ -196,6 +130,8 @@
     own: VmId,
     senders: Vec<LimitSender>,
     limits: IndexMap<TargetId, LimitState>,
+    /// The limits of cold targets.
+    pub warmups: TargetWarmups,
     /// The targets whose limits this node's own answers have changed, until the others are told.
     changed: IndexSet<TargetId>,
     repeated_at: MonoTime,
@@ -206,6 +142,7 @@
     /// Creates the limits of a node; it knows none.
     pub fn new(own: VmId) -> Self {
         Self {
+            warmups: TargetWarmups::new(own.clone()),
             own,
             senders: Vec::new(),
             limits: IndexMap::new(),
@@ -355,11 +292,12 @@
 
     /// Returns whether and when this node may send to a target.
     pub fn permission(&self, now: MonoTime, target: &TargetId) -> LimitPermission {
-        match self.get(target).map(|limit| limit.share) {
+        let named = match self.get(target).map(|limit| limit.share) {
             None => LimitPermission::Unlimited,
             Some(None) => LimitPermission::Elsewhere,
             Some(Some(share)) => share.permission(now),
-        }
+        };
+        named.and(self.warmups.permission(now, target))
     }
 
     /// Takes a request out of this node's share; it may be sent after the wait that
@@ -374,6 +312,7 @@
     }
 
     fn add_tokens(&mut self, now: MonoTime, target: &TargetId, count: f64) {
+        self.warmups.add_planned(now, target, count);
         let share = self.get_mut(target).and_then(|limit| limit.share.as_mut());
         if let Some(share) = share {
             share.add(now, count);
--- a/lib/src/target_notices.rs
+++ b/lib/src/target_notices.rs
@@ -49,6 +49,8 @@
     pub is_leaving: bool,
     /// Whether and how long the target wants no requests of this node.
     pub rest: RestNotice,
+    /// How long the target is still cold, if the answer says so.
+    pub warmup_left: Option<Duration>,
 }
 
 /// One start of a target.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -23,6 +23,7 @@
 mod support;
 mod test_attempt_failure;
 mod test_claims;
+mod test_cold_targets;
 mod test_configuration;
 mod test_crash_guard;
 mod test_crossing_cost;
