--- a/entry/tests/test_cold_targets.rs
+++ b/entry/tests/test_cold_targets.rs
@@ -1,11 +1,21 @@
 //! Tests that entry nodes keep within what cold targets stand.
 
+use std::rc::Rc;
 use std::time::Instant;
 
+use damaskloom_entry::entry_state::EntryState;
+use damaskloom_entry::settings::EntrySettings;
+use damaskloom_entry::target_pool::SystemNetwork;
+use damaskloom_lib::ids::TargetId;
+use damaskloom_lib::store_version::StoreVersion;
+use damaskloom_lib::table_mirror::MirrorRow;
+
 use http::StatusCode;
 use serde_json::{Value, json};
 
-use crate::fixture::{TargetBehaviour, TestTarget, configuration, wait_until, with_node};
+use crate::fixture::{
+    PEER_PORT, TargetBehaviour, TestTarget, configuration, node_settings, wait_until, with_node,
+};
 
 /// The rate that a cold target stands, and the further requests of any one second.
 const RATE_PER_S: f64 = 4.5;
@@ -95,3 +105,44 @@
     )
     .await;
 }
+
+/// Guards against targets that are served at full rate when they answer again, or when the evacuation of
+/// their data centre ends: no row says in time that they are cold.
+#[tokio::test]
+async fn targets_that_come_back_are_cold() {
+    let store = "127.0.0.1:1".parse().expect("an address");
+    let settings = node_settings(store, PEER_PORT).to_string();
+    let settings = EntrySettings::parse(settings, "test").expect("valid settings");
+    let network = Rc::new(SystemNetwork::default());
+    let state = EntryState::new(settings, network).expect("metrics can be set up");
+    let row = |key: &str, value: String| MirrorRow {
+        key: key.to_owned(),
+        value: Some(value.into()),
+        version: StoreVersion::default(),
+    };
+    state.apply_routing_rows(&[row("config", with_warmup(1))]);
+    let local = tokio::task::LocalSet::new();
+    let target = local.run_until(TestTarget::start("i-0", TargetBehaviour::Succeeds));
+    let target = target.await;
+    state.apply_target_rows(&[row("i-0", target.row("ready"))], false);
+    let id: TargetId = "i-0".parse().expect("a valid name");
+    let is_cold = || {
+        let now = state.clock.now();
+        state.limits.borrow().warmups.is_cold(now, &id)
+    };
+    // The node has just read the targets' rows, which say that the target is warm.
+    assert!(!is_cold() && state.take_send_permit(&id));
+    state.record_refused_connect(&id);
+    assert!(!is_cold());
+    assert!(!state.take_send_permit(&id) && is_cold());
+    let state_of = || state.limits.borrow_mut();
+    let now = state.clock.now();
+    state_of()
+        .warmups
+        .end_by_answer(now, &id, now + std::time::Duration::from_secs(1));
+    assert!(!is_cold());
+    state.expect_cold_targets(&"away".parse().expect("a valid name"));
+    assert!(!is_cold());
+    state.expect_cold_targets(&"near".parse().expect("a valid name"));
+    assert!(is_cold());
+}
--- a/lib/tests/limit_fleet.rs
+++ b/lib/tests/limit_fleet.rs
@@ -72,6 +72,8 @@
     limits: TargetLimits,
     started_ms: u64,
     senders_due_ms: u64,
+    /// Whether the node has learned who sends since that changed last.
+    knows_senders: bool,
     is_up: bool,
     /// When the node stopped; none if it never did.
     stopped_ms: Option<u64>,
@@ -141,6 +143,7 @@
                 data_centre: data_centre(index % 3),
                 started_ms: 0,
                 senders_due_ms: 0,
+                knows_senders: false,
                 is_up: true,
                 stopped_ms: None,
                 clock_ms: index as u64 * 7_919 % 10_007,
@@ -189,6 +192,7 @@
         for other in &mut self.nodes {
             let delay = self.rng.random_range(0..MAX_MEMBERS_DELAY_MS);
             other.senders_due_ms = other.senders_due_ms.max(self.now_ms + delay);
+            other.knows_senders = false;
         }
         if is_up {
             self.nodes
@@ -305,7 +309,8 @@
                 continue;
             }
             let now = node.clock(now_ms);
-            if now_ms >= node.senders_due_ms {
+            if now_ms >= node.senders_due_ms && !node.knows_senders {
+                node.knows_senders = true;
                 node.limits.set_senders(now, senders.clone());
             }
             node.limits.tick(now);
