--- a/entry/src/limit_sharing.rs
+++ b/entry/src/limit_sharing.rs
@@ -44,11 +44,7 @@
         self.update_limit_senders();
     }
 
-    /// Prepares for the end of an evacuation: the targets of the data centre have had no requests and may
-    /// be cold.
-    pub const fn expect_cold_targets(&self, _data_centre: &DataCentreId) {}
-
-    fn centre_of(&self, target: &TargetId) -> Option<DataCentreId> {
+    pub(crate) fn centre_of(&self, target: &TargetId) -> Option<DataCentreId> {
         let catalog = self.catalog.borrow();
         let known = catalog.get(target)?;
         Some(known.announcement.data_centre.clone())
--- a/lib/src/routing_diff.rs
+++ b/lib/src/routing_diff.rs
@@ -165,7 +165,11 @@
 }
 
 fn service_fields(service: &ServiceRule) -> FieldTexts {
+    let warmup = service
+        .warmup
+        .map(|warmup| format!("{} requests/s for {:?}", warmup.rate_per_s, warmup.period));
     vec![
+        ("warmup", warmup.unwrap_or_else(|| "-".to_owned())),
         ("health_path", service.health_path.clone()),
         ("connections", service.connections.to_string()),
     ]
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -179,6 +179,13 @@
         self.targets.insert(id, target);
     }
 
+    /// Sets how long a target is still slow.
+    pub fn set_warmup(&mut self, now: MonoTime, id: &TargetId, left: Duration) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.warmup_until = now + left;
+        }
+    }
+
     /// Sets the other nodes that carry traffic, among which this node is ranked to try unused targets.
     pub fn set_trial_nodes(&mut self, others: &[TrialNode]) {
         if self.trial_order.set_others(others) {
