admission: a refusal with free slots is no sign of a full target

A target that refuses requests whatever its load was marked full for 120 ms at each refusal, which moved its requests to others and made the service seem short of room. The report of slots is read as well, and a refusal within 50 ms of a report of free slots leaves the target's load as it is.

--- a/entry/src/attempt_record.rs
+++ b/entry/src/attempt_record.rs
@@ -168,7 +168,7 @@
                 apply_crash_actions(state, actions);
             }
             AttemptFailure::Full => {
-                state.with_balancer(service, |balancer| balancer.mark_full(now, id));
+                state.with_balancer(service, |balancer| balancer.record_refusal(now, id));
             }
             AttemptFailure::ServerError => self.record_failure(id, timing),
             AttemptFailure::Broken | AttemptFailure::InvalidAnswer | AttemptFailure::TimedOut => {
--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -7,6 +7,7 @@
 use damaskloom_gateway::body_stream::RequestBody;
 use damaskloom_gateway::hop_headers::remove_hop_headers;
 use damaskloom_lib::attempt_failure::AttemptFailure;
+use damaskloom_lib::balanced_target::ReportedLoad;
 use damaskloom_lib::ids::{CustomerId, TargetId};
 use damaskloom_lib::target_limits::LimitNotice;
 use damaskloom_lib::target_notices::{RestNotice, TargetNotice};
@@ -84,8 +85,8 @@
 pub struct CallReport {
     /// Whether a connection was opened for the attempt.
     pub connected: bool,
-    /// The number of running and waiting requests that the target reported with its answer.
-    pub load: Option<u32>,
+    /// The load that the target reported with its answer.
+    pub load: Option<ReportedLoad>,
     /// What the head of the answer says about the target.
     pub notice: TargetNotice,
 }
--- a/lib/src/balanced_target.rs
+++ b/lib/src/balanced_target.rs
@@ -19,6 +19,38 @@
 /// A target is suspected from this failing probability on; its answers then leave the baseline alone.
 pub(crate) const SUSPICION_THRESHOLD: f64 = 0.5;
 
+/// The load that a target reports with an answer, over all nodes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReportedLoad {
+    /// The number of requests that it runs.
+    pub running: u32,
+    /// The number of requests that wait in its queue.
+    pub waiting: u32,
+    /// The number of its slots; none if it does not say.
+    pub slots: Option<u32>,
+}
+
+impl ReportedLoad {
+    /// Returns the number of running and waiting requests.
+    pub const fn total(self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+
+    /// Returns whether a request that arrives now would run at once.
+    pub fn has_free_slots(self) -> bool {
+        self.waiting == 0 && self.slots.is_some_and(|slots| self.running < slots)
+    }
+}
+
+/// Why a target refused a request unrun.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CapacityRefusal {
+    /// Its slots and its queue are taken.
+    Full,
+    /// It has free slots by its own report: it refuses some requests whatever its load.
+    Shedding,
+}
+
 /// A transition of a target between suspected and trusted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SuspicionChange {
@@ -64,6 +96,8 @@
     pub(crate) peer_counts: IndexMap<VmId, (u32, MonoTime)>,
     /// The load by other nodes that the target reported, and when.
     pub(crate) load_report: Option<(f64, MonoTime)>,
+    /// When the target last reported its load, if that report left slots free.
+    pub(crate) reported_free_at: Option<MonoTime>,
     pub(crate) full_until: MonoTime,
     pub(crate) avoided_until: MonoTime,
     pub(crate) last_used_at: MonoTime,
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -14,7 +14,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::balanced_target::{
-    BalancedTarget, RunningAttempt, RunningAttemptId, SUSPICION_THRESHOLD, SignalOutcome,
+    BalancedTarget, CapacityRefusal, ReportedLoad, RunningAttempt, RunningAttemptId,
+    SUSPICION_THRESHOLD, SignalOutcome,
 };
 use crate::config::Idempotence;
 use crate::crossing_cost::{CrossingCost, RouteSizes};
@@ -47,6 +48,9 @@
 const UNREACHABLE_PENALTY_MS: u64 = 1_500;
 /// How long a target counts as full after it refused a request for lack of capacity, in milliseconds.
 const FULL_PENALTY_MS: u64 = 120;
+/// How old a report of free slots may be to tell that a refusal is not for lack of capacity, in
+/// milliseconds: a queue does not fill in that time.
+const FREE_REPORT_MAX_AGE_MS: u64 = 50;
 /// The weight of a new answer in a service's moving average of failures.
 const SMOOTHING_FACTOR: f64 = 0.02;
 /// The lowest failure rate that is assumed of healthy targets: a few errors are normal anywhere.
@@ -156,6 +160,7 @@
             running: Vec::new(),
             peer_counts: IndexMap::new(),
             load_report: None,
+            reported_free_at: None,
             full_until: MonoTime::ZERO,
             avoided_until: MonoTime::ZERO,
             last_used_at: now,
@@ -449,20 +454,31 @@
     }
 
     /// Records a target's own count of running and waiting requests from all nodes.
-    pub fn record_load_report(&mut self, now: MonoTime, id: &TargetId, load: u32) {
+    pub fn record_load_report(&mut self, now: MonoTime, id: &TargetId, load: ReportedLoad) {
         if let Some(target) = self.targets.get_mut(id) {
+            target.reported_free_at = load.has_free_slots().then_some(now);
             // The request that brought the report has ended at the target but not here yet.
             let own = target.running.len() as f64;
-            let others = (f64::from(load) - own).max(0.0);
+            let others = (f64::from(load.total()) - own).max(0.0);
             target.load_report = Some((others, now));
         }
     }
 
-    /// Records that a target refused a request for lack of capacity.
-    pub fn mark_full(&mut self, now: MonoTime, id: &TargetId) {
-        if let Some(target) = self.targets.get_mut(id) {
-            target.full_until = now + Duration::from_millis(FULL_PENALTY_MS);
+    /// Records that a target refused a request unrun; it counts as full unless it has just reported free
+    /// slots.
+    pub fn record_refusal(&mut self, now: MonoTime, id: &TargetId) -> CapacityRefusal {
+        let Some(target) = self.targets.get_mut(id) else {
+            return CapacityRefusal::Full;
+        };
+        let max_age = Duration::from_millis(FREE_REPORT_MAX_AGE_MS);
+        let is_free = target
+            .reported_free_at
+            .is_some_and(|reported_at| now.since(reported_at) <= max_age);
+        if is_free {
+            return CapacityRefusal::Shedding;
         }
+        target.full_until = now + Duration::from_millis(FULL_PENALTY_MS);
+        CapacityRefusal::Full
     }
 
     /// Records that a target did not accept a connection from this node.
--- a/lib/tests/test_target_balancer.rs
+++ b/lib/tests/test_target_balancer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use damaskloom_lib::balanced_target::{CapacityRefusal, ReportedLoad};
 use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::crossing_cost::CrossingCost;
 use damaskloom_lib::failure_filter::{FailureFilter, FailureSignal};
@@ -36,6 +37,15 @@
     TargetLimits::new("here".parse().expect("a valid name"))
 }
 
+/// Returns the report of a target with two slots.
+fn reported(running: u32, waiting: u32) -> ReportedLoad {
+    ReportedLoad {
+        running,
+        waiting,
+        slots: Some(2),
+    }
+}
+
 /// Returns a balancer of a node in data centre `near`; each target has two slots.
 fn balancer(targets: &[(&str, &str)]) -> TargetBalancer {
     let mut balancer = TargetBalancer::new(&own_vm(), data_centre("near"));
@@ -166,7 +176,7 @@
     balancer.record_peer_counts(at(0), &peer, &[(TargetCode::from(&target("a")), 4)]);
     assert_eq!(select(&balancer, 10, Idempotence::NonIdempotent, &[]), "b");
     balancer.record_peer_counts(at(20), &peer, &[]);
-    balancer.record_load_report(at(20), &target("b"), 6);
+    balancer.record_load_report(at(20), &target("b"), reported(6, 0));
     assert_eq!(select(&balancer, 30, Idempotence::NonIdempotent, &[]), "a");
 }
 
@@ -259,3 +269,28 @@
         assert!(choice.failing_probability < 0.02, "{choice:?}");
     }
 }
+
+/// Guards against a target that loses its requests for refusing some of them while its slots are free; one that
+/// is full, or says nothing of its load, is avoided.
+#[test]
+fn a_refusal_with_free_slots_does_not_mark_the_target_full() {
+    let id = target("a");
+    let refusal = |report: Option<(u64, ReportedLoad)>| {
+        let mut balancer = balancer(&[("a", "near"), ("b", "away")]);
+        if let Some((ms, report)) = report {
+            balancer.record_load_report(at(ms), &id, report);
+        }
+        let refusal = balancer.record_refusal(at(100), &id);
+        (
+            refusal,
+            select(&balancer, 101, Idempotence::NonIdempotent, &[]),
+        )
+    };
+    let shedding = (CapacityRefusal::Shedding, "a".to_owned());
+    let full = (CapacityRefusal::Full, "b".to_owned());
+    assert_eq!(refusal(Some((100, reported(1, 0)))), shedding);
+    assert_eq!(refusal(Some((80, reported(0, 0)))), shedding);
+    assert_eq!(refusal(Some((20, reported(0, 0)))).0, CapacityRefusal::Full);
+    assert_eq!(refusal(Some((100, reported(2, 9)))), full);
+    assert_eq!(refusal(None).0, CapacityRefusal::Full);
+}
