admission: refuse by rank, deadline and work before a request is sent

With too little room, all ranks waited in the same queues and the one with the shortest deadline was served worst. Services whose requests differ in rank now have an estimate of the wait, and a range of it over which each rank is refused. The estimate for ranks is the load of all targets, since that of the best one is biased by reports that all nodes act on; a single bound made nodes oscillate. Requests of such services are spread over targets of similar cost. Services with one rank are served as before.

--- a/entry/src/attempt_record.rs
+++ b/entry/src/attempt_record.rs
@@ -4,10 +4,13 @@
 use std::time::Duration;
 
 use damaskloom_lib::attempt_failure::{AttemptFailure, PathEvidence};
+use damaskloom_lib::balanced_target::{CapacityRefusal, ReportedLoad};
 use damaskloom_lib::crash_guard::RequestFingerprint;
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::ids::{RouteId, ServiceId, TargetId};
+use damaskloom_lib::service_room::{AttemptEnd, WaitSample};
 use damaskloom_lib::target_balancer::AttemptTime;
+use damaskloom_lib::target_selection::PoolLoad;
 use damaskloom_lib::units::ByteSize;
 
 use crate::entry_state::EntryState;
@@ -15,6 +18,15 @@
 use crate::peer_socket::apply_crash_actions;
 use crate::target_call::CallResult;
 
+/// The wait that was expected of an attempt before it was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct ExpectedWait {
+    /// The wait at the selected target.
+    pub predicted: Duration,
+    /// The load of all targets.
+    pub pool: PoolLoad,
+}
+
 /// How long an attempt took, and how long it might have taken.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptTiming {
@@ -24,6 +36,8 @@
     pub was_late: bool,
     /// The time that it had.
     pub allowed: AttemptTime,
+    /// The wait that was expected before it was sent.
+    pub wait: ExpectedWait,
 }
 
 /// The request whose attempts are recorded.
@@ -34,6 +48,8 @@
     pub service: &'a ServiceId,
     /// The request's route.
     pub route: &'a RouteId,
+    /// The latency objective of the route.
+    pub objective: Duration,
     /// The caller's id of the request, for log lines.
     pub request_id: &'a str,
     /// Identifies the request across its attempts; none if its body is streamed.
@@ -71,6 +87,11 @@
         }
     }
 
+    /// Returns whether no attempt was made yet.
+    pub const fn is_unsent(&self) -> bool {
+        self.arrivals == 0 && self.undelivered == 0
+    }
+
     /// Records the outcome of an attempt in the state of its target and in the metrics.
     pub fn record_outcome(&mut self, id: &TargetId, result: &CallResult, timing: AttemptTiming) {
         let (state, service) = (self.request.state, self.request.service);
@@ -96,6 +117,7 @@
                     balancer.record_running_time(route, elapsed);
                     balancer.record_size(route, bytes);
                 });
+                self.record_wait(AttemptEnd::Answered, timing);
                 state.meters.record_completed_attempt();
                 tracing::info!(
                     target: SUCCESS_TARGET,
@@ -118,7 +140,7 @@
             self.unreachable += 1;
         }
         self.may_have_run |= failure.may_have_run();
-        self.record_evidence(id, failure, timing);
+        self.record_evidence(id, failure, result.report.load, timing);
         let error = failure.label();
         state.meters.record_failed_attempt(id.as_str(), error);
         if failure != AttemptFailure::Stale {
@@ -143,7 +165,13 @@
     }
 
     /// Records what a failure shows about the target.
-    fn record_evidence(&self, id: &TargetId, failure: AttemptFailure, timing: AttemptTiming) {
+    fn record_evidence(
+        &self,
+        id: &TargetId,
+        failure: AttemptFailure,
+        load: Option<ReportedLoad>,
+        timing: AttemptTiming,
+    ) {
         let (state, service) = (self.request.state, self.request.service);
         let now = state.clock.now();
         match failure.path_evidence() {
@@ -168,10 +196,17 @@
                 apply_crash_actions(state, actions);
             }
             AttemptFailure::Full => {
-                state.with_balancer(service, |balancer| balancer.record_refusal(now, id));
+                let refusal =
+                    state.with_balancer(service, |balancer| balancer.record_refusal(now, id));
+                if refusal == Some(CapacityRefusal::Full) {
+                    self.record_wait(AttemptEnd::Full(load), timing);
+                }
             }
             AttemptFailure::ServerError => self.record_failure(id, timing),
             AttemptFailure::Broken | AttemptFailure::InvalidAnswer | AttemptFailure::TimedOut => {
+                if failure == AttemptFailure::TimedOut {
+                    self.record_wait(AttemptEnd::TimedOut, timing);
+                }
                 if !timing.was_late {
                     self.record_failure(id, timing);
                 }
@@ -195,6 +230,20 @@
         }
     }
 
+    fn record_wait(&self, end: AttemptEnd, timing: AttemptTiming) {
+        let sample = WaitSample {
+            route: self.request.route,
+            objective: self.request.objective,
+            predicted: timing.wait.predicted,
+            pool: timing.wait.pool,
+            elapsed: timing.elapsed,
+            end,
+        };
+        self.request
+            .state
+            .record_wait(self.request.service, &sample);
+    }
+
     fn record_completion(&self) {
         let state = self.request.state;
         if let Some(fingerprint) = &self.request.fingerprint {
--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -112,6 +112,7 @@
                 state,
                 service: request.service,
                 route: &request.admitted.route.id,
+                objective: request.admitted.route.latency_objective,
                 request_id,
                 fingerprint: request.fingerprint,
             }),
@@ -243,6 +244,7 @@
                 .sizes()
                 .crossing_cost(&self.admitted.route.id, cost_per_kb),
             seed: rand::rng().random(),
+            spread: self.state.cost_spread(self.service),
         };
         let selection = balancer
             .select(now, &request)
@@ -253,11 +255,20 @@
                     self.refuse(RefusalReason::TargetsLimited, wait.unwrap_or(UNKNOWN_WAIT))
                 }
             })?;
+        let typical = balancer.timings().typical();
+        if self.attempts.is_unsent()
+            && let Some(wait) =
+                (self.state).refuse_for_room(self.service, self.admitted, &selection, typical)
+        {
+            return Err(self.refuse(RefusalReason::Overloaded, wait));
+        }
         let min_running_time = balancer
             .timings()
             .typical_of(&self.admitted.route.id)
             .mul_f64(MIN_RUNNING_TIME_RATIO);
-        if selection.expected_wait + min_running_time > time_left {
+        let is_too_late = selection.expected_wait + min_running_time > time_left;
+        // With several ranks, the policy has checked the deadline by running times that include no wait.
+        if is_too_late && !self.state.has_several_ranks(self.service) {
             return Err(self.refuse(RefusalReason::Overloaded, selection.expected_wait));
         }
         Ok(selection)
@@ -336,6 +347,7 @@
         self.log_selection(selection);
         let allowed = self.attempt_time();
         let running = RunningGuard::begin(state, self.service, id, allowed.until_late);
+        let expected_wait = state.expected_wait(self.service, &self.admitted.route, selection);
         let sent_at = state.clock.now();
         permit.spend();
         let result = call(
@@ -353,6 +365,7 @@
             elapsed,
             was_late,
             allowed,
+            wait: expected_wait,
         };
         if result
             .answer
--- a/entry/src/entry_meters.rs
+++ b/entry/src/entry_meters.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use damaskloom_gateway::meter_registry::{MeterError, MeterRegistry};
+use damaskloom_lib::routing::PriorityRank;
 use indexmap::IndexSet;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
@@ -13,6 +14,8 @@
 /// that memory is bounded.
 const MAX_ROUTE_SERIES: usize = 64;
 const MAX_TARGET_SERIES: usize = 256;
+/// The maximum number of ranks with their own time series.
+const MAX_RANK_SERIES: usize = 16;
 /// The label value for everything without its own series.
 const OTHERS: &str = "others";
 
@@ -82,6 +85,8 @@
     registry: MeterRegistry,
     routes: BoundedLabel,
     failed_targets: BoundedLabel,
+    ranks: BoundedLabel,
+    room_refusals: Counter<u64>,
     answers: Counter<u64>,
     refusals: Counter<u64>,
     completed_attempts: Counter<u64>,
@@ -117,6 +122,8 @@
             registry,
             routes: BoundedLabel::new("route", MAX_ROUTE_SERIES),
             failed_targets: BoundedLabel::new("target", MAX_TARGET_SERIES),
+            ranks: BoundedLabel::new("rank", MAX_RANK_SERIES),
+            room_refusals: meter.u64_counter("damaskloom_room_refusals").build(),
             answers: meter.u64_counter("damaskloom_answers").build(),
             refusals: meter.u64_counter("damaskloom_refusals").build(),
             completed_attempts: meter.u64_counter("damaskloom_sendings").build(),
@@ -153,6 +160,13 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request that was refused for lack of room, by its rank or by its deadline.
+    pub fn record_room_refusal(&self, reason: &'static str, rank: PriorityRank) {
+        let rank = self.ranks.label(&rank.0.to_string());
+        self.room_refusals
+            .add(1, &[KeyValue::new("reason", reason), rank]);
+    }
+
     /// Counts an attempt at a target that succeeded. The metric keeps its published name
     /// `damaskloom_sendings`.
     pub fn record_completed_attempt(&self) {
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -10,6 +10,7 @@
 use damaskloom_gateway::clock::MonoClock;
 use damaskloom_gateway::meter_registry::MeterError;
 use damaskloom_gateway::peer_auth::SharedSecret;
+use damaskloom_lib::admission_policy::AdmissionPolicy;
 use damaskloom_lib::crash_guard::{CrashGuard, CrashMessage};
 use damaskloom_lib::entry_members::{EntryMembers, EntryPhase, NodeHeartbeat};
 use damaskloom_lib::failure_filter::FailureSignal;
@@ -82,6 +83,8 @@
     pub helper_choice: RefCell<HelperChoice>,
     /// The customers' rate limits.
     pub rates: RefCell<FleetRates>,
+    /// The admission to each service when it has too little room.
+    pub admission_policies: RefCell<IndexMap<ServiceId, AdmissionPolicy>>,
     /// The budget for retries.
     pub repeat_budget: RefCell<RepeatBudget>,
     /// Detects and blocks requests that crash targets.
@@ -172,6 +175,7 @@
             helper_choice: RefCell::default(),
             helper_pools: HelperPools::new(Rc::new(SystemNetwork::default())),
             rates: RefCell::new(rates),
+            admission_policies: RefCell::default(),
             repeat_budget: RefCell::new(repeat_budget),
             crash_guard: RefCell::new(crash_guard),
             splits: RefCell::default(),
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod peer_socket;
 pub mod peer_wire;
 pub mod process;
+pub mod rank_admission;
 pub mod request_deadline;
 pub mod request_path;
 pub mod settings;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,7 +4,7 @@
 //! actions. No module opens a socket, reads a clock, spawns a task or uses a global random source, so
 //! that each can be embedded and tested in virtual time. The daemons in the sibling crates do the I/O.
 //!
-//! - Entry nodes: `target_catalog`, `target_balancer`, `balanced_target`, `target_limits`, `target_notices`, `failure_filter`, `fleet_rate`,
+//! - Entry nodes: `target_catalog`, `target_balancer`, `balanced_target`, `target_limits`, `target_notices`, `service_room`, `admission_policy`, `failure_filter`, `fleet_rate`,
 //!   `routing`, `entry_members`, `entry_nodes`, `table_mirror`, `store_health`.
 //! - Configuration: `config`, `key_table`, `plan`, `confirm`, `distribution`, `freshness`.
 //! - Members and shares: `membership`, `directory`, `epoch`, `budget`, `escrow`.
@@ -16,6 +16,7 @@
 //! See [docs/architecture.md](../../docs/architecture.md).
 
 pub mod adaptive_policy;
+pub mod admission_policy;
 pub mod attempt_failure;
 pub mod avoidance_list;
 pub mod balanced_target;
@@ -111,6 +112,7 @@
 pub mod service_burn;
 pub mod service_health;
 mod service_rate;
+pub mod service_room;
 pub mod share_basis;
 pub mod slot_pool;
 pub mod snapshot_transfer;
--- a/lib/src/route_timing.rs
+++ b/lib/src/route_timing.rs
@@ -51,7 +51,13 @@
             .max(Duration::from_millis(MIN_LATE_MS))
     }
 
-    fn known(&self, route: &RouteId) -> Option<Duration> {
+    /// Returns the typical running time over all routes, or none before the first answer.
+    pub(crate) fn known_typical(&self) -> Option<Duration> {
+        let mean_ms = self.all_ms.mean()?;
+        Some(Duration::from_secs_f64(mean_ms / 1_000.0))
+    }
+
+    pub(crate) fn known(&self, route: &RouteId) -> Option<Duration> {
         let mean_ms = self.routes_ms.known(route)?;
         Some(Duration::from_secs_f64(mean_ms / 1_000.0))
     }
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -7,6 +7,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use crate::admission_policy::ServiceRanks;
 use crate::config::{Idempotence, RouteAccess};
 use crate::ids::{CustomerId, RouteId, ServiceId};
 use crate::key::KeyDigest;
@@ -16,7 +17,7 @@
 pub struct RoutingVersion(pub u64);
 
 /// The rank of a request when a service is short of capacity; lower ranks go first.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct PriorityRank(pub u32);
 
 /// A service that a route sends requests to, with its weight.
@@ -141,6 +142,8 @@
     keys: IndexMap<KeyDigest, usize>,
     /// The median latency objective of each service's routes.
     latency_objectives: IndexMap<ServiceId, Duration>,
+    /// The ranks of each service's requests.
+    ranks: IndexMap<ServiceId, ServiceRanks>,
 }
 
 impl From<RoutingDocument> for RoutingTable {
@@ -158,6 +161,7 @@
             keys.extend(customer.keys.iter().map(|key| (*key, index)));
         }
         Self {
+            ranks: service_ranks(&document),
             latency_objectives: latency_objectives(&document.routes),
             document,
             hosts,
@@ -166,6 +170,18 @@
     }
 }
 
+fn service_ranks(document: &RoutingDocument) -> IndexMap<ServiceId, ServiceRanks> {
+    let routes = document.routes.iter();
+    let services: IndexSet<&ServiceId> = routes
+        .flat_map(|route| &route.destinations)
+        .map(|destination| &destination.service)
+        .collect();
+    let services = services.into_iter();
+    services
+        .map(|service| (service.clone(), ServiceRanks::new(document, service)))
+        .collect()
+}
+
 fn latency_objectives(routes: &[RouteRule]) -> IndexMap<ServiceId, Duration> {
     let mut objectives: IndexMap<ServiceId, Vec<Duration>> = IndexMap::new();
     for route in routes {
@@ -212,6 +228,11 @@
         self.latency_objectives.get(service).copied()
     }
 
+    /// Returns the ranks of the requests to a service; none if no route leads to it.
+    pub fn ranks(&self, service: &ServiceId) -> Option<&ServiceRanks> {
+        self.ranks.get(service)
+    }
+
     /// Finds the customer that holds a key.
     pub fn customer(&self, key: &KeyDigest) -> Option<&CustomerRule> {
         let index = *self.keys.get(key)?;
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -25,7 +25,7 @@
 use crate::rendezvous::StableHash;
 use crate::route_timing::RouteTimings;
 use crate::target_limits::LimitPermission;
-use crate::target_selection::{SelectionError, SelectionRequest, TargetSelection};
+use crate::target_selection::{PoolLoad, SelectionError, SelectionRequest, TargetSelection};
 use crate::target_trial::{ServiceFloor, TrialNode, TrialOrder, is_left_alone, may_be_due};
 use crate::time::MonoTime;
 use crate::units::ByteSize;
@@ -245,6 +245,7 @@
         let max_permit_wait = Duration::from_millis(MAX_PERMIT_WAIT_MS);
         let mut best: Option<(f64, TargetSelection)> = None;
         let mut error = SelectionError::NoTarget;
+        let mut pool = PoolLoad::default();
         for step in 0..count {
             let Some((id, target)) = self.targets.get_index((start + step) % count) else {
                 break;
@@ -272,11 +273,15 @@
                 }
             };
             let (target_cost, wait) = self.cost(now, target, permit_wait, terms);
+            let load = target.load(now);
+            if !target.is_suspected {
+                pool.add(load, target.slots);
+            }
             let is_trial = trial == Some(id);
             let cost = if is_trial {
                 f64::NEG_INFINITY
             } else {
-                target_cost + limit_cost
+                target_cost + limit_cost + request.spread_cost(step)
             };
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let selection = TargetSelection {
@@ -284,14 +289,16 @@
                     permit_wait,
                     expected_wait: wait,
                     failing_probability: target.filter.probability(now),
-                    load: target.load(now),
+                    load,
+                    pool: PoolLoad::default(),
                     candidates: count,
                     is_trial,
                 };
                 best = Some((cost, selection));
             }
         }
-        best.map(|(_, selection)| selection).ok_or(error)
+        best.map(|(_, selection)| TargetSelection { pool, ..selection })
+            .ok_or(error)
     }
 
     /// Returns the target that the request tries, if one is due for it: the one that is least likely failing.
--- a/lib/src/target_selection.rs
+++ b/lib/src/target_selection.rs
@@ -5,6 +5,7 @@
 use crate::config::Idempotence;
 use crate::crossing_cost::CrossingCost;
 use crate::ids::TargetId;
+use crate::rendezvous::StableHash;
 use crate::target_limits::TargetLimits;
 use crate::target_notices::TargetNotices;
 
@@ -23,6 +24,62 @@
     pub crossing: CrossingCost,
     /// A number that differs between requests, to break ties.
     pub seed: u64,
+    /// How far targets may differ in cost and still be selected alike.
+    pub spread: CostSpread,
+}
+
+/// How far targets may differ in cost and still be selected alike.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum CostSpread {
+    /// The target with the lowest cost is selected.
+    #[default]
+    None,
+    /// A random part of the wait for a running time is added, so that nodes with the same outdated reports
+    /// do not all select the same target. Where requests differ in rank, the queues that this saves are
+    /// worth more than the best guess.
+    Wide,
+}
+
+/// The largest cost that is added to spread requests: about that of the wait for a typical running time.
+const WIDE_SPREAD_COST: f64 = 0.3;
+
+impl SelectionRequest<'_> {
+    /// Returns the random cost of the candidate at an index, the same for the same request.
+    pub(crate) fn spread_cost(&self, index: usize) -> f64 {
+        match self.spread {
+            CostSpread::None => 0.0,
+            CostSpread::Wide => {
+                let drawn = StableHash(self.seed).with(StableHash(index as u64 + 1)).0 >> 11;
+                WIDE_SPREAD_COST * drawn as f64 / (1_u64 << 53) as f64
+            }
+        }
+    }
+}
+
+/// The load and the slots of a service's targets together.
+///
+/// The sums of outdated loads err far less than the least of them, which all nodes choose at the same time.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PoolLoad {
+    load: f64,
+    slots: f64,
+}
+
+impl PoolLoad {
+    /// Adds a target.
+    pub fn add(&mut self, load: f64, slots: u32) {
+        self.load += load;
+        self.slots += f64::from(slots);
+    }
+
+    /// Returns how many running times a request would wait if all requests were spread evenly.
+    pub fn queueing(self) -> f64 {
+        if self.slots > 0.0 {
+            (self.load + 1.0 - self.slots).max(0.0) / self.slots
+        } else {
+            0.0
+        }
+    }
 }
 
 /// The target that was selected for a request.
@@ -38,12 +95,23 @@
     pub failing_probability: f64,
     /// The estimated number of requests that run there.
     pub load: f64,
+    /// The load of all targets that the request may go to.
+    pub pool: PoolLoad,
     /// The number of the service's targets.
     pub candidates: usize,
     /// Whether the target was selected to learn its state, since it had no requests.
     pub is_trial: bool,
 }
 
+impl TargetSelection {
+    /// Returns the expected wait in the target's queue, without the wait for a permit, in running times of
+    /// which the balancer took the typical one.
+    pub fn queueing(&self, typical: Duration) -> f64 {
+        let queue_wait = self.expected_wait.saturating_sub(self.permit_wait);
+        queue_wait.as_secs_f64() / typical.as_secs_f64().max(1e-3)
+    }
+}
+
 /// The reasons why no target can be selected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SelectionError {
