--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! All tests of the crate, one module for each subject.
 
+mod admission_fleet;
 mod claim_fleet;
 mod epoch_fleet;
 mod escrow_network;
@@ -21,6 +22,7 @@
 #[allow(dead_code)]
 #[path = "../benches/support/mod.rs"]
 mod support;
+mod test_admission;
 mod test_attempt_failure;
 mod test_claims;
 mod test_configuration;
--- a/lib/tests/test_crossing_cost.rs
+++ b/lib/tests/test_crossing_cost.rs
@@ -10,7 +10,7 @@
 use damaskloom_lib::target_balancer::TargetBalancer;
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_notices::TargetNotices;
-use damaskloom_lib::target_selection::SelectionRequest;
+use damaskloom_lib::target_selection::{CostSpread, SelectionRequest};
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::units::ByteSize;
 
@@ -70,6 +70,7 @@
         notices: &TargetNotices::default(),
         crossing,
         seed: 0,
+        spread: CostSpread::None,
     };
     let selection = balancer.select(at(ms), &request);
     selection.expect("there are targets").target
--- a/lib/tests/test_target_balancer.rs
+++ b/lib/tests/test_target_balancer.rs
@@ -10,7 +10,7 @@
 use damaskloom_lib::target_balancer::{TargetBalancer, TargetCode};
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_notices::TargetNotices;
-use damaskloom_lib::target_selection::{SelectionError, SelectionRequest};
+use damaskloom_lib::target_selection::{CostSpread, SelectionError, SelectionRequest};
 use damaskloom_lib::time::MonoTime;
 
 const BASELINE_FAILURE_RATE: f64 = 0.012;
@@ -74,6 +74,7 @@
         notices: &TargetNotices::default(),
         crossing: CrossingCost::default(),
         seed: 0,
+        spread: CostSpread::None,
     };
     let choice = balancer.select(at(ms), &request).expect("a target is left");
     choice.target.to_string()
@@ -136,6 +137,7 @@
         notices: &TargetNotices::default(),
         crossing: CrossingCost::default(),
         seed: 0,
+        spread: CostSpread::None,
     };
     assert_eq!(
         balancer.select(at(10), &request),
@@ -217,6 +219,7 @@
         notices: &TargetNotices::default(),
         crossing: CrossingCost::default(),
         seed: 0,
+        spread: CostSpread::None,
     };
     let choice = balancer.select(at(2_000), &request);
     let choice = choice.expect("there are targets");
@@ -261,6 +264,7 @@
             notices: &TargetNotices::default(),
             crossing: CrossingCost::default(),
             seed,
+            spread: CostSpread::None,
         };
         let choice = balancer
             .select(at(400), &request)
--- a/lib/tests/test_target_limits.rs
+++ b/lib/tests/test_target_limits.rs
@@ -10,7 +10,7 @@
     LimitNotice, LimitPermission, LimitSender, LimitStatement, TargetLimits,
 };
 use damaskloom_lib::target_notices::TargetNotices;
-use damaskloom_lib::target_selection::{SelectionError, SelectionRequest};
+use damaskloom_lib::target_selection::{CostSpread, SelectionError, SelectionRequest};
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::units::RequestRate;
 
@@ -200,6 +200,7 @@
             notices: &TargetNotices::default(),
             crossing: CrossingCost::default(),
             seed: 0,
+            spread: CostSpread::None,
         };
         balancer.select(at(ms), &request)
     };
@@ -246,6 +247,7 @@
             notices: &TargetNotices::default(),
             crossing: CrossingCost::default(),
             seed: 0,
+            spread: CostSpread::None,
         };
         let selection = balancer.select(at(900), &request);
         selection.expect("a target is left").target
--- a/lib/tests/test_target_notices.rs
+++ b/lib/tests/test_target_notices.rs
@@ -8,7 +8,7 @@
 use damaskloom_lib::target_balancer::TargetBalancer;
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_notices::{MAX_REST_MS, RestNotice, TargetNotices, TargetStart};
-use damaskloom_lib::target_selection::{SelectionError, SelectionRequest};
+use damaskloom_lib::target_selection::{CostSpread, SelectionError, SelectionRequest};
 use damaskloom_lib::time::MonoTime;
 
 /// Returns the name of the node under test.
@@ -178,6 +178,7 @@
             notices,
             crossing: CrossingCost::default(),
             seed: 0,
+            spread: CostSpread::None,
         };
         balancer
             .select(at(ms), &request)
--- a/lib/tests/test_target_trial.rs
+++ b/lib/tests/test_target_trial.rs
@@ -11,7 +11,7 @@
 use damaskloom_lib::target_balancer::{TargetBalancer, TargetCode};
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_notices::TargetNotices;
-use damaskloom_lib::target_selection::SelectionRequest;
+use damaskloom_lib::target_selection::{CostSpread, SelectionRequest};
 use damaskloom_lib::target_trial::{TrialNode, TrialOrder};
 use damaskloom_lib::time::MonoTime;
 use rand::rngs::StdRng;
@@ -143,6 +143,7 @@
             notices: &TargetNotices::default(),
             crossing: CrossingCost::default(),
             seed: self.random.random(),
+            spread: CostSpread::None,
         };
         let selection = self.nodes[node].select(at(now), &request);
         let selection = selection.expect("there are targets");
