admission: repeats go to the requests of most value, and more of the budget is used

In a window in which targets refused 55 % of all requests, 1,210 of about 1,760 repeats were used, first come, first served. What a node earns is now used wholly where its share of the allowance covers a repeat, and more of the allowance is stock. Less urgent ranks, and requests that may run twice, leave a part of it.

--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -437,13 +437,17 @@
             return true;
         }
         let now = self.state.clock.now();
+        let value = self.state.repeat_value(self.service, self.admitted);
         let allowed = self
             .state
             .repeat_budget
             .borrow_mut()
-            .try_spend(now, self.service);
+            .try_spend(now, self.service, value);
         if allowed {
             self.state.meters.record_retry();
+        } else {
+            let rank = self.admitted.priority;
+            self.state.meters.record_refused_repeat(rank);
         }
         tracing::info!(
             request = self.request_id,
--- a/entry/src/entry_meters.rs
+++ b/entry/src/entry_meters.rs
@@ -87,6 +87,9 @@
     failed_targets: BoundedLabel,
     ranks: BoundedLabel,
     room_refusals: Counter<u64>,
+    refused_repeats: Counter<u64>,
+    service_waits: Gauge<f64>,
+    services: BoundedLabel,
     answers: Counter<u64>,
     refusals: Counter<u64>,
     completed_attempts: Counter<u64>,
@@ -123,6 +126,9 @@
             routes: BoundedLabel::new("route", MAX_ROUTE_SERIES),
             failed_targets: BoundedLabel::new("target", MAX_TARGET_SERIES),
             ranks: BoundedLabel::new("rank", MAX_RANK_SERIES),
+            refused_repeats: meter.u64_counter("damaskloom_refused_repeats").build(),
+            service_waits: meter.f64_gauge("damaskloom_service_wait_seconds").build(),
+            services: BoundedLabel::new("service", MAX_ROUTE_SERIES),
             room_refusals: meter.u64_counter("damaskloom_room_refusals").build(),
             answers: meter.u64_counter("damaskloom_answers").build(),
             refusals: meter.u64_counter("damaskloom_refusals").build(),
@@ -160,6 +166,18 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a retry that the budget did not allow.
+    pub fn record_refused_repeat(&self, rank: PriorityRank) {
+        let rank = self.ranks.label(&rank.0.to_string());
+        self.refused_repeats.add(1, &[rank]);
+    }
+
+    /// Records the estimated wait at a service.
+    pub fn record_service_wait(&self, service: &str, wait: Duration) {
+        let service = self.services.label(service);
+        self.service_waits.record(wait.as_secs_f64(), &[service]);
+    }
+
     /// Counts a request that was refused for lack of room, by its rank or by its deadline.
     pub fn record_room_refusal(&self, reason: &'static str, rank: PriorityRank) {
         let rank = self.ranks.label(&rank.0.to_string());
--- a/entry/src/rank_admission.rs
+++ b/entry/src/rank_admission.rs
@@ -6,6 +6,7 @@
     AdmissionDecision, AdmissionPolicy, RankedRequest, RefusingChange, ServiceRanks,
 };
 use damaskloom_lib::ids::ServiceId;
+use damaskloom_lib::repeat_budget::RepeatValue;
 use damaskloom_lib::routing::RouteRule;
 use damaskloom_lib::service_room::WaitSample;
 use damaskloom_lib::target_selection::{CostSpread, TargetSelection};
@@ -43,10 +44,11 @@
             pool: selection.pool,
             drawn: rand::rng().random(),
         };
-        let (decision, change) = self.with_admission(service, |policy| {
+        let (decision, change, wait) = self.with_admission(service, |policy| {
             let decision = policy.decide(now, ranks, &request);
-            (decision, policy.take_change())
+            (decision, policy.take_change(), policy.room().pool_wait())
         });
+        self.meters.record_service_wait(service.as_str(), wait);
         if let Some(change) = change {
             log_change(service, change, &request, decision);
         }
@@ -71,6 +73,15 @@
         ranks.is_some_and(ServiceRanks::is_graded)
     }
 
+    /// Returns what a repeat of a request is worth.
+    pub fn repeat_value(&self, service: &ServiceId, admitted: &AdmittedRequest) -> RepeatValue {
+        let routing = self.routing.borrow();
+        let ranks = routing.as_ref().and_then(|table| table.ranks(service));
+        ranks.map_or(RepeatValue::Equal, |ranks| {
+            ranks.repeat_value(admitted.priority, admitted.route.idempotence)
+        })
+    }
+
     /// Returns how the requests of a service are spread over targets of similar cost.
     pub fn cost_spread(&self, service: &ServiceId) -> CostSpread {
         if self.has_several_ranks(service) {
--- a/lib/src/admission_policy.rs
+++ b/lib/src/admission_policy.rs
@@ -10,8 +10,10 @@
 
 use indexmap::IndexMap;
 
+use crate::config::Idempotence;
 use crate::ids::{CustomerId, RouteId, ServiceId};
-use crate::routing::{PriorityRank, RoutingDocument};
+use crate::repeat_budget::RepeatValue;
+use crate::routing::{Destination, PriorityRank, RoutingDocument};
 use crate::service_room::{ServiceRoom, WaitSample};
 use crate::target_selection::PoolLoad;
 use crate::time::MonoTime;
@@ -59,7 +61,7 @@
 impl ServiceRanks {
     /// Collects the ranks of the routes to a service and of the customers, who may use any of them.
     pub fn new(document: &RoutingDocument, service: &ServiceId) -> Self {
-        let names_service = |destinations: &[crate::routing::Destination]| {
+        let names_service = |destinations: &[Destination]| {
             let mut destinations = destinations.iter();
             destinations.any(|destination| destination.service == *service)
         };
@@ -94,6 +96,25 @@
         )
     }
 
+    /// Returns what a repeat of a request is worth.
+    pub fn repeat_value(&self, rank: PriorityRank, idempotence: Idempotence) -> RepeatValue {
+        if !self.is_graded() {
+            return RepeatValue::Equal;
+        }
+        RepeatValue::Ranked {
+            place: self.place(rank).1,
+            idempotence,
+        }
+    }
+
+    /// Returns the index of a rank, and its place from 0 for the most urgent one to 1 for the least urgent one.
+    fn place(&self, rank: PriorityRank) -> (usize, f64) {
+        let last = self.0.len().saturating_sub(1);
+        let known = self.0.iter().position(|known| known.rank >= rank);
+        let index = known.unwrap_or(last);
+        (index, index as f64 / last.max(1) as f64)
+    }
+
     /// Returns whether requests of the service differ in rank; otherwise none is refused by rank.
     pub fn is_graded(&self) -> bool {
         self.0.len() > 1
@@ -235,8 +256,7 @@
         wait: Duration,
         running: Duration,
     ) -> f64 {
-        let known = ranks.0.iter().position(|rank| rank.rank >= request.rank);
-        let index = known.unwrap_or(ranks.0.len() - 1);
+        let (index, place) = ranks.place(request.rank);
         // No rank may build up a queue that a more urgent one cannot bear.
         let more_urgent = ranks.0.iter().take(index + 1);
         let bearable = more_urgent.map(|rank| self.bearable_wait(rank)).min();
@@ -254,8 +274,7 @@
         let spare_s = (request.time_left - running).as_secs_f64();
         let ease =
             spare_s / usual_spare_s.max(1e-3) * usual_running_s / running.as_secs_f64().max(1e-3);
-        let position = index as f64 / (ranks.0.len() - 1) as f64;
-        let between = |urgent: f64, least: f64| urgent + (least - urgent) * position;
+        let between = |urgent: f64, least: f64| urgent + (least - urgent) * place;
         let lower = between(URGENT_RANGE.0, LEAST_URGENT_RANGE.0);
         let upper = between(URGENT_RANGE.1, LEAST_URGENT_RANGE.1);
         let strain = wait.as_secs_f64() / bearable_s / ease.clamp(1.0 / MAX_EASE, MAX_EASE);
--- a/lib/src/repeat_budget.rs
+++ b/lib/src/repeat_budget.rs
@@ -8,12 +8,24 @@
 
 use indexmap::IndexMap;
 
+use crate::config::Idempotence;
 use crate::ids::ServiceId;
 use crate::time::MonoTime;
 
-/// The fraction of the budget that is used; the rest allows for nodes that differ in their view of the
-/// fleet.
+/// The fraction of the allowance that is used; the rest allows for nodes that differ in their view of the
+/// fleet. A fleet whose nodes see a third of it less uses 0.9.
 const USED_FRACTION: f64 = 0.6;
+/// The parts of the used allowance that a new process starts with, that can be saved up, and that refills over a
+/// window. The last two are all of it together, so no window sees more. Few repeats refill, since what requests
+/// earn beyond the stock is lost. A start has less than the stock, which the process before may have spent.
+const STARTING_PART: f64 = 0.5;
+const SAVED_PART: f64 = 0.75;
+const REFILLED_PART: f64 = 0.25;
+/// The reserve, as a part of what can be saved beyond one repeat.
+const RESERVED_PART: f64 = 1.0 / 3.0;
+/// The part of the reserve that the least urgent rank leaves to the others; the rest is left by requests that
+/// may run twice to those that may not.
+const RANK_RESERVE: f64 = 0.7;
 
 /// The limit on repeats over the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -35,6 +47,37 @@
     pub repeats: u64,
 }
 
+/// What a repeat is worth beside the other requests of its service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RepeatValue {
+    /// All requests of the service have the same rank; the first come is served first.
+    Equal,
+    /// The requests differ in rank.
+    Ranked {
+        /// The place of its rank, from 0 for the most urgent one to 1 for the least urgent one.
+        place: f64,
+        /// Whether it may run more than once. One that may not can be repeated only since it was refused
+        /// unrun, so it has no other chance.
+        idempotence: Idempotence,
+    },
+}
+
+impl RepeatValue {
+    /// Returns the part of the reserve that is left to repeats of more value.
+    fn reserved(self) -> f64 {
+        match self {
+            Self::Equal => 0.0,
+            Self::Ranked { place, idempotence } => {
+                let twice = match idempotence {
+                    Idempotence::Idempotent => 1.0 - RANK_RESERVE,
+                    Idempotence::NonIdempotent => 0.0,
+                };
+                place.clamp(0.0, 1.0) * RANK_RESERVE + twice
+            }
+        }
+    }
+}
+
 /// A node's part of the fixed allowance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AllowanceShare {
@@ -87,16 +130,20 @@
 
     /// Records a request for a service, which earns a fraction of a repeat.
     pub fn record_request(&mut self, now: MonoTime, service: &ServiceId) {
-        let earned = self.terms.ratio * USED_FRACTION;
+        // What a node earns is its own, so it needs no margin. Without enough allowance for a whole repeat,
+        // the stock of one that each node may have is covered by a part of what it earns.
+        let covered = self.saved_allowance().min(1.0);
+        let earned = self.terms.ratio * (USED_FRACTION + (1.0 - USED_FRACTION) * covered);
         let account = self.account(now, service);
         account.tokens += earned;
         account.usage.requests += 1;
     }
 
-    /// Spends a repeat of the service if there is one; returns whether the repeat may be sent.
-    pub fn try_spend(&mut self, now: MonoTime, service: &ServiceId) -> bool {
+    /// Spends a repeat of the service if there is one for its value; returns whether the repeat may be sent.
+    pub fn try_spend(&mut self, now: MonoTime, service: &ServiceId, value: RepeatValue) -> bool {
+        let reserve = (self.saved_allowance().max(1.0) - 1.0) * RESERVED_PART;
         let account = self.account(now, service);
-        let allowed = account.tokens >= 1.0;
+        let allowed = account.tokens >= 1.0 + reserve * value.reserved();
         if allowed {
             account.tokens -= 1.0;
         }
@@ -118,11 +165,20 @@
             .collect()
     }
 
+    /// Returns the part of the allowance that this node uses.
+    fn used_allowance(&self) -> f64 {
+        self.terms.slack * USED_FRACTION * self.share
+    }
+
+    /// Returns the part of the allowance that this node can save up.
+    fn saved_allowance(&self) -> f64 {
+        self.used_allowance() * SAVED_PART
+    }
+
     fn account(&mut self, now: MonoTime, service: &ServiceId) -> &mut ServiceAccount {
-        // Half of the allowance can be saved up and half refills over a window, so that no window
-        // sees more than all of it.
-        let half = self.terms.slack * USED_FRACTION * self.share / 2.0;
-        let per_second = half / self.terms.window.as_secs_f64().max(1.0);
+        let used = self.used_allowance();
+        let saved = self.saved_allowance();
+        let per_second = used * REFILLED_PART / self.terms.window.as_secs_f64().max(1.0);
         let account = self
             .accounts
             .entry(service.clone())
@@ -132,13 +188,13 @@
                 refilled_at: now,
                 usage: RepeatUsage::default(),
             });
-        if !account.is_endowed && half > 0.0 {
+        if !account.is_endowed && used > 0.0 {
             account.is_endowed = true;
-            account.tokens += half;
+            account.tokens += used * STARTING_PART;
         }
         let elapsed = now.since(account.refilled_at).as_secs_f64();
         account.refilled_at = now;
-        account.tokens = (account.tokens + elapsed * per_second).min(half.max(1.0));
+        account.tokens = (account.tokens + elapsed * per_second).min(saved.max(1.0));
         account
     }
 }
--- a/lib/tests/test_repeat_budget.rs
+++ b/lib/tests/test_repeat_budget.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::ids::ServiceId;
-use damaskloom_lib::repeat_budget::{AllowanceShare, RepeatBudget, RepeatTerms};
+use damaskloom_lib::repeat_budget::{AllowanceShare, RepeatBudget, RepeatTerms, RepeatValue};
 use damaskloom_lib::time::MonoTime;
 
 const TERMS: RepeatTerms = RepeatTerms {
@@ -39,7 +40,7 @@
         let budget = &mut self.budgets[node];
         budget.record_request(at(ms), &self.service);
         self.requests.push(ms);
-        if budget.try_spend(at(ms), &self.service) {
+        if budget.try_spend(at(ms), &self.service, RepeatValue::Equal) {
             self.repeats.push(ms);
         }
     }
@@ -152,3 +153,46 @@
         fleet.check(30_000);
     }
 }
+
+/// Guards against a budget that lies idle while targets refuse more than half of all requests, and against
+/// repeats that are used up by the requests that need them least.
+#[test]
+fn repeats_go_to_the_requests_of_most_value_and_are_used() {
+    for nodes in [4, 12] {
+        let mut fleet = RepeatFleet::new(nodes);
+        for budget in &mut fleet.budgets {
+            budget.set_share(AllowanceShare::OneOf(nodes));
+        }
+        let values = [
+            (0.0, Idempotence::NonIdempotent),
+            (0.0, Idempotence::Idempotent),
+            (1.0, Idempotence::NonIdempotent),
+            (1.0, Idempotence::Idempotent),
+        ];
+        let mut allowed = [0_u32; 4];
+        // 800 requests a second for 10 s, of which 55 in 100 are refused, in an order without a pattern.
+        for step in 0..8_000_u64 {
+            let ms = step * 5 / 4;
+            let drawn = step.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
+            let budget = &mut fleet.budgets[(drawn % nodes as u64) as usize];
+            budget.record_request(at(ms), &fleet.service);
+            fleet.requests.push(ms);
+            if (drawn >> 8) % 100 >= 55 {
+                continue;
+            }
+            let kind = ((drawn >> 16) % 4) as usize;
+            let (place, idempotence) = values[kind];
+            let value = RepeatValue::Ranked { place, idempotence };
+            if budget.try_spend(at(ms), &fleet.service, value) {
+                allowed[kind] += 1;
+                fleet.repeats.push(ms);
+            }
+        }
+        let used = RepeatFleet::count(&fleet.repeats, 0);
+        let budget = RepeatFleet::count(&fleet.requests, 0) * TERMS.ratio + TERMS.slack;
+        println!("{nodes} nodes: {used} of {budget}, {allowed:?}");
+        assert!(used <= budget, "{used} of {budget}");
+        assert!(used >= 0.9 * budget, "{used} of {budget}");
+        assert!(allowed[0] > allowed[1] && allowed[1] > allowed[2] && allowed[2] > allowed[3]);
+    }
+}
