--- a/lib/tests/test_repeat_budget.rs
+++ b/lib/tests/test_repeat_budget.rs
@@ -196,3 +196,26 @@
         assert!(allowed[0] > allowed[1] && allowed[1] > allowed[2] && allowed[2] > allowed[3]);
     }
 }
+
+/// Guards against nodes that see a third of the fleet less, and so take larger parts of the allowance: after a calm
+/// time, in which all save up, callers come at once and all their requests demand repeats.
+#[test]
+fn nodes_that_miss_a_third_of_the_others_keep_within_the_repeat_budget() {
+    for nodes in [12, 30] {
+        let mut fleet = RepeatFleet::new(nodes);
+        for budget in &mut fleet.budgets {
+            budget.set_share(AllowanceShare::OneOf(nodes * 2 / 3));
+        }
+        // One request a second of each node, which demands no repeat, then many.
+        for ms in (0..10_000_u64).step_by(1_000) {
+            for budget in &mut fleet.budgets {
+                budget.record_request(at(ms), &fleet.service);
+                fleet.requests.push(ms);
+            }
+        }
+        for step in 0..8_000_u64 {
+            fleet.request(10_000 + step * 5 / 2, step as usize % nodes);
+        }
+        fleet.check(30_000);
+    }
+}
