Merge admission when there is too little room

Requests are spread over targets of similar cost only while requests of the service wait although they are spread evenly: with room, the best target is the nearest sound one, and spreading would cost bytes between data centres.

--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -112,6 +112,7 @@
                 state,
                 service: request.service,
                 route: &request.admitted.route.id,
+                objective: request.admitted.route.latency_objective,
                 request_id,
                 fingerprint: request.fingerprint,
             }),
@@ -246,6 +247,7 @@
                 .sizes()
                 .crossing_cost(&self.admitted.route.id, cost_per_kb),
             seed: rand::rng().random(),
+            spread: self.state.cost_spread(self.service),
         };
         let selection = balancer
             .select(now, &request)
@@ -257,11 +259,20 @@
                     self.refuse(RefusalReason::TargetsLimited, wait.unwrap_or(UNKNOWN_WAIT))
                 }
             })?;
+        let typical = balancer.timings().typical();
+        if self.attempts.is_unsent()
+            && let Some(wait) =
+                (self.state).refuse_for_room(self.service, self.admitted, &selection, typical)
+        {
+            return Err(self.refuse(RefusalReason::Overloaded, wait));
+        }
         let min_running_time = balancer
             .timings()
             .typical_of(&self.admitted.route.id)
             .mul_f64(MIN_RUNNING_TIME_RATIO);
-        if selection.expected_wait + min_running_time > time_left {
+        let is_too_late = selection.expected_wait + min_running_time > time_left;
+        // With several ranks, the policy has checked the deadline by running times that include no wait.
+        if is_too_late && !self.state.has_several_ranks(self.service) {
             return Err(self.refuse(RefusalReason::Overloaded, selection.expected_wait));
         }
         Ok(selection)
@@ -340,6 +351,7 @@
         self.log_selection(selection);
         let allowed = self.attempt_time();
         let running = RunningGuard::begin(state, self.service, id, allowed.until_late);
+        let expected_wait = state.expected_wait(self.service, &self.admitted.route, selection);
         let sent_at = state.clock.now();
         permit.spend();
         let result = call(
@@ -357,6 +369,7 @@
             elapsed,
             was_late,
             allowed,
+            wait: expected_wait,
         };
         if result
             .answer
@@ -429,13 +442,17 @@
             return true;
         }
         let now = self.state.clock.now();
+        let value = self.state.repeat_value(self.service, self.admitted);
         let allowed = self
             .state
             .repeat_budget
             .borrow_mut()
-            .try_spend(now, self.service);
+            .try_spend(now, self.service, value);
         if allowed {
             self.state.meters.record_retry();
+        } else {
+            let rank = self.admitted.priority;
+            self.state.meters.record_refused_repeat(rank);
         }
         tracing::info!(
             request = self.request_id,
--- a/lib/tests/floor_fleet.rs
+++ b/lib/tests/floor_fleet.rs
@@ -15,7 +15,7 @@
 use damaskloom_lib::target_balancer::{TargetBalancer, TargetCode};
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_notices::TargetNotices;
-use damaskloom_lib::target_selection::SelectionRequest;
+use damaskloom_lib::target_selection::{CostSpread, SelectionRequest};
 use damaskloom_lib::target_trial::TrialNode;
 use damaskloom_lib::time::MonoTime;
 use rand::rngs::SmallRng;
@@ -275,6 +275,7 @@
             evacuations: &Evacuations::default(),
             crossing: CrossingCost::default(),
             seed: self.random.random(),
+            spread: CostSpread::None,
         };
         let balancer = &mut self.nodes[node];
         let selection = balancer
--- a/lib/tests/test_evacuation.rs
+++ b/lib/tests/test_evacuation.rs
@@ -12,7 +12,7 @@
 use damaskloom_lib::target_balancer::TargetBalancer;
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_notices::TargetNotices;
-use damaskloom_lib::target_selection::{SelectionError, SelectionRequest};
+use damaskloom_lib::target_selection::{CostSpread, SelectionError, SelectionRequest};
 use damaskloom_lib::time::MonoTime;
 
 const CENTRES: [&str; 3] = ["near", "away", "far"];
@@ -177,6 +177,7 @@
         evacuations,
         crossing: CrossingCost::default(),
         seed,
+        spread: CostSpread::None,
     };
     let selection = balancer.select(at(ms), &request)?;
     Ok((selection.target.to_string(), selection.is_trial))
