floor: targets that fail their trials are tried less often

Cause: while a service loses requests, every target without requests for a second got one of any kind. Change: each failed trial in a row, up to two, adds a second to the time for which the target is left alone; a good answer ends that. A healthy target answers its first trial, or by chance its second one.

--- a/lib/src/balanced_target.rs
+++ b/lib/src/balanced_target.rs
@@ -14,6 +14,12 @@
 const LOAD_REPORT_HALF_LIFE_MS: f64 = 150.0;
 /// How long a peer's count of running requests is used, in milliseconds: several report intervals.
 const PEER_COUNT_MAX_AGE_MS: u64 = 600;
+/// The time between two failures from which on they count as two trials, in milliseconds: below the second for which
+/// a target is left alone, and beyond the running time of a request.
+const TRIAL_GAP_MS: u64 = 700;
+/// How much longer a target is left alone for each failed trial, in milliseconds, and the number of such steps.
+const TRIAL_BACKOFF_MS: u64 = 1_000;
+const MAX_BACKOFF_STEPS: u32 = 2;
 /// A success is shared at once if the failing probability was above the initial one by this factor.
 const SHARING_FACTOR: f64 = 1.5;
 /// A target is suspected from this failing probability on; its answers then leave the baseline alone.
@@ -72,6 +78,10 @@
     pub(crate) is_suspected: bool,
     /// Whether the last signal about the target was good.
     pub(crate) is_last_good: bool,
+    /// The number of times in a row that requests failed after the target had been left alone.
+    pub(crate) failed_trials: u32,
+    /// When the last request failed; none since the last good answer.
+    pub(crate) failed_at: Option<MonoTime>,
     /// The positions of the nodes that try the target before this one.
     pub(crate) predecessors: Vec<u32>,
 }
@@ -94,6 +104,7 @@
         };
         self.is_suspected = after >= SUSPICION_THRESHOLD;
         self.is_last_good = signal == FailureSignal::Good;
+        self.count_failed_trial(now, signal);
         let initial_probability = FailureFilter::new(now).probability(now);
         SignalOutcome {
             before,
@@ -114,6 +125,25 @@
         self.requested_at = self.requested_at.max(started_at);
     }
 
+    /// Counts failures that come apart as trials; those of requests that ran together are one.
+    fn count_failed_trial(&mut self, now: MonoTime, signal: FailureSignal) {
+        if signal == FailureSignal::Good {
+            (self.failed_trials, self.failed_at) = (0, None);
+            return;
+        }
+        let gap = Duration::from_millis(TRIAL_GAP_MS);
+        let failed_at = self.failed_at.replace(now);
+        if failed_at.is_some_and(|at| now.since(at) >= gap) {
+            self.failed_trials += 1;
+        }
+    }
+
+    /// Returns how much longer than a second the target is left alone while its service keeps its floor. A healthy
+    /// target answers its first trial, or by chance its second one, so that the others cost fewer requests.
+    pub(crate) fn trial_backoff(&self) -> Duration {
+        Duration::from_millis(TRIAL_BACKOFF_MS) * self.failed_trials.min(MAX_BACKOFF_STEPS)
+    }
+
     /// Returns how the target is judged while it gets no requests.
     pub(crate) fn idle_state(&self, now: MonoTime) -> IdleState {
         if self.filter.probability(now) < SUSPICION_THRESHOLD {
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -173,6 +173,8 @@
             requested_at: now,
             is_suspected: false,
             is_last_good: true,
+            failed_trials: 0,
+            failed_at: None,
             predecessors,
         };
         self.codes.insert(TargetCode::from(&id), id.clone());
--- a/lib/src/trial_choice.rs
+++ b/lib/src/trial_choice.rs
@@ -53,7 +53,8 @@
                 continue;
             }
             let probability = target.filter.probability(now);
-            if floor_view.is_some_and(|view| view.is_turn(floor_idle, &target.predecessors)) {
+            let overdue = floor_idle.saturating_sub(target.trial_backoff());
+            if floor_view.is_some_and(|view| view.is_turn(overdue, &target.predecessors)) {
                 owed.push((id, probability));
             }
             let state = target.idle_state(now);
