entry, lib: admission by rank is a setting, off unless set

Change: admission.by_rank, false unless set, switches the policy, the spread of requests, the rule for shedding targets and the order of repeats together; with it off all are as before. The fleet's bound of repeats is tested with both orders.

--- a/entry/src/attempt_record.rs
+++ b/entry/src/attempt_record.rs
@@ -201,8 +201,11 @@
                 apply_crash_actions(state, actions);
             }
             AttemptFailure::Full => {
-                let refusal =
-                    state.with_balancer(service, |balancer| balancer.record_refusal(now, id));
+                let by_rank = state.admits_by_rank();
+                let refusal = state.with_balancer(service, |balancer| match by_rank {
+                    true => balancer.record_refusal(now, id),
+                    false => balancer.mark_full(now, id),
+                });
                 if refusal == Some(CapacityRefusal::Full) {
                     self.record_wait(AttemptEnd::Full(load), timing);
                 }
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -148,7 +148,7 @@
         settings: EntrySettings,
         network: Rc<dyn TargetNetwork>,
     ) -> Result<Rc<Self>, MeterError> {
-        let repeat_budget = RepeatBudget::new(settings.bounds.repeat_terms());
+        let repeat_budget = RepeatBudget::new(settings.repeat_terms());
         let clock = MonoClock::start();
         let rates = FleetRates::new(clock.now(), settings.bounds.rate_tolerance());
         let mut limits = TargetLimits::new(settings.vm.clone());
@@ -217,7 +217,7 @@
     pub fn change_settings(&self, settings: EntrySettings) {
         self.repeat_budget
             .borrow_mut()
-            .set_terms(settings.bounds.repeat_terms());
+            .set_terms(settings.repeat_terms());
         self.limits
             .borrow_mut()
             .warmups
--- a/entry/src/rank_admission.rs
+++ b/entry/src/rank_admission.rs
@@ -29,7 +29,7 @@
         let routing = self.routing.borrow();
         let ranks = routing.as_ref()?.ranks(service)?;
         // A trial goes to a target with free slots, whatever the wait at the others.
-        if !ranks.is_graded() || selection.is_trial {
+        if !self.admits_by_rank() || !ranks.is_graded() || selection.is_trial {
             return None;
         }
         let now = self.clock.now();
@@ -66,8 +66,16 @@
         }
     }
 
-    /// Returns whether the requests of a service differ in rank.
+    /// Returns whether the settings ask for admission by rank.
+    pub fn admits_by_rank(&self) -> bool {
+        self.settings().admission.by_rank
+    }
+
+    /// Returns whether requests of a service are admitted by rank, and differ in it.
     pub fn has_several_ranks(&self, service: &ServiceId) -> bool {
+        if !self.admits_by_rank() {
+            return false;
+        }
         let routing = self.routing.borrow();
         let ranks = routing.as_ref().and_then(|table| table.ranks(service));
         ranks.is_some_and(ServiceRanks::is_graded)
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -9,7 +9,7 @@
 use damaskloom_lib::entry_nodes::node_capacity;
 use damaskloom_lib::fleet_rate::RateTolerance;
 use damaskloom_lib::ids::{DataCentreId, VmId};
-use damaskloom_lib::repeat_budget::RepeatTerms;
+use damaskloom_lib::repeat_budget::{RepeatOrder, RepeatTerms};
 use damaskloom_lib::target_warmups::WarmupBound;
 use indexmap::IndexMap;
 use serde::Deserialize;
@@ -164,11 +164,33 @@
     }
 
     /// Returns the limits of the retry budget.
-    pub fn repeat_terms(&self) -> RepeatTerms {
+    pub fn repeat_terms(&self, order: RepeatOrder) -> RepeatTerms {
         RepeatTerms {
             ratio: self.repeat_ratio,
             slack: self.repeat_slack,
             window: Duration::from_secs_f64(self.repeat_window_s),
+            order,
+        }
+    }
+}
+
+/// Who is served when a service has too little room.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct AdmissionRules {
+    /// Whether less urgent requests, and those that would be late, are refused before they are sent, and repeats go to
+    /// requests of more value.
+    #[serde(default)]
+    pub by_rank: bool,
+}
+
+impl AdmissionRules {
+    /// Returns which requests get the repeats of a service.
+    pub const fn repeat_order(&self) -> RepeatOrder {
+        if self.by_rank {
+            RepeatOrder::ByValue
+        } else {
+            RepeatOrder::FirstCome
         }
     }
 }
@@ -211,6 +233,16 @@
     /// What the operators pay for.
     #[serde(default)]
     pub costs: RequestCosts,
+    /// Who is served when a service has too little room.
+    #[serde(default)]
+    pub admission: AdmissionRules,
+}
+
+impl EntrySettings {
+    /// Returns the limits of the retry budget.
+    pub fn repeat_terms(&self) -> RepeatTerms {
+        self.bounds.repeat_terms(self.admission.repeat_order())
+    }
 }
 
 impl EntrySettings {
--- a/entry/tests/test_settings.rs
+++ b/entry/tests/test_settings.rs
@@ -1,6 +1,7 @@
 //! Tests the settings, their errors, and the template that the platform renders.
 
 use damaskloom_entry::settings::EntrySettings;
+use damaskloom_lib::repeat_budget::RepeatOrder;
 
 const SETTINGS: &str = r#"{
   // A node of a small fleet.
@@ -70,3 +71,19 @@
         assert!(template.contains(&format!("\"{name}\":")), "{name}");
     }
 }
+
+/// Guards against a deployment that is admitted by rank without asking for it, or that asks in vain.
+#[test]
+fn admission_by_rank_is_off_unless_set() {
+    let parse = |text: &str| EntrySettings::parse(text, "entry.jsonc").expect("valid settings");
+    let order = |settings: &EntrySettings| settings.repeat_terms().order;
+    let unset = parse(SETTINGS);
+    assert!(!unset.admission.by_rank);
+    assert_eq!(order(&unset), RepeatOrder::FirstCome);
+    let port = "\"peer_port\": 8004";
+    assert!(SETTINGS.contains(port));
+    let set = format!("{port}, \"admission\": {{\"by_rank\": true}}");
+    let set = parse(&SETTINGS.replace(port, &set));
+    assert!(set.admission.by_rank);
+    assert_eq!(order(&set), RepeatOrder::ByValue);
+}
--- a/lib/src/repeat_budget.rs
+++ b/lib/src/repeat_budget.rs
@@ -15,18 +15,36 @@
 /// The fraction of the allowance that is used; the rest allows for nodes that differ in their view of the
 /// fleet. A fleet whose nodes see a third of it less uses 0.9.
 const USED_FRACTION: f64 = 0.6;
-/// The parts of the used allowance that a new process starts with, that can be saved up, and that refills over a
-/// window. The last two are all of it together, so no window sees more. Few repeats refill, since what requests
-/// earn beyond the stock is lost. A start has less than the stock, which the process before may have spent.
+/// The part of the used allowance that a new process starts with: no more than the stock, which the process before
+/// may have spent.
 const STARTING_PART: f64 = 0.5;
-const SAVED_PART: f64 = 0.75;
-const REFILLED_PART: f64 = 0.25;
 /// The reserve, as a part of what can be saved beyond one repeat.
 const RESERVED_PART: f64 = 1.0 / 3.0;
 /// The part of the reserve that the least urgent rank leaves to the others; the rest is left by requests that
 /// may run twice to those that may not.
 const RANK_RESERVE: f64 = 0.7;
 
+/// Which requests get the repeats of a service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RepeatOrder {
+    /// The first ones that need one.
+    #[default]
+    FirstCome,
+    /// Those of most value: the others leave a reserve.
+    ByValue,
+}
+
+impl RepeatOrder {
+    /// Returns the part of the used allowance that can be saved up; the rest refills over a window, so that no window
+    /// sees more than all of it. By value, few repeats refill, since what requests earn beyond the stock is lost.
+    const fn saved_part(self) -> f64 {
+        match self {
+            Self::FirstCome => 0.5,
+            Self::ByValue => 0.75,
+        }
+    }
+}
+
 /// The limit on repeats over the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepeatTerms {
@@ -36,6 +54,8 @@
     pub slack: f64,
     /// The window.
     pub window: Duration,
+    /// Which requests get the repeats.
+    pub order: RepeatOrder,
 }
 
 /// What a node sent to a service since its usage was last drained.
@@ -132,7 +152,10 @@
     pub fn record_request(&mut self, now: MonoTime, service: &ServiceId) {
         // What a node earns is its own, so it needs no margin. Without enough allowance for a whole repeat,
         // the stock of one that each node may have is covered by a part of what it earns.
-        let covered = self.saved_allowance().min(1.0);
+        let covered = match self.terms.order {
+            RepeatOrder::FirstCome => 0.0,
+            RepeatOrder::ByValue => self.saved_allowance().min(1.0),
+        };
         let earned = self.terms.ratio * (USED_FRACTION + (1.0 - USED_FRACTION) * covered);
         let account = self.account(now, service);
         account.tokens += earned;
@@ -141,7 +164,10 @@
 
     /// Spends a repeat of the service if there is one for its value; returns whether the repeat may be sent.
     pub fn try_spend(&mut self, now: MonoTime, service: &ServiceId, value: RepeatValue) -> bool {
-        let reserve = (self.saved_allowance().max(1.0) - 1.0) * RESERVED_PART;
+        let reserve = match self.terms.order {
+            RepeatOrder::FirstCome => 0.0,
+            RepeatOrder::ByValue => (self.saved_allowance().max(1.0) - 1.0) * RESERVED_PART,
+        };
         let account = self.account(now, service);
         let allowed = account.tokens >= 1.0 + reserve * value.reserved();
         if allowed {
@@ -172,13 +198,13 @@
 
     /// Returns the part of the allowance that this node can save up.
     fn saved_allowance(&self) -> f64 {
-        self.used_allowance() * SAVED_PART
+        self.used_allowance() * self.terms.order.saved_part()
     }
 
     fn account(&mut self, now: MonoTime, service: &ServiceId) -> &mut ServiceAccount {
         let used = self.used_allowance();
         let saved = self.saved_allowance();
-        let per_second = used * REFILLED_PART / self.terms.window.as_secs_f64().max(1.0);
+        let per_second = (used - saved) / self.terms.window.as_secs_f64().max(1.0);
         let account = self
             .accounts
             .entry(service.clone())
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -495,17 +495,20 @@
     /// Records that a target refused a request unrun; it counts as full unless it has just reported free
     /// slots.
     pub fn record_refusal(&mut self, now: MonoTime, id: &TargetId) -> CapacityRefusal {
-        let Some(target) = self.targets.get_mut(id) else {
-            return CapacityRefusal::Full;
-        };
         let max_age = Duration::from_millis(FREE_REPORT_MAX_AGE_MS);
-        let is_free = target
-            .reported_free_at
-            .is_some_and(|reported_at| now.since(reported_at) <= max_age);
-        if is_free {
+        let target = self.targets.get(id);
+        let reported_free_at = target.and_then(|target| target.reported_free_at);
+        if reported_free_at.is_some_and(|reported_at| now.since(reported_at) <= max_age) {
             return CapacityRefusal::Shedding;
         }
-        target.full_until = now + Duration::from_millis(FULL_PENALTY_MS);
+        self.mark_full(now, id)
+    }
+
+    /// Records that a target refused a request for lack of capacity.
+    pub fn mark_full(&mut self, now: MonoTime, id: &TargetId) -> CapacityRefusal {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.full_until = now + Duration::from_millis(FULL_PENALTY_MS);
+        }
         CapacityRefusal::Full
     }
 
--- a/lib/tests/test_repeat_budget.rs
+++ b/lib/tests/test_repeat_budget.rs
@@ -4,10 +4,21 @@
 
 use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::ids::ServiceId;
-use damaskloom_lib::repeat_budget::{AllowanceShare, RepeatBudget, RepeatTerms, RepeatValue};
+use damaskloom_lib::repeat_budget::{
+    AllowanceShare, RepeatBudget, RepeatOrder, RepeatTerms, RepeatValue,
+};
 use damaskloom_lib::time::MonoTime;
 
+/// The same terms for both orders, since the fleet's budget holds whoever gets the repeats.
+const BOTH_TERMS: [RepeatTerms; 2] = [
+    RepeatTerms {
+        order: RepeatOrder::FirstCome,
+        ..TERMS
+    },
+    TERMS,
+];
 const TERMS: RepeatTerms = RepeatTerms {
+    order: RepeatOrder::ByValue,
     ratio: 0.2,
     slack: 64.0,
     window: Duration::from_secs(10),
@@ -27,9 +38,9 @@
 }
 
 impl RepeatFleet {
-    fn new(nodes: usize) -> Self {
+    fn new(nodes: usize, terms: RepeatTerms) -> Self {
         Self {
-            budgets: (0..nodes).map(|_| RepeatBudget::new(TERMS)).collect(),
+            budgets: (0..nodes).map(|_| RepeatBudget::new(terms)).collect(),
             service: "desk".parse().expect("a valid name"),
             requests: Vec::new(),
             repeats: Vec::new(),
@@ -67,90 +78,98 @@
 /// its own.
 #[test]
 fn the_fleet_keeps_within_its_repeat_budget() {
-    let nodes = 12;
-    let mut fleet = RepeatFleet::new(nodes);
-    for budget in &mut fleet.budgets {
-        budget.set_share(AllowanceShare::OneOf(nodes));
-    }
-    for step in 0..6_000_u64 {
-        fleet.request(step * 5, step as usize % nodes);
+    for terms in BOTH_TERMS {
+        let nodes = 12;
+        let mut fleet = RepeatFleet::new(nodes, terms);
+        for budget in &mut fleet.budgets {
+            budget.set_share(AllowanceShare::OneOf(nodes));
+        }
+        for step in 0..6_000_u64 {
+            fleet.request(step * 5, step as usize % nodes);
+        }
+        fleet.check(30_000);
+        assert!(fleet.repeats.len() > 100, "too few repeats were allowed");
     }
-    fleet.check(30_000);
-    assert!(fleet.repeats.len() > 100, "too few repeats were allowed");
 }
 
 /// Guards against processes that each take the whole allowance when all nodes start at once, before
 /// they know of each other, although the processes before them may have spent it.
 #[test]
 fn nodes_that_restart_together_keep_within_the_repeat_budget() {
-    let nodes = 12;
-    let mut fleet = RepeatFleet::new(nodes);
-    // Single requests, but many at once after each start, as callers come back.
-    for ms in 0..30_000_u64 {
-        let since_start = ms % WINDOW_MS;
-        if since_start == 0 {
-            for budget in &mut fleet.budgets {
-                *budget = RepeatBudget::new(TERMS);
+    for terms in BOTH_TERMS {
+        let nodes = 12;
+        let mut fleet = RepeatFleet::new(nodes, terms);
+        // Single requests, but many at once after each start, as callers come back.
+        for ms in 0..30_000_u64 {
+            let since_start = ms % WINDOW_MS;
+            if since_start == 0 {
+                for budget in &mut fleet.budgets {
+                    *budget = RepeatBudget::new(terms);
+                }
             }
-        }
-        if since_start == 500 {
-            for budget in &mut fleet.budgets {
-                budget.set_share(AllowanceShare::OneOf(nodes));
+            if since_start == 500 {
+                for budget in &mut fleet.budgets {
+                    budget.set_share(AllowanceShare::OneOf(nodes));
+                }
+            }
+            if since_start < 500 || ms % 50 == 0 {
+                fleet.request(ms, ms as usize % nodes);
             }
         }
-        if since_start < 500 || ms % 50 == 0 {
-            fleet.request(ms, ms as usize % nodes);
-        }
+        fleet.check(30_000);
     }
-    fleet.check(30_000);
 }
 
 /// Guards against an allowance that grows with the nodes outside the directory, each of which gets
 /// single requests.
 #[test]
 fn nodes_that_carry_no_traffic_add_nothing_to_the_allowance() {
-    let (nodes, carrying) = (48, 12);
-    let mut fleet = RepeatFleet::new(nodes);
-    for (node, budget) in fleet.budgets.iter_mut().enumerate() {
-        budget.set_share(if node < carrying {
-            AllowanceShare::OneOf(carrying)
-        } else {
-            AllowanceShare::None
-        });
-    }
-    for step in 0..1_500_u64 {
-        fleet.request(step * 20, step as usize % nodes);
+    for terms in BOTH_TERMS {
+        let (nodes, carrying) = (48, 12);
+        let mut fleet = RepeatFleet::new(nodes, terms);
+        for (node, budget) in fleet.budgets.iter_mut().enumerate() {
+            budget.set_share(if node < carrying {
+                AllowanceShare::OneOf(carrying)
+            } else {
+                AllowanceShare::None
+            });
+        }
+        for step in 0..1_500_u64 {
+            fleet.request(step * 20, step as usize % nodes);
+        }
+        fleet.check(30_000);
     }
-    fleet.check(30_000);
 }
 
 /// Guards against processes that each begin with a part of the allowance although the process before them has
 /// spent it: with nodes that are started again one after the other, several times in a window.
 #[test]
 fn nodes_that_restart_in_turn_keep_within_the_repeat_budget() {
-    let nodes = 12;
-    for interval_ms in [800, 400, 200] {
-        let mut fleet = RepeatFleet::new(nodes);
-        for budget in &mut fleet.budgets {
-            budget.set_share(AllowanceShare::OneOf(nodes));
-        }
-        let mut next = 0;
-        for ms in 0..30_000_u64 {
-            // Few requests, so that nearly all repeats come from the allowance.
-            if ms % 100 == 0 {
-                fleet.request(ms, (ms / 100) as usize % nodes);
+    for terms in BOTH_TERMS {
+        let nodes = 12;
+        for interval_ms in [800, 400, 200] {
+            let mut fleet = RepeatFleet::new(nodes, terms);
+            for budget in &mut fleet.budgets {
+                budget.set_share(AllowanceShare::OneOf(nodes));
             }
-            if ms >= 5_000 && ms % interval_ms == 0 {
-                fleet.budgets[next] = RepeatBudget::new(TERMS);
-                fleet.budgets[next].set_share(AllowanceShare::OneOf(nodes));
-                // Callers come back to the node at once.
-                for _ in 0..4 {
-                    fleet.request(ms, next);
+            let mut next = 0;
+            for ms in 0..30_000_u64 {
+                // Few requests, so that nearly all repeats come from the allowance.
+                if ms % 100 == 0 {
+                    fleet.request(ms, (ms / 100) as usize % nodes);
+                }
+                if ms >= 5_000 && ms % interval_ms == 0 {
+                    fleet.budgets[next] = RepeatBudget::new(terms);
+                    fleet.budgets[next].set_share(AllowanceShare::OneOf(nodes));
+                    // Callers come back to the node at once.
+                    for _ in 0..4 {
+                        fleet.request(ms, next);
+                    }
+                    next = (next + 1) % nodes;
                 }
-                next = (next + 1) % nodes;
             }
+            fleet.check(30_000);
         }
-        fleet.check(30_000);
     }
 }
 
@@ -158,8 +177,9 @@
 /// repeats that are used up by the requests that need them least.
 #[test]
 fn repeats_go_to_the_requests_of_most_value_and_are_used() {
+    let terms = TERMS;
     for nodes in [4, 12] {
-        let mut fleet = RepeatFleet::new(nodes);
+        let mut fleet = RepeatFleet::new(nodes, terms);
         for budget in &mut fleet.budgets {
             budget.set_share(AllowanceShare::OneOf(nodes));
         }
@@ -201,21 +221,23 @@
 /// time, in which all save up, callers come at once and all their requests demand repeats.
 #[test]
 fn nodes_that_miss_a_third_of_the_others_keep_within_the_repeat_budget() {
-    for nodes in [12, 30] {
-        let mut fleet = RepeatFleet::new(nodes);
-        for budget in &mut fleet.budgets {
-            budget.set_share(AllowanceShare::OneOf(nodes * 2 / 3));
-        }
-        // One request a second of each node, which demands no repeat, then many.
-        for ms in (0..10_000_u64).step_by(1_000) {
+    for terms in BOTH_TERMS {
+        for nodes in [12, 30] {
+            let mut fleet = RepeatFleet::new(nodes, terms);
             for budget in &mut fleet.budgets {
-                budget.record_request(at(ms), &fleet.service);
-                fleet.requests.push(ms);
+                budget.set_share(AllowanceShare::OneOf(nodes * 2 / 3));
             }
+            // One request a second of each node, which demands no repeat, then many.
+            for ms in (0..10_000_u64).step_by(1_000) {
+                for budget in &mut fleet.budgets {
+                    budget.record_request(at(ms), &fleet.service);
+                    fleet.requests.push(ms);
+                }
+            }
+            for step in 0..8_000_u64 {
+                fleet.request(10_000 + step * 5 / 2, step as usize % nodes);
+            }
+            fleet.check(30_000);
         }
-        for step in 0..8_000_u64 {
-            fleet.request(10_000 + step * 5 / 2, step as usize % nodes);
-        }
-        fleet.check(30_000);
     }
 }
