--- /dev/null
+++ b/review/standins-2/bed.rs
@@ -0,0 +1,905 @@
+//! A bed for the cases of this review that run as scripts: the platform's store, servers, clients and the
+//! processes of the project, on loopback addresses and the real clock. Only the standard library is used.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fs;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Exit codes of a case.
+pub const HELD: i32 = 0;
+pub const BROKEN: i32 = 1;
+pub const NOT_RUN: i32 = 2;
+
+/// What was sent, answered and run, with the seconds since the start.
+#[derive(Clone)]
+pub struct Record(Arc<(Instant, Mutex<fs::File>)>);
+
+impl Record {
+    pub fn create(path: &Path) -> io::Result<Self> {
+        Ok(Self(Arc::new((Instant::now(), Mutex::new(fs::File::create(path)?)))))
+    }
+
+    pub fn seconds(&self) -> f64 {
+        self.0.0.elapsed().as_secs_f64()
+    }
+
+    pub fn line(&self, text: impl AsRef<str>) {
+        let line = format!("{:8.3} s  {}\n", self.seconds(), text.as_ref());
+        print!("{line}");
+        let _ = self.0.1.lock().unwrap().write_all(line.as_bytes());
+    }
+}
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+pub fn sleep_s(seconds: f64) {
+    thread::sleep(Duration::from_secs_f64(seconds));
+}
+
+/// Waits until a condition holds; returns whether it did in time.
+pub fn wait_for(seconds: f64, mut condition: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + Duration::from_secs_f64(seconds);
+    while Instant::now() < end {
+        if condition() {
+            return true;
+        }
+        sleep_s(0.03);
+    }
+    false
+}
+
+// ---- JSON and base64 ----
+
+#[derive(Clone, Debug)]
+pub enum Json {
+    Null,
+    Bool,
+    Number(f64),
+    Text(String),
+    List(Vec<Json>),
+    Table(Vec<(String, Json)>),
+}
+
+impl Json {
+    pub fn parse(text: &[u8]) -> Option<Json> {
+        let mut at = 0;
+        Self::value(text, &mut at)
+    }
+
+    fn skip(text: &[u8], at: &mut usize) {
+        while *at < text.len() && text[*at].is_ascii_whitespace() {
+            *at += 1;
+        }
+    }
+
+    fn value(text: &[u8], at: &mut usize) -> Option<Json> {
+        Self::skip(text, at);
+        match *text.get(*at)? {
+            b'{' => {
+                *at += 1;
+                let mut fields = Vec::new();
+                loop {
+                    Self::skip(text, at);
+                    match *text.get(*at)? {
+                        b'}' => {
+                            *at += 1;
+                            return Some(Json::Table(fields));
+                        }
+                        b',' => *at += 1,
+                        _ => {
+                            let Json::Text(name) = Self::value(text, at)? else { return None };
+                            Self::skip(text, at);
+                            *at += 1;
+                            fields.push((name, Self::value(text, at)?));
+                        }
+                    }
+                }
+            }
+            b'[' => {
+                *at += 1;
+                let mut items = Vec::new();
+                loop {
+                    Self::skip(text, at);
+                    match *text.get(*at)? {
+                        b']' => {
+                            *at += 1;
+                            return Some(Json::List(items));
+                        }
+                        b',' => *at += 1,
+                        _ => items.push(Self::value(text, at)?),
+                    }
+                }
+            }
+            b'"' => {
+                *at += 1;
+                let mut bytes = Vec::new();
+                loop {
+                    match *text.get(*at)? {
+                        b'"' => {
+                            *at += 1;
+                            return Some(Json::Text(String::from_utf8(bytes).ok()?));
+                        }
+                        b'\\' => {
+                            let escaped = *text.get(*at + 1)?;
+                            *at += 2;
+                            match escaped {
+                                b'n' => bytes.push(b'\n'),
+                                b't' => bytes.push(b'\t'),
+                                b'u' => {
+                                    let code = std::str::from_utf8(text.get(*at..*at + 4)?).ok()?;
+                                    let code = u32::from_str_radix(code, 16).ok()?;
+                                    let mut buffer = [0; 4];
+                                    let sign = char::from_u32(code)?;
+                                    bytes.extend(sign.encode_utf8(&mut buffer).as_bytes());
+                                    *at += 4;
+                                }
+                                other => bytes.push(other),
+                            }
+                        }
+                        byte => {
+                            bytes.push(byte);
+                            *at += 1;
+                        }
+                    }
+                }
+            }
+            _ => {
+                let start = *at;
+                while *at < text.len() && !b",]} \n\r\t".contains(&text[*at]) {
+                    *at += 1;
+                }
+                match &text[start..*at] {
+                    b"null" => Some(Json::Null),
+                    b"true" | b"false" => Some(Json::Bool),
+                    number => Some(Json::Number(std::str::from_utf8(number).ok()?.parse().ok()?)),
+                }
+            }
+        }
+    }
+
+    pub fn get(&self, name: &str) -> Option<&Json> {
+        match self {
+            Json::Table(fields) => fields.iter().find(|(key, _)| key == name).map(|(_, value)| value),
+            _ => None,
+        }
+    }
+
+    pub fn text(&self, name: &str) -> String {
+        match self.get(name) {
+            Some(Json::Text(text)) => text.clone(),
+            _ => String::new(),
+        }
+    }
+
+    pub fn number(&self, name: &str) -> f64 {
+        match self.get(name) {
+            Some(Json::Number(number)) => *number,
+            _ => 0.0,
+        }
+    }
+
+    pub fn items(&self, name: &str) -> &[Json] {
+        match self.get(name) {
+            Some(Json::List(items)) => items,
+            _ => &[],
+        }
+    }
+}
+
+const BASE64: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+pub fn to_base64(bytes: &[u8]) -> String {
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let word = chunk.iter().fold(0_u32, |word, byte| word << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
+        for index in 0..4 {
+            if index <= chunk.len() {
+                text.push(BASE64[(word >> (18 - 6 * index) & 63) as usize] as char);
+            } else {
+                text.push('=');
+            }
+        }
+    }
+    text
+}
+
+pub fn from_base64(text: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let (mut word, mut bits) = (0_u32, 0);
+    for sign in text.bytes() {
+        let Some(value) = BASE64.iter().position(|known| *known == sign) else { continue };
+        word = word << 6 | value as u32;
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((word >> bits) as u8);
+        }
+    }
+    bytes
+}
+
+// ---- HTTP ----
+
+pub struct Head {
+    pub first: String,
+    pub headers: Vec<(String, String)>,
+}
+
+impl Head {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(key, _)| key == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    pub fn method(&self) -> &str {
+        self.first.split(' ').next().unwrap_or("")
+    }
+
+    pub fn target(&self) -> &str {
+        self.first.split(' ').nth(1).unwrap_or("")
+    }
+
+    /// The status of an answer.
+    pub fn status(&self) -> u16 {
+        self.target().parse().unwrap_or(0)
+    }
+
+    pub fn length(&self) -> usize {
+        self.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0)
+    }
+
+    fn is_chunked(&self) -> bool {
+        self.header("transfer-encoding").is_some()
+    }
+}
+
+pub fn read_head(reader: &mut impl BufRead) -> io::Result<Head> {
+    let mut line = String::new();
+    if reader.read_line(&mut line)? == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    let first = line.trim_end().to_owned();
+    let mut headers = Vec::new();
+    loop {
+        line.clear();
+        if reader.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let Some((name, value)) = line.trim_end().split_once(':') else {
+            return Ok(Head { first, headers });
+        };
+        headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+    }
+}
+
+pub fn read_body(reader: &mut impl BufRead, head: &Head) -> io::Result<Vec<u8>> {
+    if !head.is_chunked() {
+        let mut body = vec![0; head.length()];
+        reader.read_exact(&mut body)?;
+        return Ok(body);
+    }
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let size = usize::from_str_radix(line.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+        let mut chunk = vec![0; size + 2];
+        reader.read_exact(&mut chunk)?;
+        if size == 0 {
+            return Ok(body);
+        }
+        body.extend(&chunk[..size]);
+    }
+}
+
+// ---- the platform's store ----
+
+#[derive(Default)]
+struct Tables {
+    rows: BTreeMap<String, BTreeMap<String, (Option<Vec<u8>>, u64)>>,
+    version: u64,
+}
+
+/// The store: versioned rows, their feed, and any number of addresses.
+pub struct Store {
+    tables: Mutex<Tables>,
+    changed: Condvar,
+    started_at: Instant,
+}
+
+/// An address at which the store can be reached until it is closed.
+pub struct StoreAddress {
+    pub address: SocketAddr,
+    closed: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+    listener: Option<thread::JoinHandle<()>>,
+}
+
+impl StoreAddress {
+    /// Closes the listener and all connections; later ones are refused.
+    pub fn close(&mut self) {
+        self.closed.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.address);
+        if let Some(listener) = self.listener.take() {
+            let _ = listener.join();
+        }
+        for stream in self.connections.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+impl Store {
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self {
+            tables: Mutex::default(),
+            changed: Condvar::new(),
+            started_at: Instant::now(),
+        })
+    }
+
+    /// Writes or removes a row, as the operator and the servers do; the return is the ack.
+    pub fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        let mut tables = self.tables.lock().unwrap();
+        tables.version += 1;
+        let version = tables.version;
+        let rows = tables.rows.entry(table.to_owned()).or_default();
+        rows.insert(key.to_owned(), (value, version));
+        self.changed.notify_all();
+    }
+
+    pub fn listen(self: &Arc<Self>, ip: IpAddr) -> io::Result<StoreAddress> {
+        let listener = TcpListener::bind(SocketAddr::new(ip, 0))?;
+        let address = listener.local_addr()?;
+        let closed = Arc::new(AtomicBool::new(false));
+        let connections = Arc::new(Mutex::new(Vec::new()));
+        let (store, is_closed, held) = (Arc::clone(self), Arc::clone(&closed), Arc::clone(&connections));
+        let listener = thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if is_closed.load(Ordering::SeqCst) {
+                    return;
+                }
+                let _ = stream.set_nodelay(true);
+                held.lock().unwrap().push(stream.try_clone().expect("a socket"));
+                let store = Arc::clone(&store);
+                thread::spawn(move || store.serve(stream));
+            }
+        });
+        Ok(StoreAddress { address, closed, connections, listener: Some(listener) })
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
+        let mut writer = stream;
+        while let Ok(head) = read_head(&mut reader) {
+            let Ok(body) = read_body(&mut reader, &head) else { return };
+            sleep_s(0.004);
+            let (status, answer) = self.answer(head.method(), head.target(), &body);
+            let text = format!(
+                "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: {}\r\n\r\n{answer}",
+                answer.len()
+            );
+            if writer.write_all(text.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, method: &str, target: &str, body: &[u8]) -> (u16, String) {
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        let query: HashMap<&str, String> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .map(|(name, value)| (name, percent_decode(value)))
+            .collect();
+        let text = |name: &str| query.get(name).cloned().unwrap_or_default();
+        match (method, path) {
+            ("GET", "/v1/rows-get") => {
+                let limit = text("limit").parse().unwrap_or(500).min(500);
+                (200, self.rows_get(&text("table"), &text("from"), query.get("to"), limit))
+            }
+            ("GET", "/v1/rows-feed") => {
+                let after = text("after").parse().unwrap_or(0);
+                let wait = Duration::from_millis(text("wait_ms").parse().unwrap_or(0).min(30_000));
+                (200, self.rows_feed(&text("table"), after, wait))
+            }
+            ("POST", "/v1/rows-tx") => self.rows_tx(body),
+            _ => (404, String::new()),
+        }
+    }
+
+    fn envelope(&self, rows: Vec<String>, has_more: bool, version: u64) -> String {
+        let now_s = self.started_at.elapsed().as_secs_f64();
+        format!(
+            "{{\"rows\":[{}],\"has_more\":{has_more},\"row_version\":{version},\"now_s\":{now_s:.3}}}",
+            rows.join(",")
+        )
+    }
+
+    fn rows_get(&self, table: &str, from: &str, to: Option<&String>, limit: usize) -> String {
+        let tables = self.tables.lock().unwrap();
+        let empty = BTreeMap::new();
+        let rows = tables.rows.get(table).unwrap_or(&empty);
+        let mut live = rows
+            .iter()
+            .filter(|(key, (value, _))| {
+                value.is_some() && key.as_str() >= from && to.is_none_or(|to| *key < to)
+            })
+            .map(|(key, row)| row_text(table, key, row));
+        let page: Vec<String> = live.by_ref().take(limit).collect();
+        let has_more = live.next().is_some();
+        drop(live);
+        self.envelope(page, has_more, tables.version)
+    }
+
+    fn rows_feed(&self, table: &str, after: u64, wait: Duration) -> String {
+        let end = Instant::now() + wait;
+        let mut tables = self.tables.lock().unwrap();
+        loop {
+            let mut changed: Vec<(u64, String)> = tables
+                .rows
+                .get(table)
+                .into_iter()
+                .flatten()
+                .filter(|(_, (_, version))| *version > after)
+                .map(|(key, row)| (row.1, row_text(table, key, row)))
+                .collect();
+            let left = end.saturating_duration_since(Instant::now());
+            if !changed.is_empty() || left.is_zero() {
+                changed.sort();
+                let rows = changed.into_iter().map(|(_, text)| text).collect();
+                return self.envelope(rows, false, tables.version);
+            }
+            tables = self.changed.wait_timeout(tables, left).unwrap().0;
+        }
+    }
+
+    fn rows_tx(&self, body: &[u8]) -> (u16, String) {
+        let Some(call) = Json::parse(body) else { return (400, String::new()) };
+        let mut tables = self.tables.lock().unwrap();
+        let mut conflicts = Vec::new();
+        for entry in call.items("expected") {
+            let (table, key) = (entry.text("table"), entry.text("key"));
+            let held = tables.rows.get(&table).and_then(|rows| rows.get(&key));
+            let live = held.filter(|(value, _)| value.is_some());
+            if live.map_or(0, |(_, version)| *version) != entry.number("row_version") as u64 {
+                conflicts.extend(live.map(|row| row_text(&table, &key, row)));
+                if live.is_none() {
+                    conflicts.push(String::new());
+                }
+            }
+        }
+        if !conflicts.is_empty() {
+            conflicts.retain(|text| !text.is_empty());
+            let version = tables.version;
+            return (412, self.envelope(conflicts, false, version));
+        }
+        tables.version += 1;
+        let version = tables.version;
+        let writes = call.items("puts").iter().map(|entry| (entry, true));
+        for (entry, is_put) in writes.chain(call.items("remove").iter().map(|entry| (entry, false))) {
+            let table = entry.text("table");
+            if table == "op" || table == "servers" {
+                return (403, String::new());
+            }
+            let value = is_put.then(|| from_base64(&entry.text("value")));
+            let rows = tables.rows.entry(table).or_default();
+            rows.insert(entry.text("key"), (value, version));
+        }
+        self.changed.notify_all();
+        (200, self.envelope(Vec::new(), false, version))
+    }
+}
+
+fn row_text(table: &str, key: &str, (value, version): &(Option<Vec<u8>>, u64)) -> String {
+    let rest = match value {
+        Some(value) => format!("\"value\":\"{}\"", to_base64(value)),
+        None => "\"deleted\":true".to_owned(),
+    };
+    format!("{{\"table\":\"{table}\",\"part\":\"\",\"key\":\"{key}\",{rest},\"row_version\":{version}}}")
+}
+
+fn percent_decode(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut decoded = Vec::new();
+    let mut at = 0;
+    while at < bytes.len() {
+        if bytes[at] == b'%' && at + 2 < bytes.len() {
+            let digits = std::str::from_utf8(&bytes[at + 1..at + 3]).unwrap_or("00");
+            decoded.push(u8::from_str_radix(digits, 16).unwrap_or(b'?'));
+            at += 3;
+        } else {
+            decoded.push(bytes[at]);
+            at += 1;
+        }
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
+
+// ---- servers ----
+
+/// The time after which a server answers a long request whose body it has not read.
+const EARLY_ANSWER_DELAY: Duration = Duration::from_millis(300);
+
+/// A request that a server ran.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub at_s: f64,
+    pub server: String,
+    pub id: String,
+    pub target: String,
+    pub tenant: String,
+    pub from: IpAddr,
+}
+
+/// What all servers of a case share.
+pub struct Fleet {
+    pub record: Record,
+    pub runs: Mutex<Vec<Run>>,
+    /// The machines from which no server can be reached: their connections are closed.
+    pub cut: Mutex<Vec<IpAddr>>,
+    /// Bodies longer than this are refused before they are read; the server reads on slowly.
+    pub early_above: usize,
+    /// The bytes of such a body that a server reads at a time, and the pause between.
+    pub read_slowly: Option<(usize, Duration)>,
+    pub work: Duration,
+}
+
+pub struct ServerSpec {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub ip: IpAddr,
+    pub slots: u32,
+}
+
+/// Starts a server: it registers in the store and serves until the process ends.
+pub fn start_server(fleet: &Arc<Fleet>, store: &Arc<Store>, spec: ServerSpec) -> io::Result<()> {
+    let listener = TcpListener::bind(SocketAddr::new(spec.ip, 0))?;
+    let address = listener.local_addr()?;
+    let born = unix_ms();
+    let (store, id) = (Arc::clone(store), spec.id.clone());
+    let row = move |sequence: u64| {
+        format!(
+            "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"{}\",\"version\":\"v1\",\"concurrency\":{},\"state\":\"ready\",\"warmup_left_s\":0,\"sequence\":{sequence},\"born\":{born}}}",
+            spec.service, spec.zone, spec.slots
+        )
+    };
+    store.write("servers", &id, Some(row(1).into_bytes()));
+    let key = id.clone();
+    thread::spawn(move || {
+        for sequence in 2.. {
+            sleep_s(1.5);
+            store.write("servers", &key, Some(row(sequence).into_bytes()));
+        }
+    });
+    let fleet = Arc::clone(fleet);
+    thread::spawn(move || {
+        let running = Arc::new(AtomicU64::new(0));
+        for stream in listener.incoming().flatten() {
+            let (fleet, id, running) = (Arc::clone(&fleet), id.clone(), Arc::clone(&running));
+            thread::spawn(move || {
+                let _ = serve_server(&fleet, &id, spec.slots, &running, stream);
+            });
+        }
+    });
+    Ok(())
+}
+
+fn serve_server(fleet: &Fleet, id: &str, slots: u32, running: &AtomicU64, stream: TcpStream) -> io::Result<()> {
+    let from = stream.peer_addr()?.ip();
+    let is_cut = || fleet.cut.lock().unwrap().contains(&from);
+    if is_cut() {
+        return Ok(());
+    }
+    stream.set_nodelay(true)?;
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let mut writer = stream;
+    loop {
+        let head = read_head(&mut reader)?;
+        if is_cut() {
+            return Ok(());
+        }
+        let request_id = head.header("request-id").unwrap_or("").to_owned();
+        let load = |count: u64| format!("{count},0,{slots}");
+        let mut answer = |status: &str, extra: &str, body: &str| {
+            let text = format!(
+                "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\nKeep-Alive: timeout=10\r\nServer-Load: {}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+                load(running.load(Ordering::SeqCst)),
+                body.len()
+            );
+            writer.write_all(text.as_bytes())
+        };
+        if head.header("expect-instance").is_some_and(|expected| expected != id) {
+            read_body(&mut reader, &head)?;
+            answer("421 Misdirected Request", &format!("Instance-Id: {id}\r\nNot-Executed: 1\r\n"), "")?;
+            continue;
+        }
+        if head.length() > fleet.early_above {
+            thread::sleep(EARLY_ANSWER_DELAY);
+            answer("413 Content Too Large", &format!("Server-Seal: {id}.{request_id}\r\n"), "too long\n")?;
+            fleet.record.line(format!("server {id} answers {request_id} with 413 before it has read the body"));
+            let (piece, pause) = fleet.read_slowly.unwrap_or((head.length(), Duration::ZERO));
+            let mut left = head.length();
+            let mut buffer = vec![0; piece];
+            while left > 0 {
+                let wanted = left.min(piece);
+                reader.read_exact(&mut buffer[..wanted])?;
+                left -= wanted;
+                thread::sleep(pause);
+            }
+            fleet.record.line(format!("server {id} has read the body of {request_id} to its end"));
+            continue;
+        }
+        read_body(&mut reader, &head)?;
+        if head.target() == "/health" {
+            answer("200 OK", &format!("Instance-Id: {id}\r\n"), "")?;
+            continue;
+        }
+        running.fetch_add(1, Ordering::SeqCst);
+        fleet.runs.lock().unwrap().push(Run {
+            at_s: fleet.record.seconds(),
+            server: id.to_owned(),
+            id: request_id.clone(),
+            target: head.target().to_owned(),
+            tenant: head.header("tenant-name").unwrap_or("").to_owned(),
+            from,
+        });
+        thread::sleep(fleet.work);
+        running.fetch_sub(1, Ordering::SeqCst);
+        answer("200 OK", &format!("Server-Seal: {id}.{request_id}\r\n"), &format!("done {request_id} at {id}\n"))?;
+    }
+}
+
+// ---- clients ----
+
+/// What a client got: the status and the time that it took, or why there is none.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub status: Option<u16>,
+    pub took_s: f64,
+    pub detail: String,
+}
+
+pub struct Call<'a> {
+    pub node: SocketAddr,
+    pub method: &'a str,
+    pub path: &'a str,
+    pub key: &'a str,
+    pub id: String,
+    pub deadline_ms: u64,
+}
+
+impl Call<'_> {
+    pub fn head(&self, length: usize) -> String {
+        format!(
+            "{} {} HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: {}\r\nDeadline-Ms: {}\r\nAuthorization: Bearer {}\r\nContent-Length: {length}\r\n\r\n",
+            self.method, self.path, self.id, self.deadline_ms, self.key
+        )
+    }
+
+    /// Sends the request on a new connection and waits for its answer until its time budget ends.
+    pub fn send(&self) -> Outcome {
+        let start = Instant::now();
+        let result = self.exchange();
+        let took_s = start.elapsed().as_secs_f64();
+        match result {
+            Ok((status, detail)) => Outcome { status: Some(status), took_s, detail },
+            Err(error) => Outcome { status: None, took_s, detail: format!("{:?}", error.kind()) },
+        }
+    }
+
+    fn exchange(&self) -> io::Result<(u16, String)> {
+        let budget = Duration::from_millis(self.deadline_ms);
+        let stream = TcpStream::connect_timeout(&self.node, Duration::from_secs(1))?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(budget))?;
+        (&stream).write_all(self.head(0).as_bytes())?;
+        let mut reader = BufReader::new(&stream);
+        let head = read_head(&mut reader)?;
+        let body = read_body(&mut reader, &head)?;
+        Ok((head.status(), String::from_utf8_lossy(&body).trim().to_owned()))
+    }
+}
+
+pub fn next_id() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    format!("{:016x}", NEXT.fetch_add(1, Ordering::SeqCst) << 20 | u64::from(std::process::id() & 0xf_ffff))
+}
+
+// ---- the project's processes ----
+
+/// The addresses of a case: a free part of the loopback network.
+pub struct Network {
+    second: u8,
+    third: u8,
+}
+
+impl Network {
+    pub fn choose() -> Self {
+        let seed = unix_ms() ^ u64::from(std::process::id()) << 7;
+        Self { second: 20 + (seed % 200) as u8, third: 1 + (seed / 200 % 250) as u8 }
+    }
+
+    pub fn ip(&self, last: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.second, self.third, last))
+    }
+}
+
+/// The bounds of a small deployment, as its sheet states them.
+#[derive(Clone, Copy)]
+pub struct Bounds {
+    pub grace_s: f64,
+    pub config_apply_s: f64,
+}
+
+pub struct Entry {
+    pub name: String,
+    pub ip: IpAddr,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+pub struct Bed {
+    pub record: Record,
+    folder: PathBuf,
+    root: PathBuf,
+    ports: [u16; 4],
+    bounds: Bounds,
+}
+
+impl Bed {
+    pub fn new(record: Record, folder: PathBuf, root: PathBuf, network: &Network, bounds: Bounds) -> io::Result<Self> {
+        let mut held = Vec::new();
+        for _ in 0..4 {
+            held.push(TcpListener::bind(SocketAddr::new(network.ip(1), 0))?);
+        }
+        let port = |index: usize| held[index].local_addr().map(|address| address.port());
+        let ports = [port(0)?, port(1)?, port(2)?, port(3)?];
+        Ok(Self { record, folder, root, ports, bounds })
+    }
+
+    /// Renders the template of the deploy file as the platform does.
+    pub fn render(&self, entry: &Entry, zone: &str, zones: &[&str], store: SocketAddr, is_first: bool) -> io::Result<()> {
+        let mut text = fs::read_to_string(self.root.join("deploy/entry.jsonc.template"))?;
+        let quoted = |value: &dyn std::fmt::Display| format!("\"{value}\"");
+        let zones: Vec<String> = zones.iter().map(|zone| format!("\"{zone}\":\"area\"")).collect();
+        let directory = SocketAddr::new(entry.ip, self.ports[2]);
+        let values = [
+            ("node_name|json", quoted(&entry.name)),
+            ("zone|json", quoted(&zone)),
+            ("zones|json", format!("{{{}}}", zones.join(","))),
+            ("ip|json", quoted(&entry.ip)),
+            ("listen_addrs.front|json", quoted(&entry.front)),
+            ("listen_addrs.ready|json", quoted(&entry.ready)),
+            ("listen_addrs.directory|json", quoted(&directory)),
+            ("internal_ports.0", self.ports[3].to_string()),
+            ("platform.address|json", quoted(&store)),
+            ("bootstrap", is_first.to_string()),
+            ("limits.cpu_share", "0.2".to_owned()),
+            ("limits.cpu_cores", "1".to_owned()),
+            ("limits.link_mbps", "1000".to_owned()),
+            ("bounds.grace_s", self.bounds.grace_s.to_string()),
+            ("bounds.ttl_max_s", "5".to_owned()),
+            ("bounds.config_apply_s", self.bounds.config_apply_s.to_string()),
+            ("bounds.retry_budget_ratio", "0.2".to_owned()),
+            ("bounds.retry_slack", "64".to_owned()),
+            ("bounds.retry_window_s", "10".to_owned()),
+            ("bounds.quota_window_s", "5".to_owned()),
+            ("bounds.quota_excess", "0.1".to_owned()),
+            ("bounds.quota_slack", "20".to_owned()),
+        ];
+        for (name, value) in values {
+            text = text.replace(&format!("{{{{{name}}}}}"), &value);
+        }
+        if text.contains("{{") {
+            return Err(io::Error::other("the template has a placeholder that this bed does not know"));
+        }
+        // A machine's connections come from its own address; on loopback that has to be said.
+        let text = text.replacen("\n{\n", &format!("\n{{\n  \"target_source\": \"{}\",\n", entry.ip), 1);
+        fs::write(&entry.settings, text)
+    }
+
+    pub fn entry(&self, name: &str, ip: IpAddr) -> Entry {
+        Entry {
+            name: name.to_owned(),
+            ip,
+            front: SocketAddr::new(ip, self.ports[0]),
+            ready: SocketAddr::new(ip, self.ports[1]),
+            settings: self.folder.join(format!("{name}.jsonc")),
+            log: self.folder.join(format!("{name}.log")),
+            child: None,
+        }
+    }
+
+    /// Starts the process with the command of the deploy file.
+    pub fn start(&self, entry: &mut Entry) -> io::Result<()> {
+        let log = fs::OpenOptions::new().create(true).append(true).open(&entry.log)?;
+        let child = Command::new(self.root.join("target/release/damaskloom-entry"))
+            .current_dir(&self.root)
+            .env_clear()
+            .env("PATH", std::env::var_os("PATH").unwrap_or_default())
+            .env("DAMASKLOOM_SETTINGS", &entry.settings)
+            .stdin(Stdio::null())
+            .stderr(Stdio::from(log.try_clone()?))
+            .stdout(Stdio::from(log))
+            .spawn()?;
+        // The script ends the processes listed here, should this program be ended itself.
+        let pids = fs::OpenOptions::new().create(true).append(true).open(self.folder.join("pids"));
+        writeln!(pids?, "{}", child.id())?;
+        self.record.line(format!("process {} started", entry.name));
+        entry.child = Some(child);
+        Ok(())
+    }
+}
+
+impl Entry {
+    pub fn signal(&self, signal: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+        }
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Asks the readiness address as the platform does.
+    pub fn is_ready(&self) -> bool {
+        let ask = || -> io::Result<u16> {
+            let stream = TcpStream::connect_timeout(&self.ready, Duration::from_millis(300))?;
+            stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+            (&stream).write_all(b"GET /v1/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n")?;
+            Ok(read_head(&mut BufReader::new(&stream))?.status())
+        };
+        ask().is_ok_and(|status| status == 200)
+    }
+
+    /// Returns whether the process has logged a text.
+    pub fn has_logged(&self, text: &str) -> bool {
+        fs::read_to_string(&self.log).is_ok_and(|log| log.contains(text))
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// The names and the folder that the script hands over: `CASE_FOLDER`, `ROOT`, `WORK_FOLDER`, `TROUBLE`.
+pub struct Script {
+    pub record: Record,
+    pub work: PathBuf,
+    pub root: PathBuf,
+    pub has_trouble: bool,
+}
+
+impl Script {
+    pub fn read() -> io::Result<Self> {
+        let path = |name: &str| std::env::var_os(name).map(PathBuf::from).ok_or_else(|| io::Error::other(name.to_owned()));
+        let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+        
+        Ok(Self {
+            record: Record::create(&path("CASE_FOLDER")?.join("record.txt"))?,
+            work: path("WORK_FOLDER")?,
+            root: path("ROOT")?,
+            has_trouble,
+        })
+    }
+}
