--- a/review/standins-2/bed.rs
+++ b/review/standins-2/bed.rs
@@ -52,7 +52,7 @@
         if condition() {
             return true;
         }
-        sleep_s(0.03);
+        sleep_s(0.005);
     }
     false
 }
@@ -319,6 +319,8 @@
 /// An address at which the store can be reached until it is closed.
 pub struct StoreAddress {
     pub address: SocketAddr,
+    /// The number of reads of the servers' table that were answered there.
+    pub answered: Arc<AtomicU64>,
     closed: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
     listener: Option<thread::JoinHandle<()>>,
@@ -358,8 +360,14 @@
     }
 
     pub fn listen(self: &Arc<Self>, ip: IpAddr) -> io::Result<StoreAddress> {
-        let listener = TcpListener::bind(SocketAddr::new(ip, 0))?;
+        self.listen_at(SocketAddr::new(ip, 0))
+    }
+
+    pub fn listen_at(self: &Arc<Self>, address: SocketAddr) -> io::Result<StoreAddress> {
+        let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
+        let answered = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&answered);
         let closed = Arc::new(AtomicBool::new(false));
         let connections = Arc::new(Mutex::new(Vec::new()));
         let (store, is_closed, held) = (Arc::clone(self), Arc::clone(&closed), Arc::clone(&connections));
@@ -370,14 +378,14 @@
                 }
                 let _ = stream.set_nodelay(true);
                 held.lock().unwrap().push(stream.try_clone().expect("a socket"));
-                let store = Arc::clone(&store);
-                thread::spawn(move || store.serve(stream));
+                let (store, counter) = (Arc::clone(&store), Arc::clone(&counter));
+                thread::spawn(move || store.serve(stream, &counter));
             }
         });
-        Ok(StoreAddress { address, closed, connections, listener: Some(listener) })
+        Ok(StoreAddress { address, answered, closed, connections, listener: Some(listener) })
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, answered: &AtomicU64) {
         let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
         let mut writer = stream;
         while let Ok(head) = read_head(&mut reader) {
@@ -391,6 +399,9 @@
             if writer.write_all(text.as_bytes()).is_err() {
                 return;
             }
+            if head.target().contains("table=servers") {
+                answered.fetch_add(1, Ordering::SeqCst);
+            }
         }
     }
 
@@ -562,40 +573,83 @@
     pub slots: u32,
 }
 
-/// Starts a server: it registers in the store and serves until the process ends.
-pub fn start_server(fleet: &Arc<Fleet>, store: &Arc<Store>, spec: ServerSpec) -> io::Result<()> {
+/// A running server.
+pub struct Server {
+    pub id: String,
+    /// Whether it has left: its row is gone, and it says so in its answers.
+    left: AtomicBool,
+    /// Whether it has ended: its connections are closed.
+    ended: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
+    store: Arc<Store>,
+}
+
+impl Server {
+    /// Leaves without a word before: the row is removed, and it serves on until it ends.
+    pub fn leave(&self) {
+        self.left.store(true, Ordering::SeqCst);
+        self.store.write("servers", &self.id, None);
+    }
+
+    /// Ends the server; what it runs is lost.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        for stream in self.connections.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+/// Starts a server: it registers in the store and serves until it is ended.
+pub fn start_server(fleet: &Arc<Fleet>, store: &Arc<Store>, spec: ServerSpec) -> io::Result<Arc<Server>> {
     let listener = TcpListener::bind(SocketAddr::new(spec.ip, 0))?;
     let address = listener.local_addr()?;
     let born = unix_ms();
-    let (store, id) = (Arc::clone(store), spec.id.clone());
     let row = move |sequence: u64| {
         format!(
             "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"{}\",\"version\":\"v1\",\"concurrency\":{},\"state\":\"ready\",\"warmup_left_s\":0,\"sequence\":{sequence},\"born\":{born}}}",
             spec.service, spec.zone, spec.slots
         )
     };
-    store.write("servers", &id, Some(row(1).into_bytes()));
-    let key = id.clone();
+    let server = Arc::new(Server {
+        id: spec.id.clone(),
+        left: AtomicBool::new(false),
+        ended: AtomicBool::new(false),
+        connections: Mutex::default(),
+        store: Arc::clone(store),
+    });
+    store.write("servers", &server.id, Some(row(1).into_bytes()));
+    let beating = Arc::clone(&server);
     thread::spawn(move || {
         for sequence in 2.. {
             sleep_s(1.5);
-            store.write("servers", &key, Some(row(sequence).into_bytes()));
+            if beating.left.load(Ordering::SeqCst) {
+                return;
+            }
+            beating.store.write("servers", &beating.id, Some(row(sequence).into_bytes()));
         }
     });
-    let fleet = Arc::clone(fleet);
+    let (fleet, accepting) = (Arc::clone(fleet), Arc::clone(&server));
     thread::spawn(move || {
         let running = Arc::new(AtomicU64::new(0));
         for stream in listener.incoming().flatten() {
-            let (fleet, id, running) = (Arc::clone(&fleet), id.clone(), Arc::clone(&running));
+            if accepting.ended.load(Ordering::SeqCst) {
+                return;
+            }
+            if let Ok(held) = stream.try_clone() {
+                accepting.connections.lock().unwrap().push(held);
+            }
+            let (fleet, server, running) = (Arc::clone(&fleet), Arc::clone(&accepting), Arc::clone(&running));
             thread::spawn(move || {
-                let _ = serve_server(&fleet, &id, spec.slots, &running, stream);
+                let _ = serve_server(&fleet, &server, spec.slots, &running, stream);
             });
         }
     });
-    Ok(())
+    Ok(server)
 }
 
-fn serve_server(fleet: &Fleet, id: &str, slots: u32, running: &AtomicU64, stream: TcpStream) -> io::Result<()> {
+fn serve_server(fleet: &Fleet, server: &Server, slots: u32, running: &AtomicU64, stream: TcpStream) -> io::Result<()> {
+    let id = server.id.as_str();
     let from = stream.peer_addr()?.ip();
     let is_cut = || fleet.cut.lock().unwrap().contains(&from);
     if is_cut() {
@@ -611,9 +665,10 @@
         }
         let request_id = head.header("request-id").unwrap_or("").to_owned();
         let load = |count: u64| format!("{count},0,{slots}");
+        let leaving = if server.left.load(Ordering::SeqCst) { "Server-Leaving: 1\r\n" } else { "" };
         let mut answer = |status: &str, extra: &str, body: &str| {
             let text = format!(
-                "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\nKeep-Alive: timeout=10\r\nServer-Load: {}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\nKeep-Alive: timeout=10\r\nServer-Load: {}\r\n{leaving}{extra}Content-Length: {}\r\n\r\n{body}",
                 load(running.load(Ordering::SeqCst)),
                 body.len()
             );
@@ -867,6 +922,12 @@
         ask().is_ok_and(|status| status == 200)
     }
 
+    /// Returns the last line with a text that the process has logged.
+    pub fn last_logged(&self, text: &str) -> Option<String> {
+        let log = fs::read_to_string(&self.log).ok()?;
+        log.lines().rfind(|line| line.contains(text)).map(str::to_owned)
+    }
+
     /// Returns whether the process has logged a text.
     pub fn has_logged(&self, text: &str) -> bool {
         fs::read_to_string(&self.log).is_ok_and(|log| log.contains(text))
