--- a/review/standins-2/bed.rs
+++ b/review/standins-2/bed.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fs;
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -636,12 +636,12 @@
             if accepting.ended.load(Ordering::SeqCst) {
                 return;
             }
-            if let Ok(held) = stream.try_clone() {
-                accepting.connections.lock().unwrap().push(held);
-            }
+            let (Ok(held), Ok(closing)) = (stream.try_clone(), stream.try_clone()) else { continue };
+            accepting.connections.lock().unwrap().push(held);
             let (fleet, server, running) = (Arc::clone(&fleet), Arc::clone(&accepting), Arc::clone(&running));
             thread::spawn(move || {
                 let _ = serve_server(&fleet, &server, spec.slots, &running, stream);
+                let _ = closing.shutdown(std::net::Shutdown::Both);
             });
         }
     });
@@ -771,6 +771,62 @@
     format!("{:016x}", NEXT.fetch_add(1, Ordering::SeqCst) << 20 | u64::from(std::process::id() & 0xf_ffff))
 }
 
+// ---- a proxy between machines ----
+
+/// Passes datagrams and connections to a machine on, unless they are cut: then datagrams are dropped, and
+/// connections hang.
+pub struct PeerProxy {
+    pub is_cut: Arc<AtomicBool>,
+}
+
+impl PeerProxy {
+    pub fn start(reached_at: SocketAddr, machine: SocketAddr) -> io::Result<Self> {
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let datagrams = UdpSocket::bind(reached_at)?;
+        let cut = Arc::clone(&is_cut);
+        thread::spawn(move || {
+            let mut buffer = vec![0; 1 << 16];
+            // The machine sees the address of the sender, as without a proxy.
+            let mut senders: HashMap<IpAddr, UdpSocket> = HashMap::new();
+            while let Ok((length, from)) = datagrams.recv_from(&mut buffer) {
+                if cut.load(Ordering::SeqCst) {
+                    continue;
+                }
+                let sender = senders.entry(from.ip()).or_insert_with(|| {
+                    UdpSocket::bind(SocketAddr::new(from.ip(), 0)).expect("a loopback address")
+                });
+                let _ = sender.send_to(&buffer[..length], machine);
+            }
+        });
+        let listener = TcpListener::bind(reached_at)?;
+        let cut = Arc::clone(&is_cut);
+        thread::spawn(move || {
+            let mut hanging = Vec::new();
+            for stream in listener.incoming().flatten() {
+                if cut.load(Ordering::SeqCst) {
+                    hanging.push(stream);
+                } else if let Ok(other) = TcpStream::connect(machine) {
+                    copy_both_ways(stream, other);
+                }
+            }
+        });
+        Ok(Self { is_cut })
+    }
+}
+
+fn copy_both_ways(left: TcpStream, right: TcpStream) {
+    let pairs = [
+        (left.try_clone().expect("a socket"), right.try_clone().expect("a socket")),
+        (right, left),
+    ];
+    for (mut from, mut to) in pairs {
+        thread::spawn(move || {
+            let _ = io::copy(&mut from, &mut to);
+            let _ = to.shutdown(std::net::Shutdown::Both);
+        });
+    }
+}
+
 // ---- the project's processes ----
 
 /// The addresses of a case: a free part of the loopback network.
@@ -831,7 +887,7 @@
         let mut text = fs::read_to_string(self.root.join("deploy/entry.jsonc.template"))?;
         let quoted = |value: &dyn std::fmt::Display| format!("\"{value}\"");
         let zones: Vec<String> = zones.iter().map(|zone| format!("\"{zone}\":\"area\"")).collect();
-        let directory = SocketAddr::new(entry.ip, self.ports[2]);
+        let directory = SocketAddr::new(entry.front.ip(), self.ports[2]);
         let values = [
             ("node_name|json", quoted(&entry.name)),
             ("zone|json", quoted(&zone)),
@@ -867,12 +923,23 @@
         fs::write(&entry.settings, text)
     }
 
+    /// Returns the port for traffic between machines.
+    pub fn peer_port(&self) -> u16 {
+        self.ports[3]
+    }
+
     pub fn entry(&self, name: &str, ip: IpAddr) -> Entry {
+        self.entry_behind(name, ip, ip)
+    }
+
+    /// Makes an entry that others reach at another address than the one that it sends from, so that a proxy
+    /// can stand between.
+    pub fn entry_behind(&self, name: &str, ip: IpAddr, reached_at: IpAddr) -> Entry {
         Entry {
             name: name.to_owned(),
             ip,
-            front: SocketAddr::new(ip, self.ports[0]),
-            ready: SocketAddr::new(ip, self.ports[1]),
+            front: SocketAddr::new(reached_at, self.ports[0]),
+            ready: SocketAddr::new(reached_at, self.ports[1]),
             settings: self.folder.join(format!("{name}.jsonc")),
             log: self.folder.join(format!("{name}.log")),
             child: None,
@@ -907,6 +974,14 @@
         }
     }
 
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
     pub fn has_ended(&mut self) -> bool {
         self.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
     }
@@ -936,10 +1011,7 @@
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.kill();
     }
 }
 
