--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in handed_on moved_store cut_reader; do
+for name in handed_on moved_store cut_reader one_way; do
     rustc --edition 2024 -O -o "target/review-2/$name" "review/standins-2/$name.rs"
 done
