row fetches: peers of all ranks are asked until rows arrive

Cause: the reader of that data centre was partitioned in one direction. Its heartbeats arrived and named the newer version, so it ranked as a responsive peer of the own data centre, and newer_peers kept the best rank only. The others asked it alone, although six nodes elsewhere had the rows. A fetch without an answer changed nothing in that for as long as the heartbeats arrived. The rows of the configuration went the same way.

Now the ranks take turns while fetches are unanswered or fail, and no peer is asked again before all others. A line names each additional peer.

Tests: a_change_arrives_although_the_only_local_peer_that_has_it_does_not_answer (lib, simulated fleet) and rows_arrive_from_elsewhere_while_the_local_peer_does_not_answer (entry, both tables) fail with the choice of the best rank alone put back, and pass with this change.

--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -1,13 +1,14 @@
 //! The roles of nodes in the fleet: which nodes follow the store, and which nodes callers are
 //! directed to.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use damaskloom_lib::entry_members::EntryPhase;
 use damaskloom_lib::entry_nodes::{
     EntryNode, EntryRequirements, cpu_demand, rollout_step, select_entries,
 };
-use damaskloom_lib::ids::{DataCentreId, ServiceId};
+use damaskloom_lib::ids::{DataCentreId, ServiceId, VmId};
 use damaskloom_lib::repeat_budget::AllowanceShare;
 use indexmap::IndexMap;
 
@@ -161,6 +162,13 @@
         !has_recent_reader && now.since(joined_at) >= reader_timeout
     }
 
+    /// Returns where a node takes requests of other nodes; none if the node is not known.
+    pub fn peer_address(&self, vm: &VmId) -> Option<SocketAddr> {
+        let port = self.settings().peer_port;
+        let ip = self.members.borrow().ip(vm)?;
+        Some(SocketAddr::new(ip, port))
+    }
+
     /// Returns the step in which this node fetches a change from its peers: 0 for the first node of
     /// its data centre in the order of names, 1 for the next two, 2 for the next four.
     pub fn rollout_step(&self) -> u32 {
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -6,7 +6,7 @@
 
 use std::cell::Cell;
 use std::fmt;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,7 @@
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::ids::VmId;
 use damaskloom_lib::row_fetch::{
-    FETCH_TIMEOUT_MS, FetchEnd, FetchStep, OwnFeed, RowFetcher, initial_delay,
+    FETCH_TIMEOUT_MS, FetchEnd, FetchStep, NewerPeer, OwnFeed, PeerRank, RowFetcher, initial_delay,
 };
 use damaskloom_lib::store_version::StoreVersion;
 use damaskloom_lib::table_mirror::{MirrorRow, RowExtent, TableMirror};
@@ -26,7 +26,6 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use indexmap::IndexMap;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
@@ -291,7 +290,6 @@
     let copy = state.table_copy(kind);
     loop {
         let newer_peers = newer_peers(&state, kind);
-        let peers: Vec<VmId> = newer_peers.keys().cloned().collect();
         let is_answered = state.store_health.borrow().is_last_call_answered();
         let feed = match (state.follows_store(), is_answered) {
             (false, _) => OwnFeed::None,
@@ -300,15 +298,17 @@
         };
         let initial_delay = initial_delay(feed, state.rollout_step());
         let seed = rand::rng().random();
-        let step = fetcher.step(state.clock.now(), &peers, initial_delay, seed);
+        let step = fetcher.step(state.clock.now(), &newer_peers, initial_delay, seed);
         let wait = match step {
             FetchStep::Idle => {
                 running.clear();
                 None
             }
             FetchStep::Start(peer) => {
-                let address = newer_peers[&peer];
-                running.push(run_fetch(&state, kind, peer, address));
+                if !running.is_empty() {
+                    tracing::info!(%peer, what = kind.path(), unanswered = running.len(), "another peer asked for rows");
+                }
+                running.push(run_fetch(&state, kind, peer));
                 continue;
             }
             FetchStep::WaitUntil(due) => Some(due.since(state.clock.now())),
@@ -332,12 +332,10 @@
 }
 
 /// Fetches rows from a peer, applies them and logs the outcome.
-async fn run_fetch(
-    state: &EntryState,
-    kind: TableKind,
-    peer: VmId,
-    address: SocketAddr,
-) -> (VmId, FetchEnd) {
+async fn run_fetch(state: &EntryState, kind: TableKind, peer: VmId) -> (VmId, FetchEnd) {
+    let Some(address) = state.peer_address(&peer) else {
+        return (peer, FetchEnd::Failed);
+    };
     let progress = FetchProgress::start();
     let end = match fetch(state, kind, address, &progress).await {
         Ok(0) => FetchEnd::Unchanged,
@@ -364,39 +362,23 @@
     (peer, end)
 }
 
-/// Returns the peers that have newer rows, with their addresses: responsive ones of the same data
-/// centre, else responsive ones of others, else any.
-fn newer_peers(state: &EntryState, kind: TableKind) -> IndexMap<VmId, SocketAddr> {
+/// Returns the peers that announced newer rows.
+fn newer_peers(state: &EntryState, kind: TableKind) -> Vec<NewerPeer> {
     let settings = state.settings();
     let own_version = state.table_copy(kind).mirror.borrow().version();
     let now = state.clock.now();
     let members = state.members.borrow();
-    let mut newer: Vec<(PeerRank, &VmId, IpAddr)> = members
-        .iter()
-        .filter_map(|(vm, node)| {
-            let heartbeat = node.heartbeat.as_ref()?;
-            let rank = match (node.is_responsive(now), &heartbeat.data_centre) {
-                (true, centre) if *centre == settings.data_centre => PeerRank::Local,
-                (true, _) => PeerRank::Remote,
-                (false, _) => PeerRank::Unresponsive,
-            };
-            (kind.version(heartbeat) > own_version).then_some((rank, vm, node.ip))
-        })
-        .collect();
-    let best = newer.iter().map(|(rank, _, _)| *rank).min();
-    newer.retain(|(rank, _, _)| Some(*rank) == best);
-    let peers = newer.into_iter();
-    peers
-        .map(|(_, vm, ip)| (vm.clone(), SocketAddr::new(ip, settings.peer_port)))
-        .collect()
-}
-
-/// The preference for a peer, best first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum PeerRank {
-    Local,
-    Remote,
-    Unresponsive,
+    let newer = members.iter().filter_map(|(vm, node)| {
+        let heartbeat = node.heartbeat.as_ref()?;
+        let rank = match (node.is_responsive(now), &heartbeat.data_centre) {
+            (true, centre) if *centre == settings.data_centre => PeerRank::Local,
+            (true, _) => PeerRank::Remote,
+            (false, _) => PeerRank::Unresponsive,
+        };
+        let vm = vm.clone();
+        (kind.version(heartbeat) > own_version).then_some(NewerPeer { vm, rank })
+    });
+    newer.collect()
 }
 
 async fn fetch(
--- a/entry/tests/test_row_fetches.rs
+++ b/entry/tests/test_row_fetches.rs
@@ -36,6 +36,8 @@
 /// A stand-in for a peer that reads the store for the others and announces newer rows.
 #[derive(Debug)]
 struct ReaderPeer {
+    name: &'static str,
+    data_centre: &'static str,
     ip: IpAddr,
     secret: SharedSecret,
     /// The newest version of the routing and of the targets.
@@ -54,12 +56,25 @@
 
 impl ReaderPeer {
     async fn start(secret: SharedSecret, node: IpAddr, last_octet: u8) -> Rc<Self> {
+        Self::start_in("near", "vm-reader", secret, node, last_octet).await
+    }
+
+    /// Starts a peer in a data centre.
+    async fn start_in(
+        data_centre: &'static str,
+        name: &'static str,
+        secret: SharedSecret,
+        node: IpAddr,
+        last_octet: u8,
+    ) -> Rc<Self> {
         let ip = IpAddr::V4(Ipv4Addr::new(127, 78, 0, last_octet));
         let socket = UdpSocket::bind((ip, 0)).await;
         let socket = socket.expect("loopback has a free port");
         let listener = TcpListener::bind((ip, PEER_PORT)).await;
         let listener = listener.expect("the address is used by this test only");
         let peer = Rc::new(Self {
+            name,
+            data_centre,
             ip,
             secret,
             versions: Cell::new((1, 1)),
@@ -100,11 +115,11 @@
     fn heartbeat(&self, sequence: u64) -> Vec<u8> {
         let (routing_version, targets_version) = self.versions.get();
         let envelope = PeerEnvelope {
-            from: "vm-reader".parse().expect("a valid name"),
+            from: self.name.parse().expect("a valid name"),
             started_at_ms: 1,
             sequence,
             message: PeerMessage::Heartbeat(NodeHeartbeat {
-                data_centre: "near".parse().expect("a valid name"),
+                data_centre: self.data_centre.parse().expect("a valid name"),
                 caller_address: SocketAddr::new(self.ip, 1),
                 phase: EntryPhase::Serving,
                 carrying: false,
@@ -242,6 +257,37 @@
     .await;
 }
 
+/// Guards against a node that stays behind since the peer of its data centre that announces newer rows does not
+/// answer, although a peer elsewhere would.
+#[tokio::test]
+async fn rows_arrive_from_elsewhere_while_the_local_peer_does_not_answer() {
+    with_node(
+        &[TargetBehaviour::Succeeds],
+        |store, node, _targets| async move {
+            let secret = fleet_secret(&store);
+            let local = ReaderPeer::start(secret.clone(), node.ip(), 5).await;
+            local.answers.set(false);
+            let remote = ReaderPeer::start_in("away", "vm-remote", secret, node.ip(), 6).await;
+            for peer in [&local, &remote] {
+                // The stand-ins' copy has no targets.
+                peer.announce_targets();
+                peer.announce_configuration(2, &["key-1", "key-new"]);
+            }
+            wait_until("the node knows no target", async || {
+                node.metric("damaskloom_targets").await == Some(0.0)
+            })
+            .await;
+            wait_until("the announced configuration is applied", async || {
+                let answer = node.send("GET", "/read/1", Some("key-new")).await;
+                answer.body == "no-target"
+            })
+            .await;
+            assert!(local.target_requests.get() > 0);
+        },
+    )
+    .await;
+}
+
 /// Guards against a removed target that stays known since a peer of the build before answers: it cannot read
 /// the query of this build, and sends its whole copy, which says nothing of removed rows.
 #[tokio::test]
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -332,6 +332,11 @@
         self.nodes.iter()
     }
 
+    /// Returns the address of a node.
+    pub fn ip(&self, vm: &VmId) -> Option<IpAddr> {
+        self.nodes.get(vm).map(|node| node.ip)
+    }
+
     /// Returns the responsive nodes that serve callers.
     pub fn serving(&self, now: MonoTime) -> impl Iterator<Item = EntryNode> {
         self.in_phase(now, EntryPhase::Serving)
--- a/lib/src/row_fetch.rs
+++ b/lib/src/row_fetch.rs
@@ -49,6 +49,26 @@
     }
 }
 
+/// Where a peer is, as far as that matters for fetching from it, best first.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum PeerRank {
+    /// A responsive node of the own data centre.
+    Local,
+    /// A responsive node of another one.
+    Remote,
+    /// A node that was not heard recently.
+    Unresponsive,
+}
+
+/// A peer that announced newer rows.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NewerPeer {
+    /// The peer.
+    pub vm: VmId,
+    /// Its preference.
+    pub rank: PeerRank,
+}
+
 /// What to do next.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum FetchStep {
@@ -79,46 +99,78 @@
     /// Whether peers are known to have newer rows.
     is_behind: bool,
     running: Vec<VmId>,
+    /// The peers that were asked since rows last arrived and have brought none.
+    asked: Vec<NewerPeer>,
     /// When the next fetch may start.
     next_at: MonoTime,
     failures: u32,
 }
 
 impl RowFetcher {
-    /// Returns the next step, given the peers that have newer rows.
+    /// Returns the next step, given the peers that announced newer rows.
     ///
     /// The first fetch starts after `initial_delay`, which spreads the nodes of a fleet over time.
     /// `seed` selects the peer, so that the nodes do not all ask the same one.
     pub fn step(
         &mut self,
         now: MonoTime,
-        newer_peers: &[VmId],
+        newer_peers: &[NewerPeer],
         initial_delay: Duration,
         seed: u64,
     ) -> FetchStep {
         if newer_peers.is_empty() {
             self.is_behind = false;
             self.running.clear();
+            self.asked.clear();
             return FetchStep::Idle;
         }
         if !self.is_behind {
             self.is_behind = true;
             self.next_at = now + initial_delay;
         }
-        let idle_peers: Vec<&VmId> = newer_peers
-            .iter()
-            .filter(|peer| !self.running.contains(peer))
-            .collect();
-        if self.running.len() >= MAX_CONCURRENT_FETCHES || idle_peers.is_empty() {
+        let has_idle_peer = newer_peers.iter().any(|peer| !self.is_running(&peer.vm));
+        if self.running.len() >= MAX_CONCURRENT_FETCHES || !has_idle_peer {
             return FetchStep::AwaitFetch;
         }
         if now < self.next_at {
             return FetchStep::WaitUntil(self.next_at);
         }
-        let peer = idle_peers[(seed % idle_peers.len() as u64) as usize].clone();
-        self.running.push(peer.clone());
+        let peer = self.choose_peer(newer_peers, seed).clone();
+        self.running.push(peer.vm.clone());
+        self.asked.push(peer.clone());
         self.next_at = now + Duration::from_millis(ADDITIONAL_FETCH_DELAY_MS);
-        FetchStep::Start(peer)
+        FetchStep::Start(peer.vm)
+    }
+
+    fn is_running(&self, vm: &VmId) -> bool {
+        self.running.contains(vm)
+    }
+
+    /// Chooses the next peer to ask among those without a running fetch, of which there is one.
+    ///
+    /// A peer whose announcements arrive need not answer: it may be partitioned in one direction, or have
+    /// stopped just after it sent them. The ranks therefore take turns until rows arrive, and no peer
+    /// is asked again before all others.
+    fn choose_peer<'a>(&mut self, newer_peers: &'a [NewerPeer], seed: u64) -> &'a NewerPeer {
+        let mut candidates: Vec<&NewerPeer> = newer_peers
+            .iter()
+            .filter(|peer| !self.is_running(&peer.vm))
+            .collect();
+        let was_asked = |peer: &NewerPeer| self.asked.iter().any(|asked| asked.vm == peer.vm);
+        if candidates.iter().any(|peer| !was_asked(peer)) {
+            candidates.retain(|peer| !was_asked(peer));
+        } else {
+            let running = &self.running;
+            self.asked.retain(|asked| running.contains(&asked.vm));
+        }
+        let asked_count = |rank| self.asked.iter().filter(|asked| asked.rank == rank).count();
+        let turn = |rank: PeerRank| (rank == PeerRank::Unresponsive, asked_count(rank), rank);
+        let next_rank = candidates
+            .iter()
+            .map(|peer| peer.rank)
+            .min_by_key(|rank| turn(*rank));
+        candidates.retain(|peer| Some(peer.rank) == next_rank);
+        candidates[(seed % candidates.len() as u64) as usize]
     }
 
     /// Records the end of a fetch; `jitter` from 0 to 1 shortens the delay before the next one.
@@ -127,6 +179,8 @@
         match end {
             FetchEnd::Applied => {
                 self.failures = 0;
+                let running = &self.running;
+                self.asked.retain(|asked| running.contains(&asked.vm));
                 self.next_at = now;
             }
             FetchEnd::Unchanged | FetchEnd::Failed => {
--- a/lib/tests/row_fleet.rs
+++ b/lib/tests/row_fleet.rs
@@ -6,7 +6,9 @@
 
 use damaskloom_lib::entry_nodes::rollout_step;
 use damaskloom_lib::ids::VmId;
-use damaskloom_lib::row_fetch::{FETCH_TIMEOUT_MS, FetchEnd, FetchStep, RowFetcher};
+use damaskloom_lib::row_fetch::{
+    FETCH_TIMEOUT_MS, FetchEnd, FetchStep, NewerPeer, PeerRank, RowFetcher,
+};
 use damaskloom_lib::time::MonoTime;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -29,6 +31,8 @@
     pub link_delay_ms: u64,
     /// Whether fetches from this node are never answered.
     pub is_silent: bool,
+    /// The node's data centre.
+    pub data_centre: usize,
     versions: [u64; TABLES],
     fetchers: [RowFetcher; TABLES],
     /// The versions that the node's peers have announced to it.
@@ -56,7 +60,7 @@
     },
 }
 
-/// A fleet whose first node reads the store.
+/// A fleet whose first node reads the store, and others that a test lets read it.
 #[derive(Debug)]
 pub struct RowFleet {
     /// The nodes; the first one reads the store.
@@ -74,6 +78,7 @@
         let node = |_| RowNode {
             link_delay_ms: 0,
             is_silent: false,
+            data_centre: 0,
             versions: [1; TABLES],
             fetchers: Default::default(),
             announced: vec![[1; TABLES]; count],
@@ -103,8 +108,13 @@
 
     /// Lets the reader get a version of a table from the store.
     pub fn publish(&mut self, table: usize, version: u64) {
-        self.nodes[0].versions[table] = version;
-        self.announce(0);
+        self.publish_at(0, table, version);
+    }
+
+    /// Lets a node get a version of a table from the store.
+    pub fn publish_at(&mut self, index: usize, table: usize, version: u64) {
+        self.nodes[index].versions[table] = version;
+        self.announce(index);
     }
 
     /// Runs the fleet until a time, in milliseconds.
@@ -150,17 +160,26 @@
         loop {
             let now = MonoTime::from_millis(self.now_ms);
             let seed = self.rng.random();
-            let node = &mut self.nodes[index];
+            let node = &self.nodes[index];
             let own = node.versions[table];
             let announced = node.announced.iter().enumerate();
             let newer: Vec<usize> = announced
                 .filter(|(_, versions)| versions[table] > own)
                 .map(|(peer, _)| peer)
                 .collect();
-            let names: Vec<VmId> = newer.iter().map(|peer| self.names[*peer].clone()).collect();
+            let own_centre = node.data_centre;
+            let newer_peer = |peer: &usize| NewerPeer {
+                vm: self.names[*peer].clone(),
+                rank: match self.nodes[*peer].data_centre == own_centre {
+                    true => PeerRank::Local,
+                    false => PeerRank::Remote,
+                },
+            };
+            let newer_peers: Vec<NewerPeer> = newer.iter().map(newer_peer).collect();
+            let node = &mut self.nodes[index];
             let initial_delay =
                 Duration::from_millis(STEP_DELAY_MS * u64::from(rollout_step(index)));
-            match node.fetchers[table].step(now, &names, initial_delay, seed) {
+            match node.fetchers[table].step(now, &newer_peers, initial_delay, seed) {
                 FetchStep::Idle | FetchStep::AwaitFetch => return,
                 FetchStep::WaitUntil(due) => {
                     let wait_ms = due.since(now).as_millis() as u64 + 1;
--- a/lib/tests/test_row_fetches.rs
+++ b/lib/tests/test_row_fetches.rs
@@ -71,6 +71,28 @@
     }
 }
 
+/// Guards against a data centre that stays behind since its reader, whose announcements arrive, is partitioned in
+/// the other direction: all its nodes ask the reader only, although nodes of other data centres answer.
+#[test]
+fn a_change_arrives_although_the_only_local_peer_that_has_it_does_not_answer() {
+    for seed in 0..50 {
+        for table in [ROUTING, TARGETS] {
+            let mut fleet = RowFleet::new(seed, 32);
+            for node in &mut fleet.nodes[16..] {
+                node.data_centre = 1;
+            }
+            fleet.nodes[0].is_silent = true;
+            for version in [10, 11, 12] {
+                fleet.publish(table, version);
+                fleet.publish_at(16, table, version);
+                let end_ms = fleet.now_ms() + APPLY_BOUND_MS;
+                fleet.run_until(end_ms);
+                assert_eq!(fleet.count_with(table, version), 32, "seed {seed}");
+            }
+        }
+    }
+}
+
 /// Guards against a fleet whose nodes all fetch from the same peer.
 #[test]
 fn no_node_serves_many_fetches_at_the_same_time() {
