store watch: a node reads rows from the store that its peers announce and do not deliver

Cause: a node that hears from any node that reads the store leaves the store to it, however long the rows that were announced are missing. A heartbeat that arrives was taken for a peer that delivers.

Now a node that lacks announced rows of a table for a quarter of the time in which a change must take effect reads that table from the store, until it has them; if the store does not answer either, it tries again after 2 s, as nodes without a reader do.

Test: rows_are_read_from_the_store_while_no_peer_answers (both tables; a follower whose only peer is heard and does not answer) fails with the condition taken out, and passes with it.

--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -14,6 +14,7 @@
 
 use crate::entry_state::EntryState;
 use crate::settings::EntrySettings;
+use crate::table_copy::TableKind;
 
 /// The number of entry nodes of a data centre if they have the capacity for its traffic.
 const PREFERRED_ENTRY_NODES: usize = 3;
@@ -162,6 +163,20 @@
         !has_recent_reader && now.since(joined_at) >= reader_timeout
     }
 
+    /// Returns whether this node reads a table from the store: it follows the store, or its peers do not
+    /// deliver rows that they have announced.
+    pub fn reads_store(&self, kind: TableKind) -> bool {
+        self.follows_store() || self.time_until_store_read(kind) == Some(Duration::ZERO)
+    }
+
+    /// Returns the time until this node reads a table from the store unless the missing rows arrive; none
+    /// if it knows of no missing rows.
+    pub fn time_until_store_read(&self, kind: TableKind) -> Option<Duration> {
+        let lag = self.table_copy(kind).lag(self.clock.now())?;
+        let delivery_time = self.settings().bounds.peer_delivery_time(kind);
+        Some(delivery_time.saturating_sub(lag))
+    }
+
     /// Returns where a node takes requests of other nodes; none if the node is not known.
     pub fn peer_address(&self, vm: &VmId) -> Option<SocketAddr> {
         let port = self.settings().peer_port;
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::body_budget::default_held_body_bytes;
+use crate::table_copy::TableKind;
 use damaskloom_gateway::settings::{BadFieldSnafu, SettingsError, parse_document, read_document};
 use damaskloom_lib::entry_nodes::node_capacity;
 use damaskloom_lib::fleet_rate::RateTolerance;
@@ -82,6 +83,10 @@
     /// The interval at which targets renew their announcements in the store, in seconds.
     #[serde(default = "default_announcement_interval_s")]
     pub announcement_interval_s: f64,
+    /// The time for which a target serves after it has left, in seconds; that for applying a configuration
+    /// if there is none.
+    #[serde(default)]
+    pub target_drain_s: Option<f64>,
     /// The share of a service's targets that get requests while the service loses some, from 0 to 1.
     #[serde(default = "default_min_target_share")]
     pub min_target_share: f64,
@@ -134,6 +139,9 @@
 /// The fraction of the time for applying a configuration after which a node without it refuses
 /// requests; the rest is for the announcement to arrive.
 const MAX_ROUTING_LAG_RATIO: f64 = 0.8;
+/// The fraction of the time in which a change must take effect after which a node reads the store itself for
+/// rows that peers announce and do not deliver: peers of two ranks were asked by then.
+const PEER_DELIVERY_RATIO: f64 = 0.25;
 
 impl FleetBounds {
     /// Returns for how long a node may use its routing once it knows of a newer one.
@@ -141,6 +149,20 @@
         Duration::from_secs_f64(self.routing_apply_s * MAX_ROUTING_LAG_RATIO)
     }
 
+    /// Returns the time for which a target serves after it has left.
+    pub fn target_drain(&self) -> Duration {
+        Duration::from_secs_f64(self.target_drain_s.unwrap_or(self.routing_apply_s))
+    }
+
+    /// Returns for how long a node waits for announced rows of a table before it reads the store itself.
+    pub fn peer_delivery_time(&self, kind: TableKind) -> Duration {
+        let bound = match kind {
+            TableKind::Routing => Duration::from_secs_f64(self.routing_apply_s),
+            TableKind::Targets => self.target_drain(),
+        };
+        bound.mul_f64(PEER_DELIVERY_RATIO)
+    }
+
     /// Returns the interval at which targets renew their announcements in the store.
     pub fn announcement_interval(&self) -> Duration {
         Duration::from_secs_f64(self.announcement_interval_s)
@@ -306,6 +328,10 @@
             self.bounds.announcement_interval_s > 0.0,
             bad("bounds.announcement_interval_s", "a positive number")
         );
+        ensure!(
+            self.bounds.target_drain_s.is_none_or(|drain| drain > 0.0),
+            bad("bounds.target_drain_s", "a positive number")
+        );
         ensure!(
             (0.0..=1.0).contains(&self.bounds.min_target_share),
             bad("bounds.min_target_share", "a number from 0 to 1")
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 
 use crate::entry_state::EntryState;
-use crate::table_copy::TableCopy;
+use crate::table_copy::{TableCopy, TableKind};
 
 /// The timeout of a call to the store; a feed that waits has a shorter one.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -54,7 +54,7 @@
     let mut backoff = Backoff::new();
     let mut feed_status = FeedStatus::new("configuration");
     loop {
-        wait_to_follow_store(&state).await;
+        wait_to_read_store(&state, TableKind::Routing).await;
         // The first read is of the whole table, which may still be empty.
         let is_known = !state.routing_copy.mirror.borrow().version().is_zero();
         let followed = FollowedTable {
@@ -88,7 +88,7 @@
         if !state.follows_store() {
             state.store_health.take();
         }
-        wait_to_follow_store(&state).await;
+        wait_to_read_store(&state, TableKind::Targets).await;
         let started_at = state.clock.now();
         let era = state.targets_copy.mirror.borrow().version().era();
         let followed = FollowedTable {
@@ -203,14 +203,27 @@
     }
 }
 
-/// Waits until this node must follow the store itself.
-async fn wait_to_follow_store(state: &EntryState) {
-    while !state.follows_store() {
+/// Waits until this node must read a table from the store itself.
+async fn wait_to_read_store(state: &EntryState, kind: TableKind) {
+    while !state.reads_store(kind) {
+        let due = state.time_until_store_read(kind);
+        let wait = due.map_or(FOLLOWER_CHECK_INTERVAL, |due| {
+            due.min(FOLLOWER_CHECK_INTERVAL)
+        });
         tokio::select! {
             () = state.role_changed.notified() => {}
-            () = tokio::time::sleep(FOLLOWER_CHECK_INTERVAL) => {}
+            () = tokio::time::sleep(wait) => {}
         }
     }
+    if !state.follows_store() {
+        let lag = state.table_copy(kind).lag(state.clock.now());
+        let missing_ms = lag.unwrap_or_default().as_millis() as u64;
+        tracing::info!(
+            what = kind.path(),
+            missing_ms,
+            "rows not delivered by peers; reading the store"
+        );
+    }
 }
 
 /// Waits before an empty table is read again: there is no version yet that a feed could start from.
--- a/entry/tests/test_row_fetches.rs
+++ b/entry/tests/test_row_fetches.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use damaskloom_entry::peer_rows::{RowsAnswer, proof};
 use damaskloom_entry::peer_wire::{PeerEnvelope, PeerMessage, encode};
+use damaskloom_entry::settings::EntrySettings;
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::entry_members::{EntryPhase, NodeHeartbeat};
 use damaskloom_lib::table_mirror::{MirrorRow, RowExtent};
@@ -19,14 +20,20 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use serde_json::json;
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::task::LocalSet;
 
 use crate::fixture::{
-    EntryNode, PEER_PORT, TargetBehaviour, configuration, connect, wait_until, with_node,
+    EntryNode, PEER_PORT, TargetBehaviour, TestTarget, configuration, connect, node_settings,
+    start_store, wait_until, with_node,
 };
 
 /// The interval of a peer's heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
+/// The number of polls without a feed call that show that a node does not follow the store: longer than a
+/// feed call waits.
+const POLLS_WITHOUT_FEED: u32 = 40;
 /// The number of requests for rows of targets that show that the configuration has waited for a
 /// whole series of them.
 const MAX_TARGET_REQUESTS: u32 = 12;
@@ -196,6 +203,34 @@
     .await;
 }
 
+/// Runs a test with a store, a node that leaves the store to a peer, that peer, and a target.
+async fn with_follower<F: Future<Output = ()>>(
+    last_octet: u8,
+    test: impl FnOnce(PlatformServer, EntryNode, Rc<ReaderPeer>, Rc<TestTarget>) -> F,
+) {
+    LocalSet::new()
+        .run_until(async move {
+            let (store, target) = start_store(TargetBehaviour::Succeeds).await;
+            let mut settings = node_settings(store.address(), PEER_PORT);
+            // A data centre has one reader then, the node of the largest capacity.
+            settings["data_centres"] = json!({"near": "r", "away": "r", "far": "r"});
+            let settings = EntrySettings::parse(settings.to_string(), "test");
+            let node = EntryNode::start_with(settings.expect("valid settings"));
+            node.wait_until_ready().await;
+            let peer = ReaderPeer::start(fleet_secret(&store), node.ip(), last_octet).await;
+            let (mut feeds, mut polls) = (0, 0);
+            wait_until("the node leaves the store to its peer", async || {
+                let now = store.counters().feeds;
+                polls = if now == feeds { polls + 1 } else { 0 };
+                feeds = now;
+                polls > POLLS_WITHOUT_FEED
+            })
+            .await;
+            test(store, node, peer, target).await;
+        })
+        .await;
+}
+
 /// Guards against a node that never gets a configuration over a slow path, since it abandons each
 /// fetch before the answer can arrive and starts again.
 #[tokio::test]
@@ -288,6 +323,25 @@
     .await;
 }
 
+/// Guards against a node that stays behind although it reaches the store, since it hears from a node that reads
+/// the store for it and does not answer.
+#[tokio::test]
+async fn rows_are_read_from_the_store_while_no_peer_answers() {
+    with_follower(7, |store, node, peer, target| async move {
+        peer.answers.set(false);
+        store.put("servers", "i-new", target.row("ready"));
+        store.put("op", "config", configuration(2, &["key-1", "key-new"]));
+        let stored = store.newest_version();
+        peer.versions.set((stored, stored));
+        wait_until("the new target is known", async || {
+            node.metric("damaskloom_targets").await == Some(2.0)
+        })
+        .await;
+        wait_until_key_works(&node, "key-new").await;
+    })
+    .await;
+}
+
 /// Guards against a removed target that stays known since a peer of the build before answers: it cannot read
 /// the query of this build, and sends its whole copy, which says nothing of removed rows.
 #[tokio::test]
--- a/testutils/src/platform_server.rs
+++ b/testutils/src/platform_server.rs
@@ -262,6 +262,11 @@
         row.value
     }
 
+    /// Returns the newest version of the tables.
+    pub fn newest_version(&self) -> u64 {
+        self.shared.lock().tables.version()
+    }
+
     /// Returns a copy of all tables.
     pub fn copy_tables(&self) -> TablesCopy {
         TablesCopy(self.shared.lock().tables.clone())
