targets: no unsafe request goes to a target that may have left while rows are missing

Cause: for configurations a node refuses requests once announced rows are missing for too long. For targets it went on by the old rows, and nothing in the selection of a target knew that it did.

Now an unsafe request goes only to targets whose own answer shows that they stay, once announced rows of targets have been missing for half of the time for which a target serves after it has left; a target that leaves says so in all its answers. Otherwise it is refused at once as not run (503, outdated-targets). The condition is checked when a target is selected, and again once a connection is open.

Tests: unsafe_requests_go_only_to_targets_that_answer_while_rows_are_missing (entry; the store refuses and the peer does not answer) fails with the bound taken out; only_recent_answers_show_that_a_target_stays (lib) covers starts and late answers.

--- a/entry/src/caller_answer.rs
+++ b/entry/src/caller_answer.rs
@@ -31,6 +31,8 @@
     NotConfigured,
     /// Peers have had a newer configuration for too long.
     OutdatedConfiguration,
+    /// Changes of targets have been missing for too long to send a request that may run only once.
+    OutdatedTargets,
     /// No target accepts requests.
     NoTarget,
     /// All targets of the service are in data centres that operators evacuate.
@@ -62,6 +64,7 @@
             Self::RateExceeded => "rate-exceeded",
             Self::NotConfigured => "not-configured",
             Self::OutdatedConfiguration => "outdated-configuration",
+            Self::OutdatedTargets => "outdated-targets",
             Self::NoTarget => "no-target",
             Self::Evacuated => "evacuated",
             Self::Stopping => "stopping",
@@ -85,6 +88,7 @@
             Self::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
             Self::NotConfigured
             | Self::OutdatedConfiguration
+            | Self::OutdatedTargets
             | Self::NoTarget
             | Self::Evacuated
             | Self::Stopping
--- a/entry/src/delivery.rs
+++ b/entry/src/delivery.rs
@@ -242,6 +242,7 @@
             tried: &self.attempts.tried,
             limits: &limits,
             notices: &notices,
+            trust: self.state.target_trust(self.idempotence()),
             evacuations: &evacuations,
             crossing: balancer
                 .sizes()
@@ -253,6 +254,9 @@
             .select(now, &request)
             .map_err(|error| match error {
                 SelectionError::NoTarget => self.refuse(RefusalReason::NoTarget, UNKNOWN_WAIT),
+                SelectionError::Untrusted => {
+                    self.refuse(RefusalReason::OutdatedTargets, UNKNOWN_WAIT)
+                }
                 SelectionError::Evacuated => self.refuse(RefusalReason::Evacuated, UNKNOWN_WAIT),
                 SelectionError::Resting(wait) => self.refuse(RefusalReason::TargetsResting, wait),
                 SelectionError::Limited(wait) => {
@@ -346,7 +350,9 @@
             id,
             pool: state.target_pools.pool(id, address),
             connections: self.connection_limit(),
-            accepts: &|| state.accepts_requests(&start) && state.take_send_permit(id),
+            accepts: &|| {
+                state.accepts_requests(&start, self.idempotence()) && state.take_send_permit(id)
+            },
         };
         self.log_selection(selection);
         let allowed = self.attempt_time();
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -139,6 +139,10 @@
 /// The fraction of the time for applying a configuration after which a node without it refuses
 /// requests; the rest is for the announcement to arrive.
 const MAX_ROUTING_LAG_RATIO: f64 = 0.8;
+/// The fraction of the time for which a target serves after it has left after which a node without announced rows of
+/// targets sends no unsafe request to a target that may have left; the rest is for the announcement and for
+/// requests on their way.
+const MAX_TARGETS_LAG_RATIO: f64 = 0.5;
 /// The fraction of the time in which a change must take effect after which a node reads the store itself for
 /// rows that peers announce and do not deliver: peers of two ranks were asked by then.
 const PEER_DELIVERY_RATIO: f64 = 0.25;
@@ -154,6 +158,11 @@
         Duration::from_secs_f64(self.target_drain_s.unwrap_or(self.routing_apply_s))
     }
 
+    /// Returns for how long a node may use its targets for unsafe requests once it knows of missing rows.
+    pub fn max_targets_lag(&self) -> Duration {
+        self.target_drain().mul_f64(MAX_TARGETS_LAG_RATIO)
+    }
+
     /// Returns for how long a node waits for announced rows of a table before it reads the store itself.
     pub fn peer_delivery_time(&self, kind: TableKind) -> Duration {
         let bound = match kind {
--- a/entry/src/target_call.rs
+++ b/entry/src/target_call.rs
@@ -239,6 +239,7 @@
         is_leaving: is_own && is_target_leaving(headers),
         rest: rest_notice(target, status, headers),
         warmup_left: warmup_left(headers).filter(|_| is_own),
+        is_staying: status.is_success() && is_own && !is_target_leaving(headers),
     }
 }
 
--- a/entry/src/target_notices.rs
+++ b/entry/src/target_notices.rs
@@ -1,8 +1,10 @@
 //! Applies what targets say of themselves in their answers; see
 //! [docs/design/target-notices.md](../../docs/design/target-notices.md).
 
+use damaskloom_lib::config::Idempotence;
 use damaskloom_lib::ids::{TargetId, VmId};
 use damaskloom_lib::target_notices::{RestNotice, TargetNotice, TargetStart};
+use damaskloom_lib::target_selection::TargetTrust;
 use damaskloom_lib::time::MonoTime;
 
 use crate::entry_state::EntryState;
@@ -25,6 +27,9 @@
         }
         let now = self.clock.now();
         let mut notices = self.notices.borrow_mut();
+        if notice.is_staying {
+            notices.record_staying(start, sent_at);
+        }
         notices.record_rest(now, start, sent_at, notice.rest);
         if let RestNotice::Asked(rest) = notice.rest {
             let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
@@ -59,7 +64,7 @@
     }
 
     /// Returns whether this start of a target is the known one and accepts requests of this node.
-    pub fn accepts_requests(&self, start: &TargetStart) -> bool {
+    pub fn accepts_requests(&self, start: &TargetStart, idempotence: Idempotence) -> bool {
         let catalog = self.catalog.borrow();
         let known = catalog.get(&start.target);
         let is_usable = known.is_some_and(|target| {
@@ -69,9 +74,25 @@
         is_usable
             && !self.is_evacuated(&start.target)
             && !notices.is_leaving(&start.target, start.started_at_ms)
+            && (self.target_trust(idempotence)).includes(&notices, &start.target)
             && !notices.is_resting(self.clock.now(), &start.target)
     }
 
+    /// Returns the targets that a request may go to.
+    ///
+    /// A request that may run only once is lost if its target stops meanwhile, so it goes to no target that may
+    /// have left without this node's knowledge; see
+    /// [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
+    pub fn target_trust(&self, idempotence: Idempotence) -> TargetTrust {
+        let now = self.clock.now();
+        let max_lag = self.settings().bounds.max_targets_lag();
+        let lag = self.targets_copy.lag(now).unwrap_or_default();
+        match idempotence {
+            Idempotence::NonIdempotent if lag >= max_lag => TargetTrust::StayingAt(now - max_lag),
+            Idempotence::Idempotent | Idempotence::NonIdempotent => TargetTrust::Known,
+        }
+    }
+
     /// Forgets what targets said that have been gone for long.
     pub fn forget_departed_targets(&self) {
         let now = self.clock.now();
--- a/entry/tests/test_row_fetches.rs
+++ b/entry/tests/test_row_fetches.rs
@@ -13,6 +13,7 @@
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::entry_members::{EntryPhase, NodeHeartbeat};
 use damaskloom_lib::table_mirror::{MirrorRow, RowExtent};
+use damaskloom_testutils::platform_faults::PlatformFaults;
 use damaskloom_testutils::platform_server::PlatformServer;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Empty, Full};
@@ -342,6 +343,35 @@
     .await;
 }
 
+/// Guards against an unsafe request to a target that has left, from a node that knows that it lacks rows of targets
+/// and gets them neither from peers nor from the store.
+#[tokio::test]
+async fn unsafe_requests_go_only_to_targets_that_answer_while_rows_are_missing() {
+    with_follower(8, |store, node, peer, target| async move {
+        peer.answers.set(false);
+        store.set_faults(PlatformFaults::refusing());
+        peer.announce_targets();
+        wait_until("the node refuses unsafe requests", async || {
+            let answer = node.send("POST", "/book/1", Some("key-1")).await;
+            answer.status == StatusCode::SERVICE_UNAVAILABLE
+                && answer.headers.contains_key("retry-after")
+                && answer.body == "outdated-targets"
+        })
+        .await;
+        let arrivals = target.arrivals.get();
+        let refused = node.send("POST", "/book/1", Some("key-1")).await;
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(target.arrivals.get(), arrivals);
+        wait_until("the target's answer shows that it stays", async || {
+            let read = node.send("GET", "/read/1", Some("key-1")).await;
+            let booking = node.send("POST", "/book/1", Some("key-1")).await;
+            (read.status, booking.status) == (StatusCode::OK, StatusCode::OK)
+        })
+        .await;
+    })
+    .await;
+}
+
 /// Guards against a removed target that stays known since a peer of the build before answers: it cannot read
 /// the query of this build, and sends its whole copy, which says nothing of removed rows.
 #[tokio::test]
--- a/lib/src/target_balancer.rs
+++ b/lib/src/target_balancer.rs
@@ -277,6 +277,10 @@
             if request.tried.contains(id) {
                 continue;
             }
+            if !request.trust.includes(request.notices, id) {
+                error = error.or_untrusted();
+                continue;
+            }
             let rest_left = request.notices.rest_left(now, id);
             if !rest_left.is_zero() {
                 error = error.or_resting(rest_left);
--- a/lib/src/target_notices.rs
+++ b/lib/src/target_notices.rs
@@ -51,6 +51,8 @@
     pub rest: RestNotice,
     /// How long the target is still cold, if the answer says so.
     pub warmup_left: Option<Duration>,
+    /// Whether the answer is certainly the target's own and does not say that it leaves.
+    pub is_staying: bool,
 }
 
 /// One start of a target.
@@ -86,10 +88,19 @@
     known_at: MonoTime,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct StayingStart {
+    started_at_ms: Option<u64>,
+    /// When the newest request was sent whose answer did not say that the target leaves.
+    asked_at: MonoTime,
+}
+
 /// What targets have said of themselves, as far as this node knows.
 #[derive(Debug, Default)]
 pub struct TargetNotices {
     held: IndexMap<TargetId, HeldNotices>,
+    /// The starts of targets that did not leave yet at a time, by their answers.
+    staying: IndexMap<TargetId, StayingStart>,
 }
 
 impl TargetNotices {
@@ -142,6 +153,24 @@
         held.is_some_and(|held| held.is_leaving && held.started_at_ms == started_at_ms)
     }
 
+    /// Records that an answer to a request that was sent at `sent_at` did not say that the target leaves.
+    pub fn record_staying(&mut self, start: &TargetStart, sent_at: MonoTime) {
+        let staying = StayingStart {
+            started_at_ms: start.started_at_ms,
+            asked_at: sent_at,
+        };
+        let held = self.staying.entry(start.target.clone()).or_insert(staying);
+        if held.started_at_ms != staying.started_at_ms || held.asked_at < sent_at {
+            *held = staying;
+        }
+    }
+
+    /// Returns whether the target had not begun to leave at a time, as an answer of it shows.
+    pub fn is_staying_at(&self, target: &TargetId, at: MonoTime) -> bool {
+        let staying = self.staying.get(target);
+        staying.is_some_and(|staying| staying.asked_at >= at)
+    }
+
     /// Records what an answer to this node says about rest. `sent_at` is when its request was sent: only a
     /// request that was sent after a rest shows that the target takes requests again.
     pub fn record_rest(
@@ -212,6 +241,10 @@
         if is_earlier {
             self.held.shift_remove(target);
         }
+        let staying = self.staying.get(target);
+        if staying.is_some_and(|staying| staying.started_at_ms != started_at_ms) {
+            self.staying.swap_remove(target);
+        }
     }
 
     /// Returns the starts that leave and that the other nodes are to be told of now.
@@ -235,6 +268,7 @@
 
     /// Forgets rests that are long over, and targets that have been gone for long.
     pub fn tick(&mut self, now: MonoTime, is_known: impl Fn(&TargetId) -> bool) {
+        self.staying.retain(|id, _| is_known(id));
         self.held.retain(|id, held| {
             if is_known(id) {
                 held.known_at = now;
--- a/lib/src/target_selection.rs
+++ b/lib/src/target_selection.rs
@@ -9,6 +9,7 @@
 use crate::rendezvous::StableHash;
 use crate::target_limits::TargetLimits;
 use crate::target_notices::TargetNotices;
+use crate::time::MonoTime;
 
 /// The request that a target is selected for.
 #[derive(Clone, Copy, Debug)]
@@ -21,6 +22,8 @@
     pub limits: &'a TargetLimits,
     /// The rests that targets have asked this node for.
     pub notices: &'a TargetNotices,
+    /// The targets that the request may go to.
+    pub trust: TargetTrust,
     /// The data centres whose targets get no requests.
     pub evacuations: &'a Evacuations,
     /// What a target in another data centre costs the request.
@@ -31,6 +34,27 @@
     pub spread: CostSpread,
 }
 
+/// The targets that a request may go to, by what this node knows of their leaving.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum TargetTrust {
+    /// All known ones.
+    #[default]
+    Known,
+    /// Those that had not begun to leave at a time, as their answers show: rows of targets have been missing for
+    /// so long that any known target may be about to stop.
+    StayingAt(MonoTime),
+}
+
+impl TargetTrust {
+    /// Returns whether a request may go to a target.
+    pub fn includes(self, notices: &TargetNotices, target: &TargetId) -> bool {
+        match self {
+            Self::Known => true,
+            Self::StayingAt(at) => notices.is_staying_at(target, at),
+        }
+    }
+}
+
 /// How far targets may differ in cost and still be selected alike.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum CostSpread {
@@ -124,6 +148,8 @@
     NoTarget,
     /// All targets are in data centres that are evacuated.
     Evacuated,
+    /// Any such target may have left, as far as this node knows.
+    Untrusted,
     /// The limits of all such targets are used up. Holds the time until this node's share of one
     /// allows a request again; none if only other nodes may send to them.
     Limited(Option<Duration>),
@@ -133,6 +159,15 @@
 }
 
 impl SelectionError {
+    /// Returns the error if another target may have left.
+    #[must_use]
+    pub fn or_untrusted(self) -> Self {
+        match self {
+            Self::NoTarget => Self::Untrusted,
+            other => other,
+        }
+    }
+
     /// Returns the error if another target asks for rest.
     #[must_use]
     pub fn or_resting(self, left: Duration) -> Self {
@@ -153,7 +188,7 @@
     /// Returns the time until a target may be asked again, if that is known.
     pub fn wait(self) -> Option<Duration> {
         match self {
-            Self::NoTarget | Self::Evacuated => None,
+            Self::NoTarget | Self::Evacuated | Self::Untrusted => None,
             Self::Limited(wait) => wait,
             Self::Resting(wait) => Some(wait),
         }
--- a/lib/tests/admission_fleet.rs
+++ b/lib/tests/admission_fleet.rs
@@ -16,7 +16,7 @@
 use damaskloom_lib::target_balancer::{TargetBalancer, TargetCode};
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_notices::TargetNotices;
-use damaskloom_lib::target_selection::{CostSpread, PoolLoad, SelectionRequest};
+use damaskloom_lib::target_selection::{CostSpread, PoolLoad, SelectionRequest, TargetTrust};
 use damaskloom_lib::time::MonoTime;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -316,6 +316,7 @@
                 tried: &tried,
                 limits: &self.limits,
                 notices: &self.notices,
+                trust: TargetTrust::Known,
                 evacuations: &Evacuations::default(),
                 crossing: CrossingCost::default(),
                 seed,
--- a/lib/tests/floor_fleet.rs
+++ b/lib/tests/floor_fleet.rs
@@ -15,7 +15,7 @@
 use damaskloom_lib::target_balancer::{TargetBalancer, TargetCode};
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_notices::TargetNotices;
-use damaskloom_lib::target_selection::{CostSpread, SelectionRequest};
+use damaskloom_lib::target_selection::{CostSpread, SelectionRequest, TargetTrust};
 use damaskloom_lib::target_trial::TrialNode;
 use damaskloom_lib::time::MonoTime;
 use rand::rngs::SmallRng;
@@ -273,6 +273,7 @@
             tried: &[],
             limits: &self.limits,
             notices: &self.notices,
+            trust: TargetTrust::Known,
             evacuations: &Evacuations::default(),
             crossing: CrossingCost::default(),
             seed: self.random.random(),
--- a/lib/tests/test_crossing_cost.rs
+++ b/lib/tests/test_crossing_cost.rs
@@ -11,7 +11,7 @@
 use damaskloom_lib::target_balancer::TargetBalancer;
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_notices::TargetNotices;
-use damaskloom_lib::target_selection::{CostSpread, SelectionRequest};
+use damaskloom_lib::target_selection::{CostSpread, SelectionRequest, TargetTrust};
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::units::ByteSize;
 
@@ -69,6 +69,7 @@
         tried: &[],
         limits: &TargetLimits::new(vm()),
         notices: &TargetNotices::default(),
+        trust: TargetTrust::Known,
         evacuations: &Evacuations::default(),
         crossing,
         seed: 0,
--- a/lib/tests/test_evacuation.rs
+++ b/lib/tests/test_evacuation.rs
@@ -12,7 +12,7 @@
 use damaskloom_lib::target_balancer::TargetBalancer;
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_notices::TargetNotices;
-use damaskloom_lib::target_selection::{CostSpread, SelectionError, SelectionRequest};
+use damaskloom_lib::target_selection::{CostSpread, SelectionError, SelectionRequest, TargetTrust};
 use damaskloom_lib::time::MonoTime;
 
 const CENTRES: [&str; 3] = ["near", "away", "far"];
@@ -174,6 +174,7 @@
         tried: &[],
         limits: &TargetLimits::new("vm-1".parse().expect("a valid name")),
         notices: &TargetNotices::default(),
+        trust: TargetTrust::Known,
         evacuations,
         crossing: CrossingCost::default(),
         seed,
--- a/lib/tests/test_target_balancer.rs
+++ b/lib/tests/test_target_balancer.rs
@@ -11,7 +11,7 @@
 use damaskloom_lib::target_balancer::{TargetBalancer, TargetCode};
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_notices::TargetNotices;
-use damaskloom_lib::target_selection::{CostSpread, SelectionError, SelectionRequest};
+use damaskloom_lib::target_selection::{CostSpread, SelectionError, SelectionRequest, TargetTrust};
 use damaskloom_lib::time::MonoTime;
 
 const BASELINE_FAILURE_RATE: f64 = 0.012;
@@ -73,6 +73,7 @@
         tried,
         limits: &no_limits(),
         notices: &TargetNotices::default(),
+        trust: TargetTrust::Known,
         evacuations: &Evacuations::default(),
         crossing: CrossingCost::default(),
         seed: 0,
@@ -137,6 +138,7 @@
         tried: &both,
         limits: &no_limits(),
         notices: &TargetNotices::default(),
+        trust: TargetTrust::Known,
         evacuations: &Evacuations::default(),
         crossing: CrossingCost::default(),
         seed: 0,
@@ -220,6 +222,7 @@
         tried: &[],
         limits: &no_limits(),
         notices: &TargetNotices::default(),
+        trust: TargetTrust::Known,
         evacuations: &Evacuations::default(),
         crossing: CrossingCost::default(),
         seed: 0,
@@ -266,6 +269,7 @@
             tried: &[],
             limits: &no_limits(),
             notices: &TargetNotices::default(),
+            trust: TargetTrust::Known,
             evacuations: &Evacuations::default(),
             crossing: CrossingCost::default(),
             seed,
--- a/lib/tests/test_target_limits.rs
+++ b/lib/tests/test_target_limits.rs
@@ -11,7 +11,7 @@
     LimitNotice, LimitPermission, LimitSender, LimitStatement, TargetLimits,
 };
 use damaskloom_lib::target_notices::TargetNotices;
-use damaskloom_lib::target_selection::{CostSpread, SelectionError, SelectionRequest};
+use damaskloom_lib::target_selection::{CostSpread, SelectionError, SelectionRequest, TargetTrust};
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::units::RequestRate;
 
@@ -199,6 +199,7 @@
             tried,
             limits,
             notices: &TargetNotices::default(),
+            trust: TargetTrust::Known,
             evacuations: &Evacuations::default(),
             crossing: CrossingCost::default(),
             seed: 0,
@@ -247,6 +248,7 @@
             tried: &[],
             limits,
             notices: &TargetNotices::default(),
+            trust: TargetTrust::Known,
             evacuations: &Evacuations::default(),
             crossing: CrossingCost::default(),
             seed: 0,
--- a/lib/tests/test_target_notices.rs
+++ b/lib/tests/test_target_notices.rs
@@ -9,7 +9,7 @@
 use damaskloom_lib::target_balancer::TargetBalancer;
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_notices::{MAX_REST_MS, RestNotice, TargetNotices, TargetStart};
-use damaskloom_lib::target_selection::{CostSpread, SelectionError, SelectionRequest};
+use damaskloom_lib::target_selection::{CostSpread, SelectionError, SelectionRequest, TargetTrust};
 use damaskloom_lib::time::MonoTime;
 
 /// Returns the name of the node under test.
@@ -177,6 +177,7 @@
             tried,
             limits: &limits,
             notices,
+            trust: TargetTrust::Known,
             evacuations: &Evacuations::default(),
             crossing: CrossingCost::default(),
             seed: 0,
@@ -200,3 +201,40 @@
     assert_eq!(select(&notices, 500, &[]), resting(1_500));
     assert!(select(&notices, 2_000, &[]).is_ok());
 }
+
+/// Guards against an unsafe request to a target that may have left, while rows of targets are missing: only an
+/// answer to a recent request of the same start shows that a target stays.
+#[test]
+fn only_recent_answers_show_that_a_target_stays() {
+    let centre: DataCentreId = "near".parse().expect("a valid name");
+    let mut balancer = TargetBalancer::new(&own_vm(), centre.clone());
+    let other: TargetId = "i-2".parse().expect("a valid name");
+    for target in [id(), other] {
+        balancer.insert(at(0), target, centre.clone(), 4, Duration::ZERO);
+    }
+    let limits = TargetLimits::new(own_vm());
+    let mut notices = TargetNotices::default();
+    let select = |notices: &TargetNotices, since| {
+        let request = SelectionRequest {
+            idempotence: Idempotence::NonIdempotent,
+            tried: &[],
+            limits: &limits,
+            notices,
+            trust: TargetTrust::StayingAt(at(since)),
+            evacuations: &Evacuations::default(),
+            crossing: CrossingCost::default(),
+            seed: 1,
+            spread: CostSpread::None,
+        };
+        let selection = balancer.select(at(2_000), &request);
+        selection.map(|selection| selection.target)
+    };
+    assert_eq!(select(&notices, 0), Err(SelectionError::Untrusted));
+    notices.record_staying(&start(Some(5)), at(1_000));
+    // The answer to an earlier request may arrive later.
+    notices.record_staying(&start(Some(5)), at(400));
+    assert_eq!(select(&notices, 1_000), Ok(id()));
+    assert_eq!(select(&notices, 1_001), Err(SelectionError::Untrusted));
+    notices.end_earlier_starts(&id(), Some(6));
+    assert_eq!(select(&notices, 0), Err(SelectionError::Untrusted));
+}
--- a/lib/tests/test_target_trial.rs
+++ b/lib/tests/test_target_trial.rs
@@ -12,7 +12,7 @@
 use damaskloom_lib::target_balancer::{TargetBalancer, TargetCode};
 use damaskloom_lib::target_limits::TargetLimits;
 use damaskloom_lib::target_notices::TargetNotices;
-use damaskloom_lib::target_selection::{CostSpread, SelectionRequest};
+use damaskloom_lib::target_selection::{CostSpread, SelectionRequest, TargetTrust};
 use damaskloom_lib::target_trial::{TrialNode, TrialOrder};
 use damaskloom_lib::time::MonoTime;
 use rand::rngs::StdRng;
@@ -142,6 +142,7 @@
             tried: &[],
             limits: &limits,
             notices: &TargetNotices::default(),
+            trust: TargetTrust::Known,
             evacuations: &Evacuations::default(),
             crossing: CrossingCost::default(),
             seed: self.random.random(),
