targets: one node's failed calls open no grace period for others

After its return it took removals for announcements that had expired, for 2.3 s, and handed that period on with its rows. Heartbeats do not help within 5 s: a node that reads the store says so until it notices an outage. While its calls failed it handed on the whole period too. A reader that sees a restore of the store late did the same with its own late clock.

Now a grace period that a node's own calls have opened is unconfirmed. The node asks up to four nodes that have said for longer than a grace period that they read the store. One that does says for how long the store has answered it without an outage, in which era; the period is shortened by that, since what expired before has had that time to come back. In an outage there is nobody to ask, and the period holds as before. Until the period is confirmed, the node does not hand rows of targets on; others get them from the nodes that read the store. Failed calls alone open no period: until the store answers, rows come from peers only, which say what they know. A peer without a period does not end that of another node: it may know of no outage.

The request has a path of its own, so that no message changes; a node of the build before answers 404, and the period holds as before.

In lib: the period and what is said of the store; in entry also the build before and the bytes.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -122,6 +122,8 @@
     pub loop_delay: Cell<Duration>,
     /// What this node's reads of the targets' table show of the store.
     pub store_health: RefCell<StoreHealth>,
+    /// Wakes the task that asks other nodes whether announcements may have expired.
+    pub grace_doubted: Notify,
     /// Whether this node is one of the readers, which follow the store on behalf of the others.
     pub is_reader: Cell<bool>,
     /// When this node had read the other nodes' registrations; none before.
@@ -197,6 +199,7 @@
             loop_delay: Cell::new(Duration::ZERO),
             role_changed: Notify::new(),
             store_health: RefCell::default(),
+            grace_doubted: Notify::new(),
             is_reader: Cell::new(false),
             joined_at: Cell::new(None),
             meters: EntryMeters::new()?,
--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -184,6 +184,13 @@
         Some(SocketAddr::new(ip, port))
     }
 
+    /// Returns whether a node was heard recently.
+    pub fn is_responsive(&self, vm: &VmId) -> bool {
+        let now = self.clock.now();
+        let members = self.members.borrow();
+        members.responsive(now).any(|(known, _)| known == vm)
+    }
+
     /// Returns the step in which this node fetches a change from its peers: 0 for the first node of
     /// its data centre in the order of names, 1 for the next two, 2 for the next four.
     pub fn rollout_step(&self) -> u32 {
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod evacuations;
 pub mod fleet_roles;
 pub mod fleet_rows;
+pub mod grace_check;
 pub mod hand_on;
 pub mod limit_sharing;
 pub mod log_lines;
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -16,6 +16,7 @@
 use damaskloom_lib::row_fetch::{
     FETCH_TIMEOUT_MS, FetchEnd, FetchStep, NewerPeer, OwnFeed, PeerRank, RowFetcher, initial_delay,
 };
+use damaskloom_lib::store_health::StoreReading;
 use damaskloom_lib::store_version::StoreVersion;
 use damaskloom_lib::table_mirror::{MirrorRow, RowExtent, TableMirror};
 use futures::StreamExt;
@@ -43,6 +44,8 @@
 const FETCH_TIMEOUT: Duration = Duration::from_millis(FETCH_TIMEOUT_MS);
 /// The maximum size of an answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// The path at which a peer says what it reads of the store; the build before answers 404.
+const READING_PATH: &str = "/store/reading";
 /// The header with the authentication code of a request or an answer, in hexadecimal digits.
 const PROOF_HEADER: HeaderName = HeaderName::from_static("damaskloom-proof");
 
@@ -143,7 +146,7 @@
     }
 }
 
-/// The reasons why fetching rows from a peer fails.
+/// The reasons why a request to a peer fails.
 #[derive(Debug, Snafu)]
 enum FetchError {
     #[snafu(display("cannot connect to the peer: {source}"))]
@@ -231,14 +234,26 @@
     if !has_proof(request.headers(), &PROOF_HEADER, &expected) {
         return refuse(StatusCode::FORBIDDEN);
     }
-    let mirror = match request.uri().path() {
-        path if path == TableKind::Routing.path() => &state.routing_copy.mirror,
-        path if path == TableKind::Targets.path() => &state.targets_copy.mirror,
-        _ => return refuse(StatusCode::NOT_FOUND),
-    };
     let query = request.uri().query().and_then(RowsQuery::parse);
     let query = query.unwrap_or(RowsQuery::ChangesAfter(StoreVersion::default()));
-    let Ok(body) = encode_rows(state, &mirror.borrow(), query) else {
+    let now = state.clock.now();
+    let body = match request.uri().path() {
+        READING_PATH => encode_reading(state),
+        path if path == TableKind::Routing.path() => {
+            encode_rows(state, &state.routing_copy.mirror.borrow(), query)
+        }
+        // A removal in these rows may be taken for an announcement that expired.
+        path if path == TableKind::Targets.path()
+            && state.catalog.borrow().is_grace_unconfirmed(now) =>
+        {
+            return refuse(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        path if path == TableKind::Targets.path() => {
+            encode_rows(state, &state.targets_copy.mirror.borrow(), query)
+        }
+        _ => return refuse(StatusCode::NOT_FOUND),
+    };
+    let Ok(body) = body else {
         return refuse(StatusCode::INTERNAL_SERVER_ERROR);
     };
     let proof_value = proof(&secret, [b"answer", request_target.as_bytes(), &body]);
@@ -249,6 +264,12 @@
     response
 }
 
+fn encode_reading(state: &EntryState) -> Result<Vec<u8>, postcard::Error> {
+    let interval = state.settings().bounds.announcement_interval();
+    let health = *state.store_health.borrow();
+    postcard::to_stdvec(&health.reading(state.clock.now(), interval))
+}
+
 fn encode_rows(
     state: &EntryState,
     mirror: &TableMirror,
@@ -394,11 +415,12 @@
     };
     let before = copy.mirror.borrow().version();
     let request_target = format!("{}?{}", kind.path(), RowsQuery::After(before));
-    let answer = tokio::time::timeout(
+    let body = tokio::time::timeout(
         FETCH_TIMEOUT,
-        request_rows(&secret, peer, &request_target, progress),
+        exchange(&secret, peer, &request_target, progress),
     );
-    let (answer, extent) = answer.await.context(TimedOutSnafu)??;
+    let body = body.await.context(TimedOutSnafu)??;
+    let (answer, extent) = decode_rows(&body).context(BadContentSnafu)?;
     let version = answer.version;
     let changed_rows = copy.apply_answer(state.clock.now(), answer.rows, version, &extent);
     let removed = changed_rows.iter().filter(|row| row.value.is_none());
@@ -434,12 +456,51 @@
     Ok(changed_rows.len())
 }
 
-async fn request_rows(
+/// What a peer says of its reading of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PeerReading {
+    /// The store answers it.
+    Answering(StoreReading),
+    /// The store does not answer it now.
+    NotAnswering,
+    /// It is of the build before, which cannot say.
+    Unsupported,
+}
+
+/// Asks a peer what it reads of the store; none if it does not answer in time.
+pub async fn ask_reading(
+    secret: &SharedSecret,
+    peer: SocketAddr,
+    timeout: Duration,
+) -> Option<PeerReading> {
+    let progress = FetchProgress::start();
+    let body = tokio::time::timeout(timeout, exchange(secret, peer, READING_PATH, &progress));
+    let reading = match body.await.context(TimedOutSnafu).flatten() {
+        Err(FetchError::BadStatus {
+            status: StatusCode::NOT_FOUND,
+        }) => return Some(PeerReading::Unsupported),
+        body => body.and_then(|body| decode_reading(&body)),
+    };
+    match reading {
+        Ok(reading) => Some(reading.map_or(PeerReading::NotAnswering, PeerReading::Answering)),
+        Err(error) => {
+            tracing::info!(%peer, %error, "peer does not say what it reads of the store");
+            None
+        }
+    }
+}
+
+fn decode_reading(body: &[u8]) -> Result<Option<StoreReading>, FetchError> {
+    postcard::from_bytes(body).context(BadContentSnafu)
+}
+
+/// Sends a request to a peer and returns the body of its answer.
+async fn exchange(
     secret: &SharedSecret,
     peer: SocketAddr,
     request_target: &str,
     progress: &FetchProgress,
-) -> Result<(RowsAnswer, RowExtent), FetchError> {
+) -> Result<Bytes, FetchError> {
     let stream = TcpStream::connect(peer).await.context(UnreachableSnafu)?;
     progress.set_connected();
     let handshake = http1::handshake(TokioIo::new(stream)).await;
@@ -465,5 +526,5 @@
         has_proof(&parts.headers, &PROOF_HEADER, &expected),
         BadProofSnafu
     );
-    decode_rows(&body).context(BadContentSnafu)
+    Ok(body)
 }
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -16,6 +16,7 @@
 use crate::caller_listener::{serve_callers, serve_directory, serve_metrics, serve_readiness};
 use crate::entry_state::EntryState;
 use crate::fleet_rows::{join_fleet, keep_fleet_rows};
+use crate::grace_check::run_grace_checks;
 use crate::path_watch::run_path_tries;
 use crate::peer_rows::{run_row_fetches, serve_peers};
 use crate::peer_socket::PeerSocket;
@@ -118,6 +119,7 @@
     tokio::task::spawn_local(watch_targets(Rc::clone(&state), client));
     tokio::task::spawn_local(run_path_tries(Rc::clone(&state)));
     tokio::task::spawn_local(run_target_expiry(Rc::clone(&state)));
+    tokio::task::spawn_local(run_grace_checks(Rc::clone(&state)));
     tokio::task::spawn_local(watch_settings(Rc::clone(&state), path, reload));
     spawn_peers(&state, &peers);
     tracing::info!(vm = %state.settings().vm, started_at_ms = state.started_at_ms, "started");
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -108,6 +108,9 @@
                 if is_restored {
                     state.catalog.borrow_mut().mark_store_restored(now);
                 }
+                if state.catalog.borrow().is_grace_unconfirmed(now) {
+                    state.grace_doubted.notify_one();
+                }
                 state.apply_target_rows(&changed_rows, is_restored);
                 state.set_targets_known();
                 announce_changes(&state, &changed_rows);
@@ -142,7 +145,8 @@
         CallEnd::Answered => {
             // The outage may have become long enough to count since the last failed call.
             update_outage(state, now);
-            state.store_health.borrow_mut().record_answer();
+            let era = state.targets_copy.mirror.borrow().version().era();
+            state.store_health.borrow_mut().record_answer(now, era);
             state.catalog.borrow_mut().mark_store_available(now);
         }
         CallEnd::Failed(started_at) => {
@@ -178,7 +182,7 @@
         "store outage assessed"
     );
     if is_outage {
-        catalog.mark_store_unavailable(now);
+        catalog.mark_store_unavailable();
     } else {
         catalog.end_grace(now);
     }
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_evacuations;
 mod test_faulty_answers;
 mod test_fleet;
+mod test_grace_checks;
 mod test_limited_targets;
 mod test_log_lines;
 mod test_memory_bounds;
--- a/entry/tests/test_row_fetches.rs
+++ b/entry/tests/test_row_fetches.rs
@@ -12,6 +12,7 @@
 use damaskloom_entry::settings::EntrySettings;
 use damaskloom_gateway::peer_auth::SharedSecret;
 use damaskloom_lib::entry_members::{EntryPhase, NodeHeartbeat};
+use damaskloom_lib::store_health::StoreReading;
 use damaskloom_lib::table_mirror::{MirrorRow, RowExtent};
 use damaskloom_testutils::platform_faults::PlatformFaults;
 use damaskloom_testutils::platform_server::PlatformServer;
@@ -43,7 +44,7 @@
 
 /// A stand-in for a peer that reads the store for the others and announces newer rows.
 #[derive(Debug)]
-struct ReaderPeer {
+pub struct ReaderPeer {
     name: &'static str,
     data_centre: &'static str,
     ip: IpAddr,
@@ -56,6 +57,8 @@
     answer_delay: Cell<Duration>,
     /// Whether it answers requests.
     answers: Cell<bool>,
+    /// What it says of its reading of the store; none if it is of the build before.
+    pub reading: Cell<Option<StoreReading>>,
     /// Whether it answers requests for rows of targets.
     answers_targets: Cell<bool>,
     /// The number of requests for rows of targets.
@@ -63,7 +66,7 @@
 }
 
 impl ReaderPeer {
-    async fn start(secret: SharedSecret, node: IpAddr, last_octet: u8) -> Rc<Self> {
+    pub async fn start(secret: SharedSecret, node: IpAddr, last_octet: u8) -> Rc<Self> {
         Self::start_in("near", "vm-reader", secret, node, last_octet).await
     }
 
@@ -89,6 +92,7 @@
             configuration: RefCell::default(),
             answer_delay: Cell::new(Duration::ZERO),
             answers: Cell::new(true),
+            reading: Cell::default(),
             answers_targets: Cell::new(true),
             target_requests: Cell::new(0),
         });
@@ -149,6 +153,11 @@
         if !self.answers.get() || (!is_routing && !self.answers_targets.get()) {
             std::future::pending::<()>().await;
         }
+        let reading = request.uri().path() == "/store/reading";
+        if reading && self.reading.get().is_none() {
+            let answer = Response::builder().status(StatusCode::NOT_FOUND);
+            return answer.body(Full::default()).expect("the parts are valid");
+        }
         let (routing_version, targets_version) = self.versions.get();
         let row = MirrorRow {
             key: "config".to_owned(),
@@ -159,7 +168,11 @@
             true => (vec![row], routing_version),
             false => (Vec::new(), targets_version),
         };
-        let body = postcard::to_stdvec(&(rows, version, 0_u64)).expect("rows can be encoded");
+        let body = match reading {
+            true => postcard::to_stdvec(&self.reading.get()),
+            false => postcard::to_stdvec(&(rows, version, 0_u64)),
+        };
+        let body = body.expect("the answer can be encoded");
         let mut message = Vec::new();
         let request_target = request.uri().to_string();
         for part in [b"answer".as_slice(), request_target.as_bytes(), &body] {
@@ -192,7 +205,7 @@
 }
 
 /// Returns the secret that a node has written.
-fn fleet_secret(store: &PlatformServer) -> SharedSecret {
+pub fn fleet_secret(store: &PlatformServer) -> SharedSecret {
     let secret = store.get("damaskloom", "secret");
     SharedSecret::new(secret.expect("the fleet's secret"))
 }
@@ -352,9 +365,10 @@
         store.set_faults(PlatformFaults::refusing());
         peer.announce_targets();
         // A target that is asked meanwhile would show that it stays.
-        wait_until("rows are missing for half of the time to drain", async || {
-            node.metric("damaskloom_targets_lag_seconds").await >= Some(1.0)
-        })
+        wait_until(
+            "rows are missing for half of the time to drain",
+            async || node.metric("damaskloom_targets_lag_seconds").await >= Some(1.0),
+        )
         .await;
         let refused = node.send("POST", "/book/1", Some("key-1")).await;
         assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
@@ -392,6 +406,17 @@
 
 /// Returns the body of a node's answer to a request for rows.
 async fn request_rows(node: &EntryNode, secret: &SharedSecret, request_target: &str) -> Bytes {
+    let answer = ask_rows(node, secret, request_target).await;
+    assert_eq!(answer.status(), StatusCode::OK);
+    answer.into_body()
+}
+
+/// Returns a node's answer to a request for rows.
+pub async fn ask_rows(
+    node: &EntryNode,
+    secret: &SharedSecret,
+    request_target: &str,
+) -> Response<Bytes> {
     let mut sender = connect((node.ip(), PEER_PORT).into()).await;
     let proof = proof(secret, [b"ask", request_target.as_bytes(), b""]);
     let request = Request::builder()
@@ -401,9 +426,9 @@
         .body(Empty::<Bytes>::new())
         .expect("the parts are valid");
     let response = sender.send_request(request).await.expect("an answer");
-    assert_eq!(response.status(), StatusCode::OK);
-    let body = response.into_body().collect().await;
-    body.expect("a whole answer").to_bytes()
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.expect("a whole answer").to_bytes();
+    Response::from_parts(parts, body)
 }
 
 /// Guards against an answer that a node of the build before cannot read, and against one that does not tell
--- a/entry/tests/test_upgrades.rs
+++ b/entry/tests/test_upgrades.rs
@@ -12,6 +12,7 @@
 use damaskloom_lib::entry_members::{EntryPhase, NodeHeartbeat, NodeRegistration};
 use damaskloom_lib::loss_meter::{ServiceCode, ServiceLoss};
 use damaskloom_lib::message_relay::RelayScope;
+use damaskloom_lib::store_health::StoreReading;
 use damaskloom_lib::store_version::StoreVersion;
 use damaskloom_lib::table_mirror::MirrorRow;
 use damaskloom_lib::target_balancer::TargetCode;
@@ -288,6 +289,19 @@
     }
 }
 
+/// Guards against a change of what nodes of this build and the next one say of their reading of the store.
+#[test]
+fn a_reading_of_the_store_is_encoded_as_stated() {
+    let reading = StoreReading {
+        era: 1,
+        answering_ms: 1_200,
+    };
+    let bytes = postcard::to_stdvec(&Some(reading)).expect("it can be encoded");
+    assert_eq!(hex(&bytes), "0101b009");
+    let nothing = postcard::to_stdvec(&None::<StoreReading>).expect("it can be encoded");
+    assert_eq!(hex(&nothing), "00");
+}
+
 /// Guards against rows that nodes of the build before cannot read in a peer's answer or in the store.
 #[test]
 fn rows_are_encoded_as_by_the_last_landing() {
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -434,6 +434,16 @@
             .any(|(_, node)| node.linked_since.is_some_and(|linked| linked <= since))
     }
 
+    /// Returns the nodes that have read the store since a time without a break, as far as their heartbeats
+    /// say. One that was not heard recently counts, since this node may have been partitioned from it.
+    pub fn readers_since(&self, since: MonoTime) -> impl Iterator<Item = &VmId> {
+        let nodes = self
+            .nodes
+            .iter()
+            .filter(move |(_, node)| node.linked_since.is_some_and(|linked| linked <= since));
+        nodes.map(|(vm, _)| vm)
+    }
+
     /// Returns the responsive nodes that carry traffic.
     pub fn carrying(&self, now: MonoTime) -> impl Iterator<Item = (&VmId, &KnownNode)> {
         self.responsive(now).filter(|(_, node)| {
--- a/lib/src/target_catalog.rs
+++ b/lib/src/target_catalog.rs
@@ -185,67 +185,105 @@
     addresses: IndexMap<SocketAddr, TargetId>,
     /// The last announcements of targets that are gone, and when they were removed.
     departed: IndexMap<TargetId, (AnnouncementStamp, MonoTime)>,
-    /// When the store last became unavailable; announcements that disappear soon after may have expired.
-    unavailable_at: Option<MonoTime>,
-    /// When the store became available again after that.
-    available_at: Option<MonoTime>,
+    /// Whether this node's calls to the store show an outage that goes on.
+    is_store_unavailable: bool,
+    /// The time in which announcements that disappear may have expired; none if they were removed.
+    grace: Option<GracePeriod>,
+}
+
+/// The time after an outage or a restore of the store in which running targets announce themselves again.
+#[derive(Clone, Copy, Debug)]
+struct GracePeriod {
+    ends_at: MonoTime,
+    /// Whether the outage was the store's, as far as other nodes could be asked, and not this node's alone.
+    is_confirmed: bool,
 }
 
 impl TargetCatalog {
-    /// Records that the store does not answer.
-    pub fn mark_store_unavailable(&mut self, now: MonoTime) {
-        self.unavailable_at = Some(now);
-        self.available_at = None;
+    /// Records that the store does not answer this node.
+    ///
+    /// That alone opens no grace period: until the store answers, rows come from peers only, which say
+    /// whether announcements may have expired.
+    pub const fn mark_store_unavailable(&mut self) {
+        self.is_store_unavailable = true;
     }
 
-    /// Returns whether an outage of the store goes on.
-    pub fn is_store_unavailable(&self) -> bool {
-        self.unavailable_at.is_some() && self.available_at.is_none()
+    /// Returns whether an outage of the store goes on, as far as this node's calls show.
+    pub const fn is_store_unavailable(&self) -> bool {
+        self.is_store_unavailable
     }
 
     /// Ends the grace period: the store is in service, so announcements that disappear were removed.
     pub fn end_grace(&mut self, now: MonoTime) {
-        self.available_at = self.unavailable_at.map(|_| now - GRACE);
+        self.is_store_unavailable = false;
+        self.limit_grace(now, Duration::ZERO);
     }
 
-    /// Records that the store answers.
+    /// Records that the store answers. After an outage a grace period begins, which other nodes are to confirm.
     pub fn mark_store_available(&mut self, now: MonoTime) {
-        if self.unavailable_at.is_some() && self.available_at.is_none() {
-            self.available_at = Some(now);
+        if std::mem::take(&mut self.is_store_unavailable) {
+            self.open_grace(now);
         }
     }
 
     /// Records that the store was restored from a copy: targets that announced themselves since the copy
-    /// was made are running, and will do so again.
+    /// was made are running, and will do so again. The restore may be older than this node's reading, so
+    /// other nodes are to confirm the grace period.
     pub fn mark_store_restored(&mut self, now: MonoTime) {
-        (self.unavailable_at, self.available_at) = (Some(now), Some(now));
+        self.is_store_unavailable = false;
+        self.open_grace(now);
+    }
+
+    fn open_grace(&mut self, now: MonoTime) {
+        self.grace = Some(GracePeriod {
+            ends_at: now + GRACE,
+            is_confirmed: false,
+        });
     }
 
     /// Returns how long announcements that disappear may still be due to an outage of the store; zero if
     /// their targets are removed at once.
     pub fn grace_remaining(&self, now: MonoTime) -> Duration {
-        match self.grace_ends_at() {
-            Some(end) if self.available_at.is_none() => end.since(now).min(GRACE),
-            Some(end) => end.since(now),
-            None => Duration::ZERO,
+        let grace = self.grace.as_ref();
+        grace.map_or(Duration::ZERO, |grace| grace.ends_at.since(now))
+    }
+
+    /// Returns whether a grace period goes on which other nodes are still to confirm. It must not be handed
+    /// on until then.
+    pub fn is_grace_unconfirmed(&self, now: MonoTime) -> bool {
+        let is_confirmed = self.grace.is_none_or(|grace| grace.is_confirmed);
+        !is_confirmed && !self.grace_remaining(now).is_zero()
+    }
+
+    /// Shortens the grace period by what another node says of the store: it has answered that node for
+    /// some time without an outage, so announcements that expired before have had that time to return.
+    pub fn apply_reading(&mut self, now: MonoTime, answering_for: Duration) {
+        self.limit_grace(now, GRACE.saturating_sub(answering_for));
+        self.confirm_grace();
+    }
+
+    /// Records that no other node can say more of the grace period.
+    pub const fn confirm_grace(&mut self) {
+        if let Some(grace) = &mut self.grace {
+            grace.is_confirmed = true;
         }
     }
 
-    /// Adopts the remaining grace period of another node.
-    pub fn adopt_grace(&mut self, now: MonoTime, left: Duration) {
-        if left.is_zero() {
-            self.end_grace(now);
-        } else {
-            self.unavailable_at = Some(now);
-            self.available_at = Some(now - GRACE.saturating_sub(left));
+    fn limit_grace(&mut self, now: MonoTime, left: Duration) {
+        if let Some(grace) = &mut self.grace {
+            grace.ends_at = grace.ends_at.min(now + left);
         }
     }
 
-    /// Returns the end of the grace period in which missing announcements are assumed to have expired.
-    fn grace_ends_at(&self) -> Option<MonoTime> {
-        self.unavailable_at?;
-        let end = self.available_at.map(|available| available + GRACE);
-        Some(end.unwrap_or(MonoTime::from_micros(u64::MAX)))
+    /// Adopts the remaining grace period of a node whose rows are applied. One without a grace period may
+    /// know of no outage, so it does not end that of this node.
+    pub fn adopt_grace(&mut self, now: MonoTime, left: Duration) {
+        if left > self.grace_remaining(now) {
+            self.grace = Some(GracePeriod {
+                ends_at: now + left,
+                is_confirmed: true,
+            });
+        }
     }
 
     /// Adds or updates a target by its announcement; `None` if nothing has changed.
@@ -410,10 +448,9 @@
         let departed_period = Duration::from_millis(DEPARTED_MS);
         self.departed
             .retain(|_, (_, removed_at)| now.since(*removed_at) < departed_period);
-        if self.grace_ends_at().is_none_or(|end| now < end) {
+        if self.grace.take_if(|grace| now >= grace.ends_at).is_none() {
             return Vec::new();
         }
-        (self.unavailable_at, self.available_at) = (None, None);
         let expired: Vec<TargetId> = self
             .targets
             .iter()
--- a/lib/tests/test_store_health.rs
+++ b/lib/tests/test_store_health.rs
@@ -15,7 +15,7 @@
 /// Returns the health after an answer and failed calls that started at times.
 fn failing(starts_ms: &[u64]) -> StoreHealth {
     let mut health = StoreHealth::default();
-    health.record_answer();
+    health.record_answer(at(0), 0);
     for start in starts_ms {
         health.record_failure(at(*start));
     }
@@ -66,7 +66,7 @@
 #[test]
 fn an_answer_ends_a_series_of_failures() {
     let mut health = failing(&[0, 300]);
-    health.record_answer();
+    health.record_answer(at(1_000), 0);
     assert!(health.is_last_call_answered());
     assert_eq!(health.failing_since(), None);
     assert!(!health.is_outage(at(9_000), INTERVAL, false));
@@ -75,3 +75,29 @@
     assert_eq!(health.failing_since(), Some(at(20_000)));
     assert!(!health.is_outage(at(21_000), INTERVAL, false));
 }
+
+/// Guards against a node that says of a store which was away that it has answered all the while.
+#[test]
+fn a_reading_counts_from_the_last_outage_or_restore() {
+    let answering = |health: &StoreHealth, ms| {
+        let reading = health.reading(at(ms), INTERVAL);
+        reading.map(|reading| (reading.era, reading.answering_ms))
+    };
+    let mut health = StoreHealth::default();
+    assert_eq!(answering(&health, 0), None);
+    health.record_answer(at(0), 0);
+    health.record_answer(at(4_000), 0);
+    assert_eq!(answering(&health, 6_999), Some((0, 6_999)));
+    assert_eq!(answering(&health, 7_000), None);
+    // A single failed call may have failed with its connection.
+    health.record_failure(at(7_000));
+    assert_eq!(answering(&health, 7_001), None);
+    health.record_answer(at(7_100), 0);
+    assert_eq!(answering(&health, 7_200), Some((0, 7_200)));
+    health.record_failure(at(8_000));
+    health.record_failure(at(8_300));
+    health.record_answer(at(9_000), 0);
+    assert_eq!(answering(&health, 9_500), Some((0, 500)));
+    health.record_answer(at(10_000), 1);
+    assert_eq!(answering(&health, 10_200), Some((1, 200)));
+}
--- a/lib/tests/test_target_catalog.rs
+++ b/lib/tests/test_target_catalog.rs
@@ -52,7 +52,7 @@
     let mut catalog = TargetCatalog::default();
     catalog.apply_announcement(at(0), id("a"), announcement(1));
     catalog.apply_announcement(at(0), id("b"), announcement(1));
-    catalog.mark_store_unavailable(at(100));
+    catalog.mark_store_unavailable();
     catalog.mark_store_available(at(5_000));
     assert_eq!(catalog.remove_announcement(at(5_010), &id("a")), None);
     assert_eq!(catalog.remove_announcement(at(5_010), &id("b")), None);
@@ -72,7 +72,7 @@
     let mut leaving = announcement(1);
     leaving.leaving = true;
     catalog.apply_announcement(at(0), id("a"), leaving);
-    catalog.mark_store_unavailable(at(100));
+    catalog.mark_store_unavailable();
     assert_eq!(
         catalog.remove_announcement(at(110), &id("a")),
         Some(CatalogChange::Removed(id("a")))
@@ -87,7 +87,7 @@
     catalog.apply_announcement(at(0), id("a"), announcement(1));
     catalog.apply_announcement(at(0), id("b"), announcement(1));
     // The node's own reads failed; then it fetches from a peer whose reads have long succeeded.
-    catalog.mark_store_unavailable(at(100));
+    catalog.mark_store_unavailable();
     catalog.adopt_grace(at(5_000), Duration::ZERO);
     assert_eq!(
         catalog.remove_announcement(at(5_000), &id("a")),
@@ -99,6 +99,44 @@
     assert_eq!(catalog.tick(at(6_300)), [CatalogChange::Removed(id("b"))]);
 }
 
+/// Guards against a node that takes a removal for an announcement that expired, and has others take it so, since its
+/// own calls failed while other nodes read the store.
+#[test]
+fn a_grace_period_ends_if_the_store_has_answered_others_for_as_long() {
+    let mut catalog = TargetCatalog::default();
+    catalog.apply_announcement(at(0), id("a"), announcement(1));
+    catalog.mark_store_unavailable();
+    // Until the node returns, it has no rows but those of peers, which know whether there is a grace period.
+    assert_eq!(catalog.grace_remaining(at(3_000)), Duration::ZERO);
+    catalog.mark_store_available(at(4_000));
+    assert!(catalog.is_grace_unconfirmed(at(4_000)));
+    assert_eq!(catalog.remove_announcement(at(4_000), &id("a")), None);
+    catalog.apply_reading(at(4_010), Duration::from_millis(60_000));
+    assert!(!catalog.is_grace_unconfirmed(at(4_010)));
+    assert_eq!(catalog.tick(at(4_010)), [CatalogChange::Removed(id("a"))]);
+}
+
+/// Guards against the loss of running targets after an outage, or a restore, of which another node has noticed the
+/// end earlier than this one, or nothing at all.
+#[test]
+fn a_grace_period_lasts_until_targets_had_the_time_to_return() {
+    let mut catalog = TargetCatalog::default();
+    catalog.apply_announcement(at(0), id("a"), announcement(1));
+    catalog.mark_store_restored(at(5_000));
+    catalog.adopt_grace(at(5_000), Duration::ZERO);
+    catalog.apply_reading(at(5_000), Duration::from_millis(300));
+    assert!(!catalog.is_grace_unconfirmed(at(5_000)));
+    let left = Duration::from_millis(REANNOUNCE_GRACE_MS - 300);
+    assert_eq!(catalog.grace_remaining(at(5_000)), left);
+    assert_eq!(catalog.remove_announcement(at(5_010), &id("a")), None);
+    assert!(
+        catalog
+            .tick(at(5_000 + REANNOUNCE_GRACE_MS - 301))
+            .is_empty()
+    );
+    assert_eq!(catalog.tick(at(5_000 + REANNOUNCE_GRACE_MS - 300)).len(), 1);
+}
+
 /// Guards against state of an earlier process that is kept for the new one.
 #[test]
 fn a_target_that_restarts_under_its_name_is_started() {
