--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -139,12 +139,11 @@
 /// The fraction of the time for applying a configuration after which a node without it refuses
 /// requests; the rest is for the announcement to arrive.
 const MAX_ROUTING_LAG_RATIO: f64 = 0.8;
-/// The fraction of the time for which a target serves after it has left after which a node without announced rows of
-/// targets sends no unsafe request to a target that may have left; the rest is for the announcement and for
-/// requests on their way.
+/// The fraction of [`FleetBounds::target_drain`] for which a node sends unsafe requests as before while announced
+/// rows of targets are missing; the rest is for the announcement and for requests on their way.
 const MAX_TARGETS_LAG_RATIO: f64 = 0.5;
-/// The fraction of the time in which a change must take effect after which a node reads the store itself for
-/// rows that peers announce and do not deliver: peers of two ranks were asked by then.
+/// The fraction of the time in which a change must take effect for which a node waits for announced rows before it
+/// reads the store itself: peers of two ranks were asked by then.
 const PEER_DELIVERY_RATIO: f64 = 0.25;
 
 impl FleetBounds {
--- a/lib/src/target_notices.rs
+++ b/lib/src/target_notices.rs
@@ -51,7 +51,7 @@
     pub rest: RestNotice,
     /// How long the target is still cold, if the answer says so.
     pub warmup_left: Option<Duration>,
-    /// Whether the answer is certainly the target's own and does not say that it leaves.
+    /// Whether the answer is certainly the target's own and shows that it had not begun to leave.
     pub is_staying: bool,
 }
 
