--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -2,7 +2,8 @@
 //! which they hand on.
 //!
 //! A node that does not read the store learns from heartbeats that a peer has newer rows, and
-//! fetches them over HTTP. Both sides prove that they know the fleet's secret.
+//! fetches them over HTTP. Both sides prove that they know the fleet's secret. A node whose own calls to the
+//! store have failed asks in the same way what others read of it.
 
 use std::cell::Cell;
 use std::fmt;
@@ -190,7 +191,7 @@
             if request.headers().contains_key(HAND_ON_HEADER) {
                 answer_handed_on(state, request).await
             } else {
-                let (parts, body) = answer_rows(&state, &request).into_parts();
+                let (parts, body) = answer_peer(&state, &request).into_parts();
                 Response::from_parts(parts, CallerBody::Buffered(Some(body)))
             }
         }
@@ -219,7 +220,7 @@
     })
 }
 
-fn answer_rows(state: &EntryState, request: &Request<Incoming>) -> Response<Bytes> {
+fn answer_peer(state: &EntryState, request: &Request<Incoming>) -> Response<Bytes> {
     let refuse = |status| {
         let mut response = Response::new(Bytes::new());
         *response.status_mut() = status;
@@ -242,7 +243,7 @@
         path if path == TableKind::Routing.path() => {
             encode_rows(state, &state.routing_copy.mirror.borrow(), query)
         }
-        // A removal in these rows may be taken for an announcement that expired.
+        // A peer that applies these rows takes over the grace period with them.
         path if path == TableKind::Targets.path()
             && state.catalog.borrow().is_grace_unconfirmed(now) =>
         {
