crash guard: a target that loses a connection is checked at once, and all nodes are told

A node that loses a connection now connects to the target at once, and again after 250 ms if it was accepted. If the target refuses, it connects to three others of the service: only if one accepts is it a crash, so that a node that is cut off blames nobody, also before it knows of the cut. A failed connect of another request starts the same check. Crash messages go to all nodes, and that of the crash that leads to a block repeats the earlier one for nodes that missed it. The gateway had the same fault and checks in the same way. Without lost connections nothing is sent.

crashes_of_two_targets_block_the_request_on_every_node took each message for one about the newest target; it now looks at all messages of a crash, and asserts that the peers exempt that target and no other.

--- a/entry/src/attempt_record.rs
+++ b/entry/src/attempt_record.rs
@@ -15,7 +15,6 @@
 
 use crate::entry_state::EntryState;
 use crate::log_lines::SUCCESS_TARGET;
-use crate::peer_socket::apply_crash_actions;
 use crate::target_call::CallResult;
 
 /// The wait that was expected of an attempt before it was sent.
@@ -178,6 +177,7 @@
     ) {
         let (state, service) = (self.request.state, self.request.service);
         let now = state.clock.now();
+        self.record_crash_evidence(id, failure);
         match failure.path_evidence() {
             PathEvidence::None => {}
             PathEvidence::Answered => state.record_path_answer(service),
@@ -197,8 +197,6 @@
             AttemptFailure::Unreachable => {
                 state.with_balancer(service, |balancer| balancer.mark_unreachable(now, id));
                 state.record_refused_connect(id);
-                let actions = state.crash_guard.borrow_mut().record_unreachable(now, id);
-                apply_crash_actions(state, actions);
             }
             AttemptFailure::Full => {
                 let by_rank = state.admits_by_rank();
@@ -218,16 +216,27 @@
                 if !timing.was_late {
                     self.record_failure(id, timing);
                 }
-                if failure == AttemptFailure::Broken
-                    && let Some(fingerprint) = &self.request.fingerprint
-                {
-                    let mut guard = state.crash_guard.borrow_mut();
-                    guard.record_lost_connection(now, fingerprint, id);
-                }
             }
         }
     }
 
+    /// Records what a failure shows of a crash of the target. The check that follows tells it from a failure
+    /// of the path, whatever is known of the path so far.
+    fn record_crash_evidence(&self, id: &TargetId, failure: AttemptFailure) {
+        let state = self.request.state;
+        let now = state.clock.now();
+        let mut guard = state.crash_guard.borrow_mut();
+        let actions = match (failure, &self.request.fingerprint) {
+            (AttemptFailure::Unreachable, _) => guard.record_failed_connect(now, id),
+            (AttemptFailure::Broken, Some(fingerprint)) => {
+                guard.record_lost_connection(now, fingerprint, id)
+            }
+            _ => return,
+        };
+        drop(guard);
+        state.apply_crash_actions(actions);
+    }
+
     fn record_failure(&self, id: &TargetId, timing: AttemptTiming) {
         let (state, service) = (self.request.state, self.request.service);
         let signal = state.with_balancer(service, |balancer| {
@@ -259,7 +268,7 @@
             let mut guard = state.crash_guard.borrow_mut();
             let actions = guard.record_success(now, fingerprint);
             drop(guard);
-            apply_crash_actions(state, actions);
+            state.apply_crash_actions(actions);
         }
     }
 }
--- a/entry/src/entry_meters.rs
+++ b/entry/src/entry_meters.rs
@@ -79,6 +79,8 @@
     pub leaving_targets: usize,
     /// The number of targets that have asked this node for a rest that is not over.
     pub resting_targets: usize,
+    /// The number of different requests that are refused since they crash targets.
+    pub blocked_requests: usize,
     /// The number of services of which the fleet loses requests.
     pub losing_services: usize,
     /// The number of nodes with a recent heartbeat, including this one.
@@ -116,6 +118,7 @@
     cold_targets: Gauge<u64>,
     outdated_targets: Gauge<u64>,
     leaving_targets: Gauge<u64>,
+    blocked_requests: Gauge<u64>,
     resting_targets: Gauge<u64>,
     evacuated_centres: BoundedLabel,
     evacuations: Gauge<u64>,
@@ -162,6 +165,7 @@
             cold_targets: meter.u64_gauge("damaskloom_cold_targets").build(),
             outdated_targets: meter.u64_gauge("damaskloom_outdated_targets").build(),
             leaving_targets: meter.u64_gauge("damaskloom_leaving_targets").build(),
+            blocked_requests: meter.u64_gauge("damaskloom_blocked_requests").build(),
             resting_targets: meter.u64_gauge("damaskloom_resting_targets").build(),
             evacuated_centres: BoundedLabel::new("data_centre", MAX_CENTRE_SERIES),
             evacuations: meter.u64_gauge("damaskloom_evacuated_data_centres").build(),
@@ -263,6 +267,8 @@
             .record(known.leaving_targets as u64, &[]);
         self.resting_targets
             .record(known.resting_targets as u64, &[]);
+        self.blocked_requests
+            .record(known.blocked_requests as u64, &[]);
         self.store_era.record(u64::from(known.store_era), &[]);
         self.losing_services
             .record(known.losing_services as u64, &[]);
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -37,6 +37,7 @@
 use tokio::sync::Notify;
 
 use crate::body_budget::BodyBudget;
+use crate::crash_check::DueCheck;
 use crate::entry_meters::{EntryMeters, GaugeValues};
 use crate::settings::EntrySettings;
 use crate::table_copy::{TableCopy, TableKind};
@@ -104,6 +105,10 @@
     pub pending_signals: RefCell<Vec<(TargetId, FailureSignal)>>,
     /// The messages about crashing requests that are yet to be sent to other nodes.
     pub pending_crash_messages: RefCell<Vec<CrashMessage>>,
+    /// The targets that are yet to be checked for a crash.
+    pub pending_crash_checks: RefCell<Vec<DueCheck>>,
+    /// Wakes the task that checks targets for crashes.
+    pub crash_checks_due: Notify,
     /// The outdated addresses of targets that are yet to be sent to other nodes.
     pub pending_outdated: RefCell<Vec<OutdatedAddress>>,
     /// Wakes the task that sends signals, crash messages, outdated addresses and leaving targets.
@@ -191,6 +196,8 @@
             secret_doubted: Notify::new(),
             pending_signals: RefCell::default(),
             pending_crash_messages: RefCell::default(),
+            pending_crash_checks: RefCell::default(),
+            crash_checks_due: Notify::new(),
             pending_outdated: RefCell::default(),
             updates_due: Notify::new(),
             pending_successes: RefCell::default(),
@@ -469,6 +476,7 @@
             cold_targets: self.limits.borrow().warmups.cold_count(now),
             outdated_targets: self.catalog.borrow().outdated_count(),
             leaving_targets: self.notices.borrow().leaving_count(),
+            blocked_requests: self.crash_guard.borrow().blocked_count(self.clock.now()),
             resting_targets: self.notices.borrow().resting_count(now),
             losing_services: self.losing_services(),
             nodes: self.members.borrow().responsive(now).count() + 1,
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod caller_listener;
 pub mod cold_targets;
 pub mod command;
+pub mod crash_check;
 pub mod delivery;
 pub mod entry_meters;
 pub mod entry_state;
--- a/entry/src/path_watch.rs
+++ b/entry/src/path_watch.rs
@@ -136,17 +136,24 @@
         PathState::Cut => TARGETS_IN_CUT,
         PathState::Sound | PathState::Doubtful => TARGETS_IN_DOUBT,
     };
-    let targets = draw_targets(state, service, max_targets);
+    let targets = draw_targets(state, service, None, max_targets);
     let has_connected = connects_to_any(state, &targets).await;
     state.record_path_try(service, targets.len(), has_connected);
 }
 
-fn draw_targets(state: &EntryState, service: &ServiceId, count: usize) -> Vec<SocketAddr> {
+/// Returns the addresses of some usable targets of a service other than `excluded`, drawn at random.
+pub(crate) fn draw_targets(
+    state: &EntryState,
+    service: &ServiceId,
+    excluded: Option<&TargetId>,
+    count: usize,
+) -> Vec<SocketAddr> {
     let catalog = state.catalog.borrow();
     let evacuations = state.evacuations.borrow();
-    let usable = catalog.iter().filter(|(_, target)| {
+    let usable = catalog.iter().filter(|(id, target)| {
         let announcement = &target.announcement;
         target.is_usable()
+            && excluded != Some(*id)
             && announcement.service == *service
             && !evacuations.contains(&announcement.data_centre)
     });
@@ -156,7 +163,7 @@
 
 /// Returns whether any of the targets accepts a connection; without targets there is nothing to be
 /// cut off from.
-async fn connects_to_any(state: &EntryState, targets: &[SocketAddr]) -> bool {
+pub(crate) async fn connects_to_any(state: &EntryState, targets: &[SocketAddr]) -> bool {
     let mut connects: FuturesUnordered<_> = targets
         .iter()
         .map(|address| state.target_pools.try_connect(*address))
--- a/entry/src/peer_receipt.rs
+++ b/entry/src/peer_receipt.rs
@@ -9,7 +9,7 @@
 use damaskloom_lib::message_relay::RelayScope;
 
 use crate::entry_state::EntryState;
-use crate::peer_socket::{PeerSocket, apply_crash_actions};
+use crate::peer_socket::PeerSocket;
 use crate::peer_wire::{PeerEnvelope, PeerMessage, WireError, WireSignal, decode};
 
 /// The delay after an error of the socket.
@@ -115,7 +115,7 @@
             PeerMessage::Limits(statements) => state.apply_limit_statements(&vm, &statements),
             PeerMessage::Crash(message) => {
                 let actions = state.crash_guard.borrow_mut().handle_message(now, message);
-                apply_crash_actions(state, actions);
+                state.apply_crash_actions(actions);
             }
         }
     }
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -4,7 +4,6 @@
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
-use damaskloom_lib::crash_guard::CrashAction;
 use damaskloom_lib::entry_members::{HEARTBEAT_INTERVAL_MS, HeartbeatScope, NodeHeartbeat};
 use damaskloom_lib::failure_filter::FailureSignal;
 use damaskloom_lib::fleet_rate::ReportFilter;
@@ -340,47 +339,23 @@
             let message = PeerMessage::Outdated(part.to_vec());
             self.send_update(state, ALL_NODES, message);
         }
+        // A crashing request may come next to a node that has had few requests or none.
+        for message in state.pending_crash_messages.take() {
+            self.send_update(state, ALL_NODES, PeerMessage::Crash(message));
+        }
         let signals = std::mem::take(&mut *state.pending_signals.borrow_mut());
-        let crashes = std::mem::take(&mut *state.pending_crash_messages.borrow_mut());
-        if signals.is_empty() && crashes.is_empty() {
+        if signals.is_empty() {
             return;
         }
         let audience = MessageAudience {
             scope: RelayScope::Carrying,
             reach: MessageReach::Everywhere,
         };
-        if !signals.is_empty() {
-            let signals = signals
-                .into_iter()
-                .map(|(id, signal)| (id, wire_signal(signal)))
-                .collect();
-            self.send_update(state, audience, PeerMessage::Signals(signals));
-        }
-        for message in crashes {
-            self.send_update(state, audience, PeerMessage::Crash(message));
-        }
-    }
-}
-
-/// Performs the actions of the crash guard.
-pub fn apply_crash_actions(state: &EntryState, actions: Vec<CrashAction>) {
-    for action in actions {
-        match action {
-            CrashAction::Send { message, .. } => {
-                state.pending_crash_messages.borrow_mut().push(message);
-                state.updates_due.notify_one();
-            }
-            CrashAction::Blocked(fingerprint) => {
-                tracing::warn!(
-                    customer = %fingerprint.customer,
-                    route = %fingerprint.route,
-                    digest = %fingerprint.digest,
-                    "request crashes targets and is refused"
-                );
-            }
-            // While the target is down, failing connections already keep requests away from it.
-            CrashAction::Exempt { .. } => {}
-        }
+        let signals = signals
+            .into_iter()
+            .map(|(id, signal)| (id, wire_signal(signal)))
+            .collect();
+        self.send_update(state, audience, PeerMessage::Signals(signals));
     }
 }
 
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use crate::caller_listener::{serve_callers, serve_directory, serve_metrics, serve_readiness};
+use crate::crash_check::run_crash_checks;
 use crate::entry_state::EntryState;
 use crate::fleet_rows::{join_fleet, keep_fleet_rows};
 use crate::grace_check::run_grace_checks;
@@ -118,6 +119,7 @@
     tokio::task::spawn_local(watch_routing(Rc::clone(&state), Rc::clone(&client)));
     tokio::task::spawn_local(watch_targets(Rc::clone(&state), client));
     tokio::task::spawn_local(run_path_tries(Rc::clone(&state)));
+    tokio::task::spawn_local(run_crash_checks(Rc::clone(&state)));
     tokio::task::spawn_local(run_target_expiry(Rc::clone(&state)));
     tokio::task::spawn_local(run_grace_checks(Rc::clone(&state)));
     tokio::task::spawn_local(watch_settings(Rc::clone(&state), path, reload));
--- a/entry/tests/runner.rs
+++ b/entry/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_attempt_guards;
 mod test_body_collector;
 mod test_cold_targets;
+mod test_crashing_requests;
 mod test_cut_off_nodes;
 mod test_endless_answers;
 mod test_evacuations;
--- a/gateway/src/crash_registry.rs
+++ b/gateway/src/crash_registry.rs
@@ -1,15 +1,22 @@
 //! Refuses requests that crash targets, over the whole fleet.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use bytes::Bytes;
+use damaskloom_lib::config::TargetState;
 use damaskloom_lib::crash_guard::{
-    CrashAction, CrashGuard, CrashMessage, RequestDigest, RequestFingerprint,
+    CheckResult, CrashAction, CrashGuard, CrashMessage, RequestDigest, RequestFingerprint,
 };
 use damaskloom_lib::ids::{CustomerId, NodeId, RouteId, TargetId};
 use damaskloom_lib::outcome::{Reason, Refusal};
 use damaskloom_lib::rendezvous::StableHash;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use http::request::Parts;
+use rand::seq::IteratorRandom;
+use tokio::net::TcpStream;
 
 use crate::clock::MonoClock;
 use crate::config_view::ConfigView;
@@ -20,15 +27,19 @@
 /// The length of the part of a body, from its start, that is digested to identify a request, in
 /// bytes.
 const DIGESTED_BODY_BYTES: usize = 4 << 10;
+/// The timeout for connecting to a target that is checked.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// The number of other targets of the service that are connected to if a target is unreachable.
+const COMPARED_TARGETS: usize = 3;
 
 /// The crash guard that all requests of one node share, with its messages to peers.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct CrashRegistry {
     clock: MonoClock,
     config: Arc<ConfigView>,
     health: Arc<HealthMonitor>,
     outbox: Arc<PeerOutbox>,
-    guard: Mutex<CrashGuard>,
+    guard: Arc<Mutex<CrashGuard>>,
 }
 
 impl CrashRegistry {
@@ -44,7 +55,7 @@
             config,
             health,
             outbox,
-            guard: Mutex::new(CrashGuard::new()),
+            guard: Arc::new(Mutex::new(CrashGuard::new())),
         }
     }
 
@@ -87,13 +98,15 @@
 
     /// Records that a target's connection was lost while it ran the request.
     pub fn record_lost_connection(&self, fingerprint: &RequestFingerprint, target: &TargetId) {
-        self.lock()
-            .record_lost_connection(self.clock.now(), fingerprint, target);
+        let now = self.clock.now();
+        let actions = self.lock().record_lost_connection(now, fingerprint, target);
+        self.perform(actions);
     }
 
-    /// Records that no connection to a target could be established.
-    pub fn record_unreachable(&self, target: &TargetId) {
-        let actions = self.lock().record_unreachable(self.clock.now(), target);
+    /// Records that an attempt could not connect to a target.
+    pub fn record_failed_connect(&self, target: &TargetId) {
+        let now = self.clock.now();
+        let actions = self.lock().record_failed_connect(now, target);
         self.perform(actions);
     }
 
@@ -130,6 +143,10 @@
                         self.health.exempt(&target.service, &target.id, period);
                     }
                 }
+                CrashAction::Check { target, delay } => {
+                    let registry = self.clone();
+                    tokio::spawn(async move { registry.run_check(&target, delay).await });
+                }
                 CrashAction::Blocked(fingerprint) => {
                     let (customer, route) = (&fingerprint.customer, &fingerprint.route);
                     tracing::warn!(%customer, %route, "request crashes targets and is refused");
@@ -138,9 +155,57 @@
         }
     }
 
+    async fn run_check(&self, target: &TargetId, delay: Duration) {
+        tokio::time::sleep(delay).await;
+        let started_at = self.clock.now();
+        let result = self.check_target(target).await;
+        tracing::info!(%target, ?result, "target checked after a lost connection");
+        let now = self.clock.now();
+        let actions = self.lock().record_check(now, target, started_at, result);
+        self.perform(actions);
+    }
+
+    async fn check_target(&self, target: &TargetId) -> CheckResult {
+        let Some(checked) = self.config.target(target) else {
+            return CheckResult::Unknown;
+        };
+        if accepts_connection(checked.address).await {
+            return CheckResult::Up;
+        }
+        let others: Vec<SocketAddr> = self.config.with(|config| {
+            let others = config.targets.values().filter(|other| {
+                other.service == checked.service
+                    && other.id != checked.id
+                    && other.state == TargetState::Active
+            });
+            others
+                .map(|other| other.address)
+                .choose_multiple(&mut rand::rng(), COMPARED_TARGETS)
+        });
+        if others.is_empty() {
+            return CheckResult::Down;
+        }
+        let mut connects: FuturesUnordered<_> =
+            others.into_iter().map(accepts_connection).collect();
+        while let Some(is_accepted) = connects.next().await {
+            if is_accepted {
+                return CheckResult::Down;
+            }
+        }
+        CheckResult::Unknown
+    }
+
     fn lock(&self) -> MutexGuard<'_, CrashGuard> {
         self.guard
             .lock()
             .expect("no holder of the crash guard panics")
     }
 }
+
+async fn accepts_connection(address: SocketAddr) -> bool {
+    let connect = TcpStream::connect(address);
+    matches!(
+        tokio::time::timeout(CHECK_TIMEOUT, connect).await,
+        Ok(Ok(_))
+    )
+}
--- a/gateway/src/service_call.rs
+++ b/gateway/src/service_call.rs
@@ -153,7 +153,7 @@
                 .state
                 .crashes
                 .record_lost_connection(fingerprint, target),
-            AttemptOutcome::ConnectFailed => self.state.crashes.record_unreachable(target),
+            AttemptOutcome::ConnectFailed => self.state.crashes.record_failed_connect(target),
             AttemptOutcome::Success => self.state.crashes.record_success(fingerprint),
             AttemptOutcome::Rejected
             | AttemptOutcome::Failed
--- a/lib/examples/crash_guard.rs
+++ b/lib/examples/crash_guard.rs
@@ -1,6 +1,8 @@
 //! Embeds the crash guard: a request that crashes two targets is refused on every node.
 
-use damaskloom_lib::crash_guard::{CrashAction, CrashGuard, RequestDigest, RequestFingerprint};
+use damaskloom_lib::crash_guard::{
+    CheckResult, CrashAction, CrashGuard, RequestDigest, RequestFingerprint,
+};
 use damaskloom_lib::ids::{Incarnation, NodeId};
 use damaskloom_lib::time::MonoTime;
 
@@ -20,12 +22,14 @@
     for (index, millis) in [(0, 1_000), (1, 4_000)] {
         let target = format!("server-{index}").parse()?;
         let lost_at = MonoTime::from_millis(millis);
-        // The connection is lost while the target runs the request.
-        guard.record_lost_connection(lost_at, &request, &target);
-        // Shortly after, the target refuses connections.
+        // The connection is lost while the target runs the request, so the target is checked.
+        let checks = guard.record_lost_connection(lost_at, &request, &target);
+        println!("{lost_at} checks due: {}", checks.len());
+        // It refuses connections, and another target of the service accepts one.
         let now = MonoTime::from_millis(millis + 100);
-        for action in guard.record_unreachable(now, &target) {
+        for action in guard.record_check(now, &target, lost_at, CheckResult::Down) {
             match action {
+                CrashAction::Check { .. } => {}
                 CrashAction::Send { message, .. } => {
                     peer_guard.handle_message(now, message);
                 }
--- a/lib/src/crash_guard.rs
+++ b/lib/src/crash_guard.rs
@@ -1,8 +1,10 @@
 //! Detects and refuses requests that crash their targets.
 //!
 //! A request is suspected when its target's connection is lost while the request runs and the target
-//! is unreachable right after. Two different targets that crash this way, with no successful answer in
-//! between, block the request's fingerprint on every node for a while. The fingerprint includes the
+//! is unreachable right after, although others of its service are reachable. The node that lost the
+//! connection checks this at once, since other requests may not come for long. Two different targets that
+//! crash this way, with no successful answer in between, block the request's fingerprint on every node for
+//! a while. The fingerprint includes the
 //! customer, and the number of suspects is bounded per customer, so that no customer can block or
 //! displace another's requests. See
 //! [docs/design/crashing-requests.md](../../docs/design/crashing-requests.md).
@@ -19,7 +21,7 @@
 use crate::mixer::hash_bytes;
 use crate::time::MonoTime;
 
-/// The time after a lost connection in which a failed connect confirms the crash.
+/// The time after a lost connection in which an unreachable target confirms the crash.
 pub const CONFIRMATION_WINDOW_MS: u64 = 2_000;
 /// The time after a crash in which missing answers of the target are not counted against it.
 pub const EXEMPTION_MS: u64 = 10_000;
@@ -32,6 +34,11 @@
 /// The maximum number of suspected fingerprints in total.
 pub const MAX_SUSPECTS: usize = 4_096;
 
+/// The delay before a target that accepted a connection right after it lost one is checked again, in
+/// milliseconds: it may close its listener later than its connections.
+const SECOND_CHECK_DELAY_MS: u64 = 250;
+/// The maximum number of checks of a target for one lost connection.
+const MAX_CHECKS: u8 = 2;
 /// The time for which a suspicion is kept after its last crash.
 const SUSPICION_RETENTION_MS: u64 = 600_000;
 /// The maximum number of lost connections that wait for a confirmation.
@@ -119,19 +126,40 @@
         /// The period.
         period: Duration,
     },
+    /// Connect to the target after a delay, and report the result to [`CrashGuard::record_check`].
+    Check {
+        /// The target.
+        target: TargetId,
+        /// The delay.
+        delay: Duration,
+    },
     /// The request is refused from now on.
     Blocked(RequestFingerprint),
 }
 
+/// The result of connecting to a target that has lost a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CheckResult {
+    /// The target accepts no connection, but others of its service do, unless there are none.
+    Down,
+    /// The target accepts connections.
+    Up,
+    /// No target of the service accepts connections, so that the path to them may have failed.
+    Unknown,
+}
+
 #[derive(Debug)]
 struct LostAttempt {
     fingerprint: RequestFingerprint,
     target: TargetId,
     lost_at: MonoTime,
+    /// The checks since then in which the target accepted a connection.
+    checks: u8,
 }
 
 #[derive(Debug)]
 struct CrashSuspect {
+    /// The targets that crashed, up to [`CRASHES_TO_BLOCK`].
     targets: Vec<TargetId>,
     updated_at: MonoTime,
     blocked_until: Option<MonoTime>,
@@ -167,6 +195,8 @@
 pub struct CrashGuard {
     peers: Vec<NodeId>,
     lost_attempts: VecDeque<LostAttempt>,
+    /// The targets that are being checked, with the times at which the checks are due.
+    checks: IndexMap<TargetId, MonoTime>,
     suspects: IndexMap<RequestFingerprint, CrashSuspect>,
     successes: RecentSuccesses,
 }
@@ -193,17 +223,24 @@
         (now < until).then(|| until.since(now))
     }
 
-    /// Records that a target's connection was lost while it ran the request.
+    /// Returns the number of different requests that are refused.
+    pub fn blocked_count(&self, now: MonoTime) -> usize {
+        let is_blocked =
+            |suspect: &&CrashSuspect| suspect.blocked_until.is_some_and(|until| now < until);
+        self.suspects.values().filter(is_blocked).count()
+    }
+
+    /// Records that a target's connection was lost while it ran the request; the target is to be checked.
     pub fn record_lost_connection(
         &mut self,
         now: MonoTime,
         fingerprint: &RequestFingerprint,
         target: &TargetId,
-    ) {
+    ) -> Vec<CrashAction> {
         self.drop_old_attempts(now);
         // A request that has just succeeded is unlikely to crash a target.
         if self.successes.contains(fingerprint) {
-            return;
+            return Vec::new();
         }
         if self.lost_attempts.len() >= MAX_LOST_ATTEMPTS {
             self.lost_attempts.pop_front();
@@ -212,10 +249,76 @@
             fingerprint: fingerprint.clone(),
             target: target.clone(),
             lost_at: now,
+            checks: 0,
         });
+        self.start_check(now, target, Duration::ZERO)
+    }
+
+    /// Records that an attempt could not connect to the target, which is then checked if it has just lost a
+    /// connection: the path to it may have failed as well.
+    pub fn record_failed_connect(&mut self, now: MonoTime, target: &TargetId) -> Vec<CrashAction> {
+        self.drop_old_attempts(now);
+        let is_awaited = |attempt: &LostAttempt| attempt.target == *target;
+        if !self.lost_attempts.iter().any(is_awaited) {
+            return Vec::new();
+        }
+        self.start_check(now, target, Duration::ZERO)
+    }
+
+    /// Records the result of a check that was started at `started_at`.
+    pub fn record_check(
+        &mut self,
+        now: MonoTime,
+        target: &TargetId,
+        started_at: MonoTime,
+        result: CheckResult,
+    ) -> Vec<CrashAction> {
+        self.checks.swap_remove(target);
+        match result {
+            CheckResult::Down => self.record_unreachable(now, target),
+            CheckResult::Unknown => {
+                self.lost_attempts
+                    .retain(|attempt| attempt.target != *target);
+                Vec::new()
+            }
+            CheckResult::Up => {
+                self.drop_old_attempts(now);
+                let attempts = self.lost_attempts.iter_mut();
+                let mut is_due = false;
+                for attempt in attempts.filter(|attempt| attempt.target == *target) {
+                    if attempt.lost_at <= started_at {
+                        attempt.checks += 1;
+                    }
+                    is_due |= attempt.checks < MAX_CHECKS;
+                }
+                let delay = Duration::from_millis(SECOND_CHECK_DELAY_MS);
+                let due = is_due.then(|| self.start_check(now, target, delay));
+                due.unwrap_or_default()
+            }
+        }
     }
 
-    /// Records that no connection to the target could be made, which confirms its recent crashes.
+    /// Starts a check of a target unless there is one already.
+    fn start_check(
+        &mut self,
+        now: MonoTime,
+        target: &TargetId,
+        delay: Duration,
+    ) -> Vec<CrashAction> {
+        if self.checks.contains_key(target) {
+            return Vec::new();
+        }
+        self.checks.insert(target.clone(), now + delay);
+        vec![CrashAction::Check {
+            target: target.clone(),
+            delay,
+        }]
+    }
+
+    /// Records that no connection to the target can be made, which confirms its recent crashes.
+    ///
+    /// Peers are told of the earlier targets as well, since they may have started since then or missed a
+    /// message.
     pub fn record_unreachable(&mut self, now: MonoTime, target: &TargetId) -> Vec<CrashAction> {
         self.drop_old_attempts(now);
         let (confirmed, kept) = std::mem::take(&mut self.lost_attempts)
@@ -224,16 +327,31 @@
         self.lost_attempts = kept;
         let mut actions = Vec::new();
         for attempt in confirmed {
-            let message = CrashMessage::TookDown {
-                fingerprint: attempt.fingerprint.clone(),
-                target: target.clone(),
-            };
-            actions.extend(self.send_all(&message));
-            self.record_crash(now, attempt.fingerprint, target, &mut actions);
+            let fingerprint = attempt.fingerprint;
+            self.record_crash(now, fingerprint.clone(), target, &mut actions);
+            for message in self.crash_messages(&fingerprint, target) {
+                actions.extend(self.send_all(&message));
+            }
         }
         actions
     }
 
+    /// Returns the messages about a crash of `newest` and the earlier ones of the same request.
+    fn crash_messages(
+        &self,
+        fingerprint: &RequestFingerprint,
+        newest: &TargetId,
+    ) -> Vec<CrashMessage> {
+        let suspect = self.suspects.get(fingerprint);
+        let targets = suspect.into_iter().flat_map(|suspect| &suspect.targets);
+        let earlier = targets.filter(|target| *target != newest);
+        let message = |target: &TargetId| CrashMessage::TookDown {
+            fingerprint: fingerprint.clone(),
+            target: target.clone(),
+        };
+        [newest].into_iter().chain(earlier).map(message).collect()
+    }
+
     /// Records that the request got a successful answer, which clears it.
     pub fn record_success(
         &mut self,
@@ -283,10 +401,16 @@
         target: &TargetId,
         actions: &mut Vec<CrashAction>,
     ) {
-        actions.push(CrashAction::Exempt {
-            target: target.clone(),
-            period: Duration::from_millis(EXEMPTION_MS),
+        // Peers repeat the crashes that led to a block.
+        let is_repeated = self.suspects.get(&fingerprint).is_some_and(|suspect| {
+            suspect.blocked_until.is_some() && suspect.targets.contains(target)
         });
+        if !is_repeated {
+            actions.push(CrashAction::Exempt {
+                target: target.clone(),
+                period: Duration::from_millis(EXEMPTION_MS),
+            });
+        }
         if !self.suspects.contains_key(&fingerprint) {
             self.make_room(&fingerprint.customer);
         }
@@ -299,15 +423,19 @@
                 blocked_until: None,
             });
         suspect.updated_at = now;
-        if suspect.blocked_until.is_some_and(|until| now < until) {
-            return;
+        match suspect.blocked_until {
+            Some(until) if now < until => return,
+            Some(_) => {
+                suspect.blocked_until = None;
+                suspect.targets.clear();
+            }
+            None => {}
         }
         if !suspect.targets.contains(target) {
             suspect.targets.push(target.clone());
         }
         if suspect.targets.len() >= CRASHES_TO_BLOCK {
             suspect.blocked_until = Some(now + Duration::from_millis(BLOCK_MS));
-            suspect.targets.clear();
             actions.push(CrashAction::Blocked(fingerprint));
         }
     }
@@ -339,9 +467,11 @@
     }
 
     fn drop_old_attempts(&mut self, now: MonoTime) {
-        self.lost_attempts.retain(|attempt| {
-            now.since(attempt.lost_at) <= Duration::from_millis(CONFIRMATION_WINDOW_MS)
-        });
+        let window = Duration::from_millis(CONFIRMATION_WINDOW_MS);
+        self.lost_attempts
+            .retain(|attempt| now.since(attempt.lost_at) <= window);
+        // A check without a result was cancelled.
+        self.checks.retain(|_, due_at| now.since(*due_at) <= window);
     }
 
     fn send_all(&self, message: &CrashMessage) -> Vec<CrashAction> {
--- a/lib/tests/test_crash_guard.rs
+++ b/lib/tests/test_crash_guard.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use damaskloom_lib::crash_guard::{
-    BLOCK_MS, CONFIRMATION_WINDOW_MS, CrashAction, CrashGuard, CrashMessage, MAX_SUSPECTS,
-    MAX_SUSPECTS_PER_CUSTOMER, RequestDigest, RequestFingerprint,
+    BLOCK_MS, CONFIRMATION_WINDOW_MS, CheckResult, CrashAction, CrashGuard, CrashMessage,
+    MAX_SUSPECTS, MAX_SUSPECTS_PER_CUSTOMER, RequestDigest, RequestFingerprint,
 };
 use damaskloom_lib::ids::{Incarnation, NodeId, TargetId};
 use damaskloom_lib::time::MonoTime;
@@ -61,18 +61,16 @@
     let crasher = request(0, 0);
     for (index, now) in [(0, at(0)), (1, at(5_000))] {
         let actions = crash(&mut guards[index], now, &crasher, index);
-        for message in messages(&actions) {
-            for other in (0..3).filter(|other| *other != index) {
-                let actions_of_peer = guards[other].handle_message(now, message.clone());
-                let exempts_target = |action: &CrashAction| {
-                    matches!(action, CrashAction::Exempt { target: exempted, .. }
-                        if *exempted == target(index))
-                };
-                assert!(
-                    actions_of_peer.iter().any(exempts_target),
-                    "the target is not exempted"
-                );
+        for other in (0..3).filter(|other| *other != index) {
+            let mut exempted = Vec::new();
+            for message in messages(&actions) {
+                for action in guards[other].handle_message(now, message) {
+                    if let CrashAction::Exempt { target, .. } = action {
+                        exempted.push(target);
+                    }
+                }
             }
+            assert_eq!(exempted, [target(index)]);
         }
         for guard in &guards {
             assert_eq!(guard.check(now, &crasher).is_some(), index == 1);
@@ -175,3 +173,102 @@
     guard.tick(at(0) + Duration::from_secs(3_600));
     assert!(guard.is_idle());
 }
+
+/// Loses a connection and reports the results of the checks that follow; returns the crash messages and the
+/// number of checks.
+fn lose_and_check(
+    guard: &mut CrashGuard,
+    now: MonoTime,
+    fingerprint: &RequestFingerprint,
+    index: usize,
+    results: &[CheckResult],
+) -> (Vec<CrashMessage>, usize) {
+    let mut actions = guard.record_lost_connection(now, fingerprint, &target(index));
+    let (mut sent, mut checks, mut started_at) = (Vec::new(), 0, now);
+    while let Some(delay) = actions.iter().find_map(|action| match action {
+        CrashAction::Check { target: due, delay } if *due == target(index) => Some(*delay),
+        _ => None,
+    }) {
+        started_at = started_at + delay;
+        let result = results[checks];
+        checks += 1;
+        actions = guard.record_check(started_at, &target(index), started_at, result);
+        sent.extend(messages(&actions));
+    }
+    (sent, checks)
+}
+
+/// Guards against a crashing request that goes on because no other request happens to come to the crashed
+/// target in time.
+#[test]
+fn crashes_without_other_requests_block_the_request() {
+    let mut guards: Vec<CrashGuard> = (0..3).map(|_| CrashGuard::new()).collect();
+    for guard in &mut guards {
+        guard.set_peers([node(9)]);
+    }
+    let crasher = request(0, 0);
+    // The connections of the second target end a little before its listener.
+    let results = [CheckResult::Up, CheckResult::Down];
+    for (index, now) in [(0, at(0)), (1, at(100_000))] {
+        let results = &results[1 - index..];
+        let (sent, _) = lose_and_check(&mut guards[index], now, &crasher, index, results);
+        for message in sent {
+            for other in (0..3).filter(|other| *other != index) {
+                guards[other].handle_message(now, message.clone());
+            }
+        }
+    }
+    for guard in &guards {
+        assert!(guard.check(at(100_500), &crasher).is_some());
+    }
+}
+
+/// Guards against requests that are blamed for connections that a gray target or a cut path has lost, and
+/// against endless checks.
+#[test]
+fn lost_connections_alone_are_no_crashes() {
+    for results in [
+        &[CheckResult::Up, CheckResult::Up][..],
+        &[CheckResult::Unknown],
+    ] {
+        let mut guard = CrashGuard::new();
+        guard.set_peers([node(9)]);
+        for index in 0..4 {
+            let now = at(500 * index as u64);
+            let (sent, checks) = lose_and_check(&mut guard, now, &request(0, 0), index, results);
+            assert_eq!((sent.len(), checks), (0, results.len()), "{results:?}");
+        }
+        assert_eq!(guard.check(at(3_000), &request(0, 0)), None);
+    }
+}
+
+/// Guards against a failed connect that confirms a crash by itself: the path may have failed.
+#[test]
+fn a_failed_connect_after_a_lost_connection_is_checked() {
+    let mut guard = CrashGuard::new();
+    guard.set_peers([node(9)]);
+    lose_and_check(&mut guard, at(0), &request(0, 0), 0, &[CheckResult::Up; 2]);
+    let actions = guard.record_failed_connect(at(1_000), &target(0));
+    assert!(matches!(actions[..], [CrashAction::Check { .. }]));
+    assert!(
+        guard
+            .record_failed_connect(at(1_000), &target(1))
+            .is_empty()
+    );
+    let actions = guard.record_check(at(1_000), &target(0), at(1_000), CheckResult::Down);
+    assert_eq!(messages(&actions).len(), 1);
+}
+
+/// Guards against a node that missed the report of the first crash, or has started since then, and lets
+/// the request run again.
+#[test]
+fn the_report_of_the_last_crash_includes_the_earlier_ones() {
+    let mut guards = [CrashGuard::new(), CrashGuard::new()];
+    guards[0].set_peers([node(9)]);
+    let crasher = request(0, 0);
+    crash(&mut guards[0], at(0), &crasher, 0);
+    for message in messages(&crash(&mut guards[0], at(5_000), &crasher, 1)) {
+        guards[1].handle_message(at(5_000), message);
+    }
+    assert!(guards[1].check(at(5_001), &crasher).is_some());
+}
