store reads: a node whose copy may be too old reads the store itself

Cause: nodes that leave the store to a reader went by what the reader says of itself, that it reads the store. A reader said so until two calls in a row had failed, and each takes 0.45 + 0.25 of config_apply_s to fail. Nothing bounded the age of what a node holds.

Each answer of the store is now told to the nodes of the data centre (message readings, 1 datagram a node for each answered feed), so that a copy is known to be current as of a time, whoever read it. A node whose copy is older than 0.65 of the time in which changes must take effect reads it once itself, the nodes of a data centre in steps of 0.02, so that the first answer spares the others their calls. This holds for both tables, and so for the configuration, withdrawn keys, limits, evacuations and rows of targets. Calls to the store fail or are answered within 0.25; 0.1 is left for the rows to reach the nodes that the store does not answer. A reader whose feed is overdue fetches rows from peers without delay.

A heartbeat of a local reader of the build before counts as a reading, since it tells no others; nodes of that build drop the new message.

--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -118,6 +118,8 @@
     pub pending_successes: RefCell<IndexSet<TargetCode>>,
     /// Wakes the task that sends counts.
     pub counts_due: Notify,
+    /// Wakes the task that tells the nodes of the data centre of this node's readings of the store.
+    pub readings_due: Notify,
     /// Wakes the task that sends heartbeats.
     pub heartbeat_due: Notify,
     /// Wakes the tasks that follow the store when this node's role changes.
@@ -202,6 +204,7 @@
             updates_due: Notify::new(),
             pending_successes: RefCell::default(),
             counts_due: Notify::new(),
+            readings_due: Notify::new(),
             heartbeat_due: Notify::new(),
             loop_delay: Cell::new(Duration::ZERO),
             role_changed: Notify::new(),
@@ -439,6 +442,7 @@
                 );
             }
         }
+        self.apply_reader_heartbeat(vm, &heartbeat);
         self.doubt_paths_like(vm, &heartbeat);
         if self.members.borrow_mut().record_heartbeat(vm, heartbeat) {
             tracing::debug!(node = %vm, "node discovered");
--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use damaskloom_lib::entry_members::EntryPhase;
+use damaskloom_lib::copy_age::TableReading;
+use damaskloom_lib::entry_members::{EntryPhase, NodeHeartbeat};
 use damaskloom_lib::entry_nodes::{
     EntryNode, EntryRequirements, cpu_demand, rollout_step, select_entries,
 };
@@ -13,6 +14,7 @@
 use indexmap::IndexMap;
 
 use crate::entry_state::EntryState;
+use crate::peer_wire::TableReadings;
 use crate::settings::EntrySettings;
 use crate::table_copy::TableKind;
 
@@ -163,18 +165,79 @@
         !has_recent_reader && now.since(joined_at) >= reader_timeout
     }
 
-    /// Returns whether this node reads a table from the store: it follows the store, or its peers do not
-    /// deliver rows that they have announced.
+    /// Returns whether this node reads a table from the store: it follows the store, its copy may be too old, or
+    /// its peers do not deliver rows that they have announced.
     pub fn reads_store(&self, kind: TableKind) -> bool {
         self.follows_store() || self.time_until_store_read(kind) == Some(Duration::ZERO)
     }
 
-    /// Returns the time until this node reads a table from the store unless the missing rows arrive; none
-    /// if it knows of no missing rows.
+    /// Returns the time until this node reads a table from the store unless missing rows arrive and a peer's
+    /// reading shows that the copy is current; none before the copy is known.
     pub fn time_until_store_read(&self, kind: TableKind) -> Option<Duration> {
-        let lag = self.table_copy(kind).lag(self.clock.now())?;
-        let delivery_time = self.settings().bounds.peer_delivery_time(kind);
-        Some(delivery_time.saturating_sub(lag))
+        let now = self.clock.now();
+        let copy = self.table_copy(kind);
+        let settings = self.settings();
+        let delivery_time = settings.bounds.peer_delivery_time(kind);
+        let until_overdue = copy.lag(now).map(|lag| delivery_time.saturating_sub(lag));
+        let apply_time = settings.bounds.apply_time(kind);
+        let age = copy.age.borrow();
+        let until_old = age.time_until_read(now, apply_time, self.rollout_step());
+        until_overdue.into_iter().chain(until_old).min()
+    }
+
+    /// Records that the store has answered this node's reading of a table, and tells peers.
+    pub fn record_store_read(&self, kind: TableKind) {
+        let now = self.clock.now();
+        self.table_copy(kind).age.borrow_mut().record_read(now);
+        self.readings_due.notify_one();
+    }
+
+    /// Returns what this node can tell peers of its readings of the store.
+    pub fn table_readings(&self) -> TableReadings {
+        let now = self.clock.now();
+        let heartbeat = self.heartbeat();
+        let reading = |kind: TableKind| {
+            let age = self.table_copy(kind).age.borrow();
+            age.reading(now, kind.version(&heartbeat))
+        };
+        TableReadings {
+            routing: reading(TableKind::Routing),
+            targets: reading(TableKind::Targets),
+        }
+    }
+
+    /// Applies what a peer says of its readings of the store.
+    pub fn apply_readings(&self, vm: &VmId, readings: TableReadings) {
+        self.members.borrow_mut().record_readings(vm);
+        self.apply_reading(TableKind::Routing, readings.routing);
+        self.apply_reading(TableKind::Targets, readings.targets);
+    }
+
+    /// Takes the heartbeat of a reader of the build before for a reading: it says nothing else of them.
+    pub fn apply_reader_heartbeat(&self, vm: &VmId, heartbeat: &NodeHeartbeat) {
+        let is_local = heartbeat.data_centre == self.settings().data_centre;
+        let tells_readings = self.members.borrow().tells_readings(vm);
+        if !heartbeat.linked || !is_local || tells_readings {
+            return;
+        }
+        for kind in [TableKind::Routing, TableKind::Targets] {
+            let reading = TableReading {
+                version: kind.version(heartbeat),
+                age_ms: 0,
+            };
+            self.apply_reading(kind, Some(reading));
+        }
+    }
+
+    fn apply_reading(&self, kind: TableKind, reading: Option<TableReading>) {
+        let Some(reading) = reading else {
+            return;
+        };
+        let now = self.clock.now();
+        let copy = self.table_copy(kind);
+        let version = copy.mirror.borrow().version();
+        let mut age = copy.age.borrow_mut();
+        age.record_reading(now, version, reading);
     }
 
     /// Returns where a node takes requests of other nodes; none if the node is not known.
--- a/entry/src/peer_receipt.rs
+++ b/entry/src/peer_receipt.rs
@@ -112,6 +112,7 @@
             }
             // Only the outermost message of a datagram is relayed.
             PeerMessage::Relay { .. } | PeerMessage::Relayed { .. } => {}
+            PeerMessage::Readings(readings) => state.apply_readings(&vm, readings),
             PeerMessage::Limits(statements) => state.apply_limit_statements(&vm, &statements),
             PeerMessage::Crash(message) => {
                 let actions = state.crash_guard.borrow_mut().handle_message(now, message);
--- a/entry/src/peer_rows.rs
+++ b/entry/src/peer_rows.rs
@@ -312,7 +312,12 @@
     let copy = state.table_copy(kind);
     loop {
         let newer_peers = newer_peers(&state, kind);
-        let is_answered = state.store_health.borrow().is_last_call_answered();
+        let apply_time = state.settings().bounds.apply_time(kind);
+        let is_overdue = copy
+            .age
+            .borrow()
+            .is_feed_overdue(state.clock.now(), apply_time);
+        let is_answered = state.store_health.borrow().is_last_call_answered() && !is_overdue;
         let feed = match (state.follows_store(), is_answered) {
             (false, _) => OwnFeed::None,
             (true, true) => OwnFeed::Answered,
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -167,6 +167,21 @@
         }
     }
 
+    /// Tells the nodes of the data centre of each reading of the store, until the task is cancelled.
+    pub async fn run_readings(&self, state: &EntryState) {
+        let audience = MessageAudience {
+            scope: RelayScope::All,
+            reach: MessageReach::Local,
+        };
+        loop {
+            state.readings_due.notified().await;
+            let message = PeerMessage::Readings(state.table_readings());
+            self.sender
+                .send(state, audience, RelayCopies::Single, message);
+            tokio::time::sleep(MIN_HEARTBEAT_INTERVAL).await;
+        }
+    }
+
     /// Sends counts of running and admitted requests to the nodes that carry traffic, until the
     /// task is cancelled.
     pub async fn run_counts(&self, state: &EntryState) {
--- a/entry/src/peer_wire.rs
+++ b/entry/src/peer_wire.rs
@@ -3,6 +3,7 @@
 use std::net::IpAddr;
 
 use damaskloom_gateway::peer_auth::SharedSecret;
+use damaskloom_lib::copy_age::TableReading;
 use damaskloom_lib::crash_guard::CrashMessage;
 use damaskloom_lib::entry_members::{MessageStream, NodeHeartbeat};
 use damaskloom_lib::ids::{CustomerId, TargetId, VmId};
@@ -46,6 +47,16 @@
     pub demand_milli: u64,
 }
 
+/// What a node says of its last readings of the store.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct TableReadings {
+    /// The routing; none if the node has not read it from the store.
+    pub routing: Option<TableReading>,
+    /// The targets; none if the node has not read them from the store.
+    pub targets: Option<TableReading>,
+}
+
 /// The messages that nodes send to each other.
 ///
 /// The order of the variants and of their fields is the encoding. Nodes of the build before read every
@@ -97,6 +108,8 @@
         /// The origin's datagram with its authentication tag.
         datagram: Vec<u8>,
     },
+    /// The sender has read the store.
+    Readings(TableReadings),
 }
 
 impl PeerMessage {
@@ -114,6 +127,7 @@
             Self::Relays => "relays",
             Self::Relay { .. } => "relay",
             Self::Relayed { .. } => "relayed",
+            Self::Readings(_) => "readings",
         }
     }
 
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -140,6 +140,7 @@
         tokio::task::spawn_local(async move {
             match peer_task {
                 PeerTask::Heartbeats => peers.run_heartbeats(&state).await,
+                PeerTask::Readings => peers.run_readings(&state).await,
                 PeerTask::Counts => peers.run_counts(&state).await,
                 PeerTask::Signals => peers.run_signals(&state).await,
                 PeerTask::Receive => peers.run_receive(&state).await,
@@ -147,6 +148,7 @@
         });
     };
     spawn(PeerTask::Heartbeats);
+    spawn(PeerTask::Readings);
     spawn(PeerTask::Counts);
     spawn(PeerTask::Signals);
     spawn(PeerTask::Receive);
@@ -156,6 +158,7 @@
 #[derive(Clone, Copy, Debug)]
 enum PeerTask {
     Heartbeats,
+    Readings,
     Counts,
     Signals,
     Receive,
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -162,13 +162,17 @@
         self.target_drain().mul_f64(MAX_TARGETS_LAG_RATIO)
     }
 
-    /// Returns for how long a node waits for announced rows of a table before it reads the store itself.
-    pub fn peer_delivery_time(&self, kind: TableKind) -> Duration {
-        let bound = match kind {
+    /// Returns the time in which a change of a table must take effect.
+    pub fn apply_time(&self, kind: TableKind) -> Duration {
+        match kind {
             TableKind::Routing => Duration::from_secs_f64(self.routing_apply_s),
             TableKind::Targets => self.target_drain(),
-        };
-        bound.mul_f64(PEER_DELIVERY_RATIO)
+        }
+    }
+
+    /// Returns for how long a node waits for announced rows of a table before it reads the store itself.
+    pub fn peer_delivery_time(&self, kind: TableKind) -> Duration {
+        self.apply_time(kind).mul_f64(PEER_DELIVERY_RATIO)
     }
 
     /// Returns the interval at which targets renew their announcements in the store.
--- a/entry/src/store_watch.rs
+++ b/entry/src/store_watch.rs
@@ -52,7 +52,7 @@
 /// Follows the operators' table until the task is cancelled.
 pub async fn watch_routing(state: Rc<EntryState>, client: Rc<StoreClient>) {
     let mut backoff = Backoff::new();
-    let mut feed_status = FeedStatus::new("configuration");
+    let mut feed_status = FeedStatus::new(TableKind::Routing);
     loop {
         wait_to_read_store(&state, TableKind::Routing).await;
         // The first read is of the whole table, which may still be empty.
@@ -68,6 +68,7 @@
             Ok(changed_rows) => {
                 feed_status.record_success();
                 backoff = Backoff::new();
+                state.record_store_read(TableKind::Routing);
                 state.apply_routing_rows(&changed_rows);
                 announce_changes(&state, &changed_rows);
                 wait_if_empty(&state.routing_copy).await;
@@ -83,7 +84,7 @@
 /// Follows the targets' table until the task is cancelled.
 pub async fn watch_targets(state: Rc<EntryState>, client: Rc<StoreClient>) {
     let mut backoff = Backoff::new();
-    let mut feed_status = FeedStatus::new("targets");
+    let mut feed_status = FeedStatus::new(TableKind::Targets);
     loop {
         if !state.follows_store() {
             state.store_health.take();
@@ -103,6 +104,7 @@
             Ok(changed_rows) => {
                 feed_status.record_success();
                 backoff = Backoff::new();
+                state.record_store_read(TableKind::Targets);
                 record_call_end(&state, CallEnd::Answered);
                 let is_restored = state.targets_copy.mirror.borrow().version().era() > era;
                 if is_restored {
@@ -222,10 +224,13 @@
     if !state.follows_store() {
         let lag = state.table_copy(kind).lag(state.clock.now());
         let missing_ms = lag.unwrap_or_default().as_millis() as u64;
+        let age = state.table_copy(kind).age.borrow().age(state.clock.now());
+        let age_ms = age.unwrap_or_default().as_millis() as u64;
         tracing::info!(
             what = kind.path(),
             missing_ms,
-            "rows not delivered by peers; reading the store"
+            age_ms,
+            "rows missing or copy old; reading the store"
         );
     }
 }
@@ -319,6 +324,7 @@
 
 /// Tracks whether a feed works, and logs each failure and recovery once.
 struct FeedStatus {
+    table: TableKind,
     what: &'static str,
     is_down: bool,
     /// The newest era that the store has named; none before the first answer.
@@ -326,29 +332,34 @@
 }
 
 impl FeedStatus {
-    fn new(what: &'static str) -> Self {
+    fn new(table: TableKind) -> Self {
         Self {
-            what,
+            table,
+            what: match table {
+                TableKind::Routing => "configuration",
+                TableKind::Targets => "targets",
+            },
             is_down: false,
             era: None,
         }
     }
 
     /// Returns the times of the next feed call. After a failure it does not wait, so that the recovery
-    /// is noticed at once and not with the next change, and a slow store has the time to answer.
+    /// is noticed at once and not with the next change, and a slow store has the time to answer. A node that
+    /// does not follow the store reads once, to know whether its copy is current.
     fn feed_times(&self, state: &EntryState) -> FeedTimes {
-        let apply_time = Duration::from_secs_f64(state.settings().bounds.routing_apply_s);
-        if self.is_down {
-            FeedTimes {
-                wait: Duration::ZERO,
-                timeout: CALL_TIMEOUT,
-            }
-        } else {
-            FeedTimes {
-                wait: apply_time.mul_f64(FEED_WAIT_RATIO),
-                timeout: apply_time.mul_f64(FEED_ANSWER_RATIO).min(CALL_TIMEOUT),
-            }
-        }
+        let bounds = &state.settings().bounds;
+        let routing_time = bounds.apply_time(TableKind::Routing);
+        let apply_time = bounds.apply_time(self.table).min(routing_time);
+        let timeout = match self.is_down {
+            true => CALL_TIMEOUT,
+            false => apply_time.mul_f64(FEED_ANSWER_RATIO).min(CALL_TIMEOUT),
+        };
+        let wait = match self.is_down || !state.follows_store() {
+            true => Duration::ZERO,
+            false => apply_time.mul_f64(FEED_WAIT_RATIO),
+        };
+        FeedTimes { wait, timeout }
     }
 
     fn record_era(&mut self, era: u16) {
--- a/entry/src/table_copy.rs
+++ b/entry/src/table_copy.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
+use damaskloom_lib::copy_age::CopyAge;
 use damaskloom_lib::entry_members::NodeHeartbeat;
 use damaskloom_lib::store_version::StoreVersion;
 use damaskloom_lib::table_mirror::{MirrorRow, RowExtent, TableMirror};
@@ -44,6 +45,8 @@
     pub mirror: RefCell<TableMirror>,
     /// For how long peers have had rows that are missing here.
     lag: RefCell<VersionLag>,
+    /// How old the copy may be.
+    pub age: RefCell<CopyAge>,
     /// The lag that ended with the last change.
     ended_lag: Cell<Option<Duration>>,
     /// Wakes the task that fetches rows from peers: a peer has newer ones.
--- a/entry/tests/test_row_fetches.rs
+++ b/entry/tests/test_row_fetches.rs
@@ -8,9 +8,10 @@
 
 use bytes::Bytes;
 use damaskloom_entry::peer_rows::{RowsAnswer, proof};
-use damaskloom_entry::peer_wire::{PeerEnvelope, PeerMessage, encode};
+use damaskloom_entry::peer_wire::{PeerEnvelope, PeerMessage, TableReadings, encode};
 use damaskloom_entry::settings::EntrySettings;
 use damaskloom_gateway::peer_auth::SharedSecret;
+use damaskloom_lib::copy_age::TableReading;
 use damaskloom_lib::entry_members::{EntryPhase, NodeHeartbeat};
 use damaskloom_lib::store_health::StoreReading;
 use damaskloom_lib::table_mirror::{MirrorRow, RowExtent};
@@ -59,6 +60,9 @@
     answers: Cell<bool>,
     /// What it says of its reading of the store; none if it is of the build before.
     pub reading: Cell<Option<StoreReading>>,
+    /// How long ago it last read the store, in milliseconds; none if it is of the build before, which does
+    /// not say.
+    read_age_ms: Cell<Option<u32>>,
     /// Whether it answers requests for rows of targets.
     answers_targets: Cell<bool>,
     /// The number of requests for rows of targets.
@@ -93,6 +97,7 @@
             answer_delay: Cell::new(Duration::ZERO),
             answers: Cell::new(true),
             reading: Cell::default(),
+            read_age_ms: Cell::default(),
             answers_targets: Cell::new(true),
             target_requests: Cell::new(0),
         });
@@ -102,6 +107,10 @@
                 let datagram = sender.heartbeat(sequence);
                 let sent = socket.send_to(&datagram, (node, PEER_PORT)).await;
                 sent.expect("loopback accepts datagrams");
+                if let Some(datagram) = sender.readings(sequence) {
+                    let sent = socket.send_to(&datagram, (node, PEER_PORT)).await;
+                    sent.expect("loopback accepts datagrams");
+                }
                 tokio::time::sleep(HEARTBEAT_INTERVAL).await;
             }
         });
@@ -126,20 +135,39 @@
 
     fn heartbeat(&self, sequence: u64) -> Vec<u8> {
         let (routing_version, targets_version) = self.versions.get();
+        let heartbeat = NodeHeartbeat {
+            data_centre: self.data_centre.parse().expect("a valid name"),
+            caller_address: SocketAddr::new(self.ip, 1),
+            phase: EntryPhase::Serving,
+            carrying: false,
+            capacity_millicores: PEER_MILLICORES,
+            linked: true,
+            routing_version: routing_version.into(),
+            targets_version: targets_version.into(),
+        };
+        self.seal(sequence, PeerMessage::Heartbeat(heartbeat))
+    }
+
+    fn readings(&self, sequence: u64) -> Option<Vec<u8>> {
+        let age_ms = self.read_age_ms.get()?;
+        let (routing_version, targets_version) = self.versions.get();
+        let reading = |version: u64| {
+            let version = version.into();
+            Some(TableReading { version, age_ms })
+        };
+        let readings = TableReadings {
+            routing: reading(routing_version),
+            targets: reading(targets_version),
+        };
+        Some(self.seal(sequence, PeerMessage::Readings(readings)))
+    }
+
+    fn seal(&self, sequence: u64, message: PeerMessage) -> Vec<u8> {
         let envelope = PeerEnvelope {
             from: self.name.parse().expect("a valid name"),
             started_at_ms: 1,
             sequence,
-            message: PeerMessage::Heartbeat(NodeHeartbeat {
-                data_centre: self.data_centre.parse().expect("a valid name"),
-                caller_address: SocketAddr::new(self.ip, 1),
-                phase: EntryPhase::Serving,
-                carrying: false,
-                capacity_millicores: PEER_MILLICORES,
-                linked: true,
-                routing_version: routing_version.into(),
-                targets_version: targets_version.into(),
-            }),
+            message,
         };
         encode(&self.secret, &envelope).expect("the message can be encoded")
     }
@@ -217,6 +245,18 @@
     .await;
 }
 
+/// Waits until no node has read the store for longer than a feed call waits.
+async fn wait_without_feeds(store: &PlatformServer) {
+    let (mut feeds, mut polls) = (0, 0);
+    wait_until("the node leaves the store to its peer", async || {
+        let now = store.counters().feeds;
+        polls = if now == feeds { polls + 1 } else { 0 };
+        feeds = now;
+        polls > POLLS_WITHOUT_FEED
+    })
+    .await;
+}
+
 /// Runs a test with a store, a node that leaves the store to a peer, that peer, and a target.
 async fn with_follower<F: Future<Output = ()>>(
     last_octet: u8,
@@ -232,14 +272,7 @@
             let node = EntryNode::start_with(settings.expect("valid settings"));
             node.wait_until_ready().await;
             let peer = ReaderPeer::start(fleet_secret(&store), node.ip(), last_octet).await;
-            let (mut feeds, mut polls) = (0, 0);
-            wait_until("the node leaves the store to its peer", async || {
-                let now = store.counters().feeds;
-                polls = if now == feeds { polls + 1 } else { 0 };
-                feeds = now;
-                polls > POLLS_WITHOUT_FEED
-            })
-            .await;
+            wait_without_feeds(&store).await;
             test(store, node, peer, target).await;
         })
         .await;
@@ -356,6 +389,22 @@
     .await;
 }
 
+/// Guards against a withdrawn key that works on, since the node that reads the store for the others waits for
+/// an answer and seems to read it all the while; and against further calls to the store while it does read it.
+#[tokio::test]
+async fn a_node_reads_the_store_once_the_reading_of_its_peer_is_old() {
+    with_follower(9, |store, node, peer, _target| async move {
+        peer.read_age_ms.set(Some(0));
+        wait_without_feeds(&store).await;
+        peer.read_age_ms.set(Some(60_000));
+        store.put("op", "config", configuration(2, &["key-new"]));
+        wait_until_key_works(&node, "key-new").await;
+        let answer = node.send("GET", "/read/1", Some("key-1")).await;
+        assert_eq!(answer.status, StatusCode::UNAUTHORIZED);
+    })
+    .await;
+}
+
 /// Guards against an unsafe request to a target that has left, from a node that knows that it lacks rows of targets
 /// and gets them neither from peers nor from the store.
 #[tokio::test]
--- a/entry/tests/test_upgrades.rs
+++ b/entry/tests/test_upgrades.rs
@@ -7,7 +7,10 @@
 
 use bytes::Bytes;
 use damaskloom_entry::peer_rows::RowsAnswer;
-use damaskloom_entry::peer_wire::{CustomerCount, PeerEnvelope, PeerMessage, WireSignal};
+use damaskloom_entry::peer_wire::{
+    CustomerCount, PeerEnvelope, PeerMessage, TableReadings, WireSignal,
+};
+use damaskloom_lib::copy_age::TableReading;
 use damaskloom_lib::crash_guard::{CrashMessage, RequestDigest, RequestFingerprint};
 use damaskloom_lib::entry_members::{EntryPhase, NodeHeartbeat, NodeRegistration};
 use damaskloom_lib::loss_meter::{ServiceCode, ServiceLoss};
@@ -146,14 +149,27 @@
 
 /// The messages that are new in this build.
 fn unreleased_messages() -> Vec<(&'static str, PeerMessage)> {
-    vec![(
-        "losses",
-        PeerMessage::Losses(vec![ServiceLoss {
-            service: ServiceCode(7_003),
-            requests: 40,
-            lost: 5,
-        }]),
-    )]
+    let reading = TableReading {
+        version: StoreVersion::new(2, 300).expect("a valid version"),
+        age_ms: 250,
+    };
+    vec![
+        (
+            "losses",
+            PeerMessage::Losses(vec![ServiceLoss {
+                service: ServiceCode(7_003),
+                requests: 40,
+                lost: 5,
+            }]),
+        ),
+        (
+            "readings",
+            PeerMessage::Readings(TableReadings {
+                routing: Some(reading),
+                targets: None,
+            }),
+        ),
+    ]
 }
 
 /// Returns the number by which a message is known in its encoding.
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -143,6 +143,8 @@
     pub relays: bool,
     /// How often this start of the node was told that this node relays.
     relay_notices: u8,
+    /// Whether this start of the node tells its readings of the store.
+    tells_readings: bool,
     registration: Option<NodeRegistration>,
     last_seen: MonoTime,
     /// Since when all heartbeats say that the node reads the store; none if the last one does not.
@@ -222,6 +224,7 @@
             heartbeat: None,
             relays: false,
             relay_notices: 0,
+            tells_readings: false,
             registration: None,
             last_seen: now,
             linked_since: None,
@@ -293,6 +296,19 @@
         node.is_some_and(|node| !std::mem::replace(&mut node.relays, true))
     }
 
+    /// Records that a node tells its readings of the store. The knowledge belongs to the node's start, as for
+    /// [`Self::record_relay`].
+    pub fn record_readings(&mut self, vm: &VmId) {
+        if let Some(node) = self.nodes.get_mut(vm) {
+            node.tells_readings = true;
+        }
+    }
+
+    /// Returns whether a node tells its readings of the store.
+    pub fn tells_readings(&self, vm: &VmId) -> bool {
+        self.nodes.get(vm).is_some_and(|node| node.tells_readings)
+    }
+
     /// Returns the nodes that are to be told with the next heartbeat that this node relays, since they
     /// were not told often enough. Nodes of other data centres are told if heartbeats go to them.
     pub fn drain_relay_notices(&mut self, own: &DataCentreId, to_all: bool) -> Vec<IpAddr> {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod config_snapshot;
 pub mod confirm;
 mod confirm_rows;
+pub mod copy_age;
 pub mod crash_guard;
 pub mod crossing_cost;
 pub mod delta_log;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -28,6 +28,7 @@
 mod test_claims;
 mod test_cold_targets;
 mod test_configuration;
+mod test_copy_age;
 mod test_crash_guard;
 mod test_crossing_cost;
 mod test_detection;
