fleet rates: parts of a fleet that cannot hear each other divide a customer's limit

Cause: a silent peer was charged at the rate that it had reported last. For a customer that was quiet before the cut that is little, so that each side saw a full bucket and a free remainder of the rate, and used both.

A node that was heard regularly and is silent for 1.25 s while it carried traffic, or for 2.6 s, is taken to be partitioned and to serve on. Until it is heard again, the nodes of this side keep to their part of what was left of the burst and of the rate: half by the number of nodes, since callers move to nodes that had no traffic, half by where the customer's requests came before the cut, frozen at that moment. After the partition nothing that the other parts have left is assumed. Nodes in a planned stop are not silent, nor those of other data centres that have no traffic and send nothing there.

--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -122,6 +122,22 @@
         }
     }
 
+    /// Divides the limits of customers while nodes are silent that may go on serving callers.
+    pub fn update_split(&self) {
+        let now = self.clock.now();
+        let own = self.settings().data_centre.clone();
+        let split = self.members.borrow().split(now, &own);
+        let mut rates = self.rates.borrow_mut();
+        if rates.set_split(now, split.clone()) {
+            let (silent, heard_part) = (split.silent.len(), split.heard_part);
+            tracing::info!(
+                silent,
+                heard_part,
+                "limits divided among the parts of the fleet"
+            );
+        }
+    }
+
     /// Updates this node's part of the allowance of repeats: one of the nodes that carry traffic, or are
     /// expected to, has an even part.
     pub fn update_repeat_share(&self) {
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -5,10 +5,11 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use crate::entry_nodes::EntryNode;
+use crate::fleet_split::FleetSplit;
 use crate::ids::{DataCentreId, VmId};
 use crate::store_version::StoreVersion;
 use crate::time::MonoTime;
@@ -17,6 +18,9 @@
 pub const HEARTBEAT_INTERVAL_MS: u64 = 1_000;
 /// The time without a message after which a node gets no callers, in milliseconds: two lost heartbeats.
 const HEARTBEAT_TIMEOUT_MS: u64 = 2_600;
+/// The time without a message after which a node that carried traffic counts as silent, in milliseconds:
+/// it sends a heartbeat and several counts in that time.
+const CARRYING_SILENCE_MS: u64 = 1_250;
 /// The time without a message of a node after which one with an earlier start time is accepted, in
 /// milliseconds: longer than the heartbeat interval.
 const RESTART_ACCEPTANCE_MS: u64 = 1_500;
@@ -175,6 +179,37 @@
 #[derive(Debug, Default)]
 pub struct EntryMembers {
     nodes: IndexMap<VmId, KnownNode>,
+    /// The data centres of all nodes that have joined and not left, also of those that are not heard since
+    /// they send heartbeats to their data centre only.
+    roster: IndexMap<VmId, DataCentreId>,
+}
+
+/// How many nodes are heard of those that could be.
+#[derive(Clone, Copy, Debug, Default)]
+struct HeardCount {
+    heard: usize,
+    all: usize,
+}
+
+impl HeardCount {
+    fn fraction(self) -> f64 {
+        match self.all {
+            0 => 1.0,
+            all => self.heard as f64 / all as f64,
+        }
+    }
+}
+
+impl NodeHeartbeat {
+    /// Returns whether the node is in a planned stop.
+    fn is_leaving(&self) -> bool {
+        self.phase == EntryPhase::Leaving
+    }
+
+    /// Returns whether the node sends its heartbeats to all nodes.
+    fn is_heard_by_all(&self) -> bool {
+        self.carrying || self.linked
+    }
 }
 
 impl NodeRegistration {
@@ -198,6 +233,15 @@
         now.since(self.last_seen) < age
     }
 
+    /// Returns whether the node has sent nothing for longer than it usually does.
+    fn is_silent(&self, now: MonoTime) -> bool {
+        let is_carrying = |heartbeat: &NodeHeartbeat| heartbeat.carrying;
+        match self.heartbeat.as_ref().is_some_and(is_carrying) {
+            true => !self.is_heard_within(now, Duration::from_millis(CARRYING_SILENCE_MS)),
+            false => !self.is_responsive(now),
+        }
+    }
+
     /// Returns the node's data centre, by its heartbeat or else by its registration.
     pub fn data_centre(&self) -> Option<&DataCentreId> {
         let heartbeat = self.heartbeat.as_ref().map(|own| &own.data_centre);
@@ -209,6 +253,8 @@
     /// Records a node's registration.
     pub fn register(&mut self, now: MonoTime, vm: VmId, registration: NodeRegistration) {
         let ip = registration.caller_address.ip();
+        self.roster
+            .insert(vm.clone(), registration.data_centre.clone());
         self.insert_newer(now, vm.clone(), registration.started_at_ms, ip);
         if let Some(node) = self.nodes.get_mut(&vm)
             && node.started_at_ms <= registration.started_at_ms
@@ -282,6 +328,12 @@
         let Some(node) = self.nodes.get_mut(vm) else {
             return false;
         };
+        match heartbeat.phase {
+            EntryPhase::Leaving => self.roster.swap_remove(vm),
+            _ => self
+                .roster
+                .insert(vm.clone(), heartbeat.data_centre.clone()),
+        };
         node.linked_since = match heartbeat.linked {
             true => node.linked_since.or(Some(node.last_seen)),
             false => None,
@@ -460,6 +512,51 @@
         nodes.map(|(vm, _)| vm)
     }
 
+    /// Returns which nodes fell silent that were heard here regularly, given this node's data centre.
+    ///
+    /// Nodes of other data centres that neither carry traffic nor read the store are not heard here. Of
+    /// them, the same fraction is taken to be silent as of the others there.
+    pub fn split(&self, now: MonoTime, own: &DataCentreId) -> FleetSplit {
+        let mut silent = IndexSet::new();
+        // The nodes here and elsewhere, those that are heard and all that could be.
+        let (mut local, mut remote) = (HeardCount::default(), HeardCount::default());
+        for (vm, node) in &self.nodes {
+            if node
+                .heartbeat
+                .as_ref()
+                .is_some_and(NodeHeartbeat::is_leaving)
+            {
+                continue;
+            }
+            let is_local = node.data_centre() == Some(own);
+            if !is_local
+                && !node
+                    .heartbeat
+                    .as_ref()
+                    .is_some_and(NodeHeartbeat::is_heard_by_all)
+            {
+                continue;
+            }
+            let is_silent = node.is_silent(now);
+            if is_silent && node.heartbeat.is_some() {
+                silent.insert(vm.clone());
+            }
+            let count = if is_local { &mut local } else { &mut remote };
+            count.all += 1;
+            count.heard += usize::from(!is_silent);
+        }
+        let is_elsewhere = |centre: &&DataCentreId| *centre != own;
+        let elsewhere = self.roster.values().filter(is_elsewhere).count();
+        let unheard = elsewhere.saturating_sub(remote.all);
+        let fraction = if remote.all > 0 { remote } else { local }.fraction();
+        let heard = 1.0 + (local.heard + remote.heard) as f64 + unheard as f64 * fraction;
+        let all = 1 + local.all + remote.all + unheard;
+        FleetSplit {
+            silent,
+            heard_part: heard / all as f64,
+        }
+    }
+
     /// Returns the responsive nodes that carry traffic.
     pub fn carrying(&self, now: MonoTime) -> impl Iterator<Item = (&VmId, &KnownNode)> {
         self.responsive(now).filter(|(_, node)| {
--- a/lib/src/fleet_rate.rs
+++ b/lib/src/fleet_rate.rs
@@ -3,14 +3,16 @@
 //! For each customer, every node keeps a token bucket that stands for the whole fleet. Requests that
 //! the node admits and requests that peers report take tokens out of it. While the bucket is well
 //! filled, requests are admitted at once. Once it runs low, each node admits only its share of the
-//! rate, in proportion to the requests that it receives. An unresponsive peer may be partitioned and
-//! still serve callers, so for a while its requests are assumed to continue at the last rate. See
+//! rate, in proportion to the requests that it receives. A peer that falls silent may be partitioned and
+//! still serve callers: at first its requests are assumed to continue at the last rate, and once the
+//! partition is known, the limit is divided ([`crate::fleet_split`]). See
 //! [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
+use crate::fleet_split::{DemandRecord, FleetSplit, PartBucket};
 use crate::ids::{CustomerId, VmId};
 use crate::time::MonoTime;
 
@@ -140,6 +142,8 @@
     demand_per_s: f64,
     last_request_at: MonoTime,
     peers: IndexMap<VmId, PeerRate>,
+    /// What this part of the fleet may use; none while all nodes are heard.
+    part: Option<PartBucket>,
 }
 
 impl CustomerBucket {
@@ -158,14 +162,62 @@
             demand_per_s: 0.0,
             last_request_at: now,
             peers: IndexMap::new(),
+            part: None,
         }
     }
 
+    /// Returns the limit of this part of the fleet.
+    fn part_limit(&self) -> FleetLimit {
+        let share = self.part.as_ref().map_or(1.0, |part| part.share);
+        FleetLimit {
+            rate_per_s: self.limit.rate_per_s * share,
+            burst: self.limit.burst * share,
+        }
+    }
+
+    /// Returns the requests that are left for this part of the fleet; negative if overdrawn.
+    fn part_level(&self) -> f64 {
+        self.part.as_ref().map_or(self.level, |part| part.level)
+    }
+
+    fn part_level_mut(&mut self) -> &mut f64 {
+        match &mut self.part {
+            Some(part) => &mut part.level,
+            None => &mut self.level,
+        }
+    }
+
+    /// Divides the limit after other peers fell silent or were heard again.
+    fn divide(&mut self, now: MonoTime, peers: &PeerView<'_>) {
+        self.refill(now, peers);
+        if peers.split.is_whole() {
+            if let Some(part) = self.part.take() {
+                // What the other parts have left is not known.
+                self.level = part.level;
+            }
+            return;
+        }
+        if let Some(part) = &mut self.part {
+            part.adapt(peers.split);
+            return;
+        }
+        let reported = self.peers.iter().filter_map(|(vm, peer)| {
+            let last_seen = peers.last_seen(now, vm)?;
+            Some((vm.clone(), peer.demand(last_seen)))
+        });
+        let demand = DemandRecord {
+            own: self.demand(now),
+            peers: reported.collect(),
+        };
+        self.part = Some(PartBucket::new(peers.split, demand, self.level));
+    }
+
     /// Returns this node's share of the customer's requests; an unconfirmed peer counts like this node.
     fn own_share(&self, now: MonoTime, peers: &PeerView<'_>) -> f64 {
         let others: f64 = self
             .peers
             .iter()
+            .filter(|(vm, _)| !peers.split.silent.contains(*vm))
             .filter_map(|(vm, peer)| Some(peer.demand(peers.last_seen(now, vm)?)))
             .sum();
         let own = self.demand(now).max(0.01);
@@ -180,32 +232,41 @@
     fn refill(&mut self, now: MonoTime, peers: &PeerView<'_>) {
         let elapsed = now.since(self.refilled_at).as_secs_f64();
         self.refilled_at = now;
-        let gained = elapsed * self.limit.rate_per_s;
-        self.level = (self.level + gained).min(self.limit.burst.max(1.0));
+        let limit = self.part_limit();
+        let gained = elapsed * limit.rate_per_s;
+        let level = self.part_level_mut();
+        *level = (*level + gained).min(limit.burst.max(1.0));
         let share = self.own_share(now, peers);
-        let saved = MIN_SAVED_REQUESTS.max(self.limit.burst * share * SAVED_BURST_FRACTION);
+        let saved = MIN_SAVED_REQUESTS.max(limit.burst * share * SAVED_BURST_FRACTION);
         self.own_tokens = (self.own_tokens + gained * share).min(saved);
         self.charge_overdue_peers(now, peers);
     }
 
-    /// Charges the estimated requests of peers whose messages are overdue.
+    /// Charges the estimated requests of peers whose messages are overdue. Those of silent peers belong to
+    /// another part of the limit.
     fn charge_overdue_peers(&mut self, now: MonoTime, peers: &PeerView<'_>) {
         let overdue = Duration::from_millis(REPORT_OVERDUE_MS);
+        let mut charged_sum = 0.0;
         for (vm, peer) in &mut self.peers {
             let Some(last_seen) = peers.last_seen(now, vm) else {
                 continue;
             };
+            if peers.split.silent.contains(vm) {
+                continue;
+            }
             let from = peer.charged_until.max(last_seen + overdue);
             if from >= now {
                 continue;
             }
             let demand = peer.demand(last_seen).min(self.limit.rate_per_s);
             let charged = now.since(from).as_secs_f64() * demand;
-            self.level -= charged;
+            charged_sum += charged;
             peer.charged += charged;
             peer.charged_until = now;
         }
-        self.level = self.level.max(-self.limit.burst.max(self.limit.rate_per_s));
+        let lowest = -self.limit.burst.max(self.limit.rate_per_s);
+        let level = self.part_level_mut();
+        *level = (*level - charged_sum).max(lowest);
     }
 
     fn decide(&mut self, now: MonoTime, peers: &PeerView<'_>) -> LimitDecision {
@@ -215,29 +276,30 @@
         self.demand_per_s = self.demand_per_s * decay + 1.0 / DEMAND_WINDOW_S;
         self.last_request_at = now;
         self.refill(now, peers);
-        let filled = self.level >= 1.0 && self.level >= self.limit.burst * LOW_LEVEL_FRACTION;
+        let (limit, level) = (self.part_limit(), self.part_level());
+        let filled = level >= 1.0 && level >= limit.burst * LOW_LEVEL_FRACTION;
         if filled && peers.unconfirmed == 0 {
             self.record_admitted();
             return LimitDecision::Admit;
         }
-        if self.own_tokens >= 1.0 && self.level > -self.limit.burst * OVERDRAFT_FRACTION {
+        if self.own_tokens >= 1.0 && level > -limit.burst * OVERDRAFT_FRACTION {
             self.own_tokens -= 1.0;
             self.record_admitted();
             return LimitDecision::Admit;
         }
         let share = self.own_share(now, peers);
-        let own_rate = (self.limit.rate_per_s * share).max(0.1);
+        let own_rate = (limit.rate_per_s * share).max(0.1);
         let wait = (1.0 - self.own_tokens) / own_rate;
         LimitDecision::Refuse(LimitExceeded {
             wait: Duration::from_secs_f64(wait.clamp(0.01, 5.0)),
-            level: self.level,
+            level,
             share,
             unconfirmed_peers: peers.unconfirmed,
         })
     }
 
     fn record_admitted(&mut self) {
-        self.level -= 1.0;
+        *self.part_level_mut() -= 1.0;
         // The reported count never decreases, since peers take differences.
         match self.refunded.checked_sub(1) {
             Some(left) => self.refunded = left,
@@ -250,6 +312,7 @@
 #[derive(Clone, Copy, Debug)]
 struct PeerView<'a> {
     last_seen: &'a PeerLastSeen,
+    split: &'a FleetSplit,
     /// The expected peers from which no message was received yet.
     unconfirmed: usize,
 }
@@ -271,6 +334,7 @@
     expected_peers: usize,
     first_request_at: Option<MonoTime>,
     last_seen: PeerLastSeen,
+    split: FleetSplit,
     buckets: IndexMap<CustomerId, CustomerBucket>,
 }
 
@@ -283,6 +347,7 @@
             expected_peers: 0,
             first_request_at: None,
             last_seen: PeerLastSeen::new(),
+            split: FleetSplit::default(),
             buckets: IndexMap::new(),
         }
     }
@@ -292,6 +357,29 @@
         self.expected_peers = nodes;
     }
 
+    /// Sets which peers fell silent, and divides the limits if they are others than before; returns whether
+    /// they are.
+    pub fn set_split(&mut self, now: MonoTime, split: FleetSplit) -> bool {
+        if split.silent == self.split.silent {
+            return false;
+        }
+        self.split = split;
+        self.divide(now);
+        true
+    }
+
+    fn divide(&mut self, now: MonoTime) {
+        let unconfirmed = self.unconfirmed(now);
+        let view = PeerView {
+            last_seen: &self.last_seen,
+            split: &self.split,
+            unconfirmed,
+        };
+        for bucket in self.buckets.values_mut() {
+            bucket.divide(now, &view);
+        }
+    }
+
     /// Replaces the limits by those of a newer configuration.
     pub fn set_limits(
         &mut self,
@@ -314,16 +402,21 @@
                         now,
                         &PeerView {
                             last_seen,
+                            split: &self.split,
                             unconfirmed,
                         },
                     );
                     bucket.level = bucket.level.min(limit.burst);
                     bucket.limit = limit;
+                    let part_burst = bucket.part_limit().burst;
+                    let level = bucket.part_level_mut();
+                    *level = level.min(part_burst);
                     bucket
                 }
             };
             self.buckets.insert(id, bucket);
         }
+        self.divide(now);
     }
 
     /// Decides whether a request of a customer is admitted, and counts it.
@@ -336,6 +429,7 @@
                 now,
                 &PeerView {
                     last_seen,
+                    split: &self.split,
                     unconfirmed,
                 },
             ),
@@ -375,7 +469,7 @@
     /// Refunds an admitted request that was then refused for another reason.
     pub fn refund(&mut self, customer: &CustomerId) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
-            bucket.level += 1.0;
+            *bucket.part_level_mut() += 1.0;
             bucket.refunded += 1;
         }
     }
@@ -394,6 +488,7 @@
                     now,
                     &PeerView {
                         last_seen,
+                        split: &self.split,
                         unconfirmed,
                     },
                 );
@@ -419,6 +514,7 @@
             now,
             &PeerView {
                 last_seen,
+                split: &self.split,
                 unconfirmed,
             },
         );
@@ -436,12 +532,16 @@
                 .as_secs_f64()
                 .min(FIRST_REPORT_MAX_S);
             let since = age * report.demand_per_s;
-            bucket.level -= since.min(report.admitted as f64);
+            *bucket.part_level_mut() -= since.min(report.admitted as f64);
             return;
         };
+        if self.split.silent.contains(peer) {
+            // What it admitted meanwhile was in the part of others.
+            return;
+        }
         // A restarted peer counts from zero.
         let admitted = report.admitted.checked_sub(held.admitted);
-        bucket.level -= admitted.unwrap_or(report.admitted) as f64 - held.charged;
+        *bucket.part_level_mut() -= admitted.unwrap_or(report.admitted) as f64 - held.charged;
     }
 
     /// Returns the report and the number of requests of each customer that had any.
--- /dev/null
+++ b/lib/src/fleet_split.rs
@@ -0,0 +1,97 @@
+//! Divides a customer's limit among the parts of a fleet that cannot hear each other.
+//!
+//! Nodes that were heard regularly and are silent now may be partitioned from this one and go on serving
+//! callers. Until they are heard again, the nodes of each part keep to its part of the burst that was left
+//! and of the rate, so that all parts together stay within the limit whatever the customer does. See
+//! [docs/design/partitioned-limits.md](../../docs/design/partitioned-limits.md).
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::ids::VmId;
+
+/// The weight of the number of nodes in a part's share; the rest goes by the customer's requests before the
+/// partition. Callers may move to nodes that had none.
+const NODE_COUNT_WEIGHT: f64 = 0.5;
+/// The requests per second of a customer below which their distribution says nothing.
+const MIN_DEMAND_PER_S: f64 = 0.1;
+
+/// The nodes that this one cannot hear.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetSplit {
+    /// The nodes that were heard before.
+    pub silent: IndexSet<VmId>,
+    /// The fraction of all nodes that are in this node's part.
+    pub heard_part: f64,
+}
+
+impl Default for FleetSplit {
+    fn default() -> Self {
+        Self {
+            silent: IndexSet::new(),
+            heard_part: 1.0,
+        }
+    }
+}
+
+impl FleetSplit {
+    /// Returns whether all nodes are heard.
+    pub fn is_whole(&self) -> bool {
+        self.silent.is_empty()
+    }
+}
+
+/// A customer's requests per second at each node when a partition was noticed. Later ones would favour the
+/// part that sees them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct DemandRecord {
+    pub(crate) own: f64,
+    pub(crate) peers: IndexMap<VmId, f64>,
+}
+
+impl DemandRecord {
+    /// Returns the share of this node's part in the customer's limit.
+    fn share(&self, split: &FleetSplit) -> f64 {
+        let all: f64 = self.own + self.peers.values().sum::<f64>();
+        if all < MIN_DEMAND_PER_S {
+            return split.heard_part;
+        }
+        let silent = self
+            .peers
+            .iter()
+            .filter(|(vm, _)| split.silent.contains(*vm));
+        let silent: f64 = silent.map(|(_, demand)| demand).sum();
+        let by_demand = 1.0 - silent / all;
+        NODE_COUNT_WEIGHT * split.heard_part + (1.0 - NODE_COUNT_WEIGHT) * by_demand
+    }
+}
+
+/// What a part of the fleet may use of a customer's limit.
+#[derive(Debug)]
+pub(crate) struct PartBucket {
+    demand: DemandRecord,
+    /// The part's share of the limit, from 0 to 1.
+    pub(crate) share: f64,
+    /// The requests that are left for the part.
+    pub(crate) level: f64,
+}
+
+impl PartBucket {
+    /// Takes the part's share of what was left for the fleet.
+    pub(crate) fn new(split: &FleetSplit, demand: DemandRecord, fleet_level: f64) -> Self {
+        let share = demand.share(split);
+        Self {
+            demand,
+            share,
+            level: fleet_level * share,
+        }
+    }
+
+    /// Adapts the share to other silent nodes. What the nodes that are heard again have left is not known.
+    pub(crate) fn adapt(&mut self, split: &FleetSplit) {
+        let share = self.demand.share(split);
+        if share < self.share {
+            self.level *= share / self.share;
+        }
+        self.share = share;
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -65,6 +65,7 @@
 mod fair_schedule;
 pub mod flap_history;
 pub mod fleet_rate;
+pub mod fleet_split;
 pub mod freshness;
 pub mod generated;
 mod gossip_queue;
--- a/lib/tests/test_entry_nodes.rs
+++ b/lib/tests/test_entry_nodes.rs
@@ -19,6 +19,7 @@
 use damaskloom_lib::time::MonoTime;
 use damaskloom_lib::traffic_meter::TrafficMeter;
 use damaskloom_lib::weighted_split::WeightedSplit;
+use indexmap::IndexSet;
 
 fn at(ms: u64) -> MonoTime {
     MonoTime::from_millis(1_000 + ms)
@@ -361,3 +362,42 @@
     let steps: Vec<u32> = (0..15).map(rollout_step).collect();
     assert_eq!(steps, [0, 1, 1, 2, 2, 2, 2, 3, 3, 3, 3, 3, 3, 3, 3]);
 }
+
+/// Guards against nodes that count as partitioned since they have left, or since they send nothing to other
+/// data centres, and against a partition that is not noticed.
+#[test]
+fn only_nodes_that_were_heard_regularly_are_silent() {
+    let mut members = EntryMembers::default();
+    let away = |carrying| NodeHeartbeat {
+        data_centre: data_centre("away"),
+        carrying,
+        ..heartbeat(EntryPhase::Serving, false)
+    };
+    let idle = NodeHeartbeat {
+        carrying: false,
+        ..heartbeat(EntryPhase::Serving, false)
+    };
+    let heartbeats = [
+        heartbeat(EntryPhase::Serving, false),
+        heartbeat(EntryPhase::Leaving, false),
+        idle,
+        away(true),
+        away(false),
+    ];
+    for (index, heartbeat) in heartbeats.into_iter().enumerate() {
+        let ip = address(1).ip();
+        let sequence = (MessageStream::Heartbeats, 1);
+        assert!(members.accept_message(at(0), &vm(index), 5, sequence, ip));
+        members.record_heartbeat(&vm(index), heartbeat);
+    }
+    let own = data_centre("even");
+    let split = members.split(at(1_000), &own);
+    assert!(split.is_whole() && split.heard_part == 1.0, "{split:?}");
+    // Those that carried traffic are silent; the idle one may have sent less.
+    let split = members.split(at(1_500), &own);
+    assert_eq!(split.silent, IndexSet::from([vm(0), vm(3)]));
+    // This node and the idle one of its data centre are heard. Of the other data centre nobody is.
+    assert_eq!(split.heard_part, 2.0 / 5.0);
+    let split = members.split(at(3_000), &own);
+    assert_eq!(split.silent, IndexSet::from([vm(0), vm(2), vm(3)]));
+}
--- a/lib/tests/test_fleet_rates.rs
+++ b/lib/tests/test_fleet_rates.rs
@@ -9,8 +9,10 @@
 use damaskloom_lib::fleet_rate::{
     FleetLimit, FleetRates, LimitDecision, RateTolerance, ReportFilter,
 };
+use damaskloom_lib::fleet_split::FleetSplit;
 use damaskloom_lib::ids::{CustomerId, VmId};
 use damaskloom_lib::time::MonoTime;
+use indexmap::IndexSet;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -32,6 +34,9 @@
 const EXCESS: f64 = 0.1;
 const SLACK: f64 = 20.0;
 
+/// The time without a message after which a node counts as silent, in milliseconds.
+const SILENCE_MS: u64 = 1_250;
+
 /// The share of messages that relays lose, usually and while a third of them is dead.
 const RELAY_LOSS: f64 = 0.04;
 const DEAD_RELAYS: f64 = 0.36;
@@ -46,6 +51,8 @@
     restart: Option<(u64, u64)>,
     /// The start and the end of the period in which no report arrives.
     partition: Option<(u64, u64)>,
+    /// The parts of the fleet that cannot hear each other.
+    split: Option<SplitPlan>,
     /// The period in which a third of the relays between data centres is dead; with this, messages to
     /// relays get lost at other times as well, each one to a whole data centre.
     dead_relays: Option<(u64, u64)>,
@@ -54,6 +61,24 @@
     length_ms: u64,
 }
 
+/// A partition that nodes notice by the silence of the others.
+#[derive(Clone, Copy, Debug)]
+struct SplitPlan {
+    from: u64,
+    to: u64,
+    /// The nodes that are partitioned from all others; the rest hear each other.
+    islands: usize,
+    /// The node before which there are no requests.
+    first_with_traffic: usize,
+}
+
+impl SplitPlan {
+    /// Returns whether a message arrives.
+    fn connects(&self, ms: u64, sender: usize, receiver: usize) -> bool {
+        !(self.from..self.to).contains(&ms) || sender.min(receiver) >= self.islands
+    }
+}
+
 #[derive(Debug)]
 struct Outcome {
     /// The time of each admitted request.
@@ -84,6 +109,19 @@
     /// The time of the node's first request, in milliseconds. It carries traffic some time after that,
     /// since other customers send requests too; before, it reports often only while the fleet starts up.
     first_request_ms: Option<u64>,
+    /// When the node last heard of each other one.
+    heard_ms: Vec<u64>,
+}
+
+impl TestNode {
+    /// Returns which nodes are silent, as members of a real fleet notice it.
+    fn fleet_split(&self, ms: u64, own: usize) -> FleetSplit {
+        let nodes = self.heard_ms.len();
+        let is_silent = |node: &usize| *node != own && ms > self.heard_ms[*node] + SILENCE_MS;
+        let silent: IndexSet<VmId> = (0..nodes).filter(is_silent).map(vm).collect();
+        let heard_part = 1.0 - silent.len() as f64 / nodes as f64;
+        FleetSplit { silent, heard_part }
+    }
 }
 
 fn vm(index: usize) -> VmId {
@@ -107,6 +145,7 @@
             local: ReportFilter::default(),
             remote: ReportFilter::repeating(),
             first_request_ms: None,
+            heard_ms: vec![2_000; plan.nodes],
         }
     };
     let at = |ms: u64| MonoTime::from_millis(10_000 + ms);
@@ -131,7 +170,8 @@
         let mut expected = current_demand.map_or(0.0, |(_, per_s)| per_s / 1_000.0);
         while expected > 0.0 {
             if random.random_bool(expected.min(1.0)) {
-                let node = random.random_range(0..plan.nodes);
+                let first = plan.split.map_or(0, |split| split.first_with_traffic);
+                let node = random.random_range(first..plan.nodes);
                 nodes[node].first_request_ms.get_or_insert(ms);
                 match nodes[node].rates.decide(now, &customer) {
                     LimitDecision::Admit => outcome.admitted.push(ms),
@@ -140,6 +180,12 @@
             }
             expected -= 1.0;
         }
+        if plan.split.is_some() && ms.is_multiple_of(LOCAL_REPORT_MS) {
+            for (index, node) in nodes.iter_mut().enumerate() {
+                let split = node.fleet_split(ms, index);
+                node.rates.set_split(now, split);
+            }
+        }
         let is_partitioned = plan
             .partition
             .is_some_and(|(from, to)| (from..to).contains(&ms));
@@ -178,9 +224,15 @@
                 let receivers = (0..plan.nodes).filter(|receiver| {
                     let centre = receiver % DATA_CENTRES;
                     let local = centre == sender % DATA_CENTRES;
-                    *receiver != sender && local == is_local && !is_partitioned && !is_lost[centre]
+                    let connects = |split: SplitPlan| split.connects(ms, sender, *receiver);
+                    *receiver != sender
+                        && local == is_local
+                        && !is_partitioned
+                        && !is_lost[centre]
+                        && plan.split.is_none_or(connects)
                 });
                 for receiver in receivers {
+                    nodes[receiver].heard_ms[sender] = ms;
                     let rates = &mut nodes[receiver].rates;
                     rates.record_message(now, &vm(sender));
                     for (customer, report) in &reports {
@@ -288,6 +340,60 @@
     });
 }
 
+/// Guards against the parts of a partitioned fleet that each admit the whole burst and the free part of the rate
+/// of a customer that becomes busy after the partition.
+#[test]
+fn keeps_the_limit_of_a_customer_that_becomes_busy_during_a_partition() {
+    for islands in [1, 4, 10] {
+        check(|limit| FleetPlan {
+            nodes: 12,
+            demand: [
+                (0, limit.rate_per_s * 0.3),
+                (9_000, limit.rate_per_s * 2.3),
+                (60_000, 0.0),
+            ],
+            split: Some(SplitPlan {
+                from: 5_000,
+                to: 18_000,
+                islands,
+                first_with_traffic: 0,
+            }),
+            length_ms: 24_000,
+            ..FleetPlan::default()
+        });
+    }
+}
+
+/// Guards against refusals within the rate in the only part of a partitioned fleet that has traffic, and after
+/// the partition.
+#[test]
+fn admits_nearly_all_of_a_typical_customer_whose_nodes_hear_each_other() {
+    for limit in &LIMITS[..2] {
+        for seed in 0..4 {
+            let plan = FleetPlan {
+                nodes: 12,
+                demand: [(0, limit.rate_per_s * 0.6); 3],
+                split: Some(SplitPlan {
+                    from: 6_000,
+                    to: 18_000,
+                    islands: 6,
+                    first_with_traffic: 6,
+                }),
+                length_ms: 24_000,
+                ..FleetPlan::default()
+            };
+            let outcome = run(plan, *limit, seed);
+            let refused = outcome.refused.iter().filter(|at| **at > 4_000).count();
+            let requests = outcome.admitted.len() + refused;
+            assert!(
+                refused * 50 <= requests,
+                "seed {seed}: {refused} of {requests} refused, {limit:?}, at {:?}",
+                outcome.refused
+            );
+        }
+    }
+}
+
 /// Guards against refusals within the rate while restarted nodes do not know each other's requests
 /// yet.
 #[test]
