fleet rates: nodes that fell silent count as partitioned for ten minutes, and a part uses 0.9 of its share

A node was forgotten 30 s after its last message, and each side of a longer partition then used the whole limit. Nodes that fell silent without a planned stop are now kept for ten minutes apart from the members. If they have ended, their part of the limits is unused for so long.

--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -126,7 +126,7 @@
     pub fn update_split(&self) {
         let now = self.clock.now();
         let own = self.settings().data_centre.clone();
-        let split = self.members.borrow().split(now, &own);
+        let split = self.members.borrow_mut().update_split(now, &own).clone();
         let mut rates = self.rates.borrow_mut();
         if rates.set_split(now, split.clone()) {
             let (silent, heard_part) = (split.silent.len(), split.heard_part);
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -27,6 +27,10 @@
 /// The time without a message after which a node is removed, in milliseconds.
 const REMOVAL_TIMEOUT_MS: u64 = 30_000;
 
+/// How long a removed node may still be partitioned and serve callers, in milliseconds. Its part of what the
+/// fleet divides is unused for that time if the node has ended.
+const MAX_PARTITION_MS: u64 = 600_000;
+
 /// Whether a node serves callers, and if not, why.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -182,6 +186,9 @@
     /// The data centres of all nodes that have joined and not left, also of those that are not heard since
     /// they send heartbeats to their data centre only.
     roster: IndexMap<VmId, DataCentreId>,
+    /// The nodes that were removed since they fell silent without a planned stop, and when.
+    lost: IndexMap<VmId, MonoTime>,
+    split: FleetSplit,
 }
 
 /// How many nodes are heard of those that could be.
@@ -264,6 +271,7 @@
     }
 
     fn insert_newer(&mut self, now: MonoTime, vm: VmId, started_at_ms: u64, ip: IpAddr) {
+        self.lost.swap_remove(&vm);
         let known = KnownNode {
             started_at_ms,
             ip,
@@ -379,8 +387,16 @@
     /// unresponsive and carry traffic or read the store. Other nodes need not reach every node.
     pub fn tick(&mut self, now: MonoTime) -> Vec<VmId> {
         let timeout = Duration::from_millis(REMOVAL_TIMEOUT_MS);
-        self.nodes
-            .retain(|_, node| now.since(node.last_seen) < timeout);
+        let is_due = |node: &KnownNode| now.since(node.last_seen) >= timeout;
+        for (vm, _) in self.nodes.iter().filter(|(_, node)| is_due(node)) {
+            if self.split.silent.contains(vm) {
+                self.lost.insert(vm.clone(), now);
+            }
+        }
+        self.nodes.retain(|_, node| !is_due(node));
+        let max_partition = Duration::from_millis(MAX_PARTITION_MS);
+        self.lost
+            .retain(|_, lost_at| now.since(*lost_at) < max_partition);
         let mut newly_unresponsive = Vec::new();
         for (vm, node) in &mut self.nodes {
             let is_unresponsive = !node.is_responsive(now);
@@ -512,14 +528,19 @@
         nodes.map(|(vm, _)| vm)
     }
 
-    /// Returns which nodes fell silent that were heard here regularly, given this node's data centre.
+    /// Updates which nodes fell silent that were heard here regularly, given this node's data centre.
     ///
     /// Nodes of other data centres that neither carry traffic nor read the store are not heard here. Of
     /// them, the same fraction is taken to be silent as of the others there.
-    pub fn split(&self, now: MonoTime, own: &DataCentreId) -> FleetSplit {
-        let mut silent = IndexSet::new();
+    pub fn update_split(&mut self, now: MonoTime, own: &DataCentreId) -> &FleetSplit {
+        let mut silent: IndexSet<VmId> = self.lost.keys().cloned().collect();
         // The nodes here and elsewhere, those that are heard and all that could be.
         let (mut local, mut remote) = (HeardCount::default(), HeardCount::default());
+        for vm in &silent {
+            let is_local = self.roster.get(vm) == Some(own);
+            let count = if is_local { &mut local } else { &mut remote };
+            count.all += 1;
+        }
         for (vm, node) in &self.nodes {
             if node
                 .heartbeat
@@ -551,10 +572,11 @@
         let fraction = if remote.all > 0 { remote } else { local }.fraction();
         let heard = 1.0 + (local.heard + remote.heard) as f64 + unheard as f64 * fraction;
         let all = 1 + local.all + remote.all + unheard;
-        FleetSplit {
+        self.split = FleetSplit {
             silent,
             heard_part: heard / all as f64,
-        }
+        };
+        &self.split
     }
 
     /// Returns the responsive nodes that carry traffic.
--- a/lib/src/fleet_split.rs
+++ b/lib/src/fleet_split.rs
@@ -12,6 +12,9 @@
 /// The weight of the number of nodes in a part's share; the rest goes by the customer's requests before the
 /// partition. Callers may move to nodes that had none.
 const NODE_COUNT_WEIGHT: f64 = 0.5;
+/// The fraction of its share that a part uses. The nodes of a part estimate the share by the nodes that each of them
+/// could hear before, so that the estimates of all parts may add up to more than one.
+const USED_FRACTION: f64 = 0.9;
 /// The requests per second of a customer below which their distribution says nothing.
 const MIN_DEMAND_PER_S: f64 = 0.1;
 
@@ -49,8 +52,12 @@
 }
 
 impl DemandRecord {
-    /// Returns the share of this node's part in the customer's limit.
+    /// Returns the share that this node's part uses of the customer's limit.
     fn share(&self, split: &FleetSplit) -> f64 {
+        USED_FRACTION * self.estimate(split)
+    }
+
+    fn estimate(&self, split: &FleetSplit) -> f64 {
         let all: f64 = self.own + self.peers.values().sum::<f64>();
         if all < MIN_DEMAND_PER_S {
             return split.heard_part;
