--- a/entry/src/table_copy.rs
+++ b/entry/src/table_copy.rs
@@ -106,6 +106,7 @@
         let version = self.mirror.borrow().version();
         self.ended_lag.set(self.lag(now));
         self.lag.borrow_mut().record_reached(version);
+        self.age.borrow_mut().record_reached(version);
     }
 
     /// Returns for how long peers have had rows that are missing here; none if the copy has all
--- a/lib/src/copy_age.rs
+++ b/lib/src/copy_age.rs
@@ -41,6 +41,8 @@
     read_at: Option<MonoTime>,
     /// The latest time at which the copy had all changes, by own readings and those of peers.
     current_at: Option<MonoTime>,
+    /// The newest reading of rows that the copy lacks, and its time.
+    missed: Option<(StoreVersion, MonoTime)>,
 }
 
 impl CopyAge {
@@ -51,10 +53,19 @@
     }
 
     /// Records what a peer says of its reading, given the version of this node's copy. A copy that lacks a
-    /// change was not current then.
+    /// change is current as of that reading once it has the change.
     pub fn record_reading(&mut self, now: MonoTime, version: StoreVersion, reading: TableReading) {
+        let read_at = now - Duration::from_millis(reading.age_ms.into());
         if reading.version <= version {
-            let read_at = now - Duration::from_millis(reading.age_ms.into());
+            self.current_at = self.current_at.max(Some(read_at));
+        } else {
+            self.missed = self.missed.max(Some((reading.version, read_at)));
+        }
+    }
+
+    /// Records that the copy has all changes up to a version.
+    pub fn record_reached(&mut self, version: StoreVersion) {
+        if let Some((_, read_at)) = self.missed.take_if(|(missed, _)| *missed <= version) {
             self.current_at = self.current_at.max(Some(read_at));
         }
     }
--- a/lib/tests/test_copy_age.rs
+++ b/lib/tests/test_copy_age.rs
@@ -144,6 +144,7 @@
         age_ms: 0,
     };
     copy.record_reading(at(1_000), version(), newer);
+    copy.record_reached(version());
     assert_eq!(copy.age(at(1_000)), Some(Duration::from_secs(1)));
     for (now_ms, age_ms) in [(1_000, 500), (1_400, 900)] {
         let reading = TableReading {
@@ -153,6 +154,9 @@
         copy.record_reading(at(now_ms), version(), reading);
     }
     assert_eq!(copy.age(at(1_400)), Some(Duration::from_millis(900)));
+    // The rows that the first reading showed have arrived.
+    copy.record_reached(newer.version);
+    assert_eq!(copy.age(at(1_400)), Some(Duration::from_millis(400)));
     // What peers have read is not told as this node's own reading.
     let told = copy.reading(at(1_400), version());
     assert_eq!(told.map(|reading| reading.age_ms), Some(1_400));
