fleet rates: a part leaves unused what its estimate may be wrong by; idle customers are divided with their next request

A tenth of every limit was unused as soon as one node of the fleet was silent, also if it had ended. What a part leaves now goes by what it does not hear: 0.25 of that. Buckets of idle customers take no memory and no time for a partition.

--- a/lib/src/fleet_rate.rs
+++ b/lib/src/fleet_rate.rs
@@ -30,6 +30,8 @@
 /// How long after the first request a node assumes that expected peers without a report exist, in
 /// milliseconds: after a restart of all nodes, their first reports are still on their way.
 const STARTUP_PERIOD_MS: u64 = 2_000;
+/// The requests per second at a node below which a customer is taken for idle there when a partition is noticed.
+const MIN_RECORDED_DEMAND_PER_S: f64 = 0.01;
 /// The overdraft as a fraction of the burst up to which nodes still admit their shares.
 const OVERDRAFT_FRACTION: f64 = 0.25;
 /// The maximum time before a peer's first report for which its requests are charged, in seconds.
@@ -143,7 +145,7 @@
     last_request_at: MonoTime,
     peers: IndexMap<VmId, PeerRate>,
     /// What this part of the fleet may use; none while all nodes are heard.
-    part: Option<PartBucket>,
+    part: Option<Box<PartBucket>>,
 }
 
 impl CustomerBucket {
@@ -187,8 +189,9 @@
         }
     }
 
-    /// Divides the limit after other peers fell silent or were heard again.
-    fn divide(&mut self, now: MonoTime, peers: &PeerView<'_>) {
+    /// Divides the limit after other peers fell silent or were heard again; `was_whole` says whether all were heard
+    /// before.
+    fn divide(&mut self, now: MonoTime, peers: &PeerView<'_>, was_whole: bool) {
         self.refill(now, peers);
         if peers.split.is_whole() {
             if let Some(part) = self.part.take() {
@@ -201,15 +204,27 @@
             part.adapt(peers.split);
             return;
         }
+        if !was_whole {
+            return;
+        }
         let reported = self.peers.iter().filter_map(|(vm, peer)| {
-            let last_seen = peers.last_seen(now, vm)?;
-            Some((vm.clone(), peer.demand(last_seen)))
+            let demand = peer.demand(peers.last_seen(now, vm)?);
+            (demand > MIN_RECORDED_DEMAND_PER_S).then(|| (vm.clone(), demand))
         });
         let demand = DemandRecord {
             own: self.demand(now),
             peers: reported.collect(),
         };
-        self.part = Some(PartBucket::new(peers.split, demand, self.level));
+        // Most customers are idle; they get their part with the next request, and demand that begins until then
+        // says nothing.
+        if demand.own > MIN_RECORDED_DEMAND_PER_S || !demand.peers.is_empty() {
+            self.take_part(peers.split, demand);
+        }
+    }
+
+    fn take_part(&mut self, split: &FleetSplit, demand: DemandRecord) {
+        let part = PartBucket::new(split, demand, self.level);
+        self.part = Some(Box::new(part));
     }
 
     /// Returns this node's share of the customer's requests; an unconfirmed peer counts like this node.
@@ -276,6 +291,9 @@
         self.demand_per_s = self.demand_per_s * decay + 1.0 / DEMAND_WINDOW_S;
         self.last_request_at = now;
         self.refill(now, peers);
+        if self.part.is_none() && !peers.split.is_whole() {
+            self.take_part(peers.split, DemandRecord::default());
+        }
         let (limit, level) = (self.part_limit(), self.part_level());
         let filled = level >= 1.0 && level >= limit.burst * LOW_LEVEL_FRACTION;
         if filled && peers.unconfirmed == 0 {
@@ -363,12 +381,8 @@
         if split.silent == self.split.silent {
             return false;
         }
+        let was_whole = self.split.is_whole();
         self.split = split;
-        self.divide(now);
-        true
-    }
-
-    fn divide(&mut self, now: MonoTime) {
         let unconfirmed = self.unconfirmed(now);
         let view = PeerView {
             last_seen: &self.last_seen,
@@ -376,8 +390,9 @@
             unconfirmed,
         };
         for bucket in self.buckets.values_mut() {
-            bucket.divide(now, &view);
+            bucket.divide(now, &view, was_whole);
         }
+        true
     }
 
     /// Replaces the limits by those of a newer configuration.
@@ -416,7 +431,6 @@
             };
             self.buckets.insert(id, bucket);
         }
-        self.divide(now);
     }
 
     /// Decides whether a request of a customer is admitted, and counts it.
--- a/lib/src/fleet_split.rs
+++ b/lib/src/fleet_split.rs
@@ -12,9 +12,10 @@
 /// The weight of the number of nodes in a part's share; the rest goes by the customer's requests before the
 /// partition. Callers may move to nodes that had none.
 const NODE_COUNT_WEIGHT: f64 = 0.5;
-/// The fraction of its share that a part uses. The nodes of a part estimate the share by the nodes that each of them
-/// could hear before, so that the estimates of all parts may add up to more than one.
-const USED_FRACTION: f64 = 0.9;
+/// The fraction of its share that a part leaves unused if nearly all nodes are silent; less in proportion if fewer
+/// are. The nodes of a part estimate the share by the nodes that each of them could hear before, so that
+/// the estimates of all parts may add up to more than one.
+const MAX_UNUSED_FRACTION: f64 = 0.25;
 /// The requests per second of a customer below which their distribution says nothing.
 const MIN_DEMAND_PER_S: f64 = 0.1;
 
@@ -54,7 +55,8 @@
 impl DemandRecord {
     /// Returns the share that this node's part uses of the customer's limit.
     fn share(&self, split: &FleetSplit) -> f64 {
-        USED_FRACTION * self.estimate(split)
+        let estimate = self.estimate(split);
+        estimate * (1.0 - MAX_UNUSED_FRACTION * (1.0 - estimate))
     }
 
     fn estimate(&self, split: &FleetSplit) -> f64 {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,8 +4,8 @@
 //! actions. No module opens a socket, reads a clock, spawns a task or uses a global random source, so
 //! that each can be embedded and tested in virtual time. The daemons in the sibling crates do the I/O.
 //!
-//! - Entry nodes: `target_catalog`, `target_balancer`, `balanced_target`, `target_limits`, `target_warmups`, `sender_roster`, `target_notices`, `evacuation`, `service_room`, `admission_policy`, `failure_filter`, `fleet_rate`,
-//!   `routing`, `entry_members`, `entry_nodes`, `table_mirror`, `store_health`.
+//! - Entry nodes: `target_catalog`, `target_balancer`, `balanced_target`, `target_limits`, `target_warmups`, `sender_roster`, `target_notices`, `evacuation`, `service_room`, `admission_policy`, `failure_filter`, `fleet_rate`, `fleet_split`,
+//!   `routing`, `entry_members`, `entry_nodes`, `table_mirror`, `copy_age`, `store_health`.
 //! - Configuration: `config`, `routing_check`, `routing_diff`, `key_table`, `plan`, `confirm`, `distribution`, `freshness`.
 //! - Members and shares: `membership`, `directory`, `epoch`, `budget`, `escrow`.
 //! - Limits and queues: `rate_limiter`, `slot_pool`, `fair_queue`, `retry_budget`.
