--- a/entry/src/fleet_roles.rs
+++ b/entry/src/fleet_roles.rs
@@ -123,13 +123,17 @@
     }
 
     /// Divides the limits of customers while nodes are silent that may go on serving callers.
-    pub fn update_split(&self) {
+    pub fn update_partition(&self) {
         let now = self.clock.now();
         let own = self.settings().data_centre.clone();
-        let split = self.members.borrow_mut().update_split(now, &own).clone();
+        let partition = self
+            .members
+            .borrow_mut()
+            .update_partition(now, &own)
+            .clone();
         let mut rates = self.rates.borrow_mut();
-        if rates.set_split(now, split.clone()) {
-            let (silent, heard_part) = (split.silent.len(), split.heard_part);
+        if rates.set_partition(now, partition.clone()) {
+            let (silent, heard_part) = (partition.silent.len(), partition.heard_part);
             tracing::info!(
                 silent,
                 heard_part,
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -188,7 +188,7 @@
         let mut remote_sent_at = Instant::now();
         let mut losses_sent_at = Instant::now();
         loop {
-            state.update_split();
+            state.update_partition();
             if losses_sent_at.elapsed() >= LOSSES_INTERVAL {
                 losses_sent_at = Instant::now();
                 self.send_losses(state);
--- a/lib/src/entry_members.rs
+++ b/lib/src/entry_members.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::entry_nodes::EntryNode;
-use crate::fleet_split::FleetSplit;
+use crate::fleet_partition::FleetPartition;
 use crate::ids::{DataCentreId, VmId};
 use crate::store_version::StoreVersion;
 use crate::time::MonoTime;
@@ -188,7 +188,7 @@
     roster: IndexMap<VmId, DataCentreId>,
     /// The nodes that were removed since they fell silent without a planned stop, and when.
     lost: IndexMap<VmId, MonoTime>,
-    split: FleetSplit,
+    partition: FleetPartition,
 }
 
 /// How many nodes are heard of those that could be.
@@ -389,7 +389,7 @@
         let timeout = Duration::from_millis(REMOVAL_TIMEOUT_MS);
         let is_due = |node: &KnownNode| now.since(node.last_seen) >= timeout;
         for (vm, _) in self.nodes.iter().filter(|(_, node)| is_due(node)) {
-            if self.split.silent.contains(vm) {
+            if self.partition.silent.contains(vm) {
                 self.lost.insert(vm.clone(), now);
             }
         }
@@ -532,7 +532,7 @@
     ///
     /// Nodes of other data centres that neither carry traffic nor read the store are not heard here. Of
     /// them, the same fraction is taken to be silent as of the others there.
-    pub fn update_split(&mut self, now: MonoTime, own: &DataCentreId) -> &FleetSplit {
+    pub fn update_partition(&mut self, now: MonoTime, own: &DataCentreId) -> &FleetPartition {
         let mut silent: IndexSet<VmId> = self.lost.keys().cloned().collect();
         // The nodes here and elsewhere, those that are heard and all that could be.
         let (mut local, mut remote) = (HeardCount::default(), HeardCount::default());
@@ -542,24 +542,15 @@
             count.all += 1;
         }
         for (vm, node) in &self.nodes {
-            if node
-                .heartbeat
-                .as_ref()
-                .is_some_and(NodeHeartbeat::is_leaving)
-            {
-                continue;
-            }
+            let heartbeat = node.heartbeat.as_ref();
             let is_local = node.data_centre() == Some(own);
-            if !is_local
-                && !node
-                    .heartbeat
-                    .as_ref()
-                    .is_some_and(NodeHeartbeat::is_heard_by_all)
-            {
+            let is_leaving = heartbeat.is_some_and(NodeHeartbeat::is_leaving);
+            let is_heard = is_local || heartbeat.is_some_and(NodeHeartbeat::is_heard_by_all);
+            if is_leaving || !is_heard {
                 continue;
             }
             let is_silent = node.is_silent(now);
-            if is_silent && node.heartbeat.is_some() {
+            if is_silent && heartbeat.is_some() {
                 silent.insert(vm.clone());
             }
             let count = if is_local { &mut local } else { &mut remote };
@@ -572,11 +563,11 @@
         let fraction = if remote.all > 0 { remote } else { local }.fraction();
         let heard = 1.0 + (local.heard + remote.heard) as f64 + unheard as f64 * fraction;
         let all = 1 + local.all + remote.all + unheard;
-        self.split = FleetSplit {
+        self.partition = FleetPartition {
             silent,
             heard_part: heard / all as f64,
         };
-        &self.split
+        &self.partition
     }
 
     /// Returns the responsive nodes that carry traffic.
--- a/lib/src/fleet_split.rs
+++ b/lib/src/fleet_partition.rs
@@ -21,14 +21,14 @@
 
 /// The nodes that this one cannot hear.
 #[derive(Clone, Debug, PartialEq)]
-pub struct FleetSplit {
+pub struct FleetPartition {
     /// The nodes that were heard before.
     pub silent: IndexSet<VmId>,
     /// The fraction of all nodes that are in this node's part.
     pub heard_part: f64,
 }
 
-impl Default for FleetSplit {
+impl Default for FleetPartition {
     fn default() -> Self {
         Self {
             silent: IndexSet::new(),
@@ -37,7 +37,7 @@
     }
 }
 
-impl FleetSplit {
+impl FleetPartition {
     /// Returns whether all nodes are heard.
     pub fn is_whole(&self) -> bool {
         self.silent.is_empty()
@@ -54,23 +54,23 @@
 
 impl DemandRecord {
     /// Returns the share that this node's part uses of the customer's limit.
-    fn share(&self, split: &FleetSplit) -> f64 {
-        let estimate = self.estimate(split);
+    fn share(&self, partition: &FleetPartition) -> f64 {
+        let estimate = self.estimate(partition);
         estimate * (1.0 - MAX_UNUSED_FRACTION * (1.0 - estimate))
     }
 
-    fn estimate(&self, split: &FleetSplit) -> f64 {
+    fn estimate(&self, partition: &FleetPartition) -> f64 {
         let all: f64 = self.own + self.peers.values().sum::<f64>();
         if all < MIN_DEMAND_PER_S {
-            return split.heard_part;
+            return partition.heard_part;
         }
         let silent = self
             .peers
             .iter()
-            .filter(|(vm, _)| split.silent.contains(*vm));
+            .filter(|(vm, _)| partition.silent.contains(*vm));
         let silent: f64 = silent.map(|(_, demand)| demand).sum();
         let by_demand = 1.0 - silent / all;
-        NODE_COUNT_WEIGHT * split.heard_part + (1.0 - NODE_COUNT_WEIGHT) * by_demand
+        NODE_COUNT_WEIGHT * partition.heard_part + (1.0 - NODE_COUNT_WEIGHT) * by_demand
     }
 }
 
@@ -86,8 +86,8 @@
 
 impl PartBucket {
     /// Takes the part's share of what was left for the fleet.
-    pub(crate) fn new(split: &FleetSplit, demand: DemandRecord, fleet_level: f64) -> Self {
-        let share = demand.share(split);
+    pub(crate) fn new(partition: &FleetPartition, demand: DemandRecord, fleet_level: f64) -> Self {
+        let share = demand.share(partition);
         Self {
             demand,
             share,
@@ -96,8 +96,8 @@
     }
 
     /// Adapts the share to other silent nodes. What the nodes that are heard again have left is not known.
-    pub(crate) fn adapt(&mut self, split: &FleetSplit) {
-        let share = self.demand.share(split);
+    pub(crate) fn adapt(&mut self, partition: &FleetPartition) {
+        let share = self.demand.share(partition);
         if share < self.share {
             self.level *= share / self.share;
         }
--- a/lib/src/fleet_rate.rs
+++ b/lib/src/fleet_rate.rs
@@ -5,14 +5,14 @@
 //! filled, requests are admitted at once. Once it runs low, each node admits only its share of the
 //! rate, in proportion to the requests that it receives. A peer that falls silent may be partitioned and
 //! still serve callers: at first its requests are assumed to continue at the last rate, and once the
-//! partition is known, the limit is divided ([`crate::fleet_split`]). See
+//! partition is known, the limit is divided ([`crate::fleet_partition`]). See
 //! [docs/design/platform-adapter.md](../../docs/design/platform-adapter.md).
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
-use crate::fleet_split::{DemandRecord, FleetSplit, PartBucket};
+use crate::fleet_partition::{DemandRecord, FleetPartition, PartBucket};
 use crate::ids::{CustomerId, VmId};
 use crate::time::MonoTime;
 
@@ -193,7 +193,7 @@
     /// before.
     fn divide(&mut self, now: MonoTime, peers: &PeerView<'_>, was_whole: bool) {
         self.refill(now, peers);
-        if peers.split.is_whole() {
+        if peers.partition.is_whole() {
             if let Some(part) = self.part.take() {
                 // What the other parts have left is not known.
                 self.level = part.level;
@@ -201,7 +201,7 @@
             return;
         }
         if let Some(part) = &mut self.part {
-            part.adapt(peers.split);
+            part.adapt(peers.partition);
             return;
         }
         if !was_whole {
@@ -218,12 +218,12 @@
         // Most customers are idle; they get their part with the next request, and demand that begins until then
         // says nothing.
         if demand.own > MIN_RECORDED_DEMAND_PER_S || !demand.peers.is_empty() {
-            self.take_part(peers.split, demand);
+            self.take_part(peers.partition, demand);
         }
     }
 
-    fn take_part(&mut self, split: &FleetSplit, demand: DemandRecord) {
-        let part = PartBucket::new(split, demand, self.level);
+    fn take_part(&mut self, partition: &FleetPartition, demand: DemandRecord) {
+        let part = PartBucket::new(partition, demand, self.level);
         self.part = Some(Box::new(part));
     }
 
@@ -232,7 +232,7 @@
         let others: f64 = self
             .peers
             .iter()
-            .filter(|(vm, _)| !peers.split.silent.contains(*vm))
+            .filter(|(vm, _)| !peers.partition.silent.contains(*vm))
             .filter_map(|(vm, peer)| Some(peer.demand(peers.last_seen(now, vm)?)))
             .sum();
         let own = self.demand(now).max(0.01);
@@ -266,7 +266,7 @@
             let Some(last_seen) = peers.last_seen(now, vm) else {
                 continue;
             };
-            if peers.split.silent.contains(vm) {
+            if peers.partition.silent.contains(vm) {
                 continue;
             }
             let from = peer.charged_until.max(last_seen + overdue);
@@ -291,8 +291,8 @@
         self.demand_per_s = self.demand_per_s * decay + 1.0 / DEMAND_WINDOW_S;
         self.last_request_at = now;
         self.refill(now, peers);
-        if self.part.is_none() && !peers.split.is_whole() {
-            self.take_part(peers.split, DemandRecord::default());
+        if self.part.is_none() && !peers.partition.is_whole() {
+            self.take_part(peers.partition, DemandRecord::default());
         }
         let (limit, level) = (self.part_limit(), self.part_level());
         let filled = level >= 1.0 && level >= limit.burst * LOW_LEVEL_FRACTION;
@@ -330,7 +330,7 @@
 #[derive(Clone, Copy, Debug)]
 struct PeerView<'a> {
     last_seen: &'a PeerLastSeen,
-    split: &'a FleetSplit,
+    partition: &'a FleetPartition,
     /// The expected peers from which no message was received yet.
     unconfirmed: usize,
 }
@@ -352,7 +352,7 @@
     expected_peers: usize,
     first_request_at: Option<MonoTime>,
     last_seen: PeerLastSeen,
-    split: FleetSplit,
+    partition: FleetPartition,
     buckets: IndexMap<CustomerId, CustomerBucket>,
 }
 
@@ -365,7 +365,7 @@
             expected_peers: 0,
             first_request_at: None,
             last_seen: PeerLastSeen::new(),
-            split: FleetSplit::default(),
+            partition: FleetPartition::default(),
             buckets: IndexMap::new(),
         }
     }
@@ -377,16 +377,16 @@
 
     /// Sets which peers fell silent, and divides the limits if they are others than before; returns whether
     /// they are.
-    pub fn set_split(&mut self, now: MonoTime, split: FleetSplit) -> bool {
-        if split.silent == self.split.silent {
+    pub fn set_partition(&mut self, now: MonoTime, partition: FleetPartition) -> bool {
+        if partition.silent == self.partition.silent {
             return false;
         }
-        let was_whole = self.split.is_whole();
-        self.split = split;
+        let was_whole = self.partition.is_whole();
+        self.partition = partition;
         let unconfirmed = self.unconfirmed(now);
         let view = PeerView {
             last_seen: &self.last_seen,
-            split: &self.split,
+            partition: &self.partition,
             unconfirmed,
         };
         for bucket in self.buckets.values_mut() {
@@ -417,7 +417,7 @@
                         now,
                         &PeerView {
                             last_seen,
-                            split: &self.split,
+                            partition: &self.partition,
                             unconfirmed,
                         },
                     );
@@ -443,7 +443,7 @@
                 now,
                 &PeerView {
                     last_seen,
-                    split: &self.split,
+                    partition: &self.partition,
                     unconfirmed,
                 },
             ),
@@ -502,7 +502,7 @@
                     now,
                     &PeerView {
                         last_seen,
-                        split: &self.split,
+                        partition: &self.partition,
                         unconfirmed,
                     },
                 );
@@ -528,7 +528,7 @@
             now,
             &PeerView {
                 last_seen,
-                split: &self.split,
+                partition: &self.partition,
                 unconfirmed,
             },
         );
@@ -549,7 +549,7 @@
             *bucket.part_level_mut() -= since.min(report.admitted as f64);
             return;
         };
-        if self.split.silent.contains(peer) {
+        if self.partition.silent.contains(peer) {
             // What it admitted meanwhile was in the part of others.
             return;
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,7 +4,7 @@
 //! actions. No module opens a socket, reads a clock, spawns a task or uses a global random source, so
 //! that each can be embedded and tested in virtual time. The daemons in the sibling crates do the I/O.
 //!
-//! - Entry nodes: `target_catalog`, `target_balancer`, `balanced_target`, `target_limits`, `target_warmups`, `sender_roster`, `target_notices`, `evacuation`, `service_room`, `admission_policy`, `failure_filter`, `fleet_rate`, `fleet_split`,
+//! - Entry nodes: `target_catalog`, `target_balancer`, `balanced_target`, `target_limits`, `target_warmups`, `sender_roster`, `target_notices`, `evacuation`, `service_room`, `admission_policy`, `failure_filter`, `fleet_rate`, `fleet_partition`,
 //!   `routing`, `entry_members`, `entry_nodes`, `table_mirror`, `copy_age`, `store_health`.
 //! - Configuration: `config`, `routing_check`, `routing_diff`, `key_table`, `plan`, `confirm`, `distribution`, `freshness`.
 //! - Members and shares: `membership`, `directory`, `epoch`, `budget`, `escrow`.
@@ -64,8 +64,8 @@
 pub mod fair_queue;
 mod fair_schedule;
 pub mod flap_history;
+pub mod fleet_partition;
 pub mod fleet_rate;
-pub mod fleet_split;
 pub mod freshness;
 pub mod generated;
 mod gossip_queue;
--- a/lib/tests/test_entry_nodes.rs
+++ b/lib/tests/test_entry_nodes.rs
@@ -391,23 +391,23 @@
         members.record_heartbeat(&vm(index), heartbeat);
     }
     let own = data_centre("even");
-    let split = members.update_split(at(1_000), &own);
+    let split = members.update_partition(at(1_000), &own);
     assert!(split.is_whole() && split.heard_part == 1.0, "{split:?}");
     // Those that carried traffic are silent; the idle one may have sent less.
-    let split = members.update_split(at(1_500), &own);
+    let split = members.update_partition(at(1_500), &own);
     assert_eq!(split.silent, IndexSet::from([vm(0), vm(3)]));
     // This node and the idle one of its data centre are heard. Of the other data centre nobody is.
     assert_eq!(split.heard_part, 2.0 / 5.0);
     let silent = IndexSet::from([vm(0), vm(2), vm(3)]);
-    assert_eq!(members.update_split(at(3_000), &own).silent, silent);
+    assert_eq!(members.update_partition(at(3_000), &own).silent, silent);
     // A partition may last longer than a node is remembered that sends nothing.
     members.tick(at(31_000));
     assert_eq!(members.iter().count(), 0);
-    assert_eq!(members.update_split(at(31_000), &own).silent, silent);
+    assert_eq!(members.update_partition(at(31_000), &own).silent, silent);
     let sequence = (MessageStream::Heartbeats, 2);
     assert!(members.accept_message(at(40_000), &vm(3), 5, sequence, address(1).ip()));
     let silent = IndexSet::from([vm(0), vm(2)]);
-    assert_eq!(members.update_split(at(40_000), &own).silent, silent);
+    assert_eq!(members.update_partition(at(40_000), &own).silent, silent);
     members.tick(at(640_000));
-    assert!(members.update_split(at(640_000), &own).is_whole());
+    assert!(members.update_partition(at(640_000), &own).is_whole());
 }
--- a/lib/tests/test_fleet_rates.rs
+++ b/lib/tests/test_fleet_rates.rs
@@ -6,10 +6,10 @@
 
 use std::time::Duration;
 
+use damaskloom_lib::fleet_partition::FleetPartition;
 use damaskloom_lib::fleet_rate::{
     FleetLimit, FleetRates, LimitDecision, RateTolerance, ReportFilter,
 };
-use damaskloom_lib::fleet_split::FleetSplit;
 use damaskloom_lib::ids::{CustomerId, VmId};
 use damaskloom_lib::time::MonoTime;
 use indexmap::IndexSet;
@@ -115,12 +115,12 @@
 
 impl TestNode {
     /// Returns which nodes are silent, as members of a real fleet notice it.
-    fn fleet_split(&self, ms: u64, own: usize) -> FleetSplit {
+    fn fleet_partition(&self, ms: u64, own: usize) -> FleetPartition {
         let nodes = self.heard_ms.len();
         let is_silent = |node: &usize| *node != own && ms > self.heard_ms[*node] + SILENCE_MS;
         let silent: IndexSet<VmId> = (0..nodes).filter(is_silent).map(vm).collect();
         let heard_part = 1.0 - silent.len() as f64 / nodes as f64;
-        FleetSplit { silent, heard_part }
+        FleetPartition { silent, heard_part }
     }
 }
 
@@ -182,8 +182,8 @@
         }
         if plan.split.is_some() && ms.is_multiple_of(LOCAL_REPORT_MS) {
             for (index, node) in nodes.iter_mut().enumerate() {
-                let split = node.fleet_split(ms, index);
-                node.rates.set_split(now, split);
+                let split = node.fleet_partition(ms, index);
+                node.rates.set_partition(now, split);
             }
         }
         let is_partitioned = plan
