crash check: a target that resets new connections is not down

A target with too many connections resets a request and each new connection. A check that took such a reset for a target that is down would have blamed requests that meet two such targets while others of the service accept connections. a_target_that_resets_new_connections_is_not_down failed while any failed connect counted.

--- a/entry/src/crash_check.rs
+++ b/entry/src/crash_check.rs
@@ -78,7 +78,11 @@
     let Some(announced) = known.map(|known| known.announcement) else {
         return CheckResult::Unknown;
     };
-    if state.target_pools.try_connect(announced.address).await {
+    if state
+        .target_pools
+        .accepts_connection(announced.address)
+        .await
+    {
         return CheckResult::Up;
     }
     let service = &announced.service;
--- a/entry/src/target_pool.rs
+++ b/entry/src/target_pool.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::fmt::Debug;
 use std::hash::Hash;
+use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -292,6 +293,17 @@
         self.pools.borrow_mut().swap_remove(id);
     }
 
+    /// Returns whether a target accepts a connection, even if it resets it then, as one with too many does;
+    /// the connection is closed again.
+    pub async fn accepts_connection(&self, address: SocketAddr) -> bool {
+        let connect = self.network.connect(address);
+        match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
+            Ok(Ok(_)) => true,
+            Ok(Err(error)) => error.kind() == ErrorKind::ConnectionReset,
+            Err(_) => false,
+        }
+    }
+
     /// Returns whether a target accepts a connection and does not reset it at once, as something on a
     /// broken path may; the connection is closed again.
     pub async fn try_connect(&self, address: SocketAddr) -> bool {
--- a/entry/tests/test_crashing_requests.rs
+++ b/entry/tests/test_crashing_requests.rs
@@ -3,10 +3,13 @@
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
+use std::time::Duration;
 
+use damaskloom_entry::target_pool::{SystemNetwork, TargetPools};
 use damaskloom_testutils::platform_server::PlatformServer;
 use http::StatusCode;
 use serde_json::json;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
@@ -89,3 +92,21 @@
         })
         .await;
 }
+
+/// Guards against a request that is blamed for crashes of targets that reset it, and each new connection, since
+/// they have too many.
+#[tokio::test]
+async fn a_target_that_resets_new_connections_is_not_down() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+    let listener = listener.expect("loopback has a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let target = async {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        SockRef::from(&stream)
+            .set_linger(Some(Duration::ZERO))
+            .expect("the option can be set");
+    };
+    let pools = TargetPools::new(Rc::new(SystemNetwork::default()));
+    let (is_accepted, ()) = tokio::join!(pools.accepts_connection(address), target);
+    assert!(is_accepted);
+}
--- a/gateway/src/crash_registry.rs
+++ b/gateway/src/crash_registry.rs
@@ -1,5 +1,6 @@
 //! Refuses requests that crash targets, over the whole fleet.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -202,10 +203,12 @@
     }
 }
 
+/// Returns whether a target accepts a connection, even if it resets it then, as one with too many does.
 async fn accepts_connection(address: SocketAddr) -> bool {
     let connect = TcpStream::connect(address);
-    matches!(
-        tokio::time::timeout(CHECK_TIMEOUT, connect).await,
-        Ok(Ok(_))
-    )
+    match tokio::time::timeout(CHECK_TIMEOUT, connect).await {
+        Ok(Ok(_)) => true,
+        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionReset,
+        Err(_) => false,
+    }
 }
