--- a/entry/tests/test_row_fetches.rs
+++ b/entry/tests/test_row_fetches.rs
@@ -393,7 +393,7 @@
 /// an answer and seems to read it all the while; and against further calls to the store while it does read it.
 #[tokio::test]
 async fn a_node_reads_the_store_once_the_reading_of_its_peer_is_old() {
-    with_follower(9, |store, node, peer, _target| async move {
+    with_follower(11, |store, node, peer, _target| async move {
         peer.read_age_ms.set(Some(0));
         wait_without_feeds(&store).await;
         peer.read_age_ms.set(Some(60_000));
