fleet partition: what the fleet has overdrawn is not forgiven when peers fall silent

Cause, one of two: a part of the fleet took its share of an overdrawn level too, and kept that as the fleet's level once all were heard again, so that a silence of a moment forgave the rest of the debt. A part now keeps account of what the others have overdrawn, which their part of the rate pays off. Peers that have just fallen silent are charged at their last rate up to then, as before.

a_short_silence_forgives_nothing_that_was_overdrawn failed before.

--- a/lib/src/fleet_partition.rs
+++ b/lib/src/fleet_partition.rs
@@ -82,24 +82,45 @@
     pub(crate) share: f64,
     /// The requests that are left for the part.
     pub(crate) level: f64,
+    /// What the other parts have overdrawn, as far as this part knows; zero or negative.
+    others_debt: f64,
 }
 
 impl PartBucket {
-    /// Takes the part's share of what was left for the fleet.
+    /// Takes the part's share of what was left for the fleet, or of what it has overdrawn.
     pub(crate) fn new(partition: &FleetPartition, demand: DemandRecord, fleet_level: f64) -> Self {
         let share = demand.share(partition);
         Self {
             demand,
             share,
             level: fleet_level * share,
+            others_debt: (fleet_level * (1.0 - share)).min(0.0),
         }
     }
 
-    /// Adapts the share to other silent nodes. What the nodes that are heard again have left is not known.
+    /// Adds what the other parts gain of the whole rate.
+    pub(crate) fn refill_others(&mut self, fleet_gain: f64) {
+        self.others_debt = (self.others_debt + fleet_gain * (1.0 - self.share)).min(0.0);
+    }
+
+    /// Returns the level of the fleet once the parts hear each other again: what the others have left is not
+    /// known, and what they have overdrawn is not forgiven.
+    pub(crate) const fn fleet_level(&self) -> f64 {
+        self.level + self.others_debt
+    }
+
+    /// Adapts the share to other silent nodes. What the nodes that are heard again have left is not known; what
+    /// they have overdrawn comes with them.
     pub(crate) fn adapt(&mut self, partition: &FleetPartition) {
         let share = self.demand.share(partition);
         if share < self.share {
-            self.level *= share / self.share;
+            let lost = self.level * (1.0 - share / self.share);
+            self.level -= lost;
+            self.others_debt = (self.others_debt + lost).min(0.0);
+        } else if share > self.share {
+            let joined = self.others_debt * (share - self.share) / (1.0 - self.share);
+            self.level += joined;
+            self.others_debt -= joined;
         }
         self.share = share;
     }
--- a/lib/src/fleet_rate.rs
+++ b/lib/src/fleet_rate.rs
@@ -192,11 +192,9 @@
     /// Divides the limit after other peers fell silent or were heard again; `was_whole` says whether all were heard
     /// before.
     fn divide(&mut self, now: MonoTime, peers: &PeerView<'_>, was_whole: bool) {
-        self.refill(now, peers);
         if peers.partition.is_whole() {
             if let Some(part) = self.part.take() {
-                // What the other parts have left is not known.
-                self.level = part.level;
+                self.level = part.fleet_level();
             }
             return;
         }
@@ -251,6 +249,9 @@
         let gained = elapsed * limit.rate_per_s;
         let level = self.part_level_mut();
         *level = (*level + gained).min(limit.burst.max(1.0));
+        if let Some(part) = &mut self.part {
+            part.refill_others(elapsed * self.limit.rate_per_s);
+        }
         let share = self.own_share(now, peers);
         let saved = MIN_SAVED_REQUESTS.max(limit.burst * share * SAVED_BURST_FRACTION);
         self.own_tokens = (self.own_tokens + gained * share).min(saved);
@@ -382,15 +383,17 @@
             return false;
         }
         let was_whole = self.partition.is_whole();
-        self.partition = partition;
         let unconfirmed = self.unconfirmed(now);
-        let view = PeerView {
+        // Up to now, peers that have just fallen silent are charged at their last rate.
+        let before = std::mem::replace(&mut self.partition, partition);
+        let view = |partition| PeerView {
             last_seen: &self.last_seen,
-            partition: &self.partition,
+            partition,
             unconfirmed,
         };
         for bucket in self.buckets.values_mut() {
-            bucket.divide(now, &view, was_whole);
+            bucket.refill(now, &view(&before));
+            bucket.divide(now, &view(&self.partition), was_whole);
         }
         true
     }
--- a/lib/tests/test_fleet_rates.rs
+++ b/lib/tests/test_fleet_rates.rs
@@ -7,9 +7,7 @@
 use std::time::Duration;
 
 use damaskloom_lib::fleet_partition::FleetPartition;
-use damaskloom_lib::fleet_rate::{
-    FleetLimit, FleetRates, LimitDecision, RateTolerance, ReportFilter,
-};
+use damaskloom_lib::fleet_rate::{FleetLimit, FleetRates, LimitDecision, RateTolerance};
 use damaskloom_lib::ids::{CustomerId, VmId};
 use damaskloom_lib::time::MonoTime;
 use indexmap::IndexSet;
@@ -474,3 +472,46 @@
     let reports = [10_250, 10_500, 10_750, 11_000].map(|ms| filter.drain_due(at(ms), &rates).len());
     assert_eq!(reports, [1, 1, 0, 0]);
 }
+
+/// Reports to a node what a peer has admitted of a customer since it started.
+fn report(rates: &mut FleetRates, ms: u64, peer: usize, admitted: u64) {
+    let customer: CustomerId = "hauliers".parse().expect("a valid name");
+    let now = MonoTime::from_millis(ms);
+    rates.record_message(now, &vm(peer));
+    let report = RateReport {
+        admitted,
+        demand_per_s: 1.0,
+    };
+    rates.record_report(now, &vm(peer), &customer, report);
+}
+
+/// Guards against an overdrawn limit that is forgiven, since peers fall silent and are heard again soon.
+#[test]
+fn a_short_silence_forgives_nothing_that_was_overdrawn() {
+    let customer: CustomerId = "hauliers".parse().expect("a valid name");
+    let at = MonoTime::from_millis;
+    let levels = [false, true].map(|has_silence| {
+        let mut rates = FleetRates::new(at(0), RateTolerance::default());
+        rates.set_limits(at(0), [(customer.clone(), LIMITS[1])]);
+        rates.decide(at(9_000), &customer);
+        for (ms, admitted) in [(9_900, 0), (10_000, 50)] {
+            report(&mut rates, ms, 1, admitted);
+            report(&mut rates, ms, 2, admitted);
+        }
+        for silent in [&[1][..], &[1, 2], &[2], &[]] {
+            let silent = silent.iter().map(|index| vm(*index)).collect();
+            let partition = FleetPartition {
+                silent,
+                heard_part: 0.4,
+            };
+            if has_silence {
+                rates.set_partition(at(10_000), partition);
+            }
+        }
+        match rates.decide(at(10_000), &customer) {
+            LimitDecision::Refuse(exceeded) => exceeded.level,
+            LimitDecision::Admit => panic!("the limit is overdrawn"),
+        }
+    });
+    assert!((levels[0] - levels[1]).abs() < 0.01, "{levels:?}");
+}
