--- a/entry/src/peer_receipt.rs
+++ b/entry/src/peer_receipt.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use damaskloom_lib::failure_filter::FailureSignal;
-use damaskloom_lib::fleet_rate::RateReport;
 use damaskloom_lib::ids::VmId;
 use damaskloom_lib::message_relay::RelayScope;
+use damaskloom_lib::rate_report::RateReport;
 
 use crate::entry_state::EntryState;
 use crate::peer_socket::PeerSocket;
--- a/entry/src/peer_socket.rs
+++ b/entry/src/peer_socket.rs
@@ -6,8 +6,8 @@
 
 use damaskloom_lib::entry_members::{HEARTBEAT_INTERVAL_MS, HeartbeatScope, NodeHeartbeat};
 use damaskloom_lib::failure_filter::FailureSignal;
-use damaskloom_lib::fleet_rate::ReportFilter;
 use damaskloom_lib::message_relay::{MessageAudience, MessageReach, RelayCopies, RelayScope};
+use damaskloom_lib::rate_report::ReportFilter;
 use damaskloom_lib::target_balancer::TargetCode;
 use damaskloom_lib::target_limits::LimitStatement;
 use damaskloom_lib::time::MonoTime;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,7 +4,7 @@
 //! actions. No module opens a socket, reads a clock, spawns a task or uses a global random source, so
 //! that each can be embedded and tested in virtual time. The daemons in the sibling crates do the I/O.
 //!
-//! - Entry nodes: `target_catalog`, `target_balancer`, `balanced_target`, `target_limits`, `target_warmups`, `sender_roster`, `target_notices`, `evacuation`, `service_room`, `admission_policy`, `failure_filter`, `fleet_rate`, `fleet_partition`,
+//! - Entry nodes: `target_catalog`, `target_balancer`, `balanced_target`, `target_limits`, `target_warmups`, `sender_roster`, `target_notices`, `evacuation`, `service_room`, `admission_policy`, `failure_filter`, `fleet_rate`, `rate_report`, `fleet_partition`,
 //!   `routing`, `entry_members`, `entry_nodes`, `table_mirror`, `copy_age`, `store_health`.
 //! - Configuration: `config`, `routing_check`, `routing_diff`, `key_table`, `plan`, `confirm`, `distribution`, `freshness`.
 //! - Members and shares: `membership`, `directory`, `epoch`, `budget`, `escrow`.
@@ -41,6 +41,7 @@
 pub mod copy_age;
 pub mod crash_guard;
 pub mod crossing_cost;
+mod customer_bucket;
 pub mod delta_log;
 pub mod demand_meter;
 pub mod detector;
@@ -101,6 +102,7 @@
 mod proposal_queue;
 mod rate_entry;
 pub mod rate_limiter;
+pub mod rate_report;
 pub mod registration;
 pub mod rendezvous;
 pub mod repeat_budget;
--- a/lib/tests/test_fleet_rates.rs
+++ b/lib/tests/test_fleet_rates.rs
@@ -9,6 +9,7 @@
 use damaskloom_lib::fleet_partition::FleetPartition;
 use damaskloom_lib::fleet_rate::{FleetLimit, FleetRates, LimitDecision, RateTolerance};
 use damaskloom_lib::ids::{CustomerId, VmId};
+use damaskloom_lib::rate_report::{RateReport, ReportFilter};
 use damaskloom_lib::time::MonoTime;
 use indexmap::IndexSet;
 use rand::rngs::SmallRng;
