customer bucket: what a peer admits after its silence is charged

The other cause: as long as a peer was taken for silent, up to a second after it was heard again, none of its reports was charged. A process that starts again admits a few requests at once, and these were lost. Now only what it admitted between its last report before the silence and the first one after it is left to its part, and a peer that counts from zero is charged from zero.

--- a/lib/src/customer_bucket.rs
+++ b/lib/src/customer_bucket.rs
@@ -72,6 +72,8 @@
     /// The requests that were charged while messages of the peer were overdue.
     charged: f64,
     charged_until: MonoTime,
+    /// Whether the peer fell silent after this report: what it admits until the next one is in the part of others.
+    fell_silent: bool,
 }
 
 impl PeerRate {
@@ -155,6 +157,11 @@
     /// Divides the limit after other peers fell silent or were heard again; `was_whole` says whether all were heard
     /// before.
     pub(crate) fn divide(&mut self, now: MonoTime, peers: &PeerView<'_>, was_whole: bool) {
+        for vm in &peers.partition.silent {
+            if let Some(peer) = self.peers.get_mut(vm) {
+                peer.fell_silent = true;
+            }
+        }
         if peers.partition.is_whole() {
             if let Some(part) = self.part.take() {
                 self.level = part.fleet_level();
@@ -316,6 +323,7 @@
             reported_at: now,
             charged: 0.0,
             charged_until: now,
+            fell_silent: false,
         };
         let Some(held) = self.peers.insert(peer.clone(), fresh) else {
             // Requests that the peer admitted since this bucket was created are not charged yet.
@@ -324,13 +332,12 @@
             *self.part_level_mut() -= since.min(report.admitted as f64);
             return;
         };
-        if peers.partition.silent.contains(peer) {
-            // What it admitted meanwhile was in the part of others.
-            return;
-        }
-        // A restarted peer counts from zero.
-        let admitted = report.admitted.checked_sub(held.admitted);
-        *self.part_level_mut() -= admitted.unwrap_or(report.admitted) as f64 - held.charged;
+        *self.part_level_mut() -= match report.admitted.checked_sub(held.admitted) {
+            Some(_) if held.fell_silent => 0.0,
+            Some(admitted) => admitted as f64 - held.charged,
+            // A restarted peer counts from zero.
+            None => report.admitted as f64 - held.charged,
+        };
     }
 
     /// Returns this node's report and the number of its requests; none if there were none.
--- a/lib/tests/test_fleet_rates.rs
+++ b/lib/tests/test_fleet_rates.rs
@@ -516,3 +516,30 @@
     });
     assert!((levels[0] - levels[1]).abs() < 0.01, "{levels:?}");
 }
+
+/// Guards against requests that are not charged since the peer that admits them is still taken for silent: after a
+/// restart it begins with a part of the burst.
+#[test]
+fn what_a_peer_admits_after_its_silence_is_charged() {
+    let customer: CustomerId = "hauliers".parse().expect("a valid name");
+    let at = MonoTime::from_millis;
+    let mut rates = FleetRates::new(at(0), RateTolerance::default());
+    rates.set_limits(at(0), [(customer.clone(), LIMITS[1])]);
+    report(&mut rates, 9_000, 1, 0);
+    report(&mut rates, 9_000, 1, 40);
+    let partition = FleetPartition {
+        silent: [vm(1)].into_iter().collect(),
+        heard_part: 0.5,
+    };
+    rates.set_partition(at(9_000), partition);
+    // What it admitted before it started again, and during the partition, is in the part of others.
+    for admitted in [45, 70, 30] {
+        report(&mut rates, 9_000, 1, admitted);
+    }
+    rates.set_partition(at(9_000), FleetPartition::default());
+    let LimitDecision::Refuse(exceeded) = rates.decide(at(9_000), &customer) else {
+        panic!("the limit is overdrawn");
+    };
+    // 40 of the burst of 30 before the partition, 25 and 30 after it; the lowest level is -30.
+    assert!(exceeded.level <= -29.0, "{exceeded:?}");
+}
